--- /dev/null
+++ b/core/dhburn/burn.go
@@ -0,0 +1,223 @@
+// Package dhburn measures how fast routes use up the error budgets of their
+// service-level objectives, for each organisation, over several windows.
+package dhburn
+
+import (
+	"cmp"
+	"slices"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+)
+
+// Shape of the two rings of counters.
+const (
+	minute      dhclock.Millis = 60 * dhclock.Second
+	fineSlots                  = 60
+	coarseSlots                = 72
+	coarseSpan                 = 5 * minute
+	// maxSeries bounds the pairs of route and organisation.
+	maxSeries = 4096
+)
+
+// Burn rates at which a pair of windows raises an alert: both the short and
+// the long window must burn faster.
+const (
+	// PageRate over 5 minutes and 1 hour uses 2 % of a 30-day budget an hour.
+	PageRate = 14.4
+	// TicketRate over 30 minutes and 6 hours uses 5 % of it in 6 hours.
+	TicketRate = 6.0
+)
+
+// Alert is how urgent a burn is.
+type Alert string
+
+// The alerts.
+const (
+	AlertNone   Alert = "ok"
+	AlertTicket Alert = "ticket"
+	AlertPage   Alert = "page"
+)
+
+type pair struct {
+	route        string
+	organisation string
+}
+
+type counter struct {
+	total uint32
+	bad   uint32
+}
+
+// ring counts requests in slots of a fixed span.
+type ring struct {
+	span  dhclock.Millis
+	slots []counter
+	last  int64 // number of the newest slot
+}
+
+func newRing(span dhclock.Millis, slots int) ring {
+	return ring{span: span, slots: make([]counter, slots)}
+}
+
+// advance empties the slots that time has passed over.
+func (r *ring) advance(now dhclock.Millis) {
+	number := int64(now / r.span)
+	n := int64(len(r.slots))
+	for k := max(r.last+1, number-n+1); k <= number; k++ {
+		r.slots[k%n] = counter{}
+	}
+	r.last = max(r.last, number)
+}
+
+func (r *ring) add(now dhclock.Millis, bad bool) {
+	r.advance(now)
+	c := &r.slots[r.last%int64(len(r.slots))]
+	c.total++
+	if bad {
+		c.bad++
+	}
+}
+
+// sum counts the newest slots.
+func (r *ring) sum(now dhclock.Millis, slots int) (total, bad uint64) {
+	r.advance(now)
+	n := int64(len(r.slots))
+	for k := r.last; k > r.last-int64(slots) && k >= 0; k-- {
+		c := r.slots[k%n]
+		total += uint64(c.total)
+		bad += uint64(c.bad)
+	}
+	return total, bad
+}
+
+type series struct {
+	fine   ring
+	coarse ring
+}
+
+// Recorder counts good and bad requests.
+type Recorder struct{ series map[pair]*series }
+
+// New returns an empty recorder.
+func New() *Recorder { return &Recorder{series: map[pair]*series{}} }
+
+// Add counts a request of a route and organisation.
+func (r *Recorder) Add(now dhclock.Millis, route, organisation string, bad bool) {
+	p := pair{route, organisation}
+	s, found := r.series[p]
+	if !found {
+		if len(r.series) >= maxSeries {
+			return
+		}
+		s = &series{fine: newRing(minute, fineSlots), coarse: newRing(coarseSpan, coarseSlots)}
+		r.series[p] = s
+	}
+	s.fine.add(now, bad)
+	s.coarse.add(now, bad)
+}
+
+// RowOptions are the fields of a Row.
+type RowOptions struct {
+	Objective    string
+	Route        string
+	Organisation string
+	Target       float64
+	Total        uint64
+	Bad          uint64
+	Burn5m       float64
+	Burn30m      float64
+	Burn1h       float64
+	Burn6h       float64
+}
+
+// Row is the burn of one objective for one organisation.
+type Row struct{ options RowOptions }
+
+// NewRow returns a row.
+func NewRow(o RowOptions) Row { return Row{options: o} }
+
+// Objective returns the objective's name.
+func (r Row) Objective() string { return r.options.Objective }
+
+// Route returns the route's name.
+func (r Row) Route() string { return r.options.Route }
+
+// Organisation returns the organisation, or "" on open routes.
+func (r Row) Organisation() string { return r.options.Organisation }
+
+// Target returns the share of requests that must be good.
+func (r Row) Target() float64 { return r.options.Target }
+
+// Total returns the requests of the last six hours.
+func (r Row) Total() uint64 { return r.options.Total }
+
+// Bad returns the bad requests of the last six hours.
+func (r Row) Bad() uint64 { return r.options.Bad }
+
+// Burn5m returns the burn rate over 5 minutes; 1 uses up the budget exactly.
+func (r Row) Burn5m() float64 { return r.options.Burn5m }
+
+// Burn30m returns the burn rate over 30 minutes.
+func (r Row) Burn30m() float64 { return r.options.Burn30m }
+
+// Burn1h returns the burn rate over an hour.
+func (r Row) Burn1h() float64 { return r.options.Burn1h }
+
+// Burn6h returns the burn rate over six hours.
+func (r Row) Burn6h() float64 { return r.options.Burn6h }
+
+// Alert returns how urgent the burn is.
+func (r Row) Alert() Alert {
+	switch {
+	case r.options.Burn5m >= PageRate && r.options.Burn1h >= PageRate:
+		return AlertPage
+	case r.options.Burn30m >= TicketRate && r.options.Burn6h >= TicketRate:
+		return AlertTicket
+	default:
+		return AlertNone
+	}
+}
+
+// Rows returns the burn of every objective for every organisation that sent
+// requests, the worst served first.
+func (r *Recorder) Rows(now dhclock.Millis, objectives []dhcatalog.Objective) []Row {
+	var rows []Row
+	for _, o := range objectives {
+		for p, s := range r.series {
+			if p.route == o.Route() {
+				rows = append(rows, s.row(now, o, p))
+			}
+		}
+	}
+	Sort(rows)
+	return rows
+}
+
+// Sort puts the worst-served rows first.
+func Sort(rows []Row) {
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(
+			-cmp.Compare(a.Burn1h(), b.Burn1h()), -cmp.Compare(a.Burn6h(), b.Burn6h()),
+			cmp.Compare(a.Route(), b.Route()), cmp.Compare(a.Organisation(), b.Organisation()),
+		)
+	})
+}
+
+func (s *series) row(now dhclock.Millis, o dhcatalog.Objective, p pair) Row {
+	budget := float64(1_000_000-o.TargetPerMillion()) / 1_000_000
+	rate := func(r *ring, slots int) float64 {
+		total, bad := r.sum(now, slots)
+		if total == 0 {
+			return 0
+		}
+		return float64(bad) / float64(total) / budget
+	}
+	total, bad := s.coarse.sum(now, coarseSlots)
+	return NewRow(RowOptions{
+		Objective: o.Name(), Route: p.route, Organisation: p.organisation,
+		Target: 1 - budget, Total: total, Bad: bad,
+		Burn5m: rate(&s.fine, 5), Burn30m: rate(&s.fine, 30),
+		Burn1h: rate(&s.fine, fineSlots), Burn6h: rate(&s.coarse, coarseSlots),
+	})
+}
--- /dev/null
+++ b/core/dhcatalog/catalog.go
@@ -0,0 +1,268 @@
+package dhcatalog
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Catalog is one version of all objects and client blocks. It is immutable
+// and safe to read from any goroutine.
+type Catalog struct {
+	version uint64
+	objects map[Ref]Object
+	blocks4 *blockTable
+	blocks6 *blockTable
+	// siteNumbers gives each site a number that is stable between versions.
+	siteNumbers map[string]uint16
+	siteNames   []string
+	index       *index
+}
+
+// New returns the empty catalog, which is version 0.
+func New() *Catalog {
+	c := &Catalog{
+		objects:     map[Ref]Object{},
+		blocks4:     &blockTable{},
+		blocks6:     &blockTable{},
+		siteNumbers: map[string]uint16{},
+	}
+	c.index = newIndex(c.objects)
+	return c
+}
+
+// Version returns the number of the change set that made this catalog.
+func (c *Catalog) Version() uint64 { return c.version }
+
+// Len returns the number of objects.
+func (c *Catalog) Len() int { return len(c.objects) }
+
+// BlockCount returns the number of client blocks.
+func (c *Catalog) BlockCount() int { return c.blocks4.count + c.blocks6.count }
+
+// Get returns an object, or nil.
+func (c *Catalog) Get(ref Ref) Object { return c.objects[ref] }
+
+// List returns the objects of a kind, sorted by name.
+func (c *Catalog) List(kind Kind) []Object {
+	var list []Object
+	for r, o := range c.objects {
+		if r.kind == kind {
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b Object) int { return strings.Compare(a.Ref().name, b.Ref().name) })
+	return list
+}
+
+// EachBlock calls f for every client block and the name of its site.
+func (c *Catalog) EachBlock(f func(block Block, site string)) {
+	visit := func(six bool) func(uint64, uint8, uint16) {
+		return func(start uint64, bits uint8, site uint16) {
+			f(Block{start: start, bits: bits, six: six}, c.siteNames[site])
+		}
+	}
+	c.blocks4.each(visit(false))
+	c.blocks6.each(visit(true))
+}
+
+// SiteOf returns the site for a client address: that of the block that covers
+// it, or the default site. It returns false where there is neither.
+func (c *Catalog) SiteOf(address uint64, six bool) (Site, bool) {
+	table := c.blocks4
+	if six {
+		table = c.blocks6
+	}
+	if n, found := table.find(address); found {
+		return c.index.sites[n], true
+	}
+	return c.index.defaultSite, c.index.hasDefault
+}
+
+// Apply checks a change set against this catalog as a whole and returns the
+// next version. It returns a ConflictError for another base version and an
+// InvalidError with every problem found.
+func (c *Catalog) Apply(s ChangeSet) (*Catalog, error) {
+	if s.Base() != c.version {
+		return nil, ConflictError{base: s.Base(), current: c.version}
+	}
+	p := &problems{}
+	next := &Catalog{version: c.version + 1, objects: maps.Clone(c.objects)}
+	checkHead(s, p)
+	next.applyObjects(s, p)
+	next.checkReferences(p)
+	next.numberSites(c)
+	next.applyBlocks(c, s, p)
+	if err := p.err(); err != nil {
+		return nil, err
+	}
+	next.index = newIndex(next.objects)
+	next.index.resolveSites(next.siteNames, next.objects)
+	next.checkUnique(p)
+	if err := p.err(); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func checkHead(s ChangeSet, p *problems) {
+	head := NewRef("changeSet", s.ID())
+	p.requireName(head, "id", s.ID())
+	p.requireName(head, "author", s.Author())
+	if s.Empty() {
+		p.add(head, "puts", "no change", "put or delete at least one object or block")
+	}
+}
+
+func (c *Catalog) applyObjects(s ChangeSet, p *problems) {
+	seen := map[Ref]bool{}
+	for _, r := range s.Deletes() {
+		if seen[r] {
+			p.add(r, "deletes", "the object twice", "name each object once")
+		}
+		seen[r] = true
+		if _, found := c.objects[r]; !found {
+			p.add(r, "deletes", "no such object", "leave it out")
+		}
+		delete(c.objects, r)
+	}
+	for _, o := range s.Puts() {
+		r := o.Ref()
+		if seen[r] {
+			p.add(r, "puts", "the object twice", "name each object once")
+		}
+		seen[r] = true
+		p.requireName(r, "name", r.name)
+		o.check(p)
+		c.objects[r] = o
+	}
+}
+
+func (c *Catalog) checkReferences(p *problems) {
+	for _, r := range sortedRefs(c.objects) {
+		for _, to := range c.objects[r].references() {
+			if _, found := c.objects[to]; !found {
+				p.add(r, string(to.kind), strconv.Quote(to.name)+", which does not exist",
+					"put "+to.String()+" in the same change set, or refer to another")
+			}
+		}
+	}
+}
+
+func sortedRefs(objects map[Ref]Object) []Ref {
+	return slices.SortedFunc(maps.Keys(objects), func(a, b Ref) int {
+		if n := strings.Compare(string(a.kind), string(b.kind)); n != 0 {
+			return n
+		}
+		return strings.Compare(a.name, b.name)
+	})
+}
+
+// numberSites keeps the numbers of old sites and gives new sites new ones.
+func (c *Catalog) numberSites(old *Catalog) {
+	c.siteNumbers, c.siteNames = old.siteNumbers, old.siteNames
+	cloned := false
+	for _, r := range sortedRefs(c.objects) {
+		if r.kind != KindSite {
+			continue
+		}
+		if _, found := c.siteNumbers[r.name]; found {
+			continue
+		}
+		if !cloned {
+			c.siteNumbers, c.siteNames = maps.Clone(old.siteNumbers), slices.Clone(old.siteNames)
+			cloned = true
+		}
+		c.siteNumbers[r.name] = uint16(len(c.siteNames))
+		c.siteNames = append(c.siteNames, r.name)
+	}
+}
+
+func (c *Catalog) applyBlocks(old *Catalog, s ChangeSet, p *problems) {
+	var edits4, edits6 []blockEdit
+	for _, b := range s.Blocks() {
+		e, ok := c.resolveBlock(b, p)
+		switch {
+		case !ok:
+		case b.block.six:
+			edits6 = append(edits6, e)
+		default:
+			edits4 = append(edits4, e)
+		}
+	}
+	c.blocks4 = old.blocks4.with(edits4, reportBlock(p, false, "overlaps another block", "split or remove the other block"),
+		reportBlock(p, false, "no such block", "leave the removal out"))
+	c.blocks6 = old.blocks6.with(edits6, reportBlock(p, true, "overlaps another block", "split or remove the other block"),
+		reportBlock(p, true, "no such block", "leave the removal out"))
+	if len(p.list) == 0 {
+		c.checkBlockSites(old, p)
+	}
+}
+
+func reportBlock(p *problems, six bool, found, remedy string) func(start uint64) {
+	return func(start uint64) {
+		b := Block{start: start, six: six}
+		p.add(NewRef("block", b.String()), "blocks", found, remedy)
+	}
+}
+
+func (c *Catalog) resolveBlock(b BlockChange, p *problems) (blockEdit, bool) {
+	ref := NewRef("block", b.block.String())
+	if b.block.bits < 1 || b.block.bits > MaxBlockBits || !b.block.six && b.block.bits > 32 {
+		p.add(ref, "bits", strconv.Itoa(int(b.block.bits)), "use 1 to 32 bits for IPv4 and 1 to 64 for IPv6")
+		return blockEdit{}, false
+	}
+	e := blockEdit{start: b.block.start, bits: b.block.bits, site: -1}
+	if b.site == "" {
+		return e, true
+	}
+	if _, found := c.objects[NewRef(KindSite, b.site)]; !found {
+		p.add(ref, "site", strconv.Quote(b.site)+", which does not exist", "put the site in the same change set, or name another")
+		return e, false
+	}
+	e.site = int(c.siteNumbers[b.site])
+	return e, true
+}
+
+// checkBlockSites refuses to delete a site that blocks still point to.
+func (c *Catalog) checkBlockSites(old *Catalog, p *problems) {
+	gone := map[uint16]string{}
+	for _, r := range sortedRefs(old.objects) {
+		if r.kind == KindSite && c.objects[r] == nil {
+			gone[c.siteNumbers[r.name]] = r.name
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	check := func(_ uint64, _ uint8, site uint16) {
+		if name, found := gone[site]; found {
+			p.add(NewRef(KindSite, name), "deletes", "blocks that point to the site", "move its blocks to another site first")
+			delete(gone, site)
+		}
+	}
+	c.blocks4.each(check)
+	c.blocks6.each(check)
+}
+
+// Restore rebuilds a catalog from a stored version. The content was checked
+// when it was accepted, so a problem means a damaged copy and is returned.
+func Restore(version uint64, objects []Object, blocks []BlockChange) (*Catalog, error) {
+	if version == 0 {
+		return New(), nil
+	}
+	empty := New()
+	if len(objects) == 0 && len(blocks) == 0 {
+		empty.version = version
+		return empty, nil
+	}
+	next, err := empty.Apply(NewChangeSet(ChangeSetOptions{
+		ID: "restore", Author: "restore", Puts: objects, Blocks: blocks,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	next.version = version
+	return next, nil
+}
--- /dev/null
+++ b/core/dhcatalog/change.go
@@ -0,0 +1,48 @@
+package dhcatalog
+
+// ChangeSetOptions are the fields of a ChangeSet.
+type ChangeSetOptions struct {
+	// ID is chosen by the operator and identifies resends.
+	ID string
+	// Base is the version that the change set was written against.
+	Base uint64
+	// Author names who made the change.
+	Author  string
+	Puts    []Object
+	Deletes []Ref
+	Blocks  []BlockChange
+	// Digest identifies the content, to tell a resend from a reused ID.
+	Digest KeyHash
+}
+
+// ChangeSet is a set of changes that holds as a whole or not at all.
+type ChangeSet struct{ options ChangeSetOptions }
+
+// NewChangeSet returns a change set.
+func NewChangeSet(o ChangeSetOptions) ChangeSet { return ChangeSet{options: o} }
+
+// ID returns the identifier that resends share.
+func (c ChangeSet) ID() string { return c.options.ID }
+
+// Base returns the version that the change set was written against.
+func (c ChangeSet) Base() uint64 { return c.options.Base }
+
+// Author returns who made the change.
+func (c ChangeSet) Author() string { return c.options.Author }
+
+// Puts returns the objects to create or replace.
+func (c ChangeSet) Puts() []Object { return c.options.Puts }
+
+// Deletes returns the objects to remove.
+func (c ChangeSet) Deletes() []Ref { return c.options.Deletes }
+
+// Blocks returns the client blocks to assign or remove.
+func (c ChangeSet) Blocks() []BlockChange { return c.options.Blocks }
+
+// Digest returns the hash of the content.
+func (c ChangeSet) Digest() KeyHash { return c.options.Digest }
+
+// Empty tells whether the change set changes nothing.
+func (c ChangeSet) Empty() bool {
+	return len(c.options.Puts) == 0 && len(c.options.Deletes) == 0 && len(c.options.Blocks) == 0
+}
--- /dev/null
+++ b/core/dhcatalog/index.go
@@ -0,0 +1,210 @@
+package dhcatalog
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// index holds what requests look up, worked out once a version.
+type index struct {
+	keys        map[KeyHash]Key
+	limits      map[string]Limit
+	routes      []Route
+	instances   map[string][]Instance
+	zones       []Zone
+	drains      map[Ref]Drain
+	objectives  []Objective
+	sites       []Site
+	defaultSite Site
+	hasDefault  bool
+}
+
+func newIndex(objects map[Ref]Object) *index {
+	x := &index{
+		keys:      map[KeyHash]Key{},
+		limits:    map[string]Limit{},
+		instances: map[string][]Instance{},
+		drains:    map[Ref]Drain{},
+	}
+	for _, r := range sortedRefs(objects) {
+		switch o := objects[r].(type) {
+		case Key:
+			x.keys[o.Hash()] = o
+		case Limit:
+			x.limits[o.Organisation()] = o
+		case Route:
+			x.routes = append(x.routes, o)
+		case Instance:
+			x.instances[o.Zone()] = append(x.instances[o.Zone()], o)
+		case Zone:
+			x.zones = append(x.zones, o)
+		case Drain:
+			x.drains[o.Target()] = o
+		case Objective:
+			x.objectives = append(x.objectives, o)
+		case Site:
+			if o.Default() && !x.hasDefault {
+				x.defaultSite, x.hasDefault = o, true
+			}
+		}
+	}
+	slices.SortStableFunc(x.routes, func(a, b Route) int {
+		return len(b.PathPrefix()) - len(a.PathPrefix())
+	})
+	return x
+}
+
+// resolveSites lists the sites by number, so that a look-up needs no map.
+func (x *index) resolveSites(names []string, objects map[Ref]Object) {
+	x.sites = make([]Site, len(names))
+	for i, name := range names {
+		if s, ok := objects[NewRef(KindSite, name)].(Site); ok {
+			x.sites[i] = s
+		}
+	}
+}
+
+// checkUnique refuses objects that exclude each other.
+func (c *Catalog) checkUnique(p *problems) {
+	hashes := map[KeyHash]string{}
+	limits := map[string]string{}
+	prefixes := map[string]string{}
+	drains := map[Ref]string{}
+	defaults := ""
+	for _, r := range sortedRefs(c.objects) {
+		switch o := c.objects[r].(type) {
+		case Key:
+			p.requireUnique(r, "hash", hashes[o.Hash()], "choose another secret")
+			hashes[o.Hash()] = r.name
+		case Limit:
+			p.requireUnique(r, "organisation", limits[o.Organisation()], "keep one limit an organisation")
+			limits[o.Organisation()] = r.name
+		case Route:
+			p.requireUnique(r, "pathPrefix", prefixes[o.PathPrefix()], "choose another prefix")
+			prefixes[o.PathPrefix()] = r.name
+		case Drain:
+			p.requireUnique(r, "target", drains[o.Target()], "keep one drain a target")
+			drains[o.Target()] = r.name
+			c.checkDrain(o, p)
+		case Site:
+			if o.Default() {
+				p.requireUnique(r, "default", defaults, "make one site the default")
+				defaults = r.name
+			}
+		}
+	}
+}
+
+func (p *problems) requireUnique(r Ref, field, other, remedy string) {
+	if other != "" {
+		p.add(r, field, "the same as "+string(r.kind)+"/"+other, remedy)
+	}
+}
+
+// KeyByHash returns the key with the given hash.
+func (c *Catalog) KeyByHash(h KeyHash) (Key, bool) {
+	k, found := c.index.keys[h]
+	return k, found
+}
+
+// LimitOf returns an organisation's limit, if it has one.
+func (c *Catalog) LimitOf(organisation string) (Limit, bool) {
+	l, found := c.index.limits[organisation]
+	return l, found
+}
+
+// Organisation returns an organisation by name.
+func (c *Catalog) Organisation(name string) (Organisation, bool) {
+	o, found := c.objects[NewRef(KindOrganisation, name)].(Organisation)
+	return o, found
+}
+
+// Service returns a service by name.
+func (c *Catalog) Service(name string) (Service, bool) {
+	s, found := c.objects[NewRef(KindService, name)].(Service)
+	return s, found
+}
+
+// RouteFor returns the route with the longest prefix of a path.
+func (c *Catalog) RouteFor(path string) (Route, bool) {
+	for _, r := range c.index.routes {
+		if strings.HasPrefix(path, r.PathPrefix()) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// InstancesIn returns the declared instances of a zone, sorted by name. The
+// caller must not change the slice.
+func (c *Catalog) InstancesIn(zone string) []Instance { return c.index.instances[zone] }
+
+// InstanceCount returns the number of declared instances.
+func (c *Catalog) InstanceCount() int {
+	n := 0
+	for _, l := range c.index.instances {
+		n += len(l)
+	}
+	return n
+}
+
+// Zone returns a zone by name.
+func (c *Catalog) Zone(name string) (Zone, bool) {
+	z, found := c.objects[NewRef(KindZone, name)].(Zone)
+	return z, found
+}
+
+// Instance returns an instance by name.
+func (c *Catalog) Instance(name string) (Instance, bool) {
+	i, found := c.objects[NewRef(KindInstance, name)].(Instance)
+	return i, found
+}
+
+// checkDrain refuses a drain that would end while clients still cache its
+// target.
+func (c *Catalog) checkDrain(d Drain, p *problems) {
+	if d.Paused() || d.MovedPercent() == 100 {
+		return
+	}
+	zone := d.Target().Name()
+	if i, found := c.Instance(zone); found && d.Target().Kind() == KindInstance {
+		zone = i.Zone()
+	}
+	for _, s := range c.index.sites {
+		if s.Zone() == zone && d.Ramp() < s.TimeToLive() {
+			p.add(d.Ref(), "rampMs", strconv.FormatInt(d.Ramp().Milliseconds(), 10),
+				"choose at least the time to live of site "+s.Name()+", "+
+					strconv.FormatInt(s.TimeToLive().Milliseconds(), 10)+" ms")
+		}
+	}
+}
+
+// Zones returns the zones, sorted by name. The caller must not change the
+// slice.
+func (c *Catalog) Zones() []Zone { return c.index.zones }
+
+// Objectives returns the objectives, sorted by name. The caller must not
+// change the slice.
+func (c *Catalog) Objectives() []Objective { return c.index.objectives }
+
+// DrainOf returns the drain of a zone or an instance, if there is one.
+func (c *Catalog) DrainOf(target Ref) (Drain, bool) {
+	if len(c.index.drains) == 0 {
+		return Drain{}, false
+	}
+	d, found := c.index.drains[target]
+	return d, found
+}
+
+// Drains returns every drain, sorted by name.
+func (c *Catalog) Drains() []Drain {
+	if len(c.index.drains) == 0 {
+		return nil
+	}
+	var list []Drain
+	for _, o := range c.List(KindDrain) {
+		list = append(list, o.(Drain))
+	}
+	return list
+}
--- /dev/null
+++ b/core/dhconsensus/node.go
@@ -0,0 +1,209 @@
+// Package dhconsensus keeps a log that a majority of voters agree on: leader
+// election with pre-vote, replication, snapshots and changes of members one
+// vote at a time, after the Raft algorithm.
+//
+// A Node is pure state. It takes clock readings and randomness from the
+// events that drive it and returns effects. Votes and acknowledgements leave
+// as Send effects behind the Persist effects that they depend on; the caller
+// must carry out a batch's Persist effects first.
+package dhconsensus
+
+import (
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// Time constants of the algorithm, in milliseconds.
+const (
+	// HeartbeatInterval is the longest silence of a leader.
+	HeartbeatInterval dhclock.Millis = 100
+	// ElectionTimeout is the least silence after which a voter seeks votes.
+	ElectionTimeout dhclock.Millis = 500
+	// ElectionSpread is the range of the random part of the timeout.
+	ElectionSpread dhclock.Millis = 500
+	// installRetry is the time after which an unanswered snapshot is resent.
+	installRetry dhclock.Millis = 10_000
+)
+
+// maxAppendEntries bounds the entries of one message.
+const maxAppendEntries = 256
+
+// layer names this package in logs.
+const layer = "consensus"
+
+type role int
+
+const (
+	follower role = iota
+	candidate
+	leader
+)
+
+// Options are what a node starts from.
+type Options struct {
+	// Self is the node's name and the identity of its data folder.
+	Self dhmessage.Peer
+	// Founders are the voters of a new group, for a folder without a log.
+	Founders []dhmessage.Voter
+	// Term, Vote, Snapshot and Entries come from the data folder.
+	Term     uint64
+	Vote     string
+	Snapshot dhmessage.Snapshot
+	Entries  []dhmessage.Entry
+	// Now is the clock reading at the start.
+	Now dhclock.Millis
+	// Random seeds the first election timeout.
+	Random uint64
+}
+
+// Node is one voter or learner.
+type Node struct {
+	self   dhmessage.Peer
+	role   role
+	term   uint64
+	vote   string
+	leader string
+	log    log
+	commit uint64
+	now    dhclock.Millis
+	random uint64
+
+	// heard is when a leader or candidate of the current term was last heard.
+	heard   dhclock.Millis
+	timeout dhclock.Millis
+	// votes holds who granted the current vote or pre-vote.
+	votes   map[string]bool
+	preVote bool
+
+	lead leading
+}
+
+// New returns a node as it comes out of its data folder.
+func New(o Options) *Node {
+	n := &Node{
+		self:   o.Self,
+		term:   o.Term,
+		vote:   o.Vote,
+		log:    newLog(o.Snapshot, o.Founders, o.Entries),
+		commit: o.Snapshot.Index(),
+		now:    o.Now,
+		random: o.Random,
+		heard:  o.Now,
+	}
+	n.resetTimeout()
+	return n
+}
+
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.term }
+
+// Leads tells whether this node leads, as far as it knows.
+func (n *Node) Leads() bool { return n.role == leader }
+
+// Leader returns the name of the leader of the current term, or "".
+func (n *Node) Leader() string { return n.leader }
+
+// Commit returns the index of the last entry known to be committed.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// LastIndex returns the index of the last entry of the log.
+func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
+
+// SnapshotIndex returns the index that the newest snapshot covers.
+func (n *Node) SnapshotIndex() uint64 { return n.log.base.Index() }
+
+// Voters returns the members, voters and learners, by the newest entry.
+func (n *Node) Voters() []dhmessage.Voter { return n.log.voters() }
+
+// Entry returns a committed or uncommitted entry of the log.
+func (n *Node) Entry(index uint64) (dhmessage.Entry, bool) { return n.log.entry(index) }
+
+// votes tells whether a peer has a vote under the current members.
+func (n *Node) isVoter(p dhmessage.Peer) bool {
+	v, found := findVoter(n.log.voters(), p)
+	return found && !v.Learner()
+}
+
+func findVoter(list []dhmessage.Voter, p dhmessage.Peer) (dhmessage.Voter, bool) {
+	for _, v := range list {
+		if v.Peer().Name() != p.Name() {
+			continue
+		}
+		folder := v.Peer().Folder()
+		if folder == "" || folder == p.Folder() {
+			return v, true
+		}
+	}
+	return dhmessage.Voter{}, false
+}
+
+// quorum returns how many votes make a majority.
+func (n *Node) quorum() int {
+	count := 0
+	for _, v := range n.log.voters() {
+		if !v.Learner() {
+			count++
+		}
+	}
+	return count/2 + 1
+}
+
+func (n *Node) resetTimeout() {
+	n.random = n.random*6364136223846793005 + 1442695040888963407
+	n.timeout = ElectionTimeout + dhclock.Millis((n.random>>33)%uint64(ElectionSpread))
+}
+
+// Tick lets time pass: heartbeats are sent and elections are started.
+func (n *Node) Tick(now dhclock.Millis, random uint64, out *dheffect.List) {
+	n.now = max(n.now, now)
+	n.random ^= random
+	if n.role == leader {
+		n.tickLeader(out)
+		return
+	}
+	if n.now.Since(n.heard) < n.timeout || !n.isVoter(n.self) {
+		return
+	}
+	n.startVote(true, out)
+}
+
+// Step takes a message from another member.
+func (n *Node) Step(now dhclock.Millis, from dhmessage.Peer, m dhmessage.Message, out *dheffect.List) {
+	n.now = max(n.now, now)
+	switch m := m.(type) {
+	case *dhmessage.VoteAsk:
+		n.onVoteAsk(from, m, out)
+	case *dhmessage.VoteAnswer:
+		n.onVoteAnswer(from, m, out)
+	case *dhmessage.Append:
+		n.onAppend(from, m, out)
+	case *dhmessage.AppendAnswer:
+		n.onAppendAnswer(from, m, out)
+	case *dhmessage.Install:
+		n.onInstall(from, m, out)
+	}
+}
+
+// adopt enters a newer term as a follower.
+func (n *Node) adopt(term uint64, out *dheffect.List) {
+	n.term = term
+	n.vote = ""
+	n.leader = ""
+	n.becomeFollower()
+	n.persist(nil, out)
+}
+
+func (n *Node) becomeFollower() {
+	n.role = follower
+	n.lead = leading{}
+	n.votes = nil
+}
+
+func (n *Node) persist(entries []dhmessage.Entry, out *dheffect.List) {
+	out.Add(dheffect.NewPersist(dheffect.PersistOptions{Term: n.term, Vote: n.vote, Entries: entries}))
+}
+
+func (n *Node) send(to string, m dhmessage.Message, out *dheffect.List) {
+	out.Add(dheffect.NewSend(dheffect.SendOptions{To: to, Message: m}))
+}
--- /dev/null
+++ b/core/dhconsensus/vote.go
@@ -0,0 +1,103 @@
+package dhconsensus
+
+import (
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// startVote asks the other voters for a pre-vote, or for a vote in a new term.
+func (n *Node) startVote(pre bool, out *dheffect.List) {
+	n.role = candidate
+	n.preVote = pre
+	n.leader = ""
+	n.votes = map[string]bool{n.self.Name(): true}
+	n.heard = n.now
+	n.resetTimeout()
+	term := n.term + 1
+	if !pre {
+		n.term = term
+		n.vote = n.self.String()
+		n.persist(nil, out)
+	}
+	m := dhmessage.NewVoteAsk(dhmessage.VoteAskOptions{
+		Term: term, LastIndex: n.log.lastIndex(), LastTerm: n.log.lastTerm(), Pre: pre,
+	})
+	for _, v := range n.log.voters() {
+		if !v.Learner() && v.Peer().Name() != n.self.Name() {
+			n.send(v.Peer().Name(), m, out)
+		}
+	}
+	n.countVotes(out)
+}
+
+func (n *Node) onVoteAsk(from dhmessage.Peer, m *dhmessage.VoteAsk, out *dheffect.List) {
+	if !n.isVoter(from) || !n.isVoter(n.self) {
+		return
+	}
+	granted := n.wouldVote(from, m)
+	if !m.Pre() && m.Term() > n.term && granted {
+		n.adopt(m.Term(), out)
+	}
+	if granted && !m.Pre() {
+		n.vote = from.String()
+		n.heard = n.now
+		n.persist(nil, out)
+	}
+	term := n.term
+	if m.Pre() && granted {
+		term = m.Term()
+	}
+	n.send(from.Name(), dhmessage.NewVoteAnswer(dhmessage.VoteAnswerOptions{
+		Term: term, Granted: granted, Pre: m.Pre(),
+	}), out)
+}
+
+// wouldVote applies the rules of a vote. A voter that heard from a leader
+// within the election timeout gives no vote, so that a leader's lease holds
+// and a voter that comes back from a partition doesn't disturb.
+func (n *Node) wouldVote(from dhmessage.Peer, m *dhmessage.VoteAsk) bool {
+	if m.Term() < n.term || m.Pre() && m.Term() == n.term {
+		return false
+	}
+	if m.Term() == n.term && n.vote != "" && n.vote != from.String() {
+		return false
+	}
+	if n.role == leader {
+		return false
+	}
+	if (n.role == follower) && n.now.Since(n.heard) < ElectionTimeout {
+		return false
+	}
+	if m.LastTerm() != n.log.lastTerm() {
+		return m.LastTerm() > n.log.lastTerm()
+	}
+	return m.LastIndex() >= n.log.lastIndex()
+}
+
+func (n *Node) onVoteAnswer(from dhmessage.Peer, m *dhmessage.VoteAnswer, out *dheffect.List) {
+	wouldGrant := m.Pre() && m.Granted()
+	if m.Term() > n.term && !wouldGrant {
+		n.adopt(m.Term(), out)
+		return
+	}
+	wanted := n.term
+	if n.preVote {
+		wanted++
+	}
+	if n.role != candidate || m.Pre() != n.preVote || m.Term() != wanted || !m.Granted() || !n.isVoter(from) {
+		return
+	}
+	n.votes[from.Name()] = true
+	n.countVotes(out)
+}
+
+func (n *Node) countVotes(out *dheffect.List) {
+	if len(n.votes) < n.quorum() {
+		return
+	}
+	if n.preVote {
+		n.startVote(false, out)
+		return
+	}
+	n.becomeLeader(out)
+}
--- /dev/null
+++ b/core/dhcontrol/apply.go
@@ -0,0 +1,114 @@
+package dhcontrol
+
+import (
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhledger"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// minCompactEntries is how many log entries are kept at least between two
+// snapshots. A large state is written less often, so that the cost of
+// snapshots stays in proportion to the log.
+const minCompactEntries = 1024
+
+// reign is what a leader knows since it was elected.
+type reign struct {
+	looked   dhclock.Millis
+	accepted []acceptance
+	grace    dhclock.Millis // longest grace of any organisation since
+}
+
+// acceptance is when a version was accepted, on this process's clock.
+type acceptance struct {
+	version uint64
+	at      dhclock.Millis
+}
+
+// applyCommitted takes the entries that are committed and not yet applied.
+func (s *State) applyCommitted(out *dheffect.List) {
+	v := s.voter
+	if v == nil {
+		return
+	}
+	if base := v.node.Base(); base.Index() > v.ledger.Index() {
+		v.ledger = dhledger.New(base)
+		v.members = base.Voters()
+		s.takeCatalog()
+	}
+	for v.ledger.Index() < v.node.Commit() {
+		e, found := v.node.Entry(v.ledger.Index() + 1)
+		if !found {
+			return
+		}
+		s.applyEntry(e, out)
+	}
+}
+
+func (s *State) applyEntry(e dhmessage.Entry, out *dheffect.List) {
+	v := s.voter
+	before := v.ledger.Catalog().Version()
+	result := v.ledger.Apply(e)
+	if m, ok := e.Command().(dhmessage.Members); ok {
+		v.members = m.Voters()
+	}
+	if version := v.ledger.Catalog().Version(); version != before {
+		v.reign.accept(version, s.now, v.ledger.Catalog())
+		s.takeCatalog()
+		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "ledger", Text: "accepted a change set", Number: version}))
+	}
+	p, waits := v.pending[e.Index()]
+	if !waits {
+		return
+	}
+	delete(v.pending, e.Index())
+	delete(v.asked, p.key)
+	if p.term == e.Term() {
+		s.replyTo(p, result, out)
+	}
+}
+
+func (r *reign) accept(version uint64, now dhclock.Millis, c *dhcatalog.Catalog) {
+	r.accepted = append(r.accepted, acceptance{version: version, at: now})
+	r.noteGrace(c)
+}
+
+func (r *reign) noteGrace(c *dhcatalog.Catalog) {
+	for _, o := range c.List(dhcatalog.KindOrganisation) {
+		r.grace = max(r.grace, o.(dhcatalog.Organisation).StaleGrace())
+	}
+}
+
+// lapsed returns the newest version that was accepted longer ago than any
+// instance may serve without it.
+func (r *reign) lapsed(now, lease dhclock.Millis) uint64 {
+	newest := uint64(0)
+	for len(r.accepted) > 0 && now.Since(r.accepted[0].at) > lease+r.grace {
+		newest = r.accepted[0].version
+		if len(r.accepted) == 1 || now.Since(r.accepted[1].at) <= lease+r.grace {
+			return newest
+		}
+		r.accepted = r.accepted[1:]
+	}
+	return newest
+}
+
+// takeCatalog shows the ledger's configuration to the spread.
+func (s *State) takeCatalog() {
+	s.spread.SetCatalog(s.now, s.voter.ledger.Catalog(), s.voter.ledger.Recent())
+}
+
+// compact takes a snapshot when the log has outgrown the state.
+func (s *State) compact(out *dheffect.List) {
+	v := s.voter
+	if v == nil {
+		return
+	}
+	entries := v.ledger.Index() - v.node.SnapshotIndex()
+	state := v.ledger.Catalog().Len() + v.ledger.Catalog().BlockCount()/16 + v.ledger.ClaimCount() + len(v.ledger.Recent())
+	if entries < uint64(max(minCompactEntries, state/2)) {
+		return
+	}
+	v.node.Compact(v.ledger.Snapshot(v.members), out)
+}
--- /dev/null
+++ b/core/dhcontrol/state.go
@@ -0,0 +1,220 @@
+// Package dhcontrol is the control state of one process: the consensus node
+// and the ledger of a voter, the spread of the configuration, the owner's side
+// of the limits, and the proposals under way. It is pure state, owned by one
+// goroutine that drives it one event at a time.
+package dhcontrol
+
+import (
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhconsensus"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhledger"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhspread"
+)
+
+// Options are what control state starts from.
+type Options struct {
+	// Self is the process's name and the identity of its data folder.
+	Self dhmessage.Peer
+	// Zone is the availability zone of an entry instance.
+	Zone string
+	// Voters are the names of the voters that the settings give.
+	Voters []string
+	// Consensus makes the process a voter; nil for an entry instance.
+	Consensus *dhconsensus.Options
+	// Stream is a random number, new at each start.
+	Stream uint64
+	Now    dhclock.Millis
+}
+
+// State is the control state of one process.
+type State struct {
+	self      dhmessage.Peer
+	now       dhclock.Millis
+	voter     *voter // nil on an entry instance
+	spread    *dhspread.State
+	proposals proposals
+	reads     []read
+}
+
+// voter is what only a voter has.
+type voter struct {
+	node    *dhconsensus.Node
+	ledger  *dhledger.Ledger
+	members []dhmessage.Voter // by the last applied entry
+	pending map[uint64]pending
+	asked   map[askedKey]uint64
+	limits  *limits
+	led     bool
+	term    uint64
+	reign   reign
+}
+
+// New returns the state of a process that starts.
+func New(o Options) *State {
+	s := &State{
+		self: o.Self,
+		now:  o.Now,
+		spread: dhspread.New(dhspread.Options{
+			Self: o.Self.Name(), Zone: o.Zone, Voters: o.Voters,
+			Voter: o.Consensus != nil, Now: o.Now,
+		}),
+		proposals: newProposals(o.Stream, o.Voters),
+	}
+	if o.Consensus == nil {
+		return s
+	}
+	snapshot := o.Consensus.Snapshot
+	members := snapshot.Voters()
+	if len(members) == 0 {
+		members = o.Consensus.Founders
+	}
+	s.voter = &voter{
+		node:    dhconsensus.New(*o.Consensus),
+		ledger:  dhledger.New(snapshot),
+		members: members,
+		pending: map[uint64]pending{},
+		asked:   map[askedKey]uint64{},
+	}
+	s.takeCatalog()
+	return s
+}
+
+// Handle takes one event.
+func (s *State) Handle(e dhevent.Event, out *dheffect.List) {
+	s.now = max(s.now, e.At())
+	switch e := e.(type) {
+	case *dhevent.Ticked:
+		s.tick(e, out)
+	case *dhevent.Settled:
+		s.settle(out)
+	case *dhevent.MessageReceived:
+		s.receive(e.From(), e.Message(), out)
+	case *dhevent.LogSynced:
+		if s.voter != nil {
+			s.voter.node.Synced(e.Index(), e.Term())
+		}
+	case *dhevent.ProposalWanted:
+		s.propose(e, out)
+	case *dhevent.CurrentWanted:
+		s.reads = append(s.reads, read{ticket: e.Ticket(), asked: s.now, until: s.now + e.Patience()})
+		s.spread.Hurry()
+	case *dhevent.StatusWanted:
+		out.Add(dheffect.NewStatusReply(dheffect.StatusReplyOptions{Ticket: e.Ticket(), Status: s.status()}))
+	case *dhevent.HistoryWanted:
+		out.Add(dheffect.NewHistoryReply(dheffect.HistoryReplyOptions{Ticket: e.Ticket(), Accepted: s.spread.History()}))
+	case *dhevent.ClaimWanted:
+		out.Add(s.claimReply(e))
+	case *dhevent.GrantsWanted:
+		s.askOwner(e, out)
+	case *dhevent.LeaveStarted:
+		s.spread.Leave()
+	}
+	s.applyCommitted(out)
+}
+
+func (s *State) tick(e *dhevent.Ticked, out *dheffect.List) {
+	if s.voter != nil {
+		s.voter.node.Tick(s.now, e.Random(), out)
+		s.voter.tickLimits(s.now)
+	}
+	s.followReign()
+	s.spread.Tick(s.now, out)
+	s.proposals.retry(s.now, s.leader(), out)
+	s.answerReads(out)
+}
+
+// settle ends a batch: what was appended is sent, and a changed view is
+// published.
+func (s *State) settle(out *dheffect.List) {
+	if s.voter != nil {
+		s.voter.node.Flush(out)
+	}
+	s.followReign()
+	s.spread.Settle(s.now, out)
+	s.answerReads(out)
+	s.compact(out)
+}
+
+// receive hands a message to the part that it is for.
+func (s *State) receive(from dhmessage.Peer, m dhmessage.Message, out *dheffect.List) {
+	switch m := m.(type) {
+	case *dhmessage.Poll:
+		s.spread.Polled(s.now, from.Name(), m, out)
+	case *dhmessage.Update:
+		s.spread.Updated(s.now, from.Name(), m, out)
+	case *dhmessage.GrantAsk:
+		s.grantAsked(from, m, out)
+	case *dhmessage.GrantGive:
+		out.Add(dheffect.NewToTraffic(dheffect.ToTrafficOptions{Event: dhevent.NewGrantsArrived(s.now, dhevent.GrantsArrivedOptions{
+			Owner: m.Owner(), Sent: m.Sent(), Life: m.Life(), Gives: m.Gives(),
+		})}))
+	case *dhmessage.IntakeAsk:
+		out.Add(dheffect.NewToTraffic(dheffect.ToTrafficOptions{Event: dhevent.NewIntakeAsked(s.now, dhevent.IntakeAskedOptions{
+			Instance: from.Name(), Ask: m,
+		})}))
+	case *dhmessage.IntakeGive:
+		out.Add(dheffect.NewToTraffic(dheffect.ToTrafficOptions{Event: dhevent.NewIntakeArrived(s.now, dhevent.IntakeArrivedOptions{
+			Instance: from.Name(), Give: m,
+		})}))
+	case *dhmessage.Propose:
+		s.proposed(from, m, out)
+	case *dhmessage.Proposed:
+		s.proposals.answered(m, s.now, out)
+	case *dhmessage.Redirect:
+		s.redirected(m, out)
+	default:
+		if s.voter != nil {
+			s.voter.node.Step(s.now, from, m, out)
+		}
+	}
+}
+
+// leader returns the name of the voter that leads, as far as is known.
+func (s *State) leader() string {
+	if s.voter != nil && s.voter.node.Leader() != "" {
+		return s.voter.node.Leader()
+	}
+	return s.spread.Leader()
+}
+
+// read waits until the configuration is certainly as new as when it came.
+type read struct {
+	ticket uint64
+	asked  dhclock.Millis
+	until  dhclock.Millis
+}
+
+func (s *State) answerReads(out *dheffect.List) {
+	kept := s.reads[:0]
+	for _, r := range s.reads {
+		confirmed, ever := s.spread.Confirmed()
+		switch {
+		case ever && confirmed >= r.asked:
+			s.replyRead(r, false, out)
+		case s.now >= r.until:
+			s.replyRead(r, true, out)
+		default:
+			kept = append(kept, r)
+		}
+	}
+	s.reads = kept
+}
+
+func (s *State) replyRead(r read, unsure bool, out *dheffect.List) {
+	s.spread.Settle(s.now, out)
+	out.Add(dheffect.NewReply(dheffect.ReplyOptions{Ticket: r.ticket, Result: dhmessage.NewResult(dhmessage.ResultOptions{
+		Version: s.spread.Catalog().Version(), Unsure: unsure,
+	})}))
+}
+
+// claimReply tells what a voter knows of a claim.
+func (s *State) claimReply(e *dhevent.ClaimWanted) dheffect.Effect {
+	o := dheffect.ClaimReplyOptions{Ticket: e.Ticket()}
+	if s.voter != nil {
+		o.Record, o.Found = s.voter.ledger.Claim(e.Key())
+	}
+	return dheffect.NewClaimReply(o)
+}
--- /dev/null
+++ b/core/dheffect/effect.go
@@ -0,0 +1,21 @@
+// Package dheffect holds what a reducer wants done. An effect is data: the io
+// packages carry it out.
+package dheffect
+
+// Effect is one thing to do.
+type Effect interface{ effect() }
+
+// List collects effects in order. The zero value is ready to use.
+type List struct{ items []Effect }
+
+// Add appends an effect.
+func (l *List) Add(e Effect) { l.items = append(l.items, e) }
+
+// Items returns the effects in order. They are valid until Reset.
+func (l *List) Items() []Effect { return l.items }
+
+// Reset empties the list and keeps its memory.
+func (l *List) Reset() {
+	clear(l.items)
+	l.items = l.items[:0]
+}
--- /dev/null
+++ b/core/dheffect/refusal.go
@@ -0,0 +1,53 @@
+package dheffect
+
+import "dogwoodhitch/core/dhclock"
+
+// RefusalKind is the machine-readable reason of a refusal.
+type RefusalKind string
+
+// The reasons for which a request is refused.
+const (
+	RefuseNoRoute        RefusalKind = "noRoute"
+	RefuseKeyMissing     RefusalKind = "keyMissing"
+	RefuseKeyUnknown     RefusalKind = "keyUnknown"
+	RefuseStale          RefusalKind = "configurationStale"
+	RefuseOverLimit      RefusalKind = "overLimit"
+	RefuseNoCapacity     RefusalKind = "noCapacity"
+	RefuseNoUpstream     RefusalKind = "noUpstream"
+	RefuseTimeout        RefusalKind = "timeout"
+	RefuseBroken         RefusalKind = "upstreamBroken"
+	RefuseNotStarted     RefusalKind = "upstreamUnreachable"
+	RefuseClaimMissing   RefusalKind = "idempotencyKeyMissing"
+	RefuseClaimReused    RefusalKind = "idempotencyKeyReused"
+	RefuseClaimOpen      RefusalKind = "alreadyRunning"
+	RefuseClaimUnclear   RefusalKind = "outcomeUnknown"
+	RefuseClaimRan       RefusalKind = "alreadyRan"
+	RefuseClaimFailed    RefusalKind = "claimUnavailable"
+	RefuseLeaving        RefusalKind = "instanceLeaving"
+	RefuseMalformed      RefusalKind = "malformed"
+	RefuseTooLarge       RefusalKind = "tooLarge"
+	RefuseInstanceFailed RefusalKind = "instanceFailed"
+)
+
+// Refusal tells a caller why its request was refused.
+type Refusal struct {
+	kind       RefusalKind
+	mayHaveRun bool
+	retryAfter dhclock.Millis
+}
+
+// NewRefusal returns a refusal. Unless mayHaveRun is set, the request
+// certainly did not run. A retryAfter of 0 means that a retry is of no use
+// without a change.
+func NewRefusal(kind RefusalKind, mayHaveRun bool, retryAfter dhclock.Millis) Refusal {
+	return Refusal{kind: kind, mayHaveRun: mayHaveRun, retryAfter: retryAfter}
+}
+
+// Kind returns the machine-readable reason.
+func (r Refusal) Kind() RefusalKind { return r.kind }
+
+// MayHaveRun tells whether the request may have run.
+func (r Refusal) MayHaveRun() bool { return r.mayHaveRun }
+
+// RetryAfter returns when a retry may succeed, in milliseconds, or 0.
+func (r Refusal) RetryAfter() dhclock.Millis { return r.retryAfter }
--- /dev/null
+++ b/core/dheffect/status.go
@@ -0,0 +1,180 @@
+package dheffect
+
+import "dogwoodhitch/core/dhclock"
+
+// StatusOptions are the fields of a Status.
+type StatusOptions struct {
+	// Name is the name of the process.
+	Name string
+	// Version is the version in force here.
+	Version uint64
+	// InForce is the newest version known to be in force on every instance.
+	InForce uint64
+	// Age is how long ago the version was certainly current.
+	Age dhclock.Millis
+	// Confirmed is whether the version was ever confirmed.
+	Confirmed bool
+	// Leader is the voter that leads, or "".
+	Leader string
+	// Leads is whether this process leads.
+	Leads bool
+	// Term is the consensus term, for a voter.
+	Term uint64
+	// Commit is the commit index, for a voter.
+	Commit uint64
+	// Claims is how many claims are kept, for a voter.
+	Claims int
+	// Voters is the members of the consensus group, for a voter.
+	Voters []VoterStatus
+	// Instances is the entry instances, as the leader knows them.
+	Instances []InstanceStatus
+}
+
+// Status is what a process knows of the system.
+type Status struct {
+	options StatusOptions
+}
+
+// NewStatus returns a Status.
+func NewStatus(o StatusOptions) Status {
+	return Status{options: o}
+}
+
+// Name returns the name of the process.
+func (s Status) Name() string { return s.options.Name }
+
+// Version returns the version in force here.
+func (s Status) Version() uint64 { return s.options.Version }
+
+// InForce returns the newest version known to be in force on every instance.
+func (s Status) InForce() uint64 { return s.options.InForce }
+
+// Age returns how long ago the version was certainly current.
+func (s Status) Age() dhclock.Millis { return s.options.Age }
+
+// Confirmed returns whether the version was ever confirmed.
+func (s Status) Confirmed() bool { return s.options.Confirmed }
+
+// Leader returns the voter that leads, or "".
+func (s Status) Leader() string { return s.options.Leader }
+
+// Leads returns whether this process leads.
+func (s Status) Leads() bool { return s.options.Leads }
+
+// Term returns the consensus term, for a voter.
+func (s Status) Term() uint64 { return s.options.Term }
+
+// Commit returns the commit index, for a voter.
+func (s Status) Commit() uint64 { return s.options.Commit }
+
+// Claims returns how many claims are kept, for a voter.
+func (s Status) Claims() int { return s.options.Claims }
+
+// Voters returns the members of the consensus group, for a voter.
+func (s Status) Voters() []VoterStatus { return s.options.Voters }
+
+// Instances returns the entry instances, as the leader knows them.
+func (s Status) Instances() []InstanceStatus { return s.options.Instances }
+
+// VoterStatusOptions are the fields of a VoterStatus.
+type VoterStatusOptions struct {
+	// Name is the member's name.
+	Name string
+	// Address is the IP address and port for the system's own processes.
+	Address string
+	// Folder is the identity of the data folder that has the vote.
+	Folder string
+	// Answers is the identity of the data folder that answers, or "".
+	Answers string
+	// Learner is whether it has no vote yet.
+	Learner bool
+	// Lag is by how many entries it is behind.
+	Lag uint64
+	// Silent is for how long it has been silent.
+	Silent dhclock.Millis
+	// Heard is whether it has answered this leader.
+	Heard bool
+	// Advice is what an operator should do, or "".
+	Advice string
+}
+
+// VoterStatus describes a member of the consensus group.
+type VoterStatus struct {
+	options VoterStatusOptions
+}
+
+// NewVoterStatus returns a VoterStatus.
+func NewVoterStatus(o VoterStatusOptions) VoterStatus {
+	return VoterStatus{options: o}
+}
+
+// Name returns the member's name.
+func (s VoterStatus) Name() string { return s.options.Name }
+
+// Address returns the IP address and port for the system's own processes.
+func (s VoterStatus) Address() string { return s.options.Address }
+
+// Folder returns the identity of the data folder that has the vote.
+func (s VoterStatus) Folder() string { return s.options.Folder }
+
+// Answers returns the identity of the data folder that answers, or "".
+func (s VoterStatus) Answers() string { return s.options.Answers }
+
+// Learner returns whether it has no vote yet.
+func (s VoterStatus) Learner() bool { return s.options.Learner }
+
+// Lag returns by how many entries it is behind.
+func (s VoterStatus) Lag() uint64 { return s.options.Lag }
+
+// Silent returns for how long it has been silent.
+func (s VoterStatus) Silent() dhclock.Millis { return s.options.Silent }
+
+// Heard returns whether it has answered this leader.
+func (s VoterStatus) Heard() bool { return s.options.Heard }
+
+// Advice returns what an operator should do, or "".
+func (s VoterStatus) Advice() string { return s.options.Advice }
+
+// InstanceStatusOptions are the fields of an InstanceStatus.
+type InstanceStatusOptions struct {
+	// Name is the instance's name.
+	Name string
+	// Zone is the instance's availability zone.
+	Zone string
+	// Version is the version that it has acknowledged.
+	Version uint64
+	// Silent is for how long it has been silent.
+	Silent dhclock.Millis
+	// Heard is whether it has been heard.
+	Heard bool
+	// Leaving is whether it is about to stop.
+	Leaving bool
+}
+
+// InstanceStatus describes an entry instance.
+type InstanceStatus struct {
+	options InstanceStatusOptions
+}
+
+// NewInstanceStatus returns an InstanceStatus.
+func NewInstanceStatus(o InstanceStatusOptions) InstanceStatus {
+	return InstanceStatus{options: o}
+}
+
+// Name returns the instance's name.
+func (s InstanceStatus) Name() string { return s.options.Name }
+
+// Zone returns the instance's availability zone.
+func (s InstanceStatus) Zone() string { return s.options.Zone }
+
+// Version returns the version that it has acknowledged.
+func (s InstanceStatus) Version() uint64 { return s.options.Version }
+
+// Silent returns for how long it has been silent.
+func (s InstanceStatus) Silent() dhclock.Millis { return s.options.Silent }
+
+// Heard returns whether it has been heard.
+func (s InstanceStatus) Heard() bool { return s.options.Heard }
+
+// Leaving returns whether it is about to stop.
+func (s InstanceStatus) Leaving() bool { return s.options.Leaving }
--- /dev/null
+++ b/core/dhgrant/split.go
@@ -0,0 +1,41 @@
+package dhgrant
+
+import (
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// FloorPercent is the part of every limit that is split into fixed floors, one
+// an instance, so that an instance without an owner serves at least that.
+const FloorPercent = 20
+
+// Share is a part of a limit.
+type Share struct {
+	rate  dhmessage.Tokens
+	limit dhmessage.Tokens
+}
+
+// Rate returns tokens a second.
+func (s Share) Rate() dhmessage.Tokens { return s.rate }
+
+// Limit returns the cap in tokens.
+func (s Share) Limit() dhmessage.Tokens { return s.limit }
+
+// Split divides a limit into the owner's share and the floor of each of so
+// many instances. A limit whose floors couldn't hold one token has none.
+func Split(l dhcatalog.Limit, instances int) (owner, floor Share) {
+	whole := Share{
+		rate:  dhmessage.Tokens(l.Rate()) * dhmessage.Token,
+		limit: dhmessage.Tokens(l.Burst()) * dhmessage.Token,
+	}
+	if instances == 0 {
+		return whole, Share{}
+	}
+	parts := dhmessage.Tokens(100 * instances)
+	floor = Share{rate: whole.rate * FloorPercent / parts, limit: whole.limit * FloorPercent / parts}
+	if floor.limit < dhmessage.Token {
+		return whole, Share{}
+	}
+	n := dhmessage.Tokens(instances)
+	return Share{rate: whole.rate - floor.rate*n, limit: whole.limit - floor.limit*n}, floor
+}
--- /dev/null
+++ b/core/dhledger/claim.go
@@ -0,0 +1,160 @@
+package dhledger
+
+import (
+	"container/heap"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// applyClaim lets one attempt run the request, and tells every other what
+// became of it.
+func (l *Ledger) applyClaim(c dhmessage.Claim) dhmessage.Result {
+	old, found := l.claims[c.Key()]
+	switch {
+	case !found:
+		return l.grantClaim(c)
+	case old.State() == dhmessage.ClaimReleased && old.Claimant() == c.Claimant():
+		return claimResult(dhmessage.ClaimReleased, nil)
+	case old.State() == dhmessage.ClaimReleased:
+		return l.grantClaim(c)
+	case old.Digest() != c.Digest():
+		return claimResult(dhmessage.ClaimMismatch, nil)
+	case old.State() == dhmessage.ClaimOpen && old.Claimant() == c.Claimant():
+		return claimResult(dhmessage.ClaimGranted, nil)
+	default:
+		return claimResult(l.stateOf(old), old.Answer())
+	}
+}
+
+func (l *Ledger) grantClaim(c dhmessage.Claim) dhmessage.Result {
+	if len(l.claims) >= MaxClaims {
+		return refused(dhmessage.NewRefusedError("claimsFull", "too many claims are kept",
+			"shorten retentionMs on the routes that need claims, or wait until older claims expire"))
+	}
+	l.put(dhmessage.ClaimRecordOptions{
+		Key: c.Key(), Claimant: c.Claimant(), Digest: c.Digest(), State: dhmessage.ClaimOpen,
+		Deadline: l.at + c.Deadline(), Expiry: l.at + max(c.Retention(), c.Deadline()),
+	})
+	return claimResult(dhmessage.ClaimGranted, nil)
+}
+
+// stateOf turns an open claim whose attempt must have ended into an unclear
+// one.
+func (l *Ledger) stateOf(c dhmessage.ClaimRecord) dhmessage.ClaimState {
+	if c.State() == dhmessage.ClaimOpen && l.at > c.Deadline() {
+		return dhmessage.ClaimUnclear
+	}
+	return c.State()
+}
+
+// applyOutcome records how an attempt ended. Only the attempt that holds the
+// claim can end it, and an answer is never replaced.
+func (l *Ledger) applyOutcome(o dhmessage.Outcome) dhmessage.Result {
+	old, found := l.claims[o.Key()]
+	if !found && o.State() == dhmessage.ClaimReleased {
+		return l.releaseEarly(o)
+	}
+	if !found || old.Claimant() != o.Claimant() {
+		return claimResult(dhmessage.ClaimNone, nil)
+	}
+	if old.State() != dhmessage.ClaimOpen && old.State() != dhmessage.ClaimUnclear {
+		return claimResult(old.State(), old.Answer())
+	}
+	l.put(dhmessage.ClaimRecordOptions{
+		Key: old.Key(), Claimant: old.Claimant(), Digest: old.Digest(), State: o.State(),
+		Answer: o.Answer(), Deadline: old.Deadline(), Expiry: old.Expiry(),
+	})
+	return claimResult(o.State(), o.Answer())
+}
+
+// releaseLife is how long an early release is kept, in milliseconds.
+const releaseLife = 600 * dhclock.Second
+
+// releaseEarly notes a release that overtook its claim, so that the claim
+// isn't granted when it comes.
+func (l *Ledger) releaseEarly(o dhmessage.Outcome) dhmessage.Result {
+	if len(l.claims) >= MaxClaims {
+		return claimResult(dhmessage.ClaimNone, nil)
+	}
+	l.put(dhmessage.ClaimRecordOptions{
+		Key: o.Key(), Claimant: o.Claimant(), State: dhmessage.ClaimReleased,
+		Deadline: l.at, Expiry: l.at + releaseLife,
+	})
+	return claimResult(dhmessage.ClaimReleased, nil)
+}
+
+// applyResolve lets an operator settle a claim whose outcome is unclear.
+func (l *Ledger) applyResolve(r dhmessage.Resolve) dhmessage.Result {
+	old, found := l.claims[r.Key()]
+	if !found {
+		return refused(dhmessage.NewRefusedError("claimUnknown", "no such claim is kept",
+			"check the organisation and the idempotency key; claims are forgotten after the route's retentionMs"))
+	}
+	if l.stateOf(old) != dhmessage.ClaimUnclear {
+		return refused(dhmessage.NewRefusedError("claimSettled", "the claim is "+old.State().String()+", not unclear",
+			"nothing is to be resolved"))
+	}
+	state := dhmessage.ClaimReleased
+	if r.Ran() {
+		state = dhmessage.ClaimRan
+	}
+	l.put(dhmessage.ClaimRecordOptions{
+		Key: old.Key(), Claimant: dhmessage.Claimant{}, Digest: old.Digest(), State: state,
+		Deadline: old.Deadline(), Expiry: old.Expiry(),
+	})
+	return claimResult(state, nil)
+}
+
+func claimResult(s dhmessage.ClaimState, a *dhmessage.Answer) dhmessage.Result {
+	return dhmessage.NewResult(dhmessage.ResultOptions{Claim: s, Answer: a})
+}
+
+func (l *Ledger) put(o dhmessage.ClaimRecordOptions) {
+	l.claims[o.Key] = dhmessage.NewClaimRecord(o)
+	l.expiry.push(o.Expiry, o.Key)
+}
+
+// forget drops the claims whose retention is over.
+func (l *Ledger) forget() {
+	for len(l.expiry) > 0 && l.expiry[0].at <= l.at {
+		k := l.expiry.pop()
+		if c, found := l.claims[k]; found && c.Expiry() <= l.at {
+			delete(l.claims, k)
+		}
+	}
+}
+
+type expiryItem struct {
+	at  dhclock.Millis
+	key dhmessage.ClaimKey
+}
+
+// expiryQueue orders claims by expiry. A claim may stand in it several times.
+type expiryQueue []expiryItem
+
+func (q *expiryQueue) push(at dhclock.Millis, k dhmessage.ClaimKey) {
+	heap.Push(q, expiryItem{at: at, key: k})
+}
+
+func (q *expiryQueue) pop() dhmessage.ClaimKey { return heap.Pop(q).(expiryItem).key }
+
+// Len implements heap.Interface.
+func (q expiryQueue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q expiryQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+
+// Swap implements heap.Interface.
+func (q expiryQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *expiryQueue) Push(x any) { *q = append(*q, x.(expiryItem)) }
+
+// Pop implements heap.Interface.
+func (q *expiryQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/core/dhmessage/command.go
@@ -0,0 +1,129 @@
+package dhmessage
+
+import (
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+)
+
+// Entry is one entry of the replicated log.
+type Entry struct {
+	index   uint64
+	term    uint64
+	at      dhclock.Millis
+	command Command
+}
+
+// NewEntry returns an entry. The log time at only ever rises along the log; it
+// counts the time that leaders have seen pass.
+func NewEntry(index, term uint64, at dhclock.Millis, c Command) Entry {
+	return Entry{index: index, term: term, at: at, command: c}
+}
+
+// Index returns the entry's place in the log, from 1.
+func (e Entry) Index() uint64 { return e.index }
+
+// Term returns the term of the leader that made the entry.
+func (e Entry) Term() uint64 { return e.term }
+
+// At returns the log time, in milliseconds.
+func (e Entry) At() dhclock.Millis { return e.at }
+
+// Command returns what the entry does.
+func (e Entry) Command() Command { return e.command }
+
+// Command is a replicated decision.
+type Command interface{ command() }
+
+// Noop starts a leader's term.
+type Noop struct{}
+
+func (Noop) command() {}
+
+// Change commits a change set.
+type Change struct{ set dhcatalog.ChangeSet }
+
+// NewChange returns the command for a change set.
+func NewChange(s dhcatalog.ChangeSet) Change { return Change{set: s} }
+
+// Set returns the change set.
+func (c Change) Set() dhcatalog.ChangeSet { return c.set }
+
+func (Change) command() {}
+
+// Voter is a member of the consensus group.
+type Voter struct {
+	peer    Peer
+	address string
+	learner bool
+}
+
+// NewVoter returns a member; a learner receives the log and has no vote. A
+// peer without a folder stands for whichever folder answers first, which is
+// possible only while a new group is formed.
+func NewVoter(p Peer, address string, learner bool) Voter {
+	return Voter{peer: p, address: address, learner: learner}
+}
+
+// Peer returns the member's name and data folder.
+func (v Voter) Peer() Peer { return v.peer }
+
+// Address returns the IP address and port for the system's own processes.
+func (v Voter) Address() string { return v.address }
+
+// Learner tells whether the member has no vote yet.
+func (v Voter) Learner() bool { return v.learner }
+
+// Members replaces the consensus group's members. A valid Members command
+// changes at most one vote.
+type Members struct{ voters []Voter }
+
+// NewMembers returns the command for a new list of members.
+func NewMembers(v []Voter) Members { return Members{voters: v} }
+
+// Voters returns the members.
+func (m Members) Voters() []Voter { return m.voters }
+
+func (Members) command() {}
+
+// MemberEdit asks the leader to change the members; the leader turns it into a
+// Members command.
+type MemberEdit struct {
+	action  MemberAction
+	name    string
+	address string
+	folder  string
+}
+
+// MemberAction is what a MemberEdit does.
+type MemberAction int
+
+// The actions.
+const (
+	// MemberAdd adds a learner, which gets its vote once it has caught up.
+	MemberAdd MemberAction = iota
+	// MemberRemove removes a voter or learner.
+	MemberRemove
+	// MemberReplace gives a voter's place to the data folder that now answers
+	// under its name, as a learner first.
+	MemberReplace
+)
+
+// NewMemberEdit returns the command. The folder is needed to add, and to
+// replace unless the leader has heard from the new folder.
+func NewMemberEdit(a MemberAction, name, address, folder string) MemberEdit {
+	return MemberEdit{action: a, name: name, address: address, folder: folder}
+}
+
+// Action returns what to do.
+func (m MemberEdit) Action() MemberAction { return m.action }
+
+// Name returns the member's name.
+func (m MemberEdit) Name() string { return m.name }
+
+// Address returns the IP address and port for the system's own processes.
+func (m MemberEdit) Address() string { return m.address }
+
+// Folder returns the identity of the data folder, or "".
+func (m MemberEdit) Folder() string { return m.folder }
+
+func (MemberEdit) command() {}
--- /dev/null
+++ b/core/dhmessage/spread.go
@@ -0,0 +1,158 @@
+package dhmessage
+
+import (
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+)
+
+// Ack says which version an instance has in force.
+type Ack struct {
+	instance string
+	version  uint64
+	leaving  bool
+}
+
+// NewAck returns an acknowledgement.
+func NewAck(instance string, version uint64, leaving bool) Ack {
+	return Ack{instance: instance, version: version, leaving: leaving}
+}
+
+// Instance returns the name of the instance.
+func (a Ack) Instance() string { return a.instance }
+
+// Version returns the version that the instance has in force.
+func (a Ack) Version() uint64 { return a.version }
+
+// Leaving tells whether the instance is about to stop.
+func (a Ack) Leaving() bool { return a.leaving }
+
+// PollOptions are the fields of a Poll.
+type PollOptions struct {
+	// Version is the version that the sender has.
+	Version uint64
+	// Sent is the sender's clock when it asked, echoed in the Update.
+	Sent dhclock.Millis
+	// Acks is the versions of the sender and of those that poll it.
+	Acks []Ack
+}
+
+// Poll asks for newer configuration and for proof that the sender's is current.
+type Poll struct {
+	options PollOptions
+}
+
+// NewPoll returns a Poll.
+func NewPoll(o PollOptions) *Poll {
+	return &Poll{options: o}
+}
+
+// Version returns the version that the sender has.
+func (m *Poll) Version() uint64 { return m.options.Version }
+
+// Sent returns the sender's clock when it asked, echoed in the Update.
+func (m *Poll) Sent() dhclock.Millis { return m.options.Sent }
+
+// Acks returns the versions of the sender and of those that poll it.
+func (m *Poll) Acks() []Ack { return m.options.Acks }
+
+func (*Poll) message() {}
+
+// UpdateOptions are the fields of an Update.
+type UpdateOptions struct {
+	// Sent is the clock reading of the Poll, or 0 when unasked.
+	Sent dhclock.Millis
+	// Version is the answerer's version.
+	Version uint64
+	// Confirmed is whether the answerer can vouch for a time at which its version was current.
+	Confirmed bool
+	// Age is how long ago the answerer's version was certainly current.
+	Age dhclock.Millis
+	// Full is the whole configuration when the sender's version is too old, else nil.
+	Full *dhcatalog.Catalog
+	// Changes is the change sets that follow the receiver's version, in order.
+	Changes []dhcatalog.ChangeSet
+	// Away is the instances that look-ups must not name.
+	Away []Away
+	// Leader is the voter that leads, or "" if unknown.
+	Leader string
+	// InForce is the newest version known to be in force on every instance.
+	InForce uint64
+	// Drains is how long ago each drain started.
+	Drains []DrainAge
+}
+
+// Update answers a Poll, or comes unasked when the version rises.
+type Update struct {
+	options UpdateOptions
+}
+
+// NewUpdate returns an Update.
+func NewUpdate(o UpdateOptions) *Update {
+	return &Update{options: o}
+}
+
+// Sent returns the clock reading of the Poll, or 0 when unasked.
+func (m *Update) Sent() dhclock.Millis { return m.options.Sent }
+
+// Version returns the answerer's version.
+func (m *Update) Version() uint64 { return m.options.Version }
+
+// Confirmed returns whether the answerer can vouch for a time at which its version was current.
+func (m *Update) Confirmed() bool { return m.options.Confirmed }
+
+// Age returns how long ago the answerer's version was certainly current.
+func (m *Update) Age() dhclock.Millis { return m.options.Age }
+
+// Full returns the whole configuration when the sender's version is too old, else nil.
+func (m *Update) Full() *dhcatalog.Catalog { return m.options.Full }
+
+// Changes returns the change sets that follow the receiver's version, in order.
+func (m *Update) Changes() []dhcatalog.ChangeSet { return m.options.Changes }
+
+// Away returns the instances that look-ups must not name.
+func (m *Update) Away() []Away { return m.options.Away }
+
+// Leader returns the voter that leads, or "" if unknown.
+func (m *Update) Leader() string { return m.options.Leader }
+
+// InForce returns the newest version known to be in force on every instance.
+func (m *Update) InForce() uint64 { return m.options.InForce }
+
+// Drains returns how long ago each drain started.
+func (m *Update) Drains() []DrainAge { return m.options.Drains }
+
+func (*Update) message() {}
+
+// DrainAge says how long ago a drain started.
+type DrainAge struct {
+	name string
+	age  dhclock.Millis
+}
+
+// NewDrainAge returns a drain's age in milliseconds.
+func NewDrainAge(name string, age dhclock.Millis) DrainAge {
+	return DrainAge{name: name, age: age}
+}
+
+// Name returns the name of the drain.
+func (d DrainAge) Name() string { return d.name }
+
+// Age returns how long ago the drain started, in milliseconds.
+func (d DrainAge) Age() dhclock.Millis { return d.age }
+
+// Away names an instance that look-ups must not name.
+type Away struct {
+	instance string
+	leaving  bool
+}
+
+// NewAway returns an instance that is gone, or leaving while it still serves.
+func NewAway(instance string, leaving bool) Away {
+	return Away{instance: instance, leaving: leaving}
+}
+
+// Instance returns the name of the instance.
+func (a Away) Instance() string { return a.instance }
+
+// Leaving tells whether the instance still serves what comes to it.
+func (a Away) Leaving() bool { return a.leaving }
--- /dev/null
+++ b/core/dhreducer/reduce.go
@@ -0,0 +1,78 @@
+// Package dhreducer holds the one reducer over all events. A process keeps one
+// State for control and one for traffic; both are driven through Reduce, by
+// one goroutine at a time each.
+package dhreducer
+
+import (
+	"dogwoodhitch/core/dhcontrol"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhtraffic"
+)
+
+// State is what events change: the control part, the traffic part, or both.
+type State struct {
+	control *dhcontrol.State
+	traffic *dhtraffic.State
+}
+
+// NewControl returns state for control events.
+func NewControl(o dhcontrol.Options) *State { return &State{control: dhcontrol.New(o)} }
+
+// NewTraffic returns state for traffic events.
+func NewTraffic(o dhtraffic.Options) *State { return &State{traffic: dhtraffic.New(o)} }
+
+// Control returns the control part, or nil.
+func (s *State) Control() *dhcontrol.State { return s.control }
+
+// Traffic returns the traffic part, or nil.
+func (s *State) Traffic() *dhtraffic.State { return s.traffic }
+
+// Reduce takes one event and adds what is to be done. It performs no I/O and
+// reads no clock: the same state and events give the same effects. An event
+// for a part that the state lacks changes nothing.
+func Reduce(s *State, e dhevent.Event, out *dheffect.List) {
+	if s.traffic != nil && reduceTraffic(s.traffic, e, out) {
+		return
+	}
+	if s.control != nil {
+		s.control.Handle(e, out)
+	}
+}
+
+// reduceTraffic takes an event of traffic, and tells whether it was one.
+func reduceTraffic(t *dhtraffic.State, e dhevent.Event, out *dheffect.List) bool {
+	switch e := e.(type) {
+	case *dhevent.RequestArrived:
+		t.Arrive(e, out)
+	case *dhevent.AttemptEnded:
+		t.Ended(e, out)
+	case *dhevent.RequestAbandoned:
+		t.Abandon(e, out)
+	case *dhevent.LookUpAsked:
+		t.LookUp(e, out)
+	case *dhevent.TrafficTicked:
+		t.Tick(e.At(), out)
+	case *dhevent.ViewPublished:
+		t.Published(e)
+	case *dhevent.GrantsArrived:
+		t.Grants(e, out)
+	case *dhevent.ClaimAnswered:
+		t.Claimed(e, out)
+	case *dhevent.IntakeArrived:
+		t.IntakeArrived(e, out)
+	case *dhevent.IntakeAsked:
+		t.IntakeAsked(e, out)
+	case *dhevent.UpstreamAnnounced:
+		t.Announced(e, out)
+	case *dhevent.UpstreamLeft:
+		t.Left(e)
+	case *dhevent.PoolsAsked:
+		t.Pools(e.At(), out)
+	case *dhevent.BurnAsked:
+		t.Burn(e.At(), out)
+	default:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/core/dhspread/children.go
@@ -0,0 +1,133 @@
+package dhspread
+
+import (
+	"maps"
+	"slices"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// Polled answers a child.
+func (s *State) Polled(now dhclock.Millis, from string, m *dhmessage.Poll, out *dheffect.List) {
+	s.children[from] = &child{version: m.Version(), heard: now}
+	for _, a := range m.Acks() {
+		s.reports[a.Instance()] = &report{ack: a, heard: now}
+	}
+	out.Add(dheffect.NewSend(dheffect.SendOptions{To: from, Message: s.update(now, m.Version(), m.Sent())}))
+}
+
+// update returns what a process with a version needs. Sent is 0 for one that
+// didn't ask.
+func (s *State) update(now dhclock.Millis, version uint64, sent dhclock.Millis) *dhmessage.Update {
+	o := dhmessage.UpdateOptions{
+		Sent: sent, Version: s.catalog.Version(), Confirmed: s.ever, Age: now.Since(s.confirmed),
+		Away: s.away, Leader: s.leader, InForce: s.inForce, Drains: s.drainAges(now),
+	}
+	if version < s.catalog.Version() {
+		var kept bool
+		if o.Changes, kept = s.sets(version); !kept {
+			o.Full = s.catalog
+		}
+	}
+	return dhmessage.NewUpdate(o)
+}
+
+func (s *State) drainAges(now dhclock.Millis) []dhmessage.DrainAge {
+	var list []dhmessage.DrainAge
+	for _, name := range slices.Sorted(maps.Keys(s.drains)) {
+		list = append(list, dhmessage.NewDrainAge(name, now-s.drains[name]))
+	}
+	return list
+}
+
+// push tells the children of a new version without being asked.
+func (s *State) push(now dhclock.Millis, out *dheffect.List) {
+	for _, name := range slices.Sorted(maps.Keys(s.children)) {
+		c := s.children[name]
+		if now.Since(c.heard) > childLife {
+			delete(s.children, name)
+			continue
+		}
+		if c.version < s.catalog.Version() {
+			out.Add(dheffect.NewSend(dheffect.SendOptions{To: name, Message: s.update(now, c.version, 0)}))
+			c.version = s.catalog.Version()
+		}
+	}
+}
+
+// SetDrains takes the ages of drains from the ledger, at the leader.
+func (s *State) SetDrains(now dhclock.Millis, ages []dhmessage.DrainAge) { s.setDrains(now, ages) }
+
+// lookInterval is the least time between two looks through all instances, in
+// milliseconds.
+const lookInterval dhclock.Millis = 100
+
+// findAway works out, at the leader, which instances look-ups must not name.
+func (s *State) findAway(now dhclock.Millis) {
+	if now.Since(s.led) < 2*instanceLife || now.Since(s.looked) < lookInterval {
+		return
+	}
+	s.looked = now
+	var away []dhmessage.Away
+	for _, o := range s.catalog.List(dhcatalog.KindInstance) {
+		name := o.Ref().Name()
+		r, found := s.reports[name]
+		switch {
+		case !found || now.Since(r.heard) > instanceLife:
+			away = append(away, dhmessage.NewAway(name, false))
+		case r.ack.Leaving():
+			away = append(away, dhmessage.NewAway(name, true))
+		}
+	}
+	if !slices.Equal(away, s.away) {
+		s.away, s.dirty = away, true
+	}
+}
+
+// LeastAck returns the newest version that every declared instance has
+// acknowledged, at the leader.
+func (s *State) LeastAck() uint64 {
+	least := s.catalog.Version()
+	for _, z := range s.catalog.Zones() {
+		for _, i := range s.catalog.InstancesIn(z.Name()) {
+			r, found := s.reports[i.Name()]
+			if !found {
+				return 0
+			}
+			least = min(least, r.ack.Version())
+		}
+	}
+	return least
+}
+
+func (s *State) sortedReports() []*report {
+	var list []*report
+	for _, name := range slices.Sorted(maps.Keys(s.reports)) {
+		list = append(list, s.reports[name])
+	}
+	return list
+}
+
+// Status tells what this process knows of the spread.
+func (s *State) Status(now dhclock.Millis) dheffect.StatusOptions {
+	o := dheffect.StatusOptions{
+		Version: s.catalog.Version(), InForce: s.inForce,
+		Age: now.Since(s.confirmed), Confirmed: s.ever, Leader: s.leader,
+	}
+	if !s.leads {
+		return o
+	}
+	for _, x := range s.catalog.List(dhcatalog.KindInstance) {
+		i := x.(dhcatalog.Instance)
+		n := dheffect.InstanceStatusOptions{Name: i.Name(), Zone: i.Zone()}
+		if r, found := s.reports[i.Name()]; found {
+			n.Heard, n.Version, n.Leaving = true, r.ack.Version(), r.ack.Leaving()
+			n.Silent = now.Since(r.heard)
+		}
+		o.Instances = append(o.Instances, dheffect.NewInstanceStatus(n))
+	}
+	return o
+}
--- /dev/null
+++ b/core/dhspread/parent.go
@@ -0,0 +1,138 @@
+package dhspread
+
+import (
+	"slices"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// parent is whom this process polls.
+type parent struct {
+	choice int            // index among the candidates
+	since  dhclock.Millis // when the present choice began
+	first  dhclock.Millis // when the oldest unanswered poll was sent
+	waits  bool
+	sent   dhclock.Millis
+	ever   bool
+}
+
+// candidates lists whom to poll, the best first: the instances of the zone
+// that come before this one by name, so that the first one is the zone's
+// relay and no circle can form; then the voters, each process starting at
+// another one.
+func (s *State) candidates() []string {
+	if s.voter {
+		if s.leader == "" || s.leader == s.self {
+			return nil
+		}
+		return []string{s.leader}
+	}
+	var list []string
+	for _, i := range s.catalog.InstancesIn(s.zone) {
+		if i.Name() >= s.self {
+			break
+		}
+		if !s.isGone(i.Name()) {
+			list = append(list, i.Name())
+		}
+	}
+	start := 0
+	for _, c := range []byte(s.self) {
+		start = start*31 + int(c)
+	}
+	for i := range s.voters {
+		list = append(list, s.voters[(start+i)%len(s.voters)])
+	}
+	return list
+}
+
+func (s *State) isGone(name string) bool {
+	return slices.ContainsFunc(s.away, func(a dhmessage.Away) bool { return a.Instance() == name })
+}
+
+// Hurry makes the next poll due at once.
+func (s *State) Hurry() { s.parent.sent, s.parent.ever = 0, false }
+
+// Tick polls the parent when it is due, and tries another one when it is
+// silent.
+func (s *State) Tick(now dhclock.Millis, out *dheffect.List) {
+	if s.leads {
+		return
+	}
+	p := &s.parent
+	if p.waits && now.Since(p.first) > parentTimeout {
+		p.choice++
+		p.since, p.waits = now, false
+		s.Hurry()
+	}
+	if p.choice > 0 && now.Since(p.since) > returnInterval {
+		p.choice, p.since, p.waits = 0, now, false
+	}
+	if !p.ever || now.Since(p.sent) >= PollInterval {
+		s.poll(now, out)
+	}
+}
+
+func (s *State) poll(now dhclock.Millis, out *dheffect.List) {
+	list := s.candidates()
+	if s.leads || len(list) == 0 {
+		return
+	}
+	p := &s.parent
+	p.sent, p.ever = now, true
+	if !p.waits {
+		p.waits, p.first = true, now
+	}
+	out.Add(dheffect.NewSend(dheffect.SendOptions{
+		To: list[p.choice%len(list)],
+		Message: dhmessage.NewPoll(dhmessage.PollOptions{
+			Version: s.catalog.Version(), Sent: now, Acks: s.acks(now),
+		}),
+	}))
+}
+
+// acks tells which versions this instance and those behind it have in force.
+func (s *State) acks(now dhclock.Millis) []dhmessage.Ack {
+	var list []dhmessage.Ack
+	if !s.voter {
+		list = append(list, dhmessage.NewAck(s.self, s.catalog.Version(), s.leaving))
+	}
+	for _, r := range s.sortedReports() {
+		if now.Since(r.heard) <= PollInterval*2 && r.ack.Instance() != s.self {
+			list = append(list, r.ack)
+		}
+	}
+	return list
+}
+
+// Updated takes a parent's answer, or its word of a new version. The proof of
+// being current counts only if this process has at least the version that it
+// was given for.
+func (s *State) Updated(now dhclock.Millis, from string, m *dhmessage.Update, _ *dheffect.List) {
+	if s.leads {
+		return
+	}
+	if !s.voter {
+		s.apply(now, m.Full(), m.Changes())
+	}
+	if m.Sent() == 0 {
+		return
+	}
+	if m.Sent() >= s.parent.first {
+		s.parent.waits = false
+	}
+	if !m.Confirmed() || s.catalog.Version() < m.Version() {
+		return
+	}
+	s.Confirm(m.Sent() - m.Age())
+	s.SetInForce(m.InForce())
+	s.setDrains(now, m.Drains())
+	if !s.voter && m.Leader() != "" {
+		s.SetLeader(m.Leader())
+	}
+	if !slices.Equal(s.away, m.Away()) {
+		s.away, s.dirty = m.Away(), true
+	}
+}
--- /dev/null
+++ b/core/dhsteer/pool.go
@@ -0,0 +1,187 @@
+package dhsteer
+
+import (
+	"slices"
+	"strings"
+
+	"dogwoodhitch/core/dhclock"
+)
+
+// Pool is the upstreams of one service that announce themselves here, and the
+// requests that wait for one of their slots.
+type Pool struct {
+	service   string
+	upstreams []*Upstream
+	queue     queue
+	taken     int // slots that requests from other instances hold
+	turn      int
+}
+
+// NewPool returns an empty pool.
+func NewPool(service string) *Pool {
+	return &Pool{service: service, queue: newQueue()}
+}
+
+// Service returns the name of the service.
+func (p *Pool) Service() string { return p.service }
+
+// Upstreams returns the upstreams, sorted by name. The caller must not change
+// the slice.
+func (p *Pool) Upstreams() []*Upstream { return p.upstreams }
+
+// Waiting returns how many requests wait.
+func (p *Pool) Waiting() int { return p.queue.size }
+
+// Announce adds or renews an upstream. A new one rises to its slots within
+// the cold-start time; so does one that comes back after it was lost.
+func (p *Pool) Announce(now, cold dhclock.Millis, a Announce) {
+	u := p.find(a.Name())
+	if u == nil {
+		u = &Upstream{announce: a, warmFrom: now, cold: cold}
+		p.insert(u)
+	}
+	if !u.alive(now) || u.announce.Address() != a.Address() {
+		u.warmFrom, u.cold = now, cold
+		u.leaving, u.gone = false, false
+	}
+	u.announce = a
+	u.renewed = now
+	u.reported = now
+	u.foreign = max(0, a.Running()-u.running)
+}
+
+// Leave stops new work for an upstream at once.
+func (p *Pool) Leave(name string) bool {
+	u := p.find(name)
+	if u == nil {
+		return false
+	}
+	u.leaving = true
+	return true
+}
+
+// Sweep forgets upstreams that are silent or left and run nothing.
+func (p *Pool) Sweep(now dhclock.Millis) {
+	p.upstreams = slices.DeleteFunc(p.upstreams, func(u *Upstream) bool {
+		return u.running == 0 && !u.alive(now) && now.Since(u.renewed) > 2*AnnounceLife
+	})
+}
+
+func (p *Pool) find(name string) *Upstream {
+	i, found := p.position(name)
+	if !found {
+		return nil
+	}
+	return p.upstreams[i]
+}
+
+func (p *Pool) position(name string) (int, bool) {
+	return slices.BinarySearchFunc(p.upstreams, name, func(u *Upstream, name string) int {
+		return strings.Compare(u.Name(), name)
+	})
+}
+
+func (p *Pool) insert(u *Upstream) {
+	i, _ := p.position(u.Name())
+	p.upstreams = slices.Insert(p.upstreams, i, u)
+}
+
+// Choose returns the upstream with a free slot that is least busy, or nil.
+// Among equally busy ones the choice goes round. Upstreams that were tried
+// before for the same request are passed over. Ejected upstreams are used only
+// when more than half of the pool is ejected: then the failures are more
+// likely to lie elsewhere.
+func (p *Pool) Choose(now dhclock.Millis, tried []*Upstream) *Upstream {
+	ignoreEjection := p.mostEjected(now)
+	var best *Upstream
+	var bestLoad int64
+	n := len(p.upstreams)
+	p.turn++
+	for i := range n {
+		u := p.upstreams[(i+p.turn)%n]
+		if !u.alive(now) || u.running >= u.allowed(now) || slices.Contains(tried, u) {
+			continue
+		}
+		if now < u.ejected && !ignoreEjection {
+			continue
+		}
+		if load := u.load(now); best == nil || load < bestLoad {
+			best, bestLoad = u, load
+		}
+	}
+	return best
+}
+
+func (p *Pool) mostEjected(now dhclock.Millis) bool {
+	alive, ejected := 0, 0
+	for _, u := range p.upstreams {
+		if !u.alive(now) {
+			continue
+		}
+		alive++
+		if now < u.ejected {
+			ejected++
+		}
+	}
+	return 2*ejected > alive
+}
+
+// Take starts a request at an upstream.
+func (p *Pool) Take(u *Upstream, guest bool) {
+	u.running++
+	if guest {
+		p.taken++
+	}
+}
+
+// Verdict is how an attempt at an upstream ended.
+type Verdict int
+
+// The verdicts.
+const (
+	// Answered means a whole answer came.
+	Answered Verdict = iota
+	// Failed means that the upstream failed, or answered that it is unable.
+	Failed
+	// Neutral says nothing about the upstream: the caller went away.
+	Neutral
+)
+
+// Finish ends a request at an upstream.
+func (p *Pool) Finish(now dhclock.Millis, u *Upstream, guest bool, v Verdict, latency dhclock.Millis) {
+	u.running--
+	if guest {
+		p.taken--
+	}
+	switch v {
+	case Answered:
+		u.succeed(latency)
+	case Failed:
+		if u.fail() {
+			u.eject(now)
+		}
+	case Neutral:
+	}
+}
+
+// Slots returns the slots of all upstreams that may get new work now, and how
+// many of them are free.
+func (p *Pool) Slots(now dhclock.Millis) (all, free int) {
+	for _, u := range p.upstreams {
+		if u.alive(now) && !u.Ejected(now) {
+			all += u.allowed(now)
+			free += u.free(now)
+		}
+	}
+	return all, free
+}
+
+// GuestRoom returns how many more requests from other instances may run here,
+// given the share of slots that is open to them, in percent.
+func (p *Pool) GuestRoom(now dhclock.Millis, percent int) int {
+	all, free := p.Slots(now)
+	return max(0, min(free-p.queue.size, all*percent/100-p.taken))
+}
+
+// Guests returns how many requests from other instances run here.
+func (p *Pool) Guests() int { return p.taken }
--- /dev/null
+++ b/core/dhsteer/status.go
@@ -0,0 +1,78 @@
+package dhsteer
+
+import "dogwoodhitch/core/dhclock"
+
+// PoolStatus describes a pool to operators.
+type PoolStatus struct {
+	service   string
+	waiting   int
+	guests    int
+	upstreams []UpstreamStatus
+}
+
+// Service returns the name of the service.
+func (s PoolStatus) Service() string { return s.service }
+
+// Waiting returns how many requests wait for a slot.
+func (s PoolStatus) Waiting() int { return s.waiting }
+
+// Guests returns how many requests from other instances run here.
+func (s PoolStatus) Guests() int { return s.guests }
+
+// Upstreams returns the upstreams, sorted by name.
+func (s PoolStatus) Upstreams() []UpstreamStatus { return s.upstreams }
+
+// UpstreamStatus describes an upstream to operators.
+type UpstreamStatus struct {
+	name    string
+	address string
+	slots   int
+	running int
+	latency float64
+	state   string
+}
+
+// Name returns the upstream's name.
+func (s UpstreamStatus) Name() string { return s.name }
+
+// Address returns the IP address and port that serve requests.
+func (s UpstreamStatus) Address() string { return s.address }
+
+// Slots returns how many requests may run there at once now.
+func (s UpstreamStatus) Slots() int { return s.slots }
+
+// Running returns how many requests run there.
+func (s UpstreamStatus) Running() int { return s.running }
+
+// Latency returns the smoothed latency in milliseconds.
+func (s UpstreamStatus) Latency() float64 { return s.latency }
+
+// State returns ok, warming, ejected, leaving or lost.
+func (s UpstreamStatus) State() string { return s.state }
+
+// Status describes the pool.
+func (p *Pool) Status(now dhclock.Millis) PoolStatus {
+	s := PoolStatus{service: p.service, waiting: p.queue.size, guests: p.taken}
+	for _, u := range p.upstreams {
+		s.upstreams = append(s.upstreams, UpstreamStatus{
+			name: u.Name(), address: u.Address(), slots: u.allowed(now), running: u.running,
+			latency: u.Latency(), state: u.state(now),
+		})
+	}
+	return s
+}
+
+func (u *Upstream) state(now dhclock.Millis) string {
+	switch {
+	case u.leaving:
+		return "leaving"
+	case !u.alive(now):
+		return "lost"
+	case u.Ejected(now):
+		return "ejected"
+	case u.allowed(now) < u.Slots():
+		return "warming"
+	default:
+		return "ok"
+	}
+}
--- /dev/null
+++ b/core/dhtraffic/arrive.go
@@ -0,0 +1,133 @@
+package dhtraffic
+
+import (
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// Hints for callers on when to try again, in milliseconds.
+const (
+	retrySoon  dhclock.Millis = 200
+	retryLater dhclock.Millis = 1000
+)
+
+// Arrive admits a request, or refuses it at once.
+func (s *State) Arrive(e *dhevent.RequestArrived, out *dheffect.List) {
+	now := e.At()
+	r := &request{id: e.Request(), arrived: now, weight: 1, passed: e.Passed()}
+	route, found := s.view.Catalog().RouteFor(e.Path())
+	if !found {
+		s.refuse(now, r, s.unknownRoute(now), out)
+		return
+	}
+	r.route = route
+	r.deadline = now + route.Timeout()
+	if e.Patience() > 0 {
+		r.deadline = min(r.deadline, now+e.Patience())
+	}
+	r.waitUntil = min(r.deadline, now+route.QueueWait())
+	s.requests[r.id] = r
+	if r.passed {
+		r.organisation = e.Organisation()
+		s.seekSlot(now, r, out)
+		return
+	}
+	if refusal, ok := s.authenticate(now, r, e.KeyHash()); !ok {
+		s.refuse(now, r, refusal, out)
+		return
+	}
+	if refusal, ok := s.noteClaim(r, e); !ok {
+		s.refuse(now, r, refusal, out)
+		return
+	}
+	s.seekToken(now, r, out)
+}
+
+// unknownRoute refuses a path without a route; an instance that has no current
+// configuration can't know that there is none.
+func (s *State) unknownRoute(now dhclock.Millis) dheffect.Refusal {
+	if !s.view.Fresh(now, 0) {
+		return dheffect.NewRefusal(dheffect.RefuseStale, false, retryLater)
+	}
+	return dheffect.NewRefusal(dheffect.RefuseNoRoute, false, 0)
+}
+
+// authenticate finds the organisation that a key stands for.
+func (s *State) authenticate(now dhclock.Millis, r *request, h dhcatalog.KeyHash) (dheffect.Refusal, bool) {
+	if r.route.Open() {
+		return dheffect.Refusal{}, true
+	}
+	if h == (dhcatalog.KeyHash{}) {
+		return dheffect.NewRefusal(dheffect.RefuseKeyMissing, false, 0), false
+	}
+	r.key = h
+	if refusal, ok := s.allowed(now, r); !ok {
+		return refusal, false
+	}
+	key, _ := s.view.Catalog().KeyByHash(h)
+	organisation, _ := s.view.Catalog().Organisation(key.Organisation())
+	r.organisation = organisation.Name()
+	r.weight = organisation.Weight()
+	return dheffect.Refusal{}, true
+}
+
+// allowed tells whether a request's key holds now. While the configuration may
+// be out of date the key may have been withdrawn, so the request is refused
+// unless the organisation has accepted a longer grace.
+func (s *State) allowed(now dhclock.Millis, r *request) (dheffect.Refusal, bool) {
+	if r.route.Open() || r.passed {
+		return dheffect.Refusal{}, true
+	}
+	key, found := s.view.Catalog().KeyByHash(r.key)
+	organisation, _ := s.view.Catalog().Organisation(key.Organisation())
+	if !s.view.Fresh(now, organisation.StaleGrace()) {
+		return dheffect.NewRefusal(dheffect.RefuseStale, false, retryLater), false
+	}
+	if !found {
+		return dheffect.NewRefusal(dheffect.RefuseKeyUnknown, false, 0), false
+	}
+	return dheffect.Refusal{}, true
+}
+
+// noteClaim keeps the idempotency key of a request that needs a claim.
+func (s *State) noteClaim(r *request, e *dhevent.RequestArrived) (dheffect.Refusal, bool) {
+	if !r.route.ClaimRequired() {
+		return dheffect.Refusal{}, true
+	}
+	if e.IdempotencyKey() == "" {
+		return dheffect.NewRefusal(dheffect.RefuseClaimMissing, false, 0), false
+	}
+	k := dhmessage.NewClaimKey(r.organisation, e.IdempotencyKey())
+	r.claim = &k
+	r.digest = e.Digest()
+	return dheffect.Refusal{}, true
+}
+
+// Abandon ends a request whose caller went away while it waited. A request
+// that runs ends with its attempt.
+func (s *State) Abandon(e *dhevent.RequestAbandoned, out *dheffect.List) {
+	r, found := s.requests[e.Request()]
+	if !found || r.phase == runs {
+		return
+	}
+	s.stopWaiting(r)
+	if r.claimed || r.phase == waitsForClaim {
+		s.settleClaim(e.At(), r, dhmessage.ClaimReleased, nil, out)
+	}
+	delete(s.requests, r.id)
+}
+
+func (s *State) stopWaiting(r *request) {
+	switch r.phase {
+	case waitsForToken:
+		s.tenants[r.organisation].remove(r)
+	case waitsForSlot:
+		if r.waiter != nil {
+			r.pool.Cancel(r.waiter)
+		}
+	case waitsForClaim, runs:
+	}
+}
--- /dev/null
+++ b/core/dhtraffic/attempt.go
@@ -0,0 +1,124 @@
+package dhtraffic
+
+import (
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhsteer"
+)
+
+// Status codes by which an upstream says that it is unable.
+const (
+	statusBadGateway = 502
+	statusTimeout    = 504
+)
+
+// Ended takes the end of an attempt: the request is answered, tried again, or
+// refused with the truth about whether it may have run.
+func (s *State) Ended(e *dhevent.AttemptEnded, out *dheffect.List) {
+	r, found := s.requests[e.Request()]
+	if !found || r.phase != runs {
+		return
+	}
+	now := e.At()
+	p := r.pool
+	s.release(now, p, r, e)
+	switch e.End() {
+	case dhevent.EndAnswered:
+		s.answered(now, r, e, out)
+	case dhevent.EndNotSent, dhevent.EndRefused:
+		s.tryAgain(now, r, dheffect.NewRefusal(notRunKind(e.End()), false, retrySoon), out)
+	case dhevent.EndBroken, dhevent.EndTimedOut:
+		s.unclear(now, r, e, out)
+	case dhevent.EndCallerGone:
+		if r.claimed {
+			s.settleClaim(now, r, dhmessage.ClaimUnclear, nil, out)
+		}
+		delete(s.requests, r.id)
+	}
+	s.dispatch(now, p, out)
+}
+
+func notRunKind(end dhevent.AttemptEnd) dheffect.RefusalKind {
+	if end == dhevent.EndNotSent {
+		return dheffect.RefuseNotStarted
+	}
+	return dheffect.RefuseNoCapacity
+}
+
+// release gives back the slot of an attempt and judges the other side.
+func (s *State) release(now dhclock.Millis, p *pool, r *request, e *dhevent.AttemptEnded) {
+	if r.passing != nil {
+		r.passing.ended(e.End())
+		r.shunned = append(r.shunned, r.passing)
+		r.passing = nil
+		return
+	}
+	p.Finish(now, r.upstream, r.passed, verdict(e), e.Latency())
+	r.tried = append(r.tried, r.upstream)
+	r.upstream = nil
+}
+
+// verdict tells what an attempt says about its upstream.
+func verdict(e *dhevent.AttemptEnded) dhsteer.Verdict {
+	switch e.End() {
+	case dhevent.EndAnswered:
+		if e.Status() >= statusBadGateway && e.Status() <= statusTimeout {
+			return dhsteer.Failed
+		}
+		return dhsteer.Answered
+	case dhevent.EndRefused, dhevent.EndCallerGone:
+		return dhsteer.Neutral
+	default:
+		return dhsteer.Failed
+	}
+}
+
+func (s *State) answered(now dhclock.Millis, r *request, e *dhevent.AttemptEnded, out *dheffect.List) {
+	if r.claimed {
+		state := dhmessage.ClaimDone
+		if e.Answer() == nil {
+			state = dhmessage.ClaimRan
+		}
+		s.settleClaim(now, r, state, e.Answer(), out)
+	}
+	s.end(now, r, "", e.Status(), out)
+}
+
+// unclear handles an attempt that may have run. Only an idempotent request of
+// which the caller has seen nothing is sent again.
+func (s *State) unclear(now dhclock.Millis, r *request, e *dhevent.AttemptEnded, out *dheffect.List) {
+	kind := dheffect.RefuseBroken
+	if e.End() == dhevent.EndTimedOut {
+		kind = dheffect.RefuseTimeout
+	}
+	refusal := dheffect.NewRefusal(kind, true, retryLater)
+	if r.route.Idempotent() && !e.Delivered() {
+		s.tryAgain(now, r, refusal, out)
+		return
+	}
+	if r.claimed {
+		s.settleClaim(now, r, dhmessage.ClaimUnclear, nil, out)
+	}
+	s.refuse(now, r, refusal, out)
+}
+
+// tryAgain sends a request out once more if the budget, the deadline and the
+// choice allow, else refuses it.
+func (s *State) tryAgain(now dhclock.Millis, r *request, f dheffect.Refusal, out *dheffect.List) {
+	if r.attempts >= maxAttempts || r.timeout(now) <= 0 || !r.pool.budget.take() {
+		s.refuse(now, r, f, out)
+		return
+	}
+	r.waitUntil = min(r.waitUntil, r.deadline)
+	if u := r.pool.Choose(now, r.tried); u != nil {
+		s.forward(now, r.pool, r, u, out)
+		return
+	}
+	if g := s.passageFor(now, r.pool, r); g != nil && !r.passed {
+		s.pass(now, r.pool, r, g, out)
+		return
+	}
+	s.refuse(now, r, f, out)
+}
--- /dev/null
+++ b/core/dhtraffic/pass.go
@@ -0,0 +1,186 @@
+package dhtraffic
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// Constants of passing requests between instances.
+const (
+	// askInterval is the least time between two rounds of asks, in
+	// milliseconds.
+	askInterval dhclock.Millis = 100
+	// askBreadth is how many instances of each distance one round asks.
+	askBreadth = 3
+	// askSpare is how many slots beyond the present need are asked for.
+	askSpare = 2
+	// keepAsking is for how long promises are kept up after a request was
+	// passed, in milliseconds.
+	keepAsking dhclock.Millis = 2000
+)
+
+// distance orders instances by how far a request travels.
+type distance int
+
+const (
+	sameZone distance = iota
+	sameRegion
+	otherRegion
+)
+
+// passage is what this instance knows of another one's room for a service.
+type passage struct {
+	instance dhcatalog.Instance
+	distance distance
+	slots    int
+	running  int
+	expiry   dhclock.Millis
+}
+
+func (g *passage) open(now dhclock.Millis) bool { return g.running < g.slots && now < g.expiry }
+
+// ended gives back a slot at the other instance. One that was not reached or
+// had no room gets nothing more until it answers an ask again.
+func (g *passage) ended(end dhevent.AttemptEnd) {
+	g.running--
+	if end != dhevent.EndAnswered && end != dhevent.EndCallerGone {
+		g.slots = 0
+	}
+}
+
+// passageFor returns the nearest instance that has promised room, or nil. One
+// in another region is used only if this zone has no slots at all, or the
+// request has waited for a while.
+func (s *State) passageFor(now dhclock.Millis, p *pool, r *request) *passage {
+	if r.passed {
+		return nil
+	}
+	all, _ := p.Slots(now)
+	farAllowed := all == 0 || now.Since(r.arrived) >= farPatience || r.attempts > 0
+	var best *passage
+	for _, name := range slices.Sorted(maps.Keys(p.passages)) {
+		g := p.passages[name]
+		if !g.open(now) || s.view.IsAway(name) || slices.Contains(r.shunned, g) {
+			continue
+		}
+		if g.distance == otherRegion && !farAllowed {
+			continue
+		}
+		if best == nil || closer(g, best) {
+			best = g
+		}
+	}
+	return best
+}
+
+func closer(a, b *passage) bool {
+	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.slots-b.running, a.slots-a.running)) < 0
+}
+
+// pass hands a request to another instance.
+func (s *State) pass(now dhclock.Millis, p *pool, r *request, g *passage, out *dheffect.List) {
+	if refusal, ok := s.allowed(now, r); !ok {
+		s.refuse(now, r, refusal, out)
+		return
+	}
+	r.phase = runs
+	r.waiter = nil
+	r.passing = g
+	r.attempts++
+	g.running++
+	p.passUntil = now + keepAsking
+	p.budget.earn()
+	out.Add(dheffect.NewPass(dheffect.PassOptions{
+		Request: r.id, Instance: g.instance.Name(), Address: g.instance.PeerAddress(),
+		Organisation: r.organisation, Timeout: r.timeout(now), Claimed: r.claimed,
+	}))
+}
+
+// passWaiting passes requests that wait here to instances with room.
+func (s *State) passWaiting(now dhclock.Millis, p *pool, out *dheffect.List) {
+	for p.Waiting() > 0 {
+		w := p.Next()
+		r := s.requests[w.Request()]
+		g := s.passageFor(now, p, r)
+		if g == nil {
+			p.PutBack(w)
+			return
+		}
+		s.pass(now, p, r, g, out)
+	}
+}
+
+// askPassages asks a few instances of each distance how much they would take.
+func (s *State) askPassages(now dhclock.Millis, p *pool, out *dheffect.List) {
+	if now.Since(p.asked) < askInterval && p.asked > 0 {
+		return
+	}
+	p.asked = now
+	for _, i := range s.neighbours(now) {
+		want := p.Waiting() + askSpare
+		if g, found := p.passages[i.Name()]; found {
+			want += g.running
+		}
+		out.Add(dheffect.NewSend(dheffect.SendOptions{
+			To:      i.Name(),
+			Message: dhmessage.NewIntakeAsk(dhmessage.IntakeAskOptions{Service: p.Service(), Sent: now, Want: want}),
+		}))
+	}
+}
+
+// neighbours picks instances to ask: a few of each distance, in turn.
+func (s *State) neighbours(now dhclock.Millis) []dhcatalog.Instance {
+	var near [otherRegion + 1][]dhcatalog.Instance
+	for _, z := range s.view.Catalog().Zones() {
+		for _, i := range s.view.Catalog().InstancesIn(z.Name()) {
+			if i.Name() != s.instance && !s.view.IsAway(i.Name()) {
+				d := s.distanceTo(i)
+				near[d] = append(near[d], i)
+			}
+		}
+	}
+	var list []dhcatalog.Instance
+	for _, of := range near {
+		turn := int(now / askInterval)
+		for k := range min(askBreadth, len(of)) {
+			list = append(list, of[(turn*askBreadth+k)%len(of)])
+		}
+	}
+	return list
+}
+
+func (s *State) distanceTo(i dhcatalog.Instance) distance {
+	if i.Zone() == s.zone {
+		return sameZone
+	}
+	here, _ := s.view.Catalog().Zone(s.zone)
+	there, _ := s.view.Catalog().Zone(i.Zone())
+	if here.Region() == there.Region() {
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// IntakeArrived takes another instance's answer and passes on what waits.
+func (s *State) IntakeArrived(e *dhevent.IntakeArrived, out *dheffect.List) {
+	i, found := s.view.Catalog().Instance(e.Instance())
+	if !found {
+		return
+	}
+	p := s.poolOf(e.Give().Service())
+	g, found := p.passages[i.Name()]
+	if !found {
+		g = &passage{}
+		p.passages[i.Name()] = g
+	}
+	g.instance, g.distance = i, s.distanceTo(i)
+	g.slots, g.expiry = e.Give().Slots(), e.Give().Sent()+e.Give().Life()
+	s.passWaiting(e.At(), p, out)
+}
--- /dev/null
+++ b/core/dhtraffic/pools.go
@@ -0,0 +1,66 @@
+package dhtraffic
+
+import (
+	"maps"
+	"slices"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhlookup"
+	"dogwoodhitch/core/dhsteer"
+)
+
+func sortedPools(m map[string]*pool) []string { return slices.Sorted(maps.Keys(m)) }
+
+// Announced takes an upstream's word about itself.
+func (s *State) Announced(e *dhevent.UpstreamAnnounced, out *dheffect.List) {
+	p := s.poolOf(e.Announce().Service())
+	p.Announce(e.At(), p.coldRamp, e.Announce())
+	s.dispatch(e.At(), p, out)
+}
+
+// Left stops new work for an upstream.
+func (s *State) Left(e *dhevent.UpstreamLeft) {
+	if p, found := s.pools[e.Service()]; found {
+		p.Leave(e.Name())
+	}
+}
+
+// Tick lets time pass.
+func (s *State) Tick(now dhclock.Millis, out *dheffect.List) {
+	s.tickTenants(now, out)
+	s.tickPools(now, out)
+}
+
+// Published takes a new view.
+func (s *State) Published(e *dhevent.ViewPublished) {
+	old := s.view.Catalog().Version()
+	s.view = e.View()
+	if s.view.Catalog().Version() != old {
+		s.setLimits(e.At())
+	}
+}
+
+// LookUp answers which instances a client should use.
+func (s *State) LookUp(e *dhevent.LookUpAsked, out *dheffect.List) {
+	out.Add(dheffect.NewLookUpReply(dheffect.LookUpReplyOptions{
+		Answer: dhlookup.Find(e.At(), s.view, e.Address(), e.Six()),
+	}))
+}
+
+// Pools tells what this instance knows of its upstreams.
+func (s *State) Pools(now dhclock.Millis, out *dheffect.List) {
+	var list []dhsteer.PoolStatus
+	for _, name := range sortedPools(s.pools) {
+		list = append(list, s.pools[name].Status(now))
+	}
+	out.Add(dheffect.NewPoolsReply(dheffect.PoolsReplyOptions{Pools: list}))
+}
+
+// Burn tells how fast error budgets are used up.
+func (s *State) Burn(now dhclock.Millis, out *dheffect.List) {
+	out.Add(dheffect.NewBurnReply(dheffect.BurnReplyOptions{
+		Rows: s.burn.Rows(now, s.view.Catalog().Objectives()),
+	}))
+}
--- /dev/null
+++ b/core/dhtraffic/slot.go
@@ -0,0 +1,160 @@
+package dhtraffic
+
+import (
+	"slices"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhsteer"
+)
+
+// farPatience is how long a request waits for a slot in its own region before
+// it may be passed to another, in milliseconds.
+const farPatience dhclock.Millis = 50
+
+// maxAttempts bounds how often one request is sent out.
+const maxAttempts = 3
+
+// seekSlot sends a request to an upstream here, or passes it to another
+// instance, or lets it wait, or refuses it.
+func (s *State) seekSlot(now dhclock.Millis, r *request, out *dheffect.List) {
+	if r.timeout(now) <= 0 {
+		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseTimeout, false, 0), out)
+		return
+	}
+	p := s.poolOf(r.route.Service())
+	r.pool = p
+	if r.passed {
+		s.seekGuestSlot(now, p, r, out)
+		return
+	}
+	if p.Waiting() == 0 {
+		if u := p.Choose(now, r.tried); u != nil {
+			s.forward(now, p, r, u, out)
+			return
+		}
+	}
+	if g := s.passageFor(now, p, r); g != nil {
+		s.pass(now, p, r, g, out)
+		return
+	}
+	s.waitForSlot(now, p, r, out)
+}
+
+// seekGuestSlot serves a request from another instance at once or refuses it
+// truly: it never waits here while its origin could go elsewhere.
+func (s *State) seekGuestSlot(now dhclock.Millis, p *pool, r *request, out *dheffect.List) {
+	if p.intake.room(now, p, s.spill(p)) > 0 {
+		if u := p.Choose(now, r.tried); u != nil {
+			s.forward(now, p, r, u, out)
+			return
+		}
+	}
+	s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, retrySoon), out)
+}
+
+func (s *State) waitForSlot(now dhclock.Millis, p *pool, r *request, out *dheffect.List) {
+	if r.waitUntil <= now {
+		s.refuse(now, r, s.noSlot(now, p), out)
+		return
+	}
+	r.phase = waitsForSlot
+	r.waiter = dhsteer.NewWaiter(dhsteer.WaiterOptions{
+		Request: r.id, Organisation: r.organisation, Weight: r.weight,
+		Priority: r.route.Priority(), Deadline: r.waitUntil,
+	})
+	dropped, ok := p.Wait(r.waiter)
+	if dropped != nil {
+		s.refuse(now, s.requests[dropped.Request()], s.noSlot(now, p), out)
+	}
+	if !ok {
+		r.waiter = nil
+		s.refuse(now, r, s.noSlot(now, p), out)
+		return
+	}
+	s.askPassages(now, p, out)
+}
+
+// noSlot is the refusal of a request that found no slot in time.
+func (s *State) noSlot(now dhclock.Millis, p *pool) dheffect.Refusal {
+	if all, _ := p.Slots(now); all == 0 {
+		return dheffect.NewRefusal(dheffect.RefuseNoUpstream, false, retryLater)
+	}
+	return dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, retrySoon)
+}
+
+// forward starts an attempt at an upstream, unless the caller's key was
+// withdrawn while the request waited.
+func (s *State) forward(now dhclock.Millis, p *pool, r *request, u *dhsteer.Upstream, out *dheffect.List) {
+	if refusal, ok := s.allowed(now, r); !ok {
+		s.refuse(now, r, refusal, out)
+		return
+	}
+	r.phase = runs
+	r.upstream = u
+	r.waiter = nil
+	r.attempts++
+	p.budget.earn()
+	p.Take(u, r.passed)
+	out.Add(dheffect.NewForward(dheffect.ForwardOptions{
+		Request: r.id, Service: p.Service(), Upstream: u.Name(), Address: u.Address(), Organisation: r.organisation,
+		Timeout: r.timeout(now), Claimed: r.claimed, Fresh: !r.route.Idempotent(), Echoes: u.Echoes(),
+	}))
+}
+
+// dispatch gives free slots to the requests that wait.
+func (s *State) dispatch(now dhclock.Millis, p *pool, out *dheffect.List) {
+	for p.Waiting() > 0 {
+		u := p.Choose(now, nil)
+		if u == nil {
+			return
+		}
+		r := s.requests[p.Next().Request()]
+		if slices.Contains(r.tried, u) {
+			u = p.Choose(now, r.tried)
+		}
+		r.waiter = nil
+		if u == nil {
+			s.refuse(now, r, s.noSlot(now, p), out)
+			continue
+		}
+		s.forward(now, p, r, u, out)
+	}
+}
+
+// tickPools ends waits that are over and uses slots that time has opened.
+func (s *State) tickPools(now dhclock.Millis, out *dheffect.List) {
+	for _, name := range sortedPools(s.pools) {
+		p := s.pools[name]
+		p.Sweep(now)
+		s.dispatch(now, p, out)
+		s.passWaiting(now, p, out)
+		for _, w := range p.Expired(now) {
+			p.Cancel(w)
+			s.refuse(now, s.requests[w.Request()], s.noSlot(now, p), out)
+		}
+		if p.Waiting() > 0 || now < p.passUntil {
+			s.askPassages(now, p, out)
+		}
+	}
+}
+
+// budget keeps retries to a tenth of the requests, so that they can't
+// multiply a failure. It counts in tenths of a retry.
+type budget struct{ tenths int }
+
+// Bounds of a retry budget, in tenths of a retry.
+const (
+	budgetMost  = 100
+	budgetRetry = 10
+)
+
+func (b *budget) earn() { b.tenths = min(budgetMost, b.tenths+1) }
+
+func (b *budget) take() bool {
+	if b.tenths < budgetRetry {
+		return false
+	}
+	b.tenths -= budgetRetry
+	return true
+}
--- /dev/null
+++ b/core/dhtraffic/state.go
@@ -0,0 +1,177 @@
+// Package dhtraffic decides what becomes of each request at one entry
+// instance: admission, tokens, claims, slots, retries and refusals. It is pure
+// state; the goroutines that serve traffic drive it one event at a time.
+package dhtraffic
+
+import (
+	"dogwoodhitch/core/dhburn"
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhsteer"
+	"dogwoodhitch/core/dhview"
+)
+
+// Options are what traffic state starts from.
+type Options struct {
+	// Instance and Zone are the names from the settings.
+	Instance string
+	Zone     string
+	// Stream is a random number, new at each start.
+	Stream uint64
+	Now    dhclock.Millis
+}
+
+// State is the traffic state of one instance.
+type State struct {
+	instance string
+	zone     string
+	stream   uint64
+	view     *dhview.View
+	tenants  map[string]*tenant
+	pools    map[string]*pool
+	requests map[uint64]*request
+	burn     *dhburn.Recorder
+	reported dhclock.Millis
+}
+
+// New returns traffic state that serves nothing until it gets a view.
+func New(o Options) *State {
+	return &State{
+		instance: o.Instance,
+		zone:     o.Zone,
+		stream:   o.Stream,
+		view:     dhview.New(dhview.Options{Catalog: dhcatalog.New(), Applied: o.Now}),
+		tenants:  map[string]*tenant{},
+		pools:    map[string]*pool{},
+		requests: map[uint64]*request{},
+		burn:     dhburn.New(),
+	}
+}
+
+// View returns the view that decisions rest on.
+func (s *State) View() *dhview.View { return s.view }
+
+// Open returns how many requests haven't ended.
+func (s *State) Open() int { return len(s.requests) }
+
+// phase is what a request waits for.
+type phase int
+
+const (
+	waitsForToken phase = iota
+	waitsForClaim
+	waitsForSlot
+	runs
+)
+
+// request is one request that hasn't ended.
+type request struct {
+	id           uint64
+	arrived      dhclock.Millis
+	deadline     dhclock.Millis
+	waitUntil    dhclock.Millis
+	phase        phase
+	route        dhcatalog.Route
+	organisation string
+	key          dhcatalog.KeyHash
+	weight       int
+	passed       bool // came from another instance
+	claim        *dhmessage.ClaimKey
+	digest       dhcatalog.KeyHash
+	claimed      bool // the claim is granted
+	waiter       *dhsteer.Waiter
+	pool         *pool
+	upstream     *dhsteer.Upstream
+	tried        []*dhsteer.Upstream
+	passing      *passage // the instance that the request was passed to
+	shunned      []*passage
+	attempts     int
+}
+
+func (r *request) timeout(now dhclock.Millis) dhclock.Millis { return r.deadline - now }
+
+// pool is the upstreams of one service and the ways to other instances.
+type pool struct {
+	*dhsteer.Pool
+	passages map[string]*passage
+	intake   intake
+	budget   budget
+	asked    dhclock.Millis
+	coldRamp dhclock.Millis
+	// passUntil is until when promises of other instances are kept up.
+	passUntil dhclock.Millis
+}
+
+// poolOf returns the pool of a service that the catalog holds.
+func (s *State) poolOf(service string) *pool {
+	p, found := s.pools[service]
+	if !found {
+		p = &pool{
+			Pool:     dhsteer.NewPool(service),
+			passages: map[string]*passage{},
+			intake:   intake{promised: map[string]promise{}},
+		}
+		s.pools[service] = p
+	}
+	if o, found := s.view.Catalog().Service(service); found {
+		p.coldRamp = o.ColdStart()
+	}
+	return p
+}
+
+// end forgets a request and counts it.
+func (s *State) end(now dhclock.Millis, r *request, kind dheffect.RefusalKind, status int, out *dheffect.List) {
+	delete(s.requests, r.id)
+	within := true
+	if t, found := s.tenants[r.organisation]; found {
+		within = !t.holder.Exhausted(now)
+	}
+	latency := now.Since(r.arrived)
+	if !r.passed && counts(kind, within) {
+		s.burn.Add(now, r.route.Name(), r.organisation, s.bad(r.route.Name(), kind, status, latency))
+	}
+	out.Add(dheffect.NewAccount(dheffect.AccountOptions{
+		Route: r.route.Name(), Organisation: r.organisation, Kind: kind,
+		Status: status, Latency: latency, WithinRate: within,
+	}))
+}
+
+// counts tells whether a request says something about the service that was
+// given: refusals that the caller brought about don't.
+func counts(kind dheffect.RefusalKind, within bool) bool {
+	switch kind {
+	case dheffect.RefuseOverLimit:
+		return within
+	case dheffect.RefuseClaimMissing, dheffect.RefuseClaimReused, dheffect.RefuseClaimOpen,
+		dheffect.RefuseClaimRan, dheffect.RefuseMalformed, dheffect.RefuseTooLarge:
+		return false
+	default:
+		return true
+	}
+}
+
+// statusServerError is the lowest status code of a server's failure.
+const statusServerError = 500
+
+func (s *State) bad(route string, kind dheffect.RefusalKind, status int, latency dhclock.Millis) bool {
+	if kind != "" || status >= statusServerError {
+		return true
+	}
+	for _, o := range s.view.Catalog().Objectives() {
+		if o.Route() == route && latency > o.Latency() {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse ends a request with a reason.
+func (s *State) refuse(now dhclock.Millis, r *request, f dheffect.Refusal, out *dheffect.List) {
+	if r.claimed && !f.MayHaveRun() {
+		s.settleClaim(now, r, dhmessage.ClaimReleased, nil, out)
+	}
+	out.Add(dheffect.NewRefuse(dheffect.RefuseOptions{Request: r.id, Refusal: f}))
+	s.end(now, r, f.Kind(), 0, out)
+}
--- /dev/null
+++ b/core/dhview/view.go
@@ -0,0 +1,96 @@
+// Package dhview holds the immutable picture that control state publishes to
+// the goroutines that serve traffic.
+package dhview
+
+import (
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// FreshnessLease is how long an instance may serve keyed routes after the last
+// time at which its configuration was certainly current, in milliseconds.
+const FreshnessLease = 3 * dhclock.Second
+
+// Options are the fields of a View.
+type Options struct {
+	Catalog *dhcatalog.Catalog
+	// Confirmed is a time at which the catalog was certainly current.
+	Confirmed dhclock.Millis
+	// Ever tells whether the catalog was ever confirmed.
+	Ever bool
+	// Applied is when this version came into force here.
+	Applied dhclock.Millis
+	Away    []dhmessage.Away
+	Leader  string
+	// InForce is the newest version known to be in force everywhere.
+	InForce uint64
+	// DrainStarts holds when each drain started, on this instance's clock.
+	DrainStarts map[string]dhclock.Millis
+}
+
+// View is what one process knows of the system at one time.
+type View struct {
+	options Options
+	away    map[string]bool
+}
+
+// New returns a view.
+func New(o Options) *View {
+	v := &View{options: o, away: make(map[string]bool, len(o.Away))}
+	for _, a := range o.Away {
+		v.away[a.Instance()] = a.Leaving()
+	}
+	return v
+}
+
+// Catalog returns the configuration in force.
+func (v *View) Catalog() *dhcatalog.Catalog { return v.options.Catalog }
+
+// Confirmed returns a time at which the configuration was certainly current.
+func (v *View) Confirmed() dhclock.Millis { return v.options.Confirmed }
+
+// Applied returns when this version came into force here.
+func (v *View) Applied() dhclock.Millis { return v.options.Applied }
+
+// Leader returns the voter that leads, or "" if unknown.
+func (v *View) Leader() string { return v.options.Leader }
+
+// Away returns the instances that look-ups must not name.
+func (v *View) Away() []dhmessage.Away { return v.options.Away }
+
+// IsAway tells whether look-ups must not name an instance.
+func (v *View) IsAway(instance string) bool {
+	_, found := v.away[instance]
+	return found
+}
+
+// IsGone tells whether an instance is away and not merely leaving.
+func (v *View) IsGone(instance string) bool {
+	leaving, found := v.away[instance]
+	return found && !leaving
+}
+
+// Age returns how long ago the configuration was certainly current, and false
+// if it never was.
+func (v *View) Age(now dhclock.Millis) (dhclock.Millis, bool) {
+	return now.Since(v.options.Confirmed), v.options.Ever
+}
+
+// Fresh tells whether the freshness lease holds, extended by an organisation's
+// grace.
+func (v *View) Fresh(now, grace dhclock.Millis) bool {
+	age, ever := v.Age(now)
+	return ever && age <= FreshnessLease+grace
+}
+
+// InForce returns the newest version known to be in force on every instance.
+func (v *View) InForce() uint64 { return v.options.InForce }
+
+// DrainStart returns when a drain started, on this instance's clock.
+func (v *View) DrainStart(name string) dhclock.Millis {
+	if at, found := v.options.DrainStarts[name]; found {
+		return at
+	}
+	return v.options.Applied
+}
--- /dev/null
+++ b/io/dhannounce/announce.go
@@ -0,0 +1,123 @@
+// Package dhannounce takes the announcements of upstreams.
+package dhannounce
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhsteer"
+	"dogwoodhitch/io/dhshard"
+)
+
+// maxBody bounds an announcement, in bytes.
+const maxBody = 16 << 10
+
+// RenewInterval is how often an upstream should renew its announcement.
+const RenewInterval = dhsteer.AnnounceLife / 3
+
+// Options are what the handler needs.
+type Options struct {
+	Shard  *dhshard.Shard
+	Secret string
+}
+
+// Handler takes announcements.
+type Handler struct{ options Options }
+
+// New returns a handler.
+func New(o Options) *Handler { return &Handler{options: o} }
+
+// Mux returns the paths that upstreams use.
+func (h *Handler) Mux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+dhcatalog.ReservedPrefix+"v1/upstreams/announce", h.announce)
+	mux.HandleFunc("POST "+dhcatalog.ReservedPrefix+"v1/upstreams/leave", h.leave)
+	return mux
+}
+
+func (h *Handler) announce(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Name    string `json:"name"`
+		Service string `json:"service"`
+		Address string `json:"address"`
+		Slots   int    `json:"slots"`
+		Running int    `json:"running"`
+		Echoes  bool   `json:"echoes"`
+	}
+	if !h.read(w, r, &body) {
+		return
+	}
+	_, err := netip.ParseAddrPort(body.Address)
+	switch {
+	case !dhcatalog.ValidName(body.Name) || !dhcatalog.ValidName(body.Service):
+		refuse(w, http.StatusBadRequest, "name and service must be 1 to 128 letters, digits, '-', '_' or '.'")
+	case err != nil:
+		refuse(w, http.StatusBadRequest, "address must be an IP number and a port, such as 10.0.0.1:8080")
+	case body.Slots < 1 || body.Slots > dhsteer.MaxSlots || body.Running < 0:
+		refuse(w, http.StatusBadRequest, "slots must be from 1 to 10000, and running at least 0")
+	default:
+		h.options.Shard.Handle(func(at dhclock.Millis) dhevent.Event {
+			return dhevent.NewUpstreamAnnounced(at, dhevent.UpstreamAnnouncedOptions{
+				Announce: dhsteer.NewAnnounce(dhsteer.AnnounceOptions{
+					Name: body.Name, Service: body.Service, Address: body.Address,
+					Slots: body.Slots, Running: body.Running, Echoes: body.Echoes,
+				}),
+			})
+		})
+		answer(w, struct {
+			RenewMs int64 `json:"renewMs"`
+			LifeMs  int64 `json:"lifeMs"`
+		}{RenewInterval.Milliseconds(), dhsteer.AnnounceLife.Milliseconds()})
+	}
+}
+
+func (h *Handler) leave(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Name    string `json:"name"`
+		Service string `json:"service"`
+	}
+	if !h.read(w, r, &body) {
+		return
+	}
+	h.options.Shard.Handle(func(at dhclock.Millis) dhevent.Event {
+		return dhevent.NewUpstreamLeft(at, dhevent.UpstreamLeftOptions{Service: body.Service, Name: body.Name})
+	})
+	answer(w, struct {
+		Left bool `json:"left"`
+	}{true})
+}
+
+// read checks the secret and decodes the body; it answers where it can't.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request, body any) bool {
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+h.options.Secret)) != 1 {
+		refuse(w, http.StatusUnauthorized, "send the upstreams' secret as 'Authorization: Bearer SECRET'")
+		return false
+	}
+	d := json.NewDecoder(io.LimitReader(r.Body, maxBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(body); err != nil {
+		refuse(w, http.StatusBadRequest, "send a JSON object as OPERATING.md shows: "+err.Error())
+		return false
+	}
+	return true
+}
+
+func refuse(w http.ResponseWriter, status int, remedy string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(struct {
+		Kind   string `json:"kind"`
+		Remedy string `json:"remedy"`
+	}{"malformed", remedy})
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/io/dhclient/client.go
@@ -0,0 +1,231 @@
+// Package dhclient calls the operators' API for the command line.
+package dhclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"dogwoodhitch/io/dhfault"
+	"dogwoodhitch/io/dhoperator"
+	"dogwoodhitch/io/dhproto"
+
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+// callTimeout bounds one call.
+const callTimeout = 30 * time.Second
+
+// Options are what a client needs.
+type Options struct {
+	// Servers are operators' addresses; they are tried in order.
+	Servers []string
+	Secret  string
+}
+
+// Client calls the operators' API of one of several processes.
+type Client struct {
+	options Options
+	http    *http.Client
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	return &Client{options: o, http: &http.Client{Timeout: callTimeout}}
+}
+
+// call sends a request to the first process that answers, and decodes what it
+// says.
+func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte, into any) error {
+	var last error
+	for _, server := range c.options.Servers {
+		answer, err := c.send(ctx, server, method, path, query, body)
+		if err != nil {
+			last = err
+			continue
+		}
+		return decode(answer, into)
+	}
+	return dhfault.New(dhfault.KindUnreachable, "no process answers at "+strings.Join(c.options.Servers, ", ")+": "+last.Error(),
+		"check --server")
+}
+
+func (c *Client) send(ctx context.Context, server, method, path string, query url.Values, body []byte) (*http.Response, error) {
+	target := "http://" + server + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	r, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.options.Secret)
+	return c.http.Do(r)
+}
+
+func decode(r *http.Response, into any) error {
+	defer r.Body.Close()
+	raw, err := io.ReadAll(r.Body)
+	if err != nil {
+		return dhfault.New(dhfault.KindUnsure, "the answer was cut off: "+err.Error(), "send it again under the same id")
+	}
+	if r.StatusCode != http.StatusOK {
+		var refusal struct {
+			Kind    dhfault.Kind `json:"kind"`
+			Message string       `json:"message"`
+		}
+		if json.Unmarshal(raw, &refusal) != nil || refusal.Message == "" {
+			return dhfault.New(dhfault.KindUnreachable, "the server answers "+r.Status, "check that --server is an operators' address")
+		}
+		return dhfault.Wrap(refusal.Kind, plainError(refusal.Message))
+	}
+	return json.Unmarshal(raw, into)
+}
+
+// plainError is a message that came from a server and names the remedy.
+type plainError string
+
+// Error implements error.
+func (e plainError) Error() string { return string(e) }
+
+// Change sends a change set.
+func (c *Client) Change(ctx context.Context, raw []byte, dryRun, wait bool) (dhoperator.Changed, error) {
+	var out dhoperator.Changed
+	query := url.Values{}
+	if dryRun {
+		query.Set("dryRun", "true")
+	}
+	if wait {
+		query.Set("wait", "true")
+	}
+	err := c.call(ctx, http.MethodPost, "/v1/changes", query, raw, &out)
+	return out, err
+}
+
+// ChangeSet sends a change set that a command made.
+func (c *Client) ChangeSet(ctx context.Context, m *dhproto.ChangeSet, wait bool) (dhoperator.Changed, error) {
+	raw, err := protojson.Marshal(m)
+	if err != nil {
+		return dhoperator.Changed{}, err
+	}
+	return c.Change(ctx, raw, false, wait)
+}
+
+// Objects are objects and the version that they reflect.
+type Objects struct {
+	Version uint64            `json:"version"`
+	Objects []json.RawMessage `json:"objects"`
+}
+
+// Objects returns objects, all or of a kind and name.
+func (c *Client) Objects(ctx context.Context, kind, name string, current bool) (Objects, error) {
+	var out Objects
+	query := url.Values{"kind": {kind}, "name": {name}}
+	if current {
+		query.Set("current", "true")
+	}
+	err := c.call(ctx, http.MethodGet, "/v1/objects", query, nil, &out)
+	return out, err
+}
+
+// History returns the accepted change sets.
+func (c *Client) History(ctx context.Context) ([]dhoperator.Accepted, error) {
+	var out struct {
+		Changes []dhoperator.Accepted `json:"changes"`
+	}
+	err := c.call(ctx, http.MethodGet, "/v1/changes", nil, nil, &out)
+	return out.Changes, err
+}
+
+// Status returns what a process knows; the leader's word if a server leads.
+func (c *Client) Status(ctx context.Context) (dhoperator.Status, error) {
+	var best dhoperator.Status
+	var last error
+	found := false
+	for _, server := range c.options.Servers {
+		var s dhoperator.Status
+		one := New(Options{Servers: []string{server}, Secret: c.options.Secret})
+		if err := one.call(ctx, http.MethodGet, "/v1/status", nil, nil, &s); err != nil {
+			last = err
+			continue
+		}
+		if !found || s.Leads {
+			best, found = s, true
+		}
+	}
+	if !found {
+		return best, last
+	}
+	return best, nil
+}
+
+// Pools returns what an entry instance knows of its upstreams.
+func (c *Client) Pools(ctx context.Context) ([]dhoperator.Pool, error) {
+	var out struct {
+		Pools []dhoperator.Pool `json:"pools"`
+	}
+	err := c.call(ctx, http.MethodGet, "/v1/pools", nil, nil, &out)
+	return out.Pools, err
+}
+
+// Burn returns the burn of every server's objectives, the worst served first.
+func (c *Client) Burn(ctx context.Context) ([]dhoperator.Burn, error) {
+	var all []dhoperator.Burn
+	for _, server := range c.options.Servers {
+		var out struct {
+			Rows []dhoperator.Burn `json:"rows"`
+		}
+		one := New(Options{Servers: []string{server}, Secret: c.options.Secret})
+		if err := one.call(ctx, http.MethodGet, "/v1/burn", nil, nil, &out); err != nil {
+			return nil, err
+		}
+		all = append(all, out.Rows...)
+	}
+	return dhoperator.MergeBurn(all), nil
+}
+
+// Claim returns what is known of a claim.
+func (c *Client) Claim(ctx context.Context, organisation, key string) (dhoperator.Claim, error) {
+	var out dhoperator.Claim
+	err := c.call(ctx, http.MethodGet, "/v1/claims", url.Values{"organisation": {organisation}, "key": {key}}, nil, &out)
+	return out, err
+}
+
+// SettleClaim tells whether an unclear request ran.
+func (c *Client) SettleClaim(ctx context.Context, organisation, key string, ran bool) (string, error) {
+	var out struct {
+		State string `json:"state"`
+	}
+	body, err := json.Marshal(struct {
+		Organisation string `json:"organisation"`
+		Key          string `json:"key"`
+		Ran          bool   `json:"ran"`
+	}{organisation, key, ran})
+	if err != nil {
+		return "", err
+	}
+	err = c.call(ctx, http.MethodPost, "/v1/claims/settle", nil, body, &out)
+	return out.State, err
+}
+
+// EditVoter changes the members of the consensus group.
+func (c *Client) EditVoter(ctx context.Context, action, name, address, folder string) error {
+	var out struct {
+		Done bool `json:"done"`
+	}
+	body, err := json.Marshal(struct {
+		Action  string `json:"action"`
+		Name    string `json:"name"`
+		Address string `json:"address"`
+		Folder  string `json:"folder"`
+	}{action, name, address, folder})
+	if err != nil {
+		return err
+	}
+	return c.call(ctx, http.MethodPost, "/v1/voters", nil, body, &out)
+}
--- /dev/null
+++ b/io/dhcommand/change.go
@@ -0,0 +1,160 @@
+package dhcommand
+
+import (
+	"context"
+	"fmt"
+	"os/user"
+
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"dogwoodhitch/io/dhfault"
+	"dogwoodhitch/io/dhoperator"
+	"dogwoodhitch/io/dhproto"
+)
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "submit a change set, which is accepted as a whole or not at all",
+		ArgsUsage: "FILE",
+		Description: "FILE is - for standard input. A change set without an id gets a random one, one without a base\n" +
+			"the current version; give both to resend safely.\n\nExamples:\n" +
+			"   dogwoodhitch apply --server 127.0.0.1:7001 --secret-file operators.secret --wait examples/first.json\n" +
+			"   dogwoodhitch apply --dry-run - < change.json",
+		Flags: clientFlags(
+			&cli.BoolFlag{Name: "dry-run", Usage: "only check, and print what would change"},
+			&cli.BoolFlag{Name: "wait", Usage: "wait until it is in force on every instance"},
+		),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return cli.Exit("name one file; see --help", ExitUsage)
+			}
+			raw, err := readFile(c.Args().First())
+			if err != nil {
+				return err
+			}
+			return applyRaw(ctx, c, raw)
+		},
+	}
+}
+
+func applyRaw(ctx context.Context, c *cli.Command, raw []byte) error {
+	if _, err := dhoperator.ParseChangeSet(raw); err != nil {
+		return err
+	}
+	m := &dhproto.ChangeSet{}
+	if err := protojson.Unmarshal(raw, m); err != nil {
+		return dhfault.New(dhfault.KindMalformed, err.Error(), "correct the change set")
+	}
+	cl, err := client(c)
+	if err != nil {
+		return err
+	}
+	if err := complete(ctx, c, m); err != nil {
+		return err
+	}
+	whole, err := protojson.Marshal(m)
+	if err != nil {
+		return err
+	}
+	changed, err := cl.Change(ctx, whole, c.Bool("dry-run"), c.Bool("wait"))
+	if err != nil {
+		return err
+	}
+	if changed.DryRun && c.String("output") == "table" {
+		printChanges(c, m)
+	}
+	return show(c, changed, nil)
+}
+
+// complete fills in what a change set leaves out.
+func complete(ctx context.Context, c *cli.Command, m *dhproto.ChangeSet) error {
+	if m.GetId() == "" {
+		m.Id = newID("change")
+	}
+	if m.GetAuthor() == "" {
+		m.Author = author()
+	}
+	if m.GetBase() != 0 {
+		return nil
+	}
+	cl, err := client(c)
+	if err != nil {
+		return err
+	}
+	current, err := cl.Objects(ctx, "zone", "", true)
+	m.Base = uint32(current.Version)
+	return err
+}
+
+func author() string {
+	if u, err := user.Current(); err == nil && u.Username != "" {
+		return u.Username
+	}
+	return "operator"
+}
+
+func printChanges(c *cli.Command, m *dhproto.ChangeSet) {
+	w := c.Root().Writer
+	for _, o := range m.GetPuts() {
+		fmt.Fprintln(w, "put    ", protojson.MarshalOptions{}.Format(o))
+	}
+	for _, r := range m.GetDeletes() {
+		fmt.Fprintf(w, "delete  %s/%s\n", r.GetKind(), r.GetName())
+	}
+	if n := len(m.GetBlocks()); n > 0 {
+		fmt.Fprintf(w, "blocks  %d\n", n)
+	}
+}
+
+func getCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "get",
+		Usage:       "list objects with the version that they reflect",
+		ArgsUsage:   "[KIND [NAME]]",
+		Description: "Example:\n   dogwoodhitch get route --output json",
+		Flags:       clientFlags(&cli.BoolFlag{Name: "current", Usage: "answer only if certainly current"}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cl, err := client(c)
+			if err != nil {
+				return err
+			}
+			list, err := cl.Objects(ctx, c.Args().Get(0), c.Args().Get(1), c.Bool("current"))
+			if err != nil {
+				return err
+			}
+			return show(c, list, func(t *table) {
+				t.head = []string{fmt.Sprintf("VERSION %d", list.Version)}
+				for _, o := range list.Objects {
+					t.add(string(o))
+				}
+			})
+		},
+	}
+}
+
+func historyCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "history",
+		Usage:       "list the accepted change sets that are remembered",
+		Description: "Example:\n   dogwoodhitch history",
+		Flags:       clientFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cl, err := client(c)
+			if err != nil {
+				return err
+			}
+			list, err := cl.History(ctx)
+			if err != nil {
+				return err
+			}
+			return show(c, list, func(t *table) {
+				t.head = []string{"VERSION", "ID", "AUTHOR", "PUTS", "DELETES", "BLOCKS"}
+				for _, a := range list {
+					t.add(a.Version, a.ID, a.Author, a.Puts, a.Deletes, a.Blocks)
+				}
+			})
+		},
+	}
+}
--- /dev/null
+++ b/io/dhcommand/client.go
@@ -0,0 +1,156 @@
+package dhcommand
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/tailscale/hujson"
+	"github.com/urfave/cli/v3"
+
+	"dogwoodhitch/io/dhclient"
+	"dogwoodhitch/io/dhfault"
+)
+
+// clientFlags are the flags of commands that talk to a running system.
+func clientFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringSliceFlag{
+			Name: "server", Usage: "operators' address of a process, IP:PORT; may be repeated", Required: true,
+			Sources: cli.EnvVars("DOGWOODHITCH_SERVER"),
+		},
+		&cli.StringFlag{
+			Name: "secret-file", Usage: "file with the operators' credential", Required: true,
+			Sources: cli.EnvVars("DOGWOODHITCH_SECRET_FILE"),
+		},
+		outputFlag(),
+	}, more...)
+}
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "table or json",
+		Validator: func(s string) error {
+			if s != "table" && s != "json" {
+				return fmt.Errorf("output %q: use table or json", s)
+			}
+			return nil
+		},
+	}
+}
+
+func client(c *cli.Command) (*dhclient.Client, error) {
+	raw, err := os.ReadFile(c.String("secret-file"))
+	if err != nil {
+		return nil, dhfault.New(dhfault.KindSettings, err.Error(), "name the file that holds the operators' credential")
+	}
+	return dhclient.New(dhclient.Options{
+		Servers: c.StringSlice("server"), Secret: strings.TrimSpace(string(raw)),
+	}), nil
+}
+
+// table writes rows in columns.
+type table struct {
+	head []string
+	rows [][]any
+}
+
+func (t *table) add(cells ...any) { t.rows = append(t.rows, cells) }
+
+func (t *table) write(w io.Writer) {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, strings.Join(t.head, "\t"))
+	for _, r := range t.rows {
+		for i, cell := range r {
+			if i > 0 {
+				fmt.Fprint(out, "\t")
+			}
+			fmt.Fprint(out, cell)
+		}
+		fmt.Fprintln(out)
+	}
+	out.Flush()
+}
+
+// show writes a value as the output flag asks: as JSON, or as the table that a
+// function makes of it, or without one as lines of its members.
+func show(c *cli.Command, value any, asTable func(t *table)) error {
+	w := c.Root().Writer
+	raw, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	if c.String("output") == "json" {
+		fmt.Fprintln(w, string(raw))
+		return nil
+	}
+	t := &table{}
+	if asTable != nil {
+		asTable(t)
+		t.write(w)
+		return nil
+	}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	return writeMembers(w, d)
+}
+
+// writeMembers writes the members of an object in their order.
+func writeMembers(w io.Writer, d *json.Decoder) error {
+	if _, err := d.Token(); err != nil {
+		return err
+	}
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for d.More() {
+		name, err := d.Token()
+		if err != nil {
+			return err
+		}
+		var value json.RawMessage
+		if err := d.Decode(&value); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%v\t%s\n", name, strings.Trim(string(value), `"`))
+	}
+	return out.Flush()
+}
+
+// readFile reads a file, or standard input for "-", and returns it as plain
+// JSON.
+func readFile(path string) ([]byte, error) {
+	var raw []byte
+	var err error
+	if path == "-" {
+		raw, err = io.ReadAll(os.Stdin)
+	} else {
+		raw, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return nil, dhfault.New(dhfault.KindMalformed, err.Error(), "name a file, or - for standard input")
+	}
+	standard, err := hujson.Standardize(raw) //nolint:misspell // the library spells it so
+	if err != nil {
+		return nil, dhfault.New(dhfault.KindMalformed, path+": "+err.Error(), "write JSON; comments and trailing commas are allowed")
+	}
+	return standard, nil
+}
+
+func looksLikeSettings(raw []byte) bool {
+	var probe struct {
+		Role string `json:"role"`
+	}
+	return json.Unmarshal(raw, &probe) == nil && probe.Role != ""
+}
+
+// newID returns a random change id.
+func newID(prefix string) string {
+	var raw [6]byte
+	_, _ = rand.Read(raw[:])
+	return prefix + "-" + hex.EncodeToString(raw[:])
+}
--- /dev/null
+++ b/io/dhcommand/drain.go
@@ -0,0 +1,114 @@
+package dhcommand
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/io/dhclient"
+	"dogwoodhitch/io/dhfault"
+	"dogwoodhitch/io/dhproto"
+)
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "drain",
+		Usage: "move look-ups away from a zone or an instance in steps",
+		Description: "Examples:\n   dogwoodhitch drain start zone a1 --ramp 10m\n   dogwoodhitch drain pause zone a1 --moved 40\n" +
+			"   dogwoodhitch drain undo zone a1",
+		Commands: []*cli.Command{
+			drainEdit("start", "begin or resume a drain", func(c *cli.Command, d *dhproto.Drain) {
+				d.RampMs = int32(c.Duration("ramp") / time.Millisecond)
+				d.MovedPercent = int32(c.Int("moved"))
+			}, &cli.DurationFlag{Name: "ramp", Value: 10 * time.Minute, Usage: "time in which all look-ups move"},
+				&cli.IntFlag{Name: "moved", Usage: "share that has moved already, in percent"}),
+			drainEdit("pause", "keep the share that has moved where it is", func(c *cli.Command, d *dhproto.Drain) {
+				d.Paused = true
+				d.MovedPercent = int32(c.Int("moved"))
+			}, &cli.IntFlag{Name: "moved", Required: true, Usage: "share to stand at, in percent"}),
+			drainUndo(),
+		},
+	}
+}
+
+func drainName(c *cli.Command) (kind, target, name string, err error) {
+	kind, target = c.Args().Get(0), c.Args().Get(1)
+	if kind != string(dhcatalog.KindZone) && kind != string(dhcatalog.KindInstance) || target == "" {
+		return "", "", "", cli.Exit("name what to drain: zone NAME or instance NAME", ExitUsage)
+	}
+	return kind, target, "drain-" + kind + "-" + target, nil
+}
+
+func drainEdit(name, usage string, edit func(c *cli.Command, d *dhproto.Drain), flags ...cli.Flag) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, ArgsUsage: "zone|instance NAME", Flags: clientFlags(flags...),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			kind, target, name, err := drainName(c)
+			if err != nil {
+				return err
+			}
+			d := &dhproto.Drain{Name: name, TargetKind: kind, Target: target}
+			if err := previousDrain(ctx, c, d); err != nil {
+				return err
+			}
+			edit(c, d)
+			return submit(ctx, c, &dhproto.ChangeSet{Puts: []*dhproto.Object{{Object: &dhproto.Object_Drain{Drain: d}}}})
+		},
+	}
+}
+
+// previousDrain takes the ramp of a drain that stands already.
+func previousDrain(ctx context.Context, c *cli.Command, d *dhproto.Drain) error {
+	cl, err := client(c)
+	if err != nil {
+		return err
+	}
+	list, err := cl.Objects(ctx, string(dhcatalog.KindDrain), d.GetName(), true)
+	if dhfault.KindOf(err) == dhfault.KindNotFound {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	old := &dhproto.Object{}
+	if err := protojson.Unmarshal(list.Objects[0], old); err != nil {
+		return err
+	}
+	d.RampMs = old.GetDrain().GetRampMs()
+	return nil
+}
+
+func drainUndo() *cli.Command {
+	return &cli.Command{
+		Name: "undo", Usage: "end a drain and let look-ups come back", ArgsUsage: "zone|instance NAME", Flags: clientFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			_, _, name, err := drainName(c)
+			if err != nil {
+				return err
+			}
+			return submit(ctx, c, &dhproto.ChangeSet{Deletes: []*dhproto.Ref{{Kind: string(dhcatalog.KindDrain), Name: name}}})
+		},
+	}
+}
+
+// submit sends a change set that a command made against the current version.
+func submit(ctx context.Context, c *cli.Command, m *dhproto.ChangeSet) error {
+	var cl *dhclient.Client
+	var err error
+	if cl, err = client(c); err != nil {
+		return err
+	}
+	if err := complete(ctx, c, m); err != nil {
+		return err
+	}
+	changed, err := cl.ChangeSet(ctx, m, true)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.Root().Writer, "version %d, in force everywhere: %t\n", changed.Version, changed.InForce)
+	return nil
+}
--- /dev/null
+++ b/io/dhcommand/main.go
@@ -0,0 +1,102 @@
+// Package dhcommand is the command line.
+package dhcommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwoodhitch/io/dhfault"
+)
+
+// The exit codes.
+const (
+	ExitDone        = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitRefused     = 3
+	ExitUnreachable = 4
+	ExitUnsure      = 5
+)
+
+// exitText describes the exit codes, in their order.
+var exitText = []string{
+	"0: done",
+	"1: failed",
+	"2: the command line, a settings file or a change set is wrong",
+	"3: the system refused the wish; the message names the remedy",
+	"4: no process could be reached",
+	"5: it isn't known whether the wish was accepted; send it again under the same id",
+}
+
+// Main runs a command and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	go func() {
+		// After the first signal the next one ends the process at once.
+		<-ctx.Done()
+		stop()
+	}()
+	err := New(stdout, stderr).Run(ctx, args)
+	if err == nil {
+		return ExitDone
+	}
+	fmt.Fprintln(stderr, "dogwoodhitch:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var coded cli.ExitCoder
+	if errors.As(err, &coded) {
+		return coded.ExitCode()
+	}
+	switch dhfault.KindOf(err) {
+	case dhfault.KindInternal, dhfault.KindData:
+		return ExitFailed
+	case dhfault.KindSettings, dhfault.KindMalformed:
+		return ExitUsage
+	case dhfault.KindUnreachable:
+		return ExitUnreachable
+	case dhfault.KindUnsure:
+		return ExitUnsure
+	default:
+		return ExitRefused
+	}
+}
+
+// New returns the command with every subcommand.
+func New(stdout, stderr io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:        "dogwoodhitch",
+		Usage:       "steer traffic across regions",
+		Description: "Exit codes:\n" + join(exitText),
+		Writer:      stdout,
+		ErrWriter:   stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {
+			// Main reports errors.
+		},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return cli.Exit(err.Error()+"; see --help", ExitUsage)
+		},
+		Commands: []*cli.Command{
+			quickstartCommand(), entryCommand(), controlCommand(), foundCommand(), checkCommand(),
+			applyCommand(), getCommand(), historyCommand(), statusCommand(), lookupCommand(), poolsCommand(),
+			drainCommand(), burnCommand(), claimCommand(), voterCommand(), inspectCommand(), replayCommand(),
+		},
+	}
+}
+
+func join(lines []string) string {
+	text := ""
+	for _, l := range lines {
+		text += l + "\n"
+	}
+	return text
+}
--- /dev/null
+++ b/io/dhcommand/quickstart.go
@@ -0,0 +1,32 @@
+package dhcommand
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwoodhitch/io/dhquickstart"
+)
+
+func quickstartCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "quickstart",
+		Usage: "run a small whole system on loopback, with sample objects and upstreams",
+		Description: "Needs no files and keeps nothing.\n\nExamples:\n   dogwoodhitch quickstart\n" +
+			"   dogwoodhitch quickstart --once",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "once", Usage: "send a sample load, print a summary, and exit 0 if every promise held"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := dhquickstart.Start(ctx, c.Root().ErrWriter)
+			if err != nil {
+				return err
+			}
+			defer s.Stop()
+			if c.Bool("once") {
+				return s.Once(ctx, c.Root().Writer)
+			}
+			return s.Serve(ctx, c.Root().Writer)
+		},
+	}
+}
--- /dev/null
+++ b/io/dhcommand/serve.go
@@ -0,0 +1,206 @@
+package dhcommand
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhdisk"
+	"dogwoodhitch/io/dhfault"
+	"dogwoodhitch/io/dhjournal"
+	"dogwoodhitch/io/dhlogs"
+	"dogwoodhitch/io/dhoperator"
+	"dogwoodhitch/io/dhprocess"
+	"dogwoodhitch/io/dhsettings"
+)
+
+const settingsUsage = "path of the settings, JSON with comments"
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: settingsUsage, Required: true}
+}
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "entry",
+		Usage:       "run an entry instance, which serves callers, upstreams and operators",
+		Description: "Example:\n   dogwoodhitch entry --settings examples/entry.jsonc\n\nThe first signal stops gracefully, the second at once.",
+		Flags:       []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return serve(ctx, c, dhsettings.RoleEntry)
+		},
+	}
+}
+
+func controlCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "control",
+		Usage:       "run a voter, which keeps the configuration and the claims",
+		Description: "Example:\n   dogwoodhitch control --settings examples/control.jsonc\n\nAn empty data folder joins without a vote; see 'found' and 'voter'.",
+		Flags:       []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return serve(ctx, c, dhsettings.RoleControl)
+		},
+	}
+}
+
+func readSettings(path string) (*dhsettings.Settings, error) {
+	s, err := dhsettings.Read(path)
+	if err != nil {
+		return nil, dhfault.Wrap(dhfault.KindSettings, err)
+	}
+	return s, nil
+}
+
+func serve(ctx context.Context, c *cli.Command, role dhsettings.Role) error {
+	s, err := readSettings(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	if s.Role() != role {
+		return dhfault.New(dhfault.KindSettings, fmt.Sprintf("the settings are of role %q", s.Role()), "run 'dogwoodhitch "+string(s.Role())+"'")
+	}
+	logs, err := dhlogs.New(dhlogs.Options{
+		Level: s.LogLevel(), Layers: s.LogLayers(), Output: c.Root().ErrWriter, Process: s.Name(),
+	})
+	if err != nil {
+		return dhfault.Wrap(dhfault.KindSettings, err)
+	}
+	o := dhprocess.FromSettings(s, logs)
+	if s.JournalFile() != "" {
+		file, err := os.Create(s.JournalFile())
+		if err != nil {
+			return dhfault.New(dhfault.KindSettings, err.Error(), "change journalFile")
+		}
+		defer file.Close()
+		o.Journal = dhjournal.New(file)
+		defer o.Journal.Close()
+	}
+	if role == dhsettings.RoleControl {
+		if o.Folder, err = dhdisk.Open(s.DataFolder(), s.Name()); err != nil {
+			return dhfault.Wrap(dhfault.KindData, err)
+		}
+	}
+	return dhprocess.New(o).Run(ctx)
+}
+
+func foundCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "found",
+		Usage: "give an empty data folder a vote in a new group, once, before the first start",
+		Description: "Run it for every voter of the settings before the first start of a new group, and never again:\n" +
+			"a folder that was lost joins without a vote and is let in with 'voter replace'.\n\n" +
+			"Example:\n   dogwoodhitch found --settings examples/control.jsonc",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			s, err := readSettings(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			if s.Role() != dhsettings.RoleControl {
+				return dhfault.New(dhfault.KindSettings, "an entry instance has no vote", "use the settings of a control process")
+			}
+			var founders []dhmessage.Voter
+			for _, v := range s.Voters() {
+				founders = append(founders, dhmessage.NewVoter(dhmessage.NewPeer(v.Name(), ""), v.Address(), false))
+			}
+			if err := dhdisk.Found(s.DataFolder(), s.Name(), founders); err != nil {
+				return dhfault.Wrap(dhfault.KindData, err)
+			}
+			fmt.Fprintf(c.Root().Writer, "%s founds a group of %d voters\n", s.Name(), len(founders))
+			return nil
+		},
+	}
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check settings and change sets without a running system",
+		ArgsUsage: "FILE...",
+		Description: "A file with a role is read as settings, any other as a change set, whose objects are checked\n" +
+			"alone; references are checked by 'apply --dry-run'.\n\nExample:\n   dogwoodhitch check examples/entry.jsonc examples/first.json",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() == 0 {
+				return cli.Exit("name at least one file; see --help", ExitUsage)
+			}
+			for _, path := range c.Args().Slice() {
+				if err := checkFile(path); err != nil {
+					return err
+				}
+				fmt.Fprintf(c.Root().Writer, "%s: ok\n", path)
+			}
+			return nil
+		},
+	}
+}
+
+func checkFile(path string) error {
+	raw, err := readFile(path)
+	if err != nil {
+		return err
+	}
+	if looksLikeSettings(raw) {
+		_, err := readSettings(path)
+		return err
+	}
+	if _, err := dhoperator.ParseChangeSet(raw); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+func inspectCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "inspect",
+		Usage:       "read a voter's data folder without changing it",
+		ArgsUsage:   "FOLDER",
+		Description: "Example:\n   dogwoodhitch inspect /var/lib/dogwoodhitch",
+		Flags:       []cli.Flag{outputFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			s, err := dhdisk.Inspect(c.Args().First())
+			if err != nil {
+				return dhfault.Wrap(dhfault.KindData, err)
+			}
+			version := uint64(0)
+			if s.Snapshot().Catalog() != nil {
+				version = s.Snapshot().Catalog().Version()
+			}
+			return show(c, struct {
+				Name            string `json:"name"`
+				Folder          string `json:"folder"`
+				Term            uint64 `json:"term"`
+				Vote            string `json:"vote"`
+				SnapshotIndex   uint64 `json:"snapshotIndex"`
+				SnapshotVersion uint64 `json:"snapshotVersion"`
+				Entries         int    `json:"entries"`
+				CutBytes        int64  `json:"cutBytes"`
+			}{s.Name(), s.Identity(), s.Term(), s.Vote(), s.Snapshot().Index(), version, len(s.Entries()), s.Cut()}, nil)
+		},
+	}
+}
+
+func replayCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "replay",
+		Usage:       "replay a journal and compare the effects",
+		ArgsUsage:   "FILE",
+		Description: "A journal is recorded where the settings name a journalFile.\n\nExample:\n   dogwoodhitch replay entry.journal",
+		Action: func(_ context.Context, c *cli.Command) error {
+			file, err := os.Open(c.Args().First())
+			if err != nil {
+				return dhfault.New(dhfault.KindMalformed, err.Error(), "name a journal")
+			}
+			defer file.Close()
+			events, err := dhjournal.Replay(file)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.Root().Writer, "%d events gave the same effects\n", events)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/io/dhentry/attempt.go
@@ -0,0 +1,243 @@
+package dhentry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhevent"
+)
+
+// Sizes and times of attempts.
+const (
+	// dialTimeout bounds the time to connect to an upstream.
+	dialTimeout = 1 * time.Second
+	// idleConnections is how long an unused connection is kept. Upstreams keep
+	// theirs for longer, so that a kept connection is seldom found closed.
+	idleConnections = 4 * time.Second
+	// maxAnswerHeader bounds the header of an answer, in bytes.
+	maxAnswerHeader = 64 << 10
+	// staleDecision is after how long a decision isn't carried out any more:
+	// the process was frozen, and what was true then may not be now.
+	staleDecision dhclock.Millis = 1000
+)
+
+// clients carry attempts. Neither sends anything twice.
+type clients struct {
+	kept  *http.Client // keeps connections
+	fresh *http.Client // uses a new connection for each attempt
+}
+
+func newClients(maxConnections int) clients {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	kept := &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxConnsPerHost:        maxConnections,
+		MaxIdleConnsPerHost:    maxConnections,
+		IdleConnTimeout:        idleConnections,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+		DisableCompression:     true,
+	}
+	fresh := kept.Clone()
+	fresh.DisableKeepAlives = true
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return clients{
+		kept:  &http.Client{Transport: kept, CheckRedirect: noRedirect},
+		fresh: &http.Client{Transport: fresh, CheckRedirect: noRedirect},
+	}
+}
+
+func (c clients) close() {
+	c.kept.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// onceBody is a request body that can't be rewound. The standard library
+// resends a request by itself only if it has no body or one that it can get
+// again; with this one it never does, whatever the header says.
+type onceBody struct{ *bytes.Reader }
+
+// Close implements io.Closer.
+func (onceBody) Close() error { return nil }
+
+// target is where an attempt goes.
+type target struct {
+	address string
+	path    string // prefix of the path, for requests that are passed on
+	timeout dhclock.Millis
+	fresh   bool
+	echoes  bool
+	passed  bool
+	extra   http.Header
+}
+
+// attempt is one exchange with an upstream or another instance.
+type attempt struct {
+	end      dhevent.AttemptEnd
+	response *http.Response
+	cancel   context.CancelFunc
+	context  context.Context
+	hold     []byte // the start of the body
+	whole    bool   // hold is the whole body
+	reason   error
+}
+
+// attemptNumber numbers the attempts of this process.
+var attemptNumber atomic.Uint64
+
+// try sends a request and reads the answer up to holdBytes of its body. The
+// end is EndNotSent only if no connection was had, so that nothing can have
+// been written.
+func (s *Server) try(ctx context.Context, in *inbound, t target, holdBytes int) *attempt {
+	a := &attempt{}
+	a.context, a.cancel = context.WithTimeout(ctx, time.Duration(t.timeout)*time.Millisecond)
+	connected := false
+	traced := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	number := s.options.Instance + "-" + strconv.FormatUint(attemptNumber.Add(1), 36)
+	request, err := in.outgoing(traced, t, number)
+	if err != nil {
+		return a.fail(dhevent.EndNotSent, err)
+	}
+	client := s.clients.kept
+	if t.fresh {
+		client = s.clients.fresh
+	}
+	a.response, err = client.Do(request) //nolint:bodyclose // closed by attempt.close
+	if err != nil {
+		if !connected {
+			return a.fail(s.blame(ctx, a, dhevent.EndNotSent), err)
+		}
+		return a.fail(s.blame(ctx, a, dhevent.EndBroken), err)
+	}
+	if err := checkAnswer(a.response, t, number); err != nil {
+		return a.fail(endOf(err), err)
+	}
+	if err := a.holdBody(holdBytes); err != nil {
+		return a.fail(s.blame(ctx, a, dhevent.EndBroken), err)
+	}
+	a.end = dhevent.EndAnswered
+	return a
+}
+
+// blame tells why an exchange failed: the caller went away, the time was over,
+// or neither.
+func (s *Server) blame(ctx context.Context, a *attempt, otherwise dhevent.AttemptEnd) dhevent.AttemptEnd {
+	switch {
+	case otherwise == dhevent.EndNotSent:
+		return otherwise
+	case ctx.Err() != nil:
+		return dhevent.EndCallerGone
+	case errors.Is(a.context.Err(), context.DeadlineExceeded):
+		return dhevent.EndTimedOut
+	default:
+		return otherwise
+	}
+}
+
+func (a *attempt) fail(end dhevent.AttemptEnd, err error) *attempt {
+	a.end, a.reason = end, err
+	a.close()
+	return a
+}
+
+// close ends the exchange. A connection whose answer wasn't read to its end is
+// closed and not used again.
+func (a *attempt) close() {
+	if a.response != nil {
+		a.response.Body.Close()
+	}
+	a.cancel()
+}
+
+// outgoing returns the request for an upstream or another instance.
+func (in *inbound) outgoing(ctx context.Context, t target, number string) (*http.Request, error) {
+	u := *in.url
+	u.Scheme, u.Host = "http", t.address
+	u.Path = t.path + u.Path
+	if u.RawPath != "" {
+		u.RawPath = t.path + u.RawPath
+	}
+	u.User = nil
+	r, err := http.NewRequestWithContext(ctx, in.method, u.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	r.Body = onceBody{bytes.NewReader(in.body)}
+	r.ContentLength = int64(len(in.body))
+	r.Header = in.header.Clone()
+	removeHopHeaders(r.Header)
+	for name, values := range t.extra {
+		r.Header[name] = values
+	}
+	if r.Header.Get("User-Agent") == "" {
+		r.Header.Set("User-Agent", "")
+	}
+	r.Host = in.host
+	r.Header.Set(HeaderRequest, in.id)
+	r.Header.Set(HeaderAttempt, number)
+	r.Header.Set(HeaderTimeout, strconv.FormatInt(t.timeout.Milliseconds(), 10))
+	if host, _, err := net.SplitHostPort(in.remote); err == nil && !t.passed {
+		r.Header.Add("X-Forwarded-For", host)
+	}
+	return r, nil
+}
+
+// The reasons for which an answer isn't taken.
+var (
+	errCrossed   = errors.New("the answer belongs to another attempt")
+	errUnbounded = errors.New("the answer's end can't be told from a broken connection")
+	errNotRun    = errors.New("the other side did not run it")
+	errMaybe     = errors.New("the other instance could not tell whether it ran")
+)
+
+// checkAnswer refuses answers that can't be trusted, and finds refusals of the
+// other side.
+func checkAnswer(r *http.Response, t target, number string) error {
+	echo := r.Header.Get(HeaderAttempt)
+	if echo != number && (echo != "" || t.echoes) {
+		return fmt.Errorf("%w: it repeats %q", errCrossed, echo)
+	}
+	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.ProtoMajor == 1 && r.Request.Method != http.MethodHead {
+		return errUnbounded
+	}
+	run := r.Header.Get(HeaderRun)
+	switch {
+	case run == RunNot && (t.passed || r.StatusCode == http.StatusServiceUnavailable):
+		return errNotRun
+	case run == RunMaybe && t.passed:
+		return errMaybe
+	default:
+		return nil
+	}
+}
+
+func endOf(err error) dhevent.AttemptEnd {
+	if errors.Is(err, errNotRun) {
+		return dhevent.EndRefused
+	}
+	return dhevent.EndBroken
+}
+
+// holdBody reads the start of the body, so that a small answer is given on
+// only when it is whole.
+func (a *attempt) holdBody(most int) error {
+	limited := io.LimitReader(a.response.Body, int64(most)+1)
+	hold, err := io.ReadAll(limited)
+	if err != nil {
+		return err
+	}
+	a.hold = hold
+	a.whole = len(hold) <= most
+	return nil
+}
--- /dev/null
+++ b/io/dhentry/server.go
@@ -0,0 +1,298 @@
+// Package dhentry serves callers and the requests that other instances pass
+// on. It reads and writes HTTP; what becomes of a request is decided by the
+// reducer.
+package dhentry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhpeer"
+	"dogwoodhitch/io/dhshard"
+	"dogwoodhitch/io/dhtime"
+)
+
+// passPath starts the paths of requests that other instances pass on.
+const passPath = "/pass"
+
+// Options are what a server needs.
+type Options struct {
+	Instance string
+	Shard    *dhshard.Shard
+	Clock    dhtime.Clock
+	Secret   string
+	Log      *logrus.Entry
+	// MaxBody bounds the body of a request, in bytes.
+	MaxBody int64
+	// Hold is up to which size an answer is given on only when it is whole, in
+	// bytes.
+	Hold int
+	// MaxConnections bounds the connections to one upstream.
+	MaxConnections int
+}
+
+// Server serves callers.
+type Server struct {
+	options Options
+	clients clients
+	leaving atomic.Bool
+}
+
+// New returns a server.
+func New(o Options) *Server { return &Server{options: o, clients: newClients(o.MaxConnections)} }
+
+// Close closes the connections that are kept.
+func (s *Server) Close() { s.clients.close() }
+
+// Leave makes new requests end with a refusal that says that they did not run.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Callers returns the handler for callers.
+func (s *Server) Callers() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+dhcatalog.ReservedPrefix+"v1/lookup", s.lookUp)
+	mux.HandleFunc(dhcatalog.ReservedPrefix, func(w http.ResponseWriter, _ *http.Request) {
+		writeRefusal(w, requestID(""), dheffect.NewRefusal(dheffect.RefuseNoRoute, false, 0))
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, "", false) })
+	return mux
+}
+
+// Passed returns the path and the handler for requests of other instances.
+func (s *Server) Passed() (string, http.Handler) {
+	return passPath + "/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !dhpeer.SecretMatches(r.Header, s.options.Secret) {
+			http.Error(w, "the shared secret is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		r.Header.Del("Dogwoodhitch-Secret")
+		organisation := r.Header.Get(HeaderOrganisation)
+		r.URL.Path = strings.TrimPrefix(r.URL.Path, passPath)
+		r.URL.RawPath = strings.TrimPrefix(r.URL.RawPath, passPath)
+		s.serve(w, r, organisation, true)
+	})
+}
+
+// serve carries one request from its arrival to its end.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, organisation string, passed bool) {
+	in, kind := readRequest(w, r, s.options.MaxBody)
+	if kind != "" {
+		writeRefusal(w, in.id, dheffect.NewRefusal(kind, false, 0))
+		return
+	}
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+		writeRefusal(w, in.id, dheffect.NewRefusal(dheffect.RefuseLeaving, false, dhclock.Second))
+		return
+	}
+	in.header.Del(HeaderOrganisation)
+	waiter := s.options.Shard.Arrive(func(at dhclock.Millis, request uint64) dhevent.Event {
+		return dhevent.NewRequestArrived(at, dhevent.RequestArrivedOptions{
+			Request: request, Path: in.url.Path, KeyHash: in.key, Passed: passed, Organisation: organisation,
+			Patience: in.patience, IdempotencyKey: in.idempotency, Digest: in.digest,
+		})
+	})
+	defer s.options.Shard.Forget(waiter)
+	x := &exchange{server: s, in: in, waiter: waiter, writer: w, passed: passed}
+	x.run(r.Context())
+}
+
+// exchange is one caller's request and what it gets.
+type exchange struct {
+	server *Server
+	in     *inbound
+	waiter *dhshard.Waiter
+	writer http.ResponseWriter
+	passed bool
+}
+
+// run carries out decisions until the request has ended.
+func (x *exchange) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			x.abandon()
+			return
+		case d := <-x.waiter.Decisions():
+			if x.carryOut(ctx, d) {
+				return
+			}
+		}
+	}
+}
+
+// abandon tells the reducer that the caller went away. A decision to send that
+// came at the same time is taken back, since nothing was sent.
+func (x *exchange) abandon() {
+	x.server.options.Shard.Handle(func(at dhclock.Millis) dhevent.Event {
+		return dhevent.NewRequestAbandoned(at, dhevent.RequestAbandonedOptions{Request: x.waiter.Request()})
+	})
+	for {
+		select {
+		case d := <-x.waiter.Decisions():
+			switch d.Effect().(type) {
+			case *dheffect.Forward, *dheffect.Pass:
+				x.ended(dhevent.AttemptEndedOptions{End: dhevent.EndNotSent}, d.At())
+			}
+		default:
+			return
+		}
+	}
+}
+
+// carryOut does what was decided, and tells whether the request has ended.
+func (x *exchange) carryOut(ctx context.Context, d dhshard.Decision) bool {
+	switch e := d.Effect().(type) {
+	case *dheffect.Refuse:
+		writeRefusal(x.writer, x.in.id, e.Refusal())
+		return true
+	case *dheffect.Replay:
+		x.replay(e.Answer())
+		return true
+	case *dheffect.Forward:
+		extra := http.Header{}
+		if e.Organisation() != "" {
+			extra.Set(HeaderOrganisation, e.Organisation())
+		}
+		return x.attempt(ctx, d, target{
+			address: e.Address(), timeout: e.Timeout(), fresh: e.Fresh(), echoes: e.Echoes(), extra: extra,
+		}, e.Claimed())
+	case *dheffect.Pass:
+		extra := http.Header{}
+		dhpeer.SetSecret(extra, x.server.options.Secret)
+		extra.Set(HeaderOrganisation, e.Organisation())
+		return x.attempt(ctx, d, target{
+			address: e.Address(), path: passPath, timeout: e.Timeout(), fresh: e.Claimed(), passed: true, extra: extra,
+		}, e.Claimed())
+	default:
+		return true
+	}
+}
+
+// attempt makes one attempt and tells whether the request has ended with it.
+func (x *exchange) attempt(ctx context.Context, d dhshard.Decision, t target, claimed bool) bool {
+	s := x.server
+	if s.options.Clock.Now().Since(d.At()) > staleDecision {
+		x.ended(dhevent.AttemptEndedOptions{End: dhevent.EndNotSent}, d.At())
+		return false
+	}
+	if claimed {
+		// A claimed request runs to its end even if the caller goes away, so
+		// that a resend finds its answer.
+		ctx = context.WithoutCancel(ctx)
+	}
+	a := s.try(ctx, x.in, t, s.options.Hold)
+	if a.end != dhevent.EndAnswered {
+		s.options.Log.WithError(a.reason).WithFields(logrus.Fields{
+			"request": x.in.id, "upstream": t.address,
+		}).Debug("attempt failed")
+		x.ended(dhevent.AttemptEndedOptions{End: a.end}, d.At())
+		return a.end == dhevent.EndCallerGone
+	}
+	defer a.close()
+	x.answer(a, d, claimed)
+	return true
+}
+
+// answer gives an answer to the caller and tells the reducer how it went.
+func (x *exchange) answer(a *attempt, d dhshard.Decision, claimed bool) {
+	o := dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: a.response.StatusCode, Delivered: true}
+	if a.whole {
+		if claimed {
+			o.Answer = keep(a)
+		}
+		x.ended(o, d.At())
+		x.writeHead(a)
+		_, _ = x.writer.Write(a.hold)
+		return
+	}
+	x.writeHead(a)
+	if err := x.stream(a); err != nil {
+		o.End = dhevent.EndBroken
+		if errors.Is(a.context.Err(), context.DeadlineExceeded) {
+			o.End = dhevent.EndTimedOut
+		}
+		x.ended(o, d.At())
+		// The caller has seen a part: only a broken connection tells it that
+		// the rest is missing.
+		panic(http.ErrAbortHandler)
+	}
+	x.ended(o, d.At())
+}
+
+func (x *exchange) writeHead(a *attempt) {
+	h := x.writer.Header()
+	removeHopHeaders(a.response.Header)
+	for name, values := range a.response.Header {
+		h[name] = values
+	}
+	h.Set(HeaderRequest, x.in.id)
+	if x.passed {
+		// The instance that passed the request on checks its own attempt.
+		h.Set(HeaderAttempt, x.in.header.Get(HeaderAttempt))
+	} else {
+		h.Del(HeaderAttempt)
+	}
+	if a.whole && a.response.Request.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(a.hold)))
+	}
+	x.writer.WriteHeader(a.response.StatusCode)
+}
+
+// stream gives on an answer that is too large to be held.
+func (x *exchange) stream(a *attempt) error {
+	if _, err := x.writer.Write(a.hold); err != nil {
+		return err
+	}
+	_, err := io.Copy(x.writer, a.response.Body)
+	return err
+}
+
+// ended tells the reducer how an attempt ended.
+func (x *exchange) ended(o dhevent.AttemptEndedOptions, from dhclock.Millis) {
+	o.Request = x.waiter.Request()
+	x.server.options.Shard.Handle(func(at dhclock.Millis) dhevent.Event {
+		o.Latency = at.Since(from)
+		return dhevent.NewAttemptEnded(at, o)
+	})
+}
+
+// keep returns an answer in the form in which it is recorded.
+func keep(a *attempt) *dhmessage.Answer {
+	var fields []dhmessage.Field
+	removeHopHeaders(a.response.Header)
+	for name, values := range a.response.Header {
+		if name == HeaderAttempt || name == "Date" {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, dhmessage.NewField(name, v))
+		}
+	}
+	return dhmessage.NewAnswer(a.response.StatusCode, fields, a.hold)
+}
+
+// replay gives the recorded answer of an earlier attempt.
+func (x *exchange) replay(answer *dhmessage.Answer) {
+	h := x.writer.Header()
+	for _, f := range answer.Header() {
+		h.Add(f.Name(), f.Value())
+	}
+	h.Set(HeaderRequest, x.in.id)
+	h.Set(HeaderReplayed, "true")
+	h.Set("Content-Length", strconv.Itoa(len(answer.Body())))
+	x.writer.WriteHeader(answer.Status())
+	_, _ = x.writer.Write(answer.Body())
+}
--- /dev/null
+++ b/io/dhjournal/journal.go
@@ -0,0 +1,97 @@
+// Package dhjournal records the events that a process's reducers took and the
+// effects that they gave, and replays them. A replay that gives other effects
+// shows that a reducer depends on something that isn't in its events.
+package dhjournal
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"sync"
+
+	"dogwoodhitch/core/dhcontrol"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhtraffic"
+)
+
+// The states whose events are recorded.
+const (
+	stateControl = "control"
+	stateTraffic = "traffic"
+)
+
+// line is one line of a journal: what a state started from, or an event that
+// it took with the effects that it gave.
+type line struct {
+	State   string          `json:"state"`
+	Options json.RawMessage `json:"options,omitempty"`
+	Event   json.RawMessage `json:"event,omitempty"`
+	Effects json.RawMessage `json:"effects,omitempty"`
+}
+
+// Journal writes lines of JSON.
+type Journal struct {
+	mutex  sync.Mutex
+	writer *bufio.Writer
+	codecs map[string]*codec
+	failed error
+}
+
+// New returns a journal that writes to w.
+func New(w io.Writer) *Journal {
+	return &Journal{writer: bufio.NewWriter(w), codecs: map[string]*codec{stateControl: {}, stateTraffic: {}}}
+}
+
+// Recorder notes what a state takes and gives.
+type Recorder func(e dhevent.Event, effects []dheffect.Effect)
+
+// Control notes what control state starts from, and returns its recorder.
+func (j *Journal) Control(o dhcontrol.Options) Recorder { return j.recorder(stateControl, &o) }
+
+// Traffic notes what traffic state starts from, and returns its recorder.
+func (j *Journal) Traffic(o dhtraffic.Options) Recorder { return j.recorder(stateTraffic, &o) }
+
+func (j *Journal) recorder(state string, options any) Recorder {
+	j.write(func() (line, error) {
+		raw, err := j.codecs[state].encode(options)
+		return line{State: state, Options: raw}, err
+	})
+	return func(e dhevent.Event, effects []dheffect.Effect) {
+		j.write(func() (line, error) { return j.codecs[state].line(state, e, effects) })
+	}
+}
+
+// line encodes an event and its effects.
+func (c *codec) line(state string, e dhevent.Event, effects []dheffect.Effect) (line, error) {
+	event, err := c.encode(&e)
+	if err != nil {
+		return line{}, err
+	}
+	list, err := c.encode(effects)
+	return line{State: state, Event: event, Effects: list}, err
+}
+
+// write adds a line, unless one before it failed.
+func (j *Journal) write(make func() (line, error)) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	if j.failed != nil {
+		return
+	}
+	l, err := make()
+	if err == nil {
+		err = json.NewEncoder(j.writer).Encode(l)
+	}
+	j.failed = err
+}
+
+// Close writes what is buffered and returns the first error.
+func (j *Journal) Close() error {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	if err := j.writer.Flush(); j.failed == nil {
+		j.failed = err
+	}
+	return j.failed
+}
--- /dev/null
+++ b/io/dhjournal/replay.go
@@ -0,0 +1,112 @@
+package dhjournal
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"dogwoodhitch/core/dhcontrol"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhreducer"
+	"dogwoodhitch/core/dhtraffic"
+)
+
+// MismatchError says that a replayed event gave other effects.
+type MismatchError struct {
+	line     int
+	recorded string
+	replayed string
+}
+
+// Line returns the number of the line in the journal, from 1.
+func (e MismatchError) Line() int { return e.line }
+
+// Error implements error.
+func (e MismatchError) Error() string {
+	return fmt.Sprintf("line %d gave other effects: recorded %s, replayed %s; replay with the release that recorded it, "+
+		"else report the journal", e.line, e.recorded, e.replayed)
+}
+
+// replayer replays one journal.
+type replayer struct {
+	states map[string]*dhreducer.State
+	reads  map[string]*codec
+	writes map[string]*codec
+	events int
+}
+
+// Replay reads a journal and returns how many events gave the same effects
+// again. It ends with a MismatchError at the first one that didn't.
+func Replay(r io.Reader) (int, error) {
+	p := &replayer{
+		states: map[string]*dhreducer.State{},
+		reads:  map[string]*codec{stateControl: {}, stateTraffic: {}},
+		writes: map[string]*codec{stateControl: {}, stateTraffic: {}},
+	}
+	reader := bufio.NewReader(r)
+	for number := 1; ; number++ {
+		raw, err := reader.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			// A last line without its end was cut off when the process died.
+			return p.events, nil
+		}
+		if err != nil {
+			return p.events, err
+		}
+		if err := p.take(number, raw); err != nil {
+			return p.events, err
+		}
+	}
+}
+
+func (p *replayer) take(number int, raw []byte) error {
+	var l line
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return fmt.Errorf("line %d: %w; the file isn't a journal", number, err)
+	}
+	if l.Options != nil {
+		return p.start(l)
+	}
+	state, found := p.states[l.State]
+	if !found {
+		return fmt.Errorf("line %d: state %q hasn't started; the journal's beginning is missing", number, l.State)
+	}
+	var e dhevent.Event
+	if err := p.reads[l.State].decode(l.Event, &e); err != nil {
+		return fmt.Errorf("line %d: %w", number, err)
+	}
+	var out dheffect.List
+	dhreducer.Reduce(state, e, &out)
+	again, err := p.writes[l.State].line(l.State, e, out.Items())
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(again.Effects, l.Effects) {
+		return MismatchError{line: number, recorded: string(l.Effects), replayed: string(again.Effects)}
+	}
+	p.events++
+	return nil
+}
+
+func (p *replayer) start(l line) error {
+	if l.State == stateTraffic {
+		var o dhtraffic.Options
+		if err := p.reads[l.State].decode(l.Options, &o); err != nil {
+			return err
+		}
+		p.states[l.State] = dhreducer.NewTraffic(o)
+		_, err := p.writes[l.State].encode(&o)
+		return err
+	}
+	var o dhcontrol.Options
+	if err := p.reads[l.State].decode(l.Options, &o); err != nil {
+		return err
+	}
+	p.states[l.State] = dhreducer.NewControl(o)
+	_, err := p.writes[l.State].encode(&o)
+	return err
+}
--- /dev/null
+++ b/io/dhmetrics/metrics.go
@@ -0,0 +1,106 @@
+// Package dhmetrics counts what a process does and gives it out as text that
+// common scrapers read.
+package dhmetrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodhitch/core/dheffect"
+)
+
+// reservoir is how many latencies a histogram samples, and alpha how much it
+// prefers recent ones.
+const (
+	reservoir = 1028
+	alpha     = 0.015
+)
+
+// Metrics holds the counters of one process.
+type Metrics struct{ registry metrics.Registry }
+
+// New returns metrics without any value.
+func New() *Metrics { return &Metrics{registry: metrics.NewRegistry()} }
+
+// label returns a name with labels, as it is given out.
+func label(name string, pairs ...string) string {
+	var b strings.Builder
+	b.WriteString(name)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		separator := byte(',')
+		if i == 0 {
+			separator = '{'
+		}
+		b.WriteByte(separator)
+		fmt.Fprintf(&b, "%s=%q", pairs[i], pairs[i+1])
+	}
+	if len(pairs) > 0 {
+		b.WriteByte('}')
+	}
+	return b.String()
+}
+
+// Count adds to a counter.
+func (m *Metrics) Count(n int64, name string, pairs ...string) {
+	metrics.GetOrRegisterCounter(label(name, pairs...), m.registry).Inc(n)
+}
+
+// Gauge sets a gauge.
+func (m *Metrics) Gauge(value int64, name string, pairs ...string) {
+	metrics.GetOrRegisterGauge(label(name, pairs...), m.registry).Update(value)
+}
+
+// Account counts a request that ended.
+func (m *Metrics) Account(e *dheffect.Account) {
+	kind := string(e.Kind())
+	if kind == "" {
+		kind = "answered"
+	}
+	m.Count(1, "dogwoodhitch_requests_total", "route", e.Route(), "organisation", e.Organisation(), "end", kind)
+	if e.Kind() == dheffect.RefuseOverLimit && e.WithinRate() {
+		m.Count(1, "dogwoodhitch_refused_within_rate_total", "organisation", e.Organisation())
+	}
+	name := label("dogwoodhitch_latency_ms", "route", e.Route())
+	metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(reservoir, alpha)).Update(e.Latency().Milliseconds())
+}
+
+// quantiles are the shares at which latencies are given out.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// Write gives out every value, sorted by name.
+func (m *Metrics) Write(w io.Writer) {
+	var lines []string
+	m.registry.Each(func(name string, value any) {
+		switch v := value.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Value()))
+		case metrics.Histogram:
+			s := v.Snapshot()
+			for i, q := range s.Percentiles(quantiles) {
+				lines = append(lines, fmt.Sprintf("%s %g", withLabel(name, "quantile", fmt.Sprint(quantiles[i])), q))
+			}
+			lines = append(lines, fmt.Sprintf("%s %d", strings.Replace(name, "_ms{", "_ms_count{", 1), s.Count()))
+		}
+	})
+	slices.Sort(lines)
+	for _, l := range lines {
+		fmt.Fprintln(w, l)
+	}
+}
+
+func withLabel(name, key, value string) string {
+	return fmt.Sprintf("%s,%s=%q}", strings.TrimSuffix(name, "}"), key, value)
+}
+
+// ServeHTTP implements http.Handler.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	m.Write(w)
+}
--- /dev/null
+++ b/io/dhoperator/burn.go
@@ -0,0 +1,60 @@
+package dhoperator
+
+import (
+	"cmp"
+	"slices"
+)
+
+// MergeBurn adds up the rows of several instances, each window weighted by its
+// requests, and puts the worst served first.
+func MergeBurn(rows []Burn) []Burn {
+	type key struct{ objective, organisation string }
+	merged := map[key]*Burn{}
+	for _, r := range rows {
+		k := key{r.Objective, r.Organisation}
+		m, found := merged[k]
+		if !found {
+			merged[k] = &r
+			continue
+		}
+		m.merge(r)
+	}
+	out := make([]Burn, 0, len(merged))
+	for _, m := range merged {
+		out = append(out, *m)
+	}
+	slices.SortFunc(out, func(a, b Burn) int {
+		return cmp.Or(
+			-cmp.Compare(a.Burn1h, b.Burn1h), -cmp.Compare(a.Burn6h, b.Burn6h),
+			cmp.Compare(a.Route, b.Route), cmp.Compare(a.Organisation, b.Organisation),
+		)
+	})
+	return out
+}
+
+// merge adds another instance's row. Where both have requests in the long
+// window, shorter windows are weighted by it too.
+func (b *Burn) merge(o Burn) {
+	total := float64(b.Total + o.Total)
+	if total == 0 {
+		return
+	}
+	mine, other := float64(b.Total)/total, float64(o.Total)/total
+	b.Burn5m = b.Burn5m*mine + o.Burn5m*other
+	b.Burn30m = b.Burn30m*mine + o.Burn30m*other
+	b.Burn1h = b.Burn1h*mine + o.Burn1h*other
+	b.Burn6h = b.Burn6h*mine + o.Burn6h*other
+	b.Total += o.Total
+	b.Bad += o.Bad
+	b.Alert = worseAlert(b.Alert, o.Alert)
+}
+
+// worseAlert returns the more urgent of two alerts.
+func worseAlert(a, b string) string {
+	for _, alert := range []string{"page", "ticket"} {
+		if a == alert || b == alert {
+			return alert
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/io/dhoperator/types.go
@@ -0,0 +1,183 @@
+package dhoperator
+
+import (
+	"encoding/hex"
+
+	"dogwoodhitch/core/dhburn"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhsteer"
+)
+
+// Status is what a process knows of the system, as operators see it.
+type Status struct {
+	Name      string           `json:"name"`
+	Version   uint64           `json:"version"`
+	InForce   uint64           `json:"inForce"`
+	AgeMs     int64            `json:"ageMs"`
+	Confirmed bool             `json:"confirmed"`
+	Leader    string           `json:"leader"`
+	Leads     bool             `json:"leads"`
+	Term      uint64           `json:"term,omitempty"`
+	Commit    uint64           `json:"commit,omitempty"`
+	Claims    int              `json:"claims,omitempty"`
+	Voters    []VoterStatus    `json:"voters,omitempty"`
+	Instances []InstanceStatus `json:"instances,omitempty"`
+}
+
+// VoterStatus describes a member of the consensus group.
+type VoterStatus struct {
+	Name     string `json:"name"`
+	Address  string `json:"address"`
+	Folder   string `json:"folder"`
+	Answers  string `json:"answers,omitempty"`
+	Learner  bool   `json:"learner,omitempty"`
+	Lag      uint64 `json:"lag"`
+	SilentMs int64  `json:"silentMs"`
+	Heard    bool   `json:"heard"`
+	Advice   string `json:"advice,omitempty"`
+}
+
+// InstanceStatus describes an entry instance.
+type InstanceStatus struct {
+	Name     string `json:"name"`
+	Zone     string `json:"zone"`
+	Version  uint64 `json:"version"`
+	SilentMs int64  `json:"silentMs"`
+	Heard    bool   `json:"heard"`
+	Leaving  bool   `json:"leaving,omitempty"`
+}
+
+// Accepted is an accepted change set.
+type Accepted struct {
+	Version uint64   `json:"version"`
+	ID      string   `json:"id"`
+	Author  string   `json:"author"`
+	Puts    []string `json:"puts,omitempty"`
+	Deletes []string `json:"deletes,omitempty"`
+	Blocks  int      `json:"blocks,omitempty"`
+}
+
+// Pool describes the upstreams of a service at one instance.
+type Pool struct {
+	Service   string     `json:"service"`
+	Waiting   int        `json:"waiting"`
+	Guests    int        `json:"guests"`
+	Upstreams []Upstream `json:"upstreams"`
+}
+
+// Upstream describes one upstream at one instance.
+type Upstream struct {
+	Name      string  `json:"name"`
+	Address   string  `json:"address"`
+	Slots     int     `json:"slots"`
+	Running   int     `json:"running"`
+	LatencyMs float64 `json:"latencyMs"`
+	State     string  `json:"state"`
+}
+
+// Burn is how fast an objective's error budget is used up.
+type Burn struct {
+	Objective    string  `json:"objective"`
+	Route        string  `json:"route"`
+	Organisation string  `json:"organisation"`
+	Target       float64 `json:"target"`
+	Total        uint64  `json:"total"`
+	Bad          uint64  `json:"bad"`
+	Burn5m       float64 `json:"burn5m"`
+	Burn30m      float64 `json:"burn30m"`
+	Burn1h       float64 `json:"burn1h"`
+	Burn6h       float64 `json:"burn6h"`
+	Alert        string  `json:"alert"`
+}
+
+// Claim is what is known of a request that must run at most once.
+type Claim struct {
+	Organisation string `json:"organisation"`
+	Key          string `json:"key"`
+	State        string `json:"state"`
+	Instance     string `json:"instance"`
+	Digest       string `json:"digest"`
+	Status       int    `json:"status,omitempty"`
+}
+
+// Changed answers a change set.
+type Changed struct {
+	Version uint64 `json:"version"`
+	InForce bool   `json:"inForce"`
+	DryRun  bool   `json:"dryRun,omitempty"`
+}
+
+func statusOf(s dheffect.Status) Status {
+	o := Status{
+		Name: s.Name(), Version: s.Version(), InForce: s.InForce(), AgeMs: s.Age().Milliseconds(),
+		Confirmed: s.Confirmed(), Leader: s.Leader(), Leads: s.Leads(), Term: s.Term(), Commit: s.Commit(), Claims: s.Claims(),
+	}
+	for _, v := range s.Voters() {
+		o.Voters = append(o.Voters, VoterStatus{
+			Name: v.Name(), Address: v.Address(), Folder: v.Folder(), Answers: v.Answers(), Learner: v.Learner(),
+			Lag: v.Lag(), SilentMs: v.Silent().Milliseconds(), Heard: v.Heard(), Advice: v.Advice(),
+		})
+	}
+	for _, i := range s.Instances() {
+		o.Instances = append(o.Instances, InstanceStatus{
+			Name: i.Name(), Zone: i.Zone(), Version: i.Version(),
+			SilentMs: i.Silent().Milliseconds(), Heard: i.Heard(), Leaving: i.Leaving(),
+		})
+	}
+	return o
+}
+
+func acceptedOf(list []dhmessage.Accepted) []Accepted {
+	out := []Accepted{}
+	for _, a := range list {
+		x := Accepted{Version: a.Version(), ID: a.Set().ID(), Author: a.Set().Author(), Blocks: len(a.Set().Blocks())}
+		for _, o := range a.Set().Puts() {
+			x.Puts = append(x.Puts, o.Ref().String())
+		}
+		for _, r := range a.Set().Deletes() {
+			x.Deletes = append(x.Deletes, r.String())
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+func poolsOf(list []dhsteer.PoolStatus) []Pool {
+	out := []Pool{}
+	for _, p := range list {
+		x := Pool{Service: p.Service(), Waiting: p.Waiting(), Guests: p.Guests(), Upstreams: []Upstream{}}
+		for _, u := range p.Upstreams() {
+			x.Upstreams = append(x.Upstreams, Upstream{
+				Name: u.Name(), Address: u.Address(), Slots: u.Slots(),
+				Running: u.Running(), LatencyMs: u.Latency(), State: u.State(),
+			})
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+func burnOf(rows []dhburn.Row) []Burn {
+	out := []Burn{}
+	for _, r := range rows {
+		out = append(out, Burn{
+			Objective: r.Objective(), Route: r.Route(), Organisation: r.Organisation(), Target: r.Target(),
+			Total: r.Total(), Bad: r.Bad(), Burn5m: r.Burn5m(), Burn30m: r.Burn30m(),
+			Burn1h: r.Burn1h(), Burn6h: r.Burn6h(), Alert: string(r.Alert()),
+		})
+	}
+	return out
+}
+
+func claimOf(c dhmessage.ClaimRecord) Claim {
+	digest := c.Digest()
+	o := Claim{
+		Organisation: c.Key().Organisation(), Key: c.Key().Key(), State: c.State().String(),
+		Instance: c.Claimant().Instance(), Digest: hex.EncodeToString(digest[:]),
+	}
+	if c.Answer() != nil {
+		o.Status = c.Answer().Status()
+	}
+	return o
+}
--- /dev/null
+++ b/io/dhpeer/sender.go
@@ -0,0 +1,208 @@
+// Package dhpeer carries messages between the system's processes over
+// connect-go. Messages may be lost, repeated or overtaken; who sends them
+// knows.
+package dhpeer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhproto"
+	"dogwoodhitch/io/dhproto/dhprotoconnect"
+	"dogwoodhitch/io/dhwire"
+)
+
+// Sizes and times of sending.
+const (
+	// queueSize bounds the messages that wait for one peer.
+	queueSize = 1024
+	// batchSize bounds the messages of one call.
+	batchSize = 256
+	// parallelCalls bounds the calls under way to one peer, so that a message
+	// need not wait for the round trip of the one before.
+	parallelCalls = 4
+	// callTimeout ends a call that isn't answered; its connection is closed,
+	// so that a healed link is used at once.
+	callTimeout = 1500 * time.Millisecond
+	// bulkTimeout is the timeout of calls with a whole snapshot or catalog.
+	bulkTimeout = 30 * time.Second
+	// dialTimeout bounds the time to connect.
+	dialTimeout = 1 * time.Second
+	// idleTimeout closes connections that carry nothing.
+	idleTimeout = 30 * time.Second
+	// idleSender ends the goroutines of a peer that gets no messages.
+	idleSender = 60 * time.Second
+)
+
+// secretHeader carries the secret that the system's processes share.
+const secretHeader = "Dogwoodhitch-Secret"
+
+// SenderOptions are what a sender needs.
+type SenderOptions struct {
+	Self dhmessage.Peer
+	// Address is where this process listens for messages.
+	Address string
+	Secret  string
+	// Lookup returns the address of a process, or "".
+	Lookup func(name string) string
+	Log    *logrus.Entry
+	// Client carries calls; nil for one of the sender's own.
+	Client *http.Client
+	// Scheme is http or https.
+	Scheme string
+}
+
+// Sender sends messages to other processes, each through its own queue.
+type Sender struct {
+	options SenderOptions
+	client  *http.Client
+	context context.Context
+	group   sync.WaitGroup
+	mutex   sync.Mutex
+	queues  map[string]chan dhmessage.Message
+}
+
+// NewSender returns a sender that works until the context ends.
+func NewSender(ctx context.Context, o SenderOptions) *Sender {
+	client := o.Client
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: parallelCalls,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		}}
+	}
+	if o.Scheme == "" {
+		o.Scheme = "http"
+	}
+	return &Sender{options: o, client: client, context: ctx, queues: map[string]chan dhmessage.Message{}}
+}
+
+// Send queues a message for a process. It never waits: when the queue is full
+// the message is lost.
+func (s *Sender) Send(to string, m dhmessage.Message) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	q, found := s.queues[to]
+	if !found {
+		if s.context.Err() != nil {
+			return
+		}
+		q = make(chan dhmessage.Message, queueSize)
+		s.queues[to] = q
+		s.group.Go(func() { s.run(to, q) })
+	}
+	select {
+	case q <- m:
+	default:
+	}
+}
+
+// Wait waits until every goroutine has ended, after the context has.
+func (s *Sender) Wait() { s.group.Wait() }
+
+// run sends what is queued for one peer until nothing was queued for a while.
+func (s *Sender) run(to string, q chan dhmessage.Message) {
+	calls := make(chan struct{}, parallelCalls)
+	idle := time.NewTimer(idleSender)
+	defer idle.Stop()
+	for {
+		idle.Reset(idleSender)
+		select {
+		case <-s.context.Done():
+			return
+		case <-idle.C:
+			if s.retire(to, q) {
+				return
+			}
+		case m := <-q:
+			calls <- struct{}{}
+			list := collect(m, q)
+			s.group.Go(func() {
+				defer func() { <-calls }()
+				s.call(to, list)
+			})
+		}
+	}
+}
+
+// retire removes the queue of an idle peer, unless something came meanwhile.
+func (s *Sender) retire(to string, q chan dhmessage.Message) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(q) > 0 {
+		return false
+	}
+	delete(s.queues, to)
+	return true
+}
+
+func collect(first dhmessage.Message, q chan dhmessage.Message) []dhmessage.Message {
+	list := []dhmessage.Message{first}
+	for len(list) < batchSize {
+		select {
+		case m := <-q:
+			list = append(list, m)
+		default:
+			return list
+		}
+	}
+	return list
+}
+
+// call delivers messages in one call.
+func (s *Sender) call(to string, list []dhmessage.Message) {
+	address := s.options.Lookup(to)
+	if address == "" {
+		s.options.Log.WithField("peer", to).Debug("address unknown; messages are lost")
+		return
+	}
+	request := &dhproto.DeliverRequest{
+		Protocol: dhwire.Protocol,
+		From: &dhproto.Peer{
+			Name: s.options.Self.Name(), Folder: s.options.Self.Folder(), Address: s.options.Address,
+		},
+	}
+	timeout := callTimeout
+	for _, m := range list {
+		request.Messages = append(request.Messages, dhwire.MessageToWire(m))
+		if bulky(m) {
+			timeout = bulkTimeout
+		}
+	}
+	ctx, cancel := context.WithTimeout(s.context, timeout)
+	defer cancel()
+	client := dhprotoconnect.NewPeerServiceClient(s.client, s.options.Scheme+"://"+address,
+		connect.WithInterceptors(withSecret(s.options.Secret)))
+	if _, err := client.Deliver(ctx, request); err != nil && s.context.Err() == nil {
+		s.options.Log.WithError(err).WithField("peer", to).Debug("delivery failed; messages may be lost")
+	}
+}
+
+func bulky(m dhmessage.Message) bool {
+	switch m := m.(type) {
+	case *dhmessage.Install:
+		return true
+	case *dhmessage.Update:
+		return m.Full() != nil
+	default:
+		return false
+	}
+}
+
+func withSecret(secret string) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			r.Header().Set(secretHeader, secret)
+			return next(ctx, r)
+		}
+	}
+}
--- /dev/null
+++ b/io/dhprocess/process.go
@@ -0,0 +1,284 @@
+package dhprocess
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhconsensus"
+	"dogwoodhitch/core/dhcontrol"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhreducer"
+	"dogwoodhitch/core/dhtraffic"
+	"dogwoodhitch/core/dhview"
+	"dogwoodhitch/io/dhask"
+	"dogwoodhitch/io/dhentry"
+	"dogwoodhitch/io/dhloop"
+	"dogwoodhitch/io/dhmetrics"
+	"dogwoodhitch/io/dhpeer"
+	"dogwoodhitch/io/dhsettings"
+	"dogwoodhitch/io/dhshard"
+)
+
+// feedSize bounds the events that wait to be handed to traffic state.
+const feedSize = 8192
+
+// Process is one process of the system.
+type Process struct {
+	options Options
+	log     *logrus.Entry
+	metrics *dhmetrics.Metrics
+	book    *dhpeer.Book
+	sender  *dhpeer.Sender
+	loop    *dhloop.Loop
+	asker   *dhask.Asker
+	shard   *dhshard.Shard
+	entry   *dhentry.Server
+	feed    chan dhevent.Event
+	view    atomic.Pointer[dhview.View]
+	work    context.Context
+	endWork context.CancelFunc
+	group   sync.WaitGroup
+	failed  chan error
+	servers []*http.Server
+	bound   Addresses
+}
+
+// New returns a process that doesn't run yet.
+func New(o Options) *Process {
+	p := &Process{
+		options: o, log: o.Logs.Layer("process"), metrics: dhmetrics.New(),
+		feed: make(chan dhevent.Event, feedSize), failed: make(chan error, 1),
+	}
+	p.work, p.endWork = context.WithCancel(context.Background())
+	fixed := map[string]string{}
+	for _, v := range o.Voters {
+		fixed[v.Name()] = v.Address()
+	}
+	p.book = dhpeer.NewBook(fixed)
+	p.asker = dhask.New(dhask.Options{Clock: o.Clock, Post: p.post})
+	return p
+}
+
+func (p *Process) post(ctx context.Context, e dhevent.Event) error { return p.loop.Post(ctx, e) }
+
+// Bound returns the addresses that the process listens on, once it does.
+func (p *Process) Bound() Addresses { return p.bound }
+
+// Asker returns what puts questions to control state.
+func (p *Process) Asker() *dhask.Asker { return p.asker }
+
+// View returns the configuration in force here, or an empty one.
+func (p *Process) View() *dhview.View {
+	if v := p.view.Load(); v != nil {
+		return v
+	}
+	return dhview.New(dhview.Options{Catalog: emptyCatalog})
+}
+
+// Start opens the listeners and begins to work. It returns an error if an
+// address can't be had.
+func (p *Process) Start() error {
+	stream := randomNumber()
+	self := dhmessage.NewPeer(p.options.Name, "")
+	if p.options.Folder != nil {
+		self = dhmessage.NewPeer(p.options.Name, p.options.Folder.State().Identity())
+	}
+	if p.options.Role == dhsettings.RoleEntry {
+		p.makeEntry(stream)
+	}
+	listeners, err := p.listen()
+	if err != nil {
+		p.endWork()
+		return err
+	}
+	p.makeLoop(self, stream)
+	p.sender = dhpeer.NewSender(p.work, dhpeer.SenderOptions{
+		Self: self, Address: p.bound.Peers, Secret: p.options.Secrets.Peers,
+		Lookup: p.book.Lookup, Log: p.options.Logs.Layer("peer"),
+	})
+	p.group.Go(func() { p.fail(p.loop.Run(p.work)) })
+	if p.shard != nil {
+		p.group.Go(p.feedTraffic)
+		p.group.Go(p.tickTraffic)
+	}
+	p.serve(listeners)
+	p.log.WithFields(logrus.Fields{
+		"role": p.options.Role, "folder": self.Folder(), "peers": p.bound.Peers, "operators": p.bound.Operators,
+	}).Info("started")
+	return nil
+}
+
+func (p *Process) fail(err error) {
+	if err == nil {
+		return
+	}
+	select {
+	case p.failed <- err:
+	default:
+	}
+}
+
+// makeLoop makes control state and the loop that owns it.
+func (p *Process) makeLoop(self dhmessage.Peer, stream uint64) {
+	o := dhcontrol.Options{Self: self, Zone: p.options.Zone, Stream: stream, Now: p.options.Clock.Now()}
+	for _, v := range p.options.Voters {
+		o.Voters = append(o.Voters, v.Name())
+	}
+	if p.options.Role == dhsettings.RoleControl {
+		o.Consensus = p.consensus(self, stream)
+	}
+	seams := dhloop.Seams{
+		Self: self, Clock: p.options.Clock, Random: randomNumber,
+		Send:    func(to string, m dhmessage.Message) { p.sender.Send(to, m) },
+		Persist: func([]*dheffect.Persist) error { return nil },
+		Save:    func(*dheffect.SaveSnapshot) error { return nil },
+		Deliver: p.deliver,
+	}
+	if f := p.options.Folder; f != nil {
+		seams.Persist, seams.Save = f.Persist, f.Save
+	}
+	if j := p.options.Journal; j != nil {
+		seams.Record = j.Control(o)
+	}
+	p.loop = dhloop.New(dhreducer.NewControl(o), seams)
+}
+
+func (p *Process) consensus(self dhmessage.Peer, random uint64) *dhconsensus.Options {
+	o := &dhconsensus.Options{Self: self, Founders: p.options.Founders, Now: p.options.Clock.Now(), Random: random}
+	if f := p.options.Folder; f != nil {
+		s := f.State()
+		o.Founders, o.Term, o.Vote = s.Founders(), s.Term(), s.Vote()
+		o.Snapshot, o.Entries = s.Snapshot(), s.Entries()
+	}
+	return o
+}
+
+// makeEntry makes traffic state and the server for callers.
+func (p *Process) makeEntry(stream uint64) {
+	seams := dhshard.Seams{Clock: p.options.Clock, Deliver: p.deliver}
+	o := dhtraffic.Options{
+		Instance: p.options.Name, Zone: p.options.Zone, Stream: stream, Now: p.options.Clock.Now(),
+	}
+	if j := p.options.Journal; j != nil {
+		seams.Record = j.Traffic(o)
+	}
+	p.shard = dhshard.New(dhreducer.NewTraffic(o), seams)
+	p.entry = dhentry.New(dhentry.Options{
+		Instance: p.options.Name, Shard: p.shard, Clock: p.options.Clock, Secret: p.options.Secrets.Peers,
+		Log: p.options.Logs.Layer("entry"), MaxBody: p.options.MaxBody,
+		Hold: p.options.Hold, MaxConnections: p.options.MaxConnections,
+	})
+}
+
+// deliver carries out an effect of control or traffic state. It never waits.
+func (p *Process) deliver(e dheffect.Effect) {
+	if p.asker.Take(e) {
+		return
+	}
+	switch e := e.(type) {
+	case *dheffect.Send:
+		p.sender.Send(e.To(), e.Message())
+	case *dheffect.Publish:
+		p.publish(e.View())
+	case *dheffect.ToTraffic:
+		p.toTraffic(e.Event())
+	case *dheffect.ToControl:
+		p.toControl(e.Event())
+	case *dheffect.Account:
+		p.metrics.Account(e)
+	case *dheffect.Log:
+		p.options.Logs.Layer(e.Layer()).WithFields(logrus.Fields{"peer": e.Peer(), "number": e.Number()}).Info(e.Text())
+	}
+}
+
+func (p *Process) publish(v *dhview.View) {
+	p.view.Store(v)
+	p.book.SetCatalog(v.Catalog())
+	p.metrics.Gauge(int64(v.Catalog().Version()), "dogwoodhitch_version")
+	p.metrics.Gauge(int64(v.InForce()), "dogwoodhitch_version_in_force")
+	if p.shard != nil {
+		p.toTraffic(dhevent.NewViewPublished(p.options.Clock.Now(), dhevent.ViewPublishedOptions{View: v}))
+	}
+}
+
+// toTraffic queues an event for traffic state. Control state never waits for
+// traffic: when the queue is full the event is lost, and what it would have
+// brought is asked for again.
+func (p *Process) toTraffic(e dhevent.Event) {
+	if p.shard == nil {
+		return
+	}
+	select {
+	case p.feed <- e:
+	default:
+		p.metrics.Count(1, "dogwoodhitch_events_lost_total", "to", "traffic")
+	}
+}
+
+// toControl queues an event of traffic state for control. A claim that finds
+// no room is answered as unsure, so that its request doesn't wait in vain.
+func (p *Process) toControl(e dhevent.Event) {
+	if p.loop.Offer(e) {
+		return
+	}
+	p.metrics.Count(1, "dogwoodhitch_events_lost_total", "to", "control")
+	if w, ok := e.(*dhevent.ProposalWanted); ok {
+		p.toTraffic(dhevent.NewClaimAnswered(e.At(), dhevent.ClaimAnsweredOptions{
+			Request: w.Ticket(), Result: dhmessage.NewResult(dhmessage.ResultOptions{Unsure: true}),
+		}))
+	}
+}
+
+// feedTraffic hands queued events to traffic state.
+func (p *Process) feedTraffic() {
+	for {
+		select {
+		case <-p.work.Done():
+			return
+		case e := <-p.feed:
+			p.shard.Handle(func(dhclock.Millis) dhevent.Event { return e })
+		}
+	}
+}
+
+// take hands a message of another process to control state.
+func (p *Process) take(from dhmessage.Peer, m dhmessage.Message) bool {
+	return p.loop.Offer(dhevent.NewMessageReceived(p.options.Clock.Now(), dhevent.MessageReceivedOptions{From: from, Message: m}))
+}
+
+// ready tells why the process can't serve, or nil.
+func (p *Process) ready() error {
+	v := p.View()
+	if !v.Fresh(p.options.Clock.Now(), 0) {
+		return errNotFresh
+	}
+	return nil
+}
+
+var errNotFresh = errors.New("the configuration isn't confirmed as current: check that a majority of voters runs and can be reached")
+
+func randomNumber() uint64 {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return binary.LittleEndian.Uint64(raw[:]) >> 1
+}
+
+// listener pairs a socket with what it serves.
+type listener struct {
+	net.Listener
+	handler http.Handler
+}
+
+// Ready tells why the process can't serve, or nil.
+func (p *Process) Ready() error { return p.ready() }
