--- /dev/null
+++ b/io/dhprocess/serve.go
@@ -0,0 +1,183 @@
+package dhprocess
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/io/dhannounce"
+	"dogwoodhitch/io/dhoperator"
+	"dogwoodhitch/io/dhpeer"
+	"dogwoodhitch/io/dhtime"
+)
+
+// Limits of the HTTP servers.
+const (
+	headerTimeout = 5 * time.Second
+	readTimeout   = 60 * time.Second
+	idleTimeout   = 90 * time.Second
+	maxHeader     = 64 << 10
+	// trafficTick is the time between two ticks of traffic state.
+	trafficTick = 10 * time.Millisecond
+)
+
+var emptyCatalog = dhcatalog.New()
+
+// listen opens every listener, or none.
+func (p *Process) listen() ([]listener, error) {
+	var list []listener
+	open := func(name, address string, bound *string, handler http.Handler) error {
+		if address == "" {
+			return nil
+		}
+		l, err := new(net.ListenConfig).Listen(p.work, "tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen for %s on %s: %w; free the address or change listen.%s", name, address, err, name)
+		}
+		*bound = l.Addr().String()
+		list = append(list, listener{l, handler})
+		return nil
+	}
+	listen := p.options.Listen
+	err := errors.Join(
+		open("peers", listen.Peers, &p.bound.Peers, p.peerMux()),
+		open("operators", listen.Operators, &p.bound.Operators, p.operatorHandler()),
+	)
+	if p.entry != nil {
+		err = errors.Join(err,
+			open("callers", listen.Callers, &p.bound.Callers, p.entry.Callers()),
+			open("upstreams", listen.Upstreams, &p.bound.Upstreams,
+				dhannounce.New(dhannounce.Options{Shard: p.shard, Secret: p.options.Secrets.Upstreams}).Mux()),
+		)
+	}
+	if err != nil {
+		for _, l := range list {
+			l.Close()
+		}
+		return nil, err
+	}
+	return list, nil
+}
+
+func (p *Process) peerMux() http.Handler {
+	mux := http.NewServeMux()
+	receiver := dhpeer.NewReceiver(dhpeer.ReceiverOptions{
+		Secret: p.options.Secrets.Peers, Take: p.take, Learn: p.book.Learn, Log: p.options.Logs.Layer("peer"),
+	})
+	mux.Handle(receiver.Handler())
+	if p.entry != nil {
+		mux.Handle(p.entry.Passed())
+	}
+	return mux
+}
+
+func (p *Process) operatorHandler() http.Handler {
+	return dhoperator.New(dhoperator.Options{
+		Asker: p.asker, View: p.View, Shard: p.shard, Secret: p.options.Secrets.Operators,
+		Metrics: p.metrics, Ready: p.ready, Log: p.options.Logs.Layer("operator"),
+	}).Handler()
+}
+
+// serve starts an HTTP server a listener, each for HTTP/1.1 and HTTP/2.
+func (p *Process) serve(list []listener) {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	for _, l := range list {
+		s := &http.Server{
+			Handler: l.handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout,
+			ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+			ErrorLog: nil,
+		}
+		p.servers = append(p.servers, s)
+		p.group.Go(func() {
+			if err := s.Serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
+				p.fail(err)
+			}
+		})
+	}
+}
+
+// tickTraffic lets time pass for traffic state.
+func (p *Process) tickTraffic() {
+	ticker := time.NewTicker(trafficTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.work.Done():
+			return
+		case <-ticker.C:
+			p.shard.Handle(func(at dhclock.Millis) dhevent.Event { return dhevent.NewTrafficTicked(at) })
+		}
+	}
+}
+
+// Run works until the context ends, then stops gracefully. It returns the
+// error that ended the work, if one did.
+func (p *Process) Run(ctx context.Context) error {
+	if err := p.Start(); err != nil {
+		return err
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+		p.leave()
+	case err = <-p.failed:
+		p.log.WithError(err).Error("stopped by an error")
+	}
+	p.Stop()
+	return err
+}
+
+// leave lets look-ups stop naming this instance, then refuses new requests,
+// and waits for those that run.
+func (p *Process) leave() {
+	if p.entry == nil {
+		return
+	}
+	p.log.Info("leaving")
+	p.loop.Offer(dhevent.NewLeaveStarted(p.options.Clock.Now()))
+	time.Sleep(dhtime.Span(p.options.LeaveWait))
+	p.entry.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), dhtime.Span(p.options.Finish))
+	defer cancel()
+	ticker := time.NewTicker(trafficTick)
+	defer ticker.Stop()
+	for p.shard.Open() > 0 && ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			p.log.WithField("open", p.shard.Open()).Warn("stopping although requests run")
+		}
+	}
+}
+
+// Stop ends the work at once, but lets answers that are being written finish.
+func (p *Process) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, s := range p.servers {
+		if s.Shutdown(ctx) != nil {
+			s.Close()
+		}
+	}
+	p.endWork()
+	p.group.Wait()
+	p.sender.Wait()
+	if p.entry != nil {
+		p.entry.Close()
+	}
+	if p.options.Folder != nil {
+		if err := p.options.Folder.Close(); err != nil && !errors.Is(err, os.ErrClosed) {
+			p.log.WithError(err).Error("data folder")
+		}
+	}
+	p.log.Info("stopped")
+}
--- /dev/null
+++ b/io/dhquickstart/load.go
@@ -0,0 +1,200 @@
+package dhquickstart
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dogwoodhitch/io/dhentry"
+)
+
+// The sample load.
+const (
+	workers        = 8
+	requestsEach   = 60
+	pauseBetween   = 12 * time.Millisecond
+	purchaseEvery  = 10
+	resendEvery    = 20
+	latencyMaxUs   = 60_000_000
+	latencyDigits  = 3
+	requestTimeout = 10 * time.Second
+)
+
+// ErrBroken says that the sample load saw a promise broken.
+var ErrBroken = errors.New("a promise was seen broken")
+
+// summary counts what became of the sample load.
+type summary struct {
+	mutex   sync.Mutex
+	served  map[string]int
+	refused map[string]int
+	latency *hdrhistogram.Histogram
+}
+
+// Once sends the sample load through the entry instances, prints a summary,
+// and returns ErrBroken if a promise was seen broken.
+func (s *System) Once(ctx context.Context, w io.Writer) error {
+	sum := &summary{
+		served: map[string]int{}, refused: map[string]int{},
+		latency: hdrhistogram.New(1, latencyMaxUs, latencyDigits),
+	}
+	client := &http.Client{Timeout: requestTimeout}
+	var group sync.WaitGroup
+	for n := range workers {
+		group.Go(func() { s.work(ctx, client, n, sum) })
+	}
+	group.Wait()
+	sum.print(w)
+	broken := s.checks.result()
+	for _, b := range broken {
+		fmt.Fprintln(w, "BROKEN:", b)
+	}
+	if len(broken) > 0 {
+		return ErrBroken
+	}
+	fmt.Fprintln(w, "every promise that can be seen from here held: whole answers to their own callers, purchases at most once,",
+		"keys unseen by upstreams, slots and rates kept")
+	return nil
+}
+
+// work is one caller: it looks up its entry instance and sends requests.
+func (s *System) work(ctx context.Context, client *http.Client, n int, sum *summary) {
+	entry, err := s.lookUp(ctx, client, n)
+	if err != nil {
+		s.checks.add(err.Error())
+		return
+	}
+	names := slices.Sorted(maps.Keys(s.keys))
+	name := names[n%len(names)]
+	for i := range requestsEach {
+		if ctx.Err() != nil {
+			return
+		}
+		r := sample{entry: entry, key: s.keys[name], path: fmt.Sprintf("/gate/%s/%d/%d", name, n, i), method: http.MethodGet}
+		if i%purchaseEvery == 0 {
+			r.method, r.idempotency = http.MethodPost, fmt.Sprintf("p-%d-%d", n, i)
+			r.path, r.body = "/purchases/"+name, "pass "+r.idempotency
+		}
+		s.send(ctx, client, r, sum)
+		if i%resendEvery == 0 {
+			s.send(ctx, client, r, sum)
+		}
+		time.Sleep(pauseBetween)
+	}
+}
+
+// lookUp asks where to send requests; callers alternate between the zones.
+func (s *System) lookUp(ctx context.Context, client *http.Client, n int) (string, error) {
+	address := []string{"198.51.100.7", "203.0.113.7"}[n%2]
+	target := "http://" + s.entries()[0].Bound().Callers + "/dogwoodhitch/v1/lookup?address=" + address
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return "", err
+	}
+	response, err := client.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Entries []struct {
+			Address string `json:"address"`
+		} `json:"entries"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || len(answer.Entries) == 0 {
+		return "", fmt.Errorf("the look-up for %s named no entry", address)
+	}
+	return answer.Entries[0].Address, nil
+}
+
+// sample is one request of the load.
+type sample struct {
+	entry       string
+	key         string
+	method      string
+	path        string
+	body        string
+	idempotency string
+}
+
+func (s *System) send(ctx context.Context, client *http.Client, x sample, sum *summary) {
+	r, err := http.NewRequestWithContext(ctx, x.method, "http://"+x.entry+x.path, bytes.NewReader([]byte(x.body)))
+	if err != nil {
+		s.checks.add(err.Error())
+		return
+	}
+	r.Header.Set("Authorization", "Bearer "+x.key)
+	if x.idempotency != "" {
+		r.Header.Set(dhentry.HeaderIdempotency, x.idempotency)
+	}
+	started := time.Now()
+	response, err := client.Do(r)
+	if err != nil {
+		sum.refuse("no answer")
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		sum.refuse("broken answer")
+		return
+	}
+	if kind := response.Header.Get(dhentry.HeaderRefusal); kind != "" {
+		sum.refuse(kind)
+		return
+	}
+	sum.serve(strings.SplitN(x.path, "/", 3)[1], time.Since(started))
+	s.checkAnswer(x, body)
+}
+
+// checkAnswer compares an answer with its request.
+func (s *System) checkAnswer(x sample, body []byte) {
+	var answer struct {
+		Path         string `json:"path"`
+		Organisation string `json:"organisation"`
+		Body         string `json:"body"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Path != x.path || answer.Body != x.body {
+		s.checks.add(fmt.Sprintf("the answer %q came for %s", body, x.path))
+		return
+	}
+	if s.keys[answer.Organisation] != x.key {
+		s.checks.add(fmt.Sprintf("%s ran for %q", x.path, answer.Organisation))
+	}
+}
+
+func (s *summary) serve(route string, latency time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.served[route]++
+	_ = s.latency.RecordValue(latency.Microseconds())
+}
+
+func (s *summary) refuse(kind string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.refused[kind]++
+}
+
+func (s *summary) print(w io.Writer) {
+	for _, route := range slices.Sorted(maps.Keys(s.served)) {
+		fmt.Fprintf(w, "served   %-14s %d\n", route, s.served[route])
+	}
+	for _, kind := range slices.Sorted(maps.Keys(s.refused)) {
+		fmt.Fprintf(w, "refused  %-14s %d\n", kind, s.refused[kind])
+	}
+	for _, q := range []float64{50, 90, 99, 100} {
+		fmt.Fprintf(w, "latency  p%-13g %.2f ms\n", q, float64(s.latency.ValueAtQuantile(q))/1000)
+	}
+}
--- /dev/null
+++ b/io/dhquickstart/system.go
@@ -0,0 +1,243 @@
+// Package dhquickstart runs a small whole system in one process on loopback: a
+// voter, an entry instance in each of two zones, sample objects and stand-in
+// upstreams. Nothing is kept on disk.
+package dhquickstart
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhclient"
+	"dogwoodhitch/io/dhlogs"
+	"dogwoodhitch/io/dhprocess"
+	"dogwoodhitch/io/dhproto"
+	"dogwoodhitch/io/dhsettings"
+	"dogwoodhitch/io/dhstandin"
+	"dogwoodhitch/io/dhtime"
+)
+
+// The sample system.
+const (
+	voterName   = "control-1"
+	loopback    = "127.0.0.1:0"
+	sampleRate  = 200
+	sampleBurst = 100
+	holdBytes   = 64 << 10
+	maxBody     = 1 << 20
+	connections = 64
+	// startTimeout bounds the time until the sample objects are in force.
+	startTimeout = 20 * time.Second
+)
+
+// zones are the availability zones of the sample system and their regions.
+var zones = []struct{ zone, region string }{{"north-1", "north"}, {"south-1", "south"}}
+
+// upstreams are the services of the sample system.
+var upstreams = []struct {
+	service string
+	count   int
+	slots   int
+	work    time.Duration
+}{
+	{"gate", 2, 9, 2 * time.Millisecond},
+	{"checkout", 2, 3, 10 * time.Millisecond},
+	{"corrections", 2, 6, 3 * time.Millisecond},
+}
+
+// System is a running sample system.
+type System struct {
+	logs      *dhlogs.Logs
+	secrets   dhprocess.Secrets
+	keys      map[string]string
+	processes []*dhprocess.Process
+	standins  []*dhstandin.Standin
+	checks    *checks
+	group     sync.WaitGroup
+	cancel    context.CancelFunc
+}
+
+// Start starts the system. It returns an error if it can't come up in time.
+func Start(ctx context.Context, logOutput io.Writer) (*System, error) {
+	logs, err := dhlogs.New(dhlogs.Options{Level: "warning", Output: logOutput, Process: "quickstart"})
+	if err != nil {
+		return nil, err
+	}
+	s := &System{
+		logs:    logs,
+		secrets: dhprocess.Secrets{Peers: randomText(), Operators: randomText(), Upstreams: randomText()},
+		keys:    map[string]string{"cairnpass": randomText(), "regie": randomText()},
+	}
+	s.checks = newChecks(s.keys)
+	ctx, s.cancel = context.WithCancel(ctx)
+	if err := s.start(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start(ctx context.Context) error {
+	control := s.options(voterName, "", dhsettings.RoleControl)
+	control.Founders = []dhmessage.Voter{dhmessage.NewVoter(dhmessage.NewPeer(voterName, ""), "", false)}
+	voter := dhprocess.New(control)
+	if err := voter.Start(); err != nil {
+		return err
+	}
+	s.processes = append(s.processes, voter)
+	for _, z := range zones {
+		o := s.options("entry-"+z.zone, z.zone, dhsettings.RoleEntry)
+		o.Listen.Callers, o.Listen.Upstreams = loopback, loopback
+		o.Voters = []dhsettings.Voter{dhsettings.NewVoter(voterName, voter.Bound().Peers)}
+		p := dhprocess.New(o)
+		if err := p.Start(); err != nil {
+			return err
+		}
+		s.processes = append(s.processes, p)
+	}
+	if err := s.startUpstreams(ctx); err != nil {
+		return err
+	}
+	return s.submit(ctx)
+}
+
+func (s *System) options(name, zone string, role dhsettings.Role) dhprocess.Options {
+	return dhprocess.Options{
+		Name: name, Zone: zone, Role: role,
+		Listen:  dhprocess.Addresses{Peers: loopback, Operators: loopback},
+		Secrets: s.secrets, MaxBody: maxBody, Hold: holdBytes, MaxConnections: connections,
+		Logs: s.logs, Clock: dhtime.System(),
+	}
+}
+
+// entries returns the entry instances, in the order of the zones.
+func (s *System) entries() []*dhprocess.Process { return s.processes[1:] }
+
+func (s *System) startUpstreams(ctx context.Context) error {
+	for i, p := range s.entries() {
+		for _, u := range upstreams {
+			for n := range u.count {
+				standin, err := dhstandin.New(dhstandin.Options{
+					Name: fmt.Sprintf("%s-%s-%d", u.service, zones[i].zone, n+1), Service: u.service,
+					Address: loopback, Entries: []string{p.Bound().Upstreams}, Secret: s.secrets.Upstreams,
+					Slots: u.slots, Serve: s.checks.serve(u.service, u.work),
+				})
+				if err != nil {
+					return err
+				}
+				s.standins = append(s.standins, standin)
+				s.checks.watch(standin, u.slots)
+				s.group.Go(func() { standin.Run(ctx) })
+			}
+		}
+	}
+	return nil
+}
+
+// submit sends the sample objects and waits until they are in force.
+func (s *System) submit(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	raw, err := protojson.Marshal(s.sampleObjects())
+	if err != nil {
+		return err
+	}
+	changed, err := s.Client().Change(ctx, raw, false, true)
+	if err != nil {
+		return err
+	}
+	if !changed.InForce {
+		return errors.New("the sample objects are not in force on every instance; see the logs")
+	}
+	return s.waitReady(ctx)
+}
+
+// waitReady waits until each instance has fresh configuration.
+func (s *System) waitReady(ctx context.Context) error {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		ready := true
+		for _, p := range s.entries() {
+			ready = ready && p.Ready() == nil
+		}
+		if ready {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("the instances don't become ready; see the logs")
+		case <-ticker.C:
+		}
+	}
+}
+
+// Client returns a client of the operators' API.
+func (s *System) Client() *dhclient.Client {
+	return dhclient.New(dhclient.Options{Servers: []string{s.processes[0].Bound().Operators}, Secret: s.secrets.Operators})
+}
+
+// Stop ends everything.
+func (s *System) Stop() {
+	s.cancel()
+	s.group.Wait()
+	for i := len(s.processes) - 1; i >= 0; i-- {
+		s.processes[i].Stop()
+	}
+}
+
+func randomText() string {
+	var raw [16]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// sampleObjects returns the change set that sets up the sample system.
+func (s *System) sampleObjects() *dhproto.ChangeSet {
+	m := &dhproto.ChangeSet{Id: "quickstart", Author: "quickstart"}
+	put := func(o *dhproto.Object) { m.Puts = append(m.Puts, o) }
+	for i, z := range zones {
+		put(&dhproto.Object{Object: &dhproto.Object_Zone{Zone: &dhproto.Zone{Name: z.zone, Region: z.region}}})
+		bound := s.entries()[i].Bound()
+		put(&dhproto.Object{Object: &dhproto.Object_Instance{Instance: &dhproto.Instance{
+			Name: "entry-" + z.zone, Zone: z.zone, CallerAddress: bound.Callers, PeerAddress: bound.Peers,
+		}}})
+		put(&dhproto.Object{Object: &dhproto.Object_Site{Site: &dhproto.Site{
+			Name: "site-" + z.zone, Zone: z.zone, TimeToLiveMs: 5000, Default: i == 0,
+		}}})
+	}
+	m.Blocks = append(m.Blocks, &dhproto.BlockChange{Block: "203.0.113.0/24", Site: "site-" + zones[1].zone})
+	for name, key := range s.keys {
+		put(&dhproto.Object{Object: &dhproto.Object_Organisation{Organisation: &dhproto.Organisation{Name: name}}})
+		put(&dhproto.Object{Object: &dhproto.Object_Key{Key: &dhproto.Key{Name: name + "-key", Organisation: name, Secret: key}}})
+		put(&dhproto.Object{Object: &dhproto.Object_Limit{Limit: &dhproto.Limit{
+			Name: name + "-limit", Organisation: name, Rate: sampleRate, Burst: sampleBurst,
+		}}})
+	}
+	for _, u := range upstreams {
+		put(&dhproto.Object{Object: &dhproto.Object_Service{Service: &dhproto.Service{Name: u.service, SpillPercent: 50}}})
+	}
+	for _, r := range []*dhproto.Route{
+		{Name: "gate-check", PathPrefix: "/gate/", Service: "gate", Idempotent: true, TimeoutMs: 1000, QueueWaitMs: 300},
+		{Name: "purchase", PathPrefix: "/purchases/", Service: "checkout", ClaimRequired: true, TimeoutMs: 5000, QueueWaitMs: 2000, Priority: 1, RetentionMs: 86_400_000},
+		{Name: "corrections", PathPrefix: "/corrections/", Service: "corrections", Idempotent: true, TimeoutMs: 1000, QueueWaitMs: 300},
+		{Name: "station-status", PathPrefix: "/status/", Service: "corrections", Open: true, Idempotent: true, TimeoutMs: 1000, QueueWaitMs: 300, Priority: 2},
+	} {
+		put(&dhproto.Object{Object: &dhproto.Object_Route{Route: r}})
+	}
+	put(&dhproto.Object{Object: &dhproto.Object_Objective{Objective: &dhproto.Objective{
+		Name: "gate-check-fast", Route: "gate-check", TargetPerMillion: 999_000, LatencyMs: 100,
+	}}})
+	put(&dhproto.Object{Object: &dhproto.Object_Objective{Objective: &dhproto.Objective{
+		Name: "corrections-fast", Route: "corrections", TargetPerMillion: 999_000, LatencyMs: 100,
+	}}})
+	return m
+}
--- /dev/null
+++ b/io/dhsettings/settings.go
@@ -0,0 +1,367 @@
+// Package dhsettings reads a process's settings: JSON with comments, every
+// field checked, unknown fields refused.
+package dhsettings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+)
+
+// Role is what a process does.
+type Role string
+
+// The roles.
+const (
+	// RoleEntry serves callers, upstreams and operators.
+	RoleEntry Role = "entry"
+	// RoleControl is a voter with a data folder; it serves operators too.
+	RoleControl Role = "control"
+)
+
+// Defaults and bounds, in bytes and milliseconds.
+const (
+	defaultMaxBody        = 1 << 20
+	defaultHold           = 64 << 10
+	defaultMaxConnections = 360
+	defaultLeaveWait      = 5000
+	defaultFinish         = 30_000
+	maxBytes              = 1 << 30
+	maxSpan               = 3_600_000
+	minSecret             = 16
+)
+
+// Problem is one fault of a settings file.
+type Problem struct {
+	path   string
+	found  string
+	remedy string
+}
+
+// Path returns the field at fault, such as listen.callers.
+func (p Problem) Path() string { return p.path }
+
+// Found returns the value found.
+func (p Problem) Found() string { return p.found }
+
+// Remedy tells what to do.
+func (p Problem) Remedy() string { return p.remedy }
+
+// Error says what is wrong with a settings file.
+type Error struct {
+	file     string
+	problems []Problem
+}
+
+// File returns the settings file.
+func (e Error) File() string { return e.file }
+
+// Problems returns every fault found.
+func (e Error) Problems() []Problem { return e.problems }
+
+// Error implements error.
+func (e Error) Error() string {
+	lines := make([]string, 0, len(e.problems))
+	for _, p := range e.problems {
+		lines = append(lines, fmt.Sprintf("%s: %s: found %s; %s", e.file, p.path, p.found, p.remedy))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// file is the settings as they are written.
+type file struct {
+	Name   string `json:"name"`
+	Role   Role   `json:"role"`
+	Zone   string `json:"zone"`
+	Listen struct {
+		Callers   string `json:"callers"`
+		Upstreams string `json:"upstreams"`
+		Peers     string `json:"peers"`
+		Operators string `json:"operators"`
+	} `json:"listen"`
+	Voters []struct {
+		Name    string `json:"name"`
+		Address string `json:"address"`
+	} `json:"voters"`
+	DataFolder string `json:"dataFolder"`
+	Secrets    struct {
+		PeersFile     string `json:"peersFile"`
+		OperatorsFile string `json:"operatorsFile"`
+		UpstreamsFile string `json:"upstreamsFile"`
+	} `json:"secrets"`
+	Requests struct {
+		MaxBodyBytes   int64 `json:"maxBodyBytes"`
+		HoldBytes      int64 `json:"holdBytes"`
+		MaxConnections int64 `json:"maxConnections"`
+	} `json:"requests"`
+	Shutdown struct {
+		LeaveWaitMs int64 `json:"leaveWaitMs"`
+		FinishMs    int64 `json:"finishMs"`
+	} `json:"shutdown"`
+	Logs struct {
+		Level  string            `json:"level"`
+		Layers map[string]string `json:"layers"`
+	} `json:"logs"`
+	JournalFile string `json:"journalFile"`
+}
+
+// Voter is a voter as the settings name it.
+type Voter struct {
+	name    string
+	address string
+}
+
+// NewVoter returns a voter.
+func NewVoter(name, address string) Voter { return Voter{name: name, address: address} }
+
+// Name returns the voter's name.
+func (v Voter) Name() string { return v.name }
+
+// Address returns the voter's address for the system's own processes.
+func (v Voter) Address() string { return v.address }
+
+// Settings are checked settings.
+type Settings struct {
+	file    file
+	voters  []Voter
+	secrets map[string]string
+}
+
+// The names of the secrets.
+const (
+	secretPeers     = "peersFile"
+	secretOperators = "operatorsFile"
+	secretUpstreams = "upstreamsFile"
+)
+
+// Name returns the process's name.
+func (s *Settings) Name() string { return s.file.Name }
+
+// Role returns what the process does.
+func (s *Settings) Role() Role { return s.file.Role }
+
+// Zone returns the availability zone of an entry instance.
+func (s *Settings) Zone() string { return s.file.Zone }
+
+// Callers returns the address to listen on for callers.
+func (s *Settings) Callers() string { return s.file.Listen.Callers }
+
+// Upstreams returns the address to listen on for upstreams.
+func (s *Settings) Upstreams() string { return s.file.Listen.Upstreams }
+
+// Peers returns the address to listen on for the system's own processes.
+func (s *Settings) Peers() string { return s.file.Listen.Peers }
+
+// Operators returns the address to listen on for operators.
+func (s *Settings) Operators() string { return s.file.Listen.Operators }
+
+// Voters returns the voters.
+func (s *Settings) Voters() []Voter { return s.voters }
+
+// DataFolder returns the data folder of a voter.
+func (s *Settings) DataFolder() string { return s.file.DataFolder }
+
+// PeerSecret returns the secret that the system's processes share.
+func (s *Settings) PeerSecret() string { return s.secrets[secretPeers] }
+
+// OperatorSecret returns the operators' credential.
+func (s *Settings) OperatorSecret() string { return s.secrets[secretOperators] }
+
+// UpstreamSecret returns the upstreams' credential.
+func (s *Settings) UpstreamSecret() string { return s.secrets[secretUpstreams] }
+
+// MaxBody returns the largest request body, in bytes.
+func (s *Settings) MaxBody() int64 { return s.file.Requests.MaxBodyBytes }
+
+// Hold returns up to which size an answer is held until it is whole, in bytes.
+func (s *Settings) Hold() int { return int(s.file.Requests.HoldBytes) }
+
+// MaxConnections returns the most connections to one upstream.
+func (s *Settings) MaxConnections() int { return int(s.file.Requests.MaxConnections) }
+
+// LeaveWait returns how long a stopping instance still serves after look-ups
+// stopped naming it, in milliseconds.
+func (s *Settings) LeaveWait() dhclock.Millis { return dhclock.Millis(s.file.Shutdown.LeaveWaitMs) }
+
+// Finish returns how long a stopping instance waits for running requests.
+func (s *Settings) Finish() dhclock.Millis { return dhclock.Millis(s.file.Shutdown.FinishMs) }
+
+// LogLevel returns the level of logs.
+func (s *Settings) LogLevel() string { return s.file.Logs.Level }
+
+// LogLayers returns the levels of single layers.
+func (s *Settings) LogLayers() map[string]string { return s.file.Logs.Layers }
+
+// JournalFile returns where events are recorded, or "".
+func (s *Settings) JournalFile() string { return s.file.JournalFile }
+
+// Read reads and checks a settings file and the secret files that it names.
+func Read(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error{file: path, problems: []Problem{{"file", err.Error(), "give the path of a settings file; examples/ has one a role"}}}
+	}
+	return Parse(path, raw)
+}
+
+// Parse checks settings that were read from a file.
+func Parse(path string, raw []byte) (*Settings, error) {
+	standard, err := hujson.Standardize(raw) //nolint:misspell // the library spells it so
+	if err != nil {
+		return nil, Error{file: path, problems: []Problem{{"file", err.Error(), "write JSON; comments and trailing commas are allowed"}}}
+	}
+	s := &Settings{secrets: map[string]string{}}
+	d := json.NewDecoder(bytes.NewReader(standard))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s.file); err != nil {
+		return nil, Error{file: path, problems: []Problem{decodeProblem(err)}}
+	}
+	s.setDefaults()
+	c := &checker{folder: filepath.Dir(path)}
+	c.check(s)
+	if len(c.problems) > 0 {
+		return nil, Error{file: path, problems: c.problems}
+	}
+	return s, nil
+}
+
+func decodeProblem(err error) Problem {
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		return Problem{kind.Field, "a " + kind.Value, "give a " + kind.Type.String()}
+	}
+	if name, found := strings.CutPrefix(err.Error(), "json: unknown field "); found {
+		return Problem{strings.Trim(name, `"`), "an unknown field", "remove it or correct its name; examples/ shows every field"}
+	}
+	return Problem{"file", err.Error(), "write one JSON object"}
+}
+
+func (s *Settings) setDefaults() {
+	setDefault(&s.file.Requests.MaxBodyBytes, defaultMaxBody)
+	setDefault(&s.file.Requests.HoldBytes, defaultHold)
+	setDefault(&s.file.Requests.MaxConnections, defaultMaxConnections)
+	setDefault(&s.file.Shutdown.LeaveWaitMs, defaultLeaveWait)
+	setDefault(&s.file.Shutdown.FinishMs, defaultFinish)
+	if s.file.Logs.Level == "" {
+		s.file.Logs.Level = "info"
+	}
+}
+
+func setDefault(field *int64, value int64) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// checker collects the problems of a settings file.
+type checker struct {
+	folder   string
+	problems []Problem
+}
+
+func (c *checker) add(path, found, remedy string) {
+	c.problems = append(c.problems, Problem{path: path, found: found, remedy: remedy})
+}
+
+func (c *checker) check(s *Settings) {
+	f := &s.file
+	c.name("name", f.Name)
+	switch f.Role {
+	case RoleEntry:
+		c.name("zone", f.Zone)
+		c.address("listen.callers", f.Listen.Callers)
+		c.address("listen.upstreams", f.Listen.Upstreams)
+		c.absent("dataFolder", f.DataFolder, "only a control process has a data folder")
+		s.secrets[secretUpstreams] = c.secret("secrets.upstreamsFile", f.Secrets.UpstreamsFile)
+	case RoleControl:
+		c.absent("listen.callers", f.Listen.Callers, "only an entry process serves callers")
+		c.absent("listen.upstreams", f.Listen.Upstreams, "only an entry process serves upstreams")
+		if f.DataFolder == "" {
+			c.add("dataFolder", "nothing", "name a folder on a disk that lasts")
+		}
+	default:
+		c.add("role", fmt.Sprintf("%q", f.Role), "use entry or control")
+	}
+	c.address("listen.peers", f.Listen.Peers)
+	c.address("listen.operators", f.Listen.Operators)
+	s.secrets[secretPeers] = c.secret("secrets.peersFile", f.Secrets.PeersFile)
+	s.secrets[secretOperators] = c.secret("secrets.operatorsFile", f.Secrets.OperatorsFile)
+	c.voters(s)
+	c.span("requests.maxBodyBytes", f.Requests.MaxBodyBytes, maxBytes)
+	c.span("requests.holdBytes", f.Requests.HoldBytes, maxBytes)
+	c.span("requests.maxConnections", f.Requests.MaxConnections, 1<<16)
+	c.span("shutdown.leaveWaitMs", f.Shutdown.LeaveWaitMs, maxSpan)
+	c.span("shutdown.finishMs", f.Shutdown.FinishMs, maxSpan)
+}
+
+func (c *checker) name(path, value string) {
+	if !dhcatalog.ValidName(value) {
+		c.add(path, fmt.Sprintf("%q", value), "use 1 to 128 letters, digits, '-', '_' or '.'")
+	}
+}
+
+func (c *checker) address(path, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(path, fmt.Sprintf("%q", value), "give an IP number and a port, such as 10.0.0.1:8080")
+	}
+}
+
+func (c *checker) absent(path, value, remedy string) {
+	if value != "" {
+		c.add(path, fmt.Sprintf("%q", value), "remove it: "+remedy)
+	}
+}
+
+func (c *checker) span(path string, value, high int64) {
+	if value < 1 || value > high {
+		c.add(path, fmt.Sprint(value), fmt.Sprintf("choose a value from 1 to %d", high))
+	}
+}
+
+// secret reads a secret file; a relative path counts from the settings file.
+func (c *checker) secret(path, name string) string {
+	if name == "" {
+		c.add(path, "nothing", "name a file that holds the secret")
+		return ""
+	}
+	if !filepath.IsAbs(name) {
+		name = filepath.Join(c.folder, name)
+	}
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		c.add(path, err.Error(), "create the file")
+		return ""
+	}
+	secret := strings.TrimSpace(string(raw))
+	if len(secret) < minSecret {
+		c.add(path, fmt.Sprintf("a secret of %d characters", len(secret)), fmt.Sprintf("use at least %d", minSecret))
+	}
+	return secret
+}
+
+func (c *checker) voters(s *Settings) {
+	if len(s.file.Voters) == 0 {
+		c.add("voters", "none", "list the name and peer address of each control process")
+	}
+	seen := map[string]bool{}
+	for i, v := range s.file.Voters {
+		path := fmt.Sprintf("voters[%d]", i)
+		c.name(path+".name", v.Name)
+		c.address(path+".address", v.Address)
+		if seen[v.Name] {
+			c.add(path+".name", fmt.Sprintf("%q a second time", v.Name), "give each voter its own name")
+		}
+		seen[v.Name] = true
+		s.voters = append(s.voters, Voter{name: v.Name, address: v.Address})
+	}
+}
--- /dev/null
+++ b/io/dhwire/catalog.go
@@ -0,0 +1,315 @@
+// Package dhwire turns the core's values into the messages of the schema and
+// back, one file for each file of the schema. The same messages serve the
+// processes among themselves, the data folders and the operators' API.
+package dhwire
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/io/dhproto"
+)
+
+// FormatError says that a message can't be read.
+type FormatError struct {
+	field  string
+	found  string
+	remedy string
+}
+
+// Field returns the field at fault.
+func (e FormatError) Field() string { return e.field }
+
+// Found returns the value found.
+func (e FormatError) Found() string { return e.found }
+
+// Remedy tells what to do.
+func (e FormatError) Remedy() string { return e.remedy }
+
+// Error implements error.
+func (e FormatError) Error() string {
+	return fmt.Sprintf("%s: found %s; %s", e.field, e.found, e.remedy)
+}
+
+// ObjectToWire returns the message of an object.
+func ObjectToWire(o dhcatalog.Object) *dhproto.Object {
+	switch o := o.(type) {
+	case dhcatalog.Zone:
+		return &dhproto.Object{Object: &dhproto.Object_Zone{Zone: &dhproto.Zone{Name: o.Name(), Region: o.Region()}}}
+	case dhcatalog.Instance:
+		return &dhproto.Object{Object: &dhproto.Object_Instance{Instance: &dhproto.Instance{
+			Name: o.Name(), Zone: o.Zone(), CallerAddress: o.CallerAddress(), PeerAddress: o.PeerAddress(),
+		}}}
+	case dhcatalog.Organisation:
+		return &dhproto.Object{Object: &dhproto.Object_Organisation{Organisation: &dhproto.Organisation{
+			Name: o.Name(), StaleGraceMs: int32(o.StaleGrace()), Weight: int32(o.Weight()),
+		}}}
+	case dhcatalog.Key:
+		hash := o.Hash()
+		return &dhproto.Object{Object: &dhproto.Object_Key{Key: &dhproto.Key{
+			Name: o.Name(), Organisation: o.Organisation(), Hash: hex.EncodeToString(hash[:]),
+		}}}
+	case dhcatalog.Service:
+		return &dhproto.Object{Object: &dhproto.Object_Service{Service: &dhproto.Service{
+			Name: o.Name(), SpillPercent: int32(o.SpillPercent()), ColdStartMs: int32(o.ColdStart()),
+		}}}
+	case dhcatalog.Route:
+		return &dhproto.Object{Object: &dhproto.Object_Route{Route: routeToWire(o)}}
+	case dhcatalog.Limit:
+		return &dhproto.Object{Object: &dhproto.Object_Limit{Limit: &dhproto.Limit{
+			Name: o.Name(), Organisation: o.Organisation(), Rate: int32(o.Rate()), Burst: int32(o.Burst()),
+		}}}
+	case dhcatalog.Objective:
+		return &dhproto.Object{Object: &dhproto.Object_Objective{Objective: &dhproto.Objective{
+			Name: o.Name(), Route: o.Route(), TargetPerMillion: int32(o.TargetPerMillion()), LatencyMs: int32(o.Latency()),
+		}}}
+	case dhcatalog.Site:
+		return &dhproto.Object{Object: &dhproto.Object_Site{Site: &dhproto.Site{
+			Name: o.Name(), Zone: o.Zone(), TimeToLiveMs: int32(o.TimeToLive()), Default: o.Default(),
+		}}}
+	case dhcatalog.Drain:
+		return &dhproto.Object{Object: &dhproto.Object_Drain{Drain: &dhproto.Drain{
+			Name: o.Name(), TargetKind: string(o.Target().Kind()), Target: o.Target().Name(),
+			RampMs: int32(o.Ramp()), Paused: o.Paused(), MovedPercent: int32(o.MovedPercent()),
+		}}}
+	default:
+		return &dhproto.Object{}
+	}
+}
+
+func routeToWire(o dhcatalog.Route) *dhproto.Route {
+	return &dhproto.Route{
+		Name: o.Name(), PathPrefix: o.PathPrefix(), Service: o.Service(), Open: o.Open(),
+		Idempotent: o.Idempotent(), ClaimRequired: o.ClaimRequired(), TimeoutMs: int32(o.Timeout()),
+		QueueWaitMs: int32(o.QueueWait()), Priority: int32(o.Priority()), RetentionMs: int32(o.Retention()),
+	}
+}
+
+// ObjectFromWire returns the object of a message, or a FormatError.
+func ObjectFromWire(m *dhproto.Object) (dhcatalog.Object, error) {
+	switch o := m.GetObject().(type) {
+	case *dhproto.Object_Zone:
+		return dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: o.Zone.GetName(), Region: o.Zone.GetRegion()}), nil
+	case *dhproto.Object_Instance:
+		return dhcatalog.NewInstance(dhcatalog.InstanceOptions{
+			Name: o.Instance.GetName(), Zone: o.Instance.GetZone(),
+			CallerAddress: o.Instance.GetCallerAddress(), PeerAddress: o.Instance.GetPeerAddress(),
+		}), nil
+	case *dhproto.Object_Organisation:
+		return dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{
+			Name: o.Organisation.GetName(), StaleGrace: dhclock.Millis(o.Organisation.GetStaleGraceMs()),
+			Weight: int(o.Organisation.GetWeight()),
+		}), nil
+	case *dhproto.Object_Key:
+		return keyFromWire(o.Key)
+	case *dhproto.Object_Service:
+		return dhcatalog.NewService(dhcatalog.ServiceOptions{
+			Name: o.Service.GetName(), SpillPercent: int(o.Service.GetSpillPercent()),
+			ColdStart: dhclock.Millis(o.Service.GetColdStartMs()),
+		}), nil
+	case *dhproto.Object_Route:
+		return routeFromWire(o.Route), nil
+	case *dhproto.Object_Limit:
+		return dhcatalog.NewLimit(dhcatalog.LimitOptions{
+			Name: o.Limit.GetName(), Organisation: o.Limit.GetOrganisation(),
+			Rate: int64(o.Limit.GetRate()), Burst: int64(o.Limit.GetBurst()),
+		}), nil
+	case *dhproto.Object_Objective:
+		return dhcatalog.NewObjective(dhcatalog.ObjectiveOptions{
+			Name: o.Objective.GetName(), Route: o.Objective.GetRoute(),
+			TargetPerMillion: int64(o.Objective.GetTargetPerMillion()), Latency: dhclock.Millis(o.Objective.GetLatencyMs()),
+		}), nil
+	case *dhproto.Object_Site:
+		return dhcatalog.NewSite(dhcatalog.SiteOptions{
+			Name: o.Site.GetName(), Zone: o.Site.GetZone(),
+			TimeToLive: dhclock.Millis(o.Site.GetTimeToLiveMs()), Default: o.Site.GetDefault(),
+		}), nil
+	case *dhproto.Object_Drain:
+		return dhcatalog.NewDrain(dhcatalog.DrainOptions{
+			Name: o.Drain.GetName(), Target: dhcatalog.NewRef(dhcatalog.Kind(o.Drain.GetTargetKind()), o.Drain.GetTarget()),
+			Ramp: dhclock.Millis(o.Drain.GetRampMs()), Paused: o.Drain.GetPaused(), MovedPercent: int(o.Drain.GetMovedPercent()),
+		}), nil
+	default:
+		return nil, FormatError{"object", "no kind", "name one kind, such as {\"zone\": {…}}"}
+	}
+}
+
+func routeFromWire(m *dhproto.Route) dhcatalog.Route {
+	return dhcatalog.NewRoute(dhcatalog.RouteOptions{
+		Name: m.GetName(), PathPrefix: m.GetPathPrefix(), Service: m.GetService(), Open: m.GetOpen(),
+		Idempotent: m.GetIdempotent(), ClaimRequired: m.GetClaimRequired(),
+		Timeout: dhclock.Millis(m.GetTimeoutMs()), QueueWait: dhclock.Millis(m.GetQueueWaitMs()),
+		Priority: int(m.GetPriority()), Retention: dhclock.Millis(m.GetRetentionMs()),
+	})
+}
+
+func keyFromWire(m *dhproto.Key) (dhcatalog.Object, error) {
+	o := dhcatalog.KeyOptions{Name: m.GetName(), Organisation: m.GetOrganisation()}
+	hash, err := hex.DecodeString(m.GetHash())
+	if err != nil || len(hash) != 0 && len(hash) != dhcatalog.KeyHashSize {
+		return nil, FormatError{"key/" + m.GetName() + " hash", "no hexadecimal SHA-256 hash", "give 64 hexadecimal digits, or the secret"}
+	}
+	copy(o.Hash[:], hash)
+	return dhcatalog.NewKey(o), nil
+}
+
+// BlockFromWire reads an IP prefix, such as 203.0.113.0/24.
+func BlockFromWire(text string) (dhcatalog.Block, error) {
+	p, err := netip.ParsePrefix(text)
+	if err != nil || p != p.Masked() {
+		return dhcatalog.Block{}, FormatError{"block", text, "give an IP prefix without host bits, such as 203.0.113.0/24"}
+	}
+	start, six := AddressBits(p.Addr())
+	if p.Bits() > dhcatalog.MaxBlockBits {
+		return dhcatalog.Block{}, FormatError{"block", text, "give at most 64 bits of an IPv6 prefix"}
+	}
+	return dhcatalog.NewBlock(start, p.Bits(), six), nil
+}
+
+// AddressBits returns an address left-aligned in 64 bits, and whether it is
+// IPv6.
+func AddressBits(a netip.Addr) (bits uint64, six bool) {
+	a = a.Unmap()
+	if a.Is4() {
+		b := a.As4()
+		for _, x := range b {
+			bits = bits<<8 | uint64(x)
+		}
+		return bits << 32, false
+	}
+	b := a.As16()
+	for _, x := range b[:8] {
+		bits = bits<<8 | uint64(x)
+	}
+	return bits, true
+}
+
+// BlockToWire writes a block as an IP prefix.
+func BlockToWire(b dhcatalog.Block) string {
+	var raw [16]byte
+	for i := range 8 {
+		raw[i] = byte(b.Start() >> (56 - 8*i))
+	}
+	address := netip.AddrFrom16(raw)
+	if !b.Six() {
+		address = netip.AddrFrom4([4]byte(raw[:4]))
+	}
+	return netip.PrefixFrom(address, b.Bits()).String()
+}
+
+// ChangeSetToWire returns the message of a change set.
+func ChangeSetToWire(c dhcatalog.ChangeSet) *dhproto.ChangeSet {
+	m := &dhproto.ChangeSet{Id: c.ID(), Base: uint32(c.Base()), Author: c.Author()}
+	for _, o := range c.Puts() {
+		m.Puts = append(m.Puts, ObjectToWire(o))
+	}
+	for _, r := range c.Deletes() {
+		m.Deletes = append(m.Deletes, &dhproto.Ref{Kind: string(r.Kind()), Name: r.Name()})
+	}
+	for _, b := range c.Blocks() {
+		m.Blocks = append(m.Blocks, &dhproto.BlockChange{Block: BlockToWire(b.Block()), Site: b.Site()})
+	}
+	return m
+}
+
+// ChangeSetFromWire returns the change set of a message, or a FormatError.
+func ChangeSetFromWire(m *dhproto.ChangeSet) (dhcatalog.ChangeSet, error) {
+	o := dhcatalog.ChangeSetOptions{ID: m.GetId(), Base: uint64(m.GetBase()), Author: m.GetAuthor()}
+	for _, w := range m.GetPuts() {
+		x, err := ObjectFromWire(w)
+		if err != nil {
+			return dhcatalog.ChangeSet{}, err
+		}
+		o.Puts = append(o.Puts, x)
+	}
+	for _, r := range m.GetDeletes() {
+		o.Deletes = append(o.Deletes, dhcatalog.NewRef(dhcatalog.Kind(r.GetKind()), r.GetName()))
+	}
+	for _, w := range m.GetBlocks() {
+		b, err := BlockFromWire(w.GetBlock())
+		if err != nil {
+			return dhcatalog.ChangeSet{}, err
+		}
+		o.Blocks = append(o.Blocks, dhcatalog.NewBlockChange(b, w.GetSite()))
+	}
+	// The digest is that of the form in which the change set is kept, so that it
+	// is the same after any number of conversions.
+	digest, err := digestOf(ChangeSetToWire(dhcatalog.NewChangeSet(o)))
+	o.Digest = digest
+	return dhcatalog.NewChangeSet(o), err
+}
+
+// catalogToWire returns the message of a whole configuration.
+func catalogToWire(c *dhcatalog.Catalog) *dhproto.Catalog {
+	if c == nil {
+		return nil
+	}
+	m := &dhproto.Catalog{Version: c.Version(), Blocks: &dhproto.BlockTable{}}
+	for _, k := range dhcatalog.Kinds() {
+		for _, o := range c.List(k) {
+			m.Objects = append(m.Objects, ObjectToWire(o))
+		}
+	}
+	numbers := map[string]uint32{}
+	c.EachBlock(func(b dhcatalog.Block, site string) {
+		n, found := numbers[site]
+		if !found {
+			n = uint32(len(m.Blocks.SiteNames))
+			numbers[site] = n
+			m.Blocks.SiteNames = append(m.Blocks.SiteNames, site)
+		}
+		m.Blocks.Starts = append(m.Blocks.Starts, b.Start())
+		m.Blocks.Bits = append(m.Blocks.Bits, byte(b.Bits()))
+		m.Blocks.Sites = append(m.Blocks.Sites, n)
+		m.Blocks.Families = append(m.Blocks.Families, familyOf(b))
+	})
+	return m
+}
+
+// The families of addresses in a BlockTable.
+const (
+	familyFour byte = 4
+	familySix  byte = 6
+)
+
+func familyOf(b dhcatalog.Block) byte {
+	if b.Six() {
+		return familySix
+	}
+	return familyFour
+}
+
+func catalogFromWire(m *dhproto.Catalog) (*dhcatalog.Catalog, error) {
+	if m == nil {
+		return nil, nil
+	}
+	var objects []dhcatalog.Object
+	for _, w := range m.GetObjects() {
+		o, err := ObjectFromWire(w)
+		if err != nil {
+			return nil, err
+		}
+		objects = append(objects, o)
+	}
+	t := m.GetBlocks()
+	if len(t.GetBits()) != len(t.GetStarts()) || len(t.GetSites()) != len(t.GetStarts()) || len(t.GetFamilies()) != len(t.GetStarts()) {
+		return nil, FormatError{"blocks", "columns of unequal length", "read another copy"}
+	}
+	blocks := make([]dhcatalog.BlockChange, 0, len(t.GetStarts()))
+	for i, start := range t.GetStarts() {
+		n := t.GetSites()[i]
+		if int(n) >= len(t.GetSiteNames()) {
+			return nil, FormatError{"blocks", "the number of an unknown site", "read another copy"}
+		}
+		b := dhcatalog.NewBlock(start, int(t.GetBits()[i]), t.GetFamilies()[i] == familySix)
+		blocks = append(blocks, dhcatalog.NewBlockChange(b, t.GetSiteNames()[n]))
+	}
+	c, err := dhcatalog.Restore(m.GetVersion(), objects, blocks)
+	if err != nil {
+		return nil, fmt.Errorf("restore version %d: %w", m.GetVersion(), err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/io/dhwire/log.go
@@ -0,0 +1,194 @@
+package dhwire
+
+import (
+	"fmt"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhproto"
+)
+
+func answerToWire(a *dhmessage.Answer) *dhproto.Answer {
+	if a == nil {
+		return nil
+	}
+	m := &dhproto.Answer{Status: int32(a.Status()), Body: a.Body()}
+	for _, f := range a.Header() {
+		m.Header = append(m.Header, &dhproto.Field{Name: f.Name(), Value: f.Value()})
+	}
+	return m
+}
+
+func answerFromWire(m *dhproto.Answer) *dhmessage.Answer {
+	if m == nil {
+		return nil
+	}
+	var header []dhmessage.Field
+	for _, f := range m.GetHeader() {
+		header = append(header, dhmessage.NewField(f.GetName(), f.GetValue()))
+	}
+	return dhmessage.NewAnswer(int(m.GetStatus()), header, m.GetBody())
+}
+
+func claimKeyToWire(k dhmessage.ClaimKey) *dhproto.ClaimKey {
+	return &dhproto.ClaimKey{Organisation: k.Organisation(), Key: k.Key()}
+}
+
+func claimKeyFromWire(m *dhproto.ClaimKey) dhmessage.ClaimKey {
+	return dhmessage.NewClaimKey(m.GetOrganisation(), m.GetKey())
+}
+
+func claimantToWire(c dhmessage.Claimant) *dhproto.Claimant {
+	return &dhproto.Claimant{Instance: c.Instance(), Stream: c.Stream(), Request: c.Request()}
+}
+
+func claimantFromWire(m *dhproto.Claimant) dhmessage.Claimant {
+	return dhmessage.NewClaimant(m.GetInstance(), m.GetStream(), m.GetRequest())
+}
+
+func digestToWire(d dhcatalog.KeyHash) []byte { return d[:] }
+
+func digestFromWire(raw []byte) dhcatalog.KeyHash {
+	var d dhcatalog.KeyHash
+	copy(d[:], raw)
+	return d
+}
+
+func commandToWire(c dhmessage.Command) *dhproto.Command {
+	switch c := c.(type) {
+	case dhmessage.Change:
+		return &dhproto.Command{Command: &dhproto.Command_Change{Change: ChangeSetToWire(c.Set())}}
+	case dhmessage.Members:
+		return &dhproto.Command{Command: &dhproto.Command_Members{Members: &dhproto.Members{Voters: VotersToWire(c.Voters())}}}
+	case dhmessage.Claim:
+		return &dhproto.Command{Command: &dhproto.Command_Claim{Claim: &dhproto.Claim{
+			Key: claimKeyToWire(c.Key()), Claimant: claimantToWire(c.Claimant()), Digest: digestToWire(c.Digest()),
+			DeadlineMs: c.Deadline().Milliseconds(), RetentionMs: c.Retention().Milliseconds(),
+		}}}
+	case dhmessage.Outcome:
+		return &dhproto.Command{Command: &dhproto.Command_Outcome{Outcome: &dhproto.Outcome{
+			Key: claimKeyToWire(c.Key()), Claimant: claimantToWire(c.Claimant()),
+			State: int32(c.State()), Answer: answerToWire(c.Answer()),
+		}}}
+	case dhmessage.Resolve:
+		return &dhproto.Command{Command: &dhproto.Command_Resolve{Resolve: &dhproto.Resolve{
+			Key: claimKeyToWire(c.Key()), Ran: c.Ran(),
+		}}}
+	case dhmessage.MemberEdit:
+		return &dhproto.Command{Command: &dhproto.Command_MemberEdit{MemberEdit: &dhproto.MemberEdit{
+			Action: int32(c.Action()), Name: c.Name(), Address: c.Address(), Folder: c.Folder(),
+		}}}
+	default:
+		return &dhproto.Command{Command: &dhproto.Command_Noop{Noop: &dhproto.Noop{}}}
+	}
+}
+
+func commandFromWire(m *dhproto.Command) (dhmessage.Command, error) {
+	switch c := m.GetCommand().(type) {
+	case *dhproto.Command_Noop:
+		return dhmessage.Noop{}, nil
+	case *dhproto.Command_Change:
+		set, err := ChangeSetFromWire(c.Change)
+		return dhmessage.NewChange(set), err
+	case *dhproto.Command_Members:
+		return dhmessage.NewMembers(VotersFromWire(c.Members.GetVoters())), nil
+	case *dhproto.Command_Claim:
+		return dhmessage.NewClaim(dhmessage.ClaimOptions{
+			Key: claimKeyFromWire(c.Claim.GetKey()), Claimant: claimantFromWire(c.Claim.GetClaimant()),
+			Digest:   digestFromWire(c.Claim.GetDigest()),
+			Deadline: dhclock.Millis(c.Claim.GetDeadlineMs()), Retention: dhclock.Millis(c.Claim.GetRetentionMs()),
+		}), nil
+	case *dhproto.Command_Outcome:
+		return dhmessage.NewOutcome(claimKeyFromWire(c.Outcome.GetKey()), claimantFromWire(c.Outcome.GetClaimant()),
+			dhmessage.ClaimState(c.Outcome.GetState()), answerFromWire(c.Outcome.GetAnswer())), nil
+	case *dhproto.Command_Resolve:
+		return dhmessage.NewResolve(claimKeyFromWire(c.Resolve.GetKey()), c.Resolve.GetRan()), nil
+	case *dhproto.Command_MemberEdit:
+		e := c.MemberEdit
+		return dhmessage.NewMemberEdit(dhmessage.MemberAction(e.GetAction()), e.GetName(), e.GetAddress(), e.GetFolder()), nil
+	default:
+		return nil, FormatError{"command", "an unknown kind", "bring all processes to the same release"}
+	}
+}
+
+// VotersToWire returns the messages of members.
+func VotersToWire(list []dhmessage.Voter) []*dhproto.Voter {
+	out := make([]*dhproto.Voter, 0, len(list))
+	for _, v := range list {
+		out = append(out, &dhproto.Voter{
+			Name: v.Peer().Name(), Folder: v.Peer().Folder(), Address: v.Address(), Learner: v.Learner(),
+		})
+	}
+	return out
+}
+
+// VotersFromWire returns the members of messages.
+func VotersFromWire(list []*dhproto.Voter) []dhmessage.Voter {
+	var out []dhmessage.Voter
+	for _, v := range list {
+		out = append(out, dhmessage.NewVoter(dhmessage.NewPeer(v.GetName(), v.GetFolder()), v.GetAddress(), v.GetLearner()))
+	}
+	return out
+}
+
+// EntryToWire returns the message of a log entry.
+func EntryToWire(e dhmessage.Entry) *dhproto.Entry {
+	return &dhproto.Entry{Index: e.Index(), Term: e.Term(), AtMs: e.At().Milliseconds(), Command: commandToWire(e.Command())}
+}
+
+// EntryFromWire returns the log entry of a message, or a FormatError.
+func EntryFromWire(m *dhproto.Entry) (dhmessage.Entry, error) {
+	c, err := commandFromWire(m.GetCommand())
+	if err != nil {
+		return dhmessage.Entry{}, fmt.Errorf("entry %d: %w", m.GetIndex(), err)
+	}
+	return dhmessage.NewEntry(m.GetIndex(), m.GetTerm(), dhclock.Millis(m.GetAtMs()), c), nil
+}
+
+// SnapshotToWire returns the message of a snapshot.
+func SnapshotToWire(s dhmessage.Snapshot) *dhproto.Snapshot {
+	m := &dhproto.Snapshot{
+		Index: s.Index(), Term: s.Term(), AtMs: s.At().Milliseconds(),
+		Voters: VotersToWire(s.Voters()), Catalog: catalogToWire(s.Catalog()),
+	}
+	for _, a := range s.Recent() {
+		m.Recent = append(m.Recent, &dhproto.Accepted{Version: a.Version(), AtMs: a.At().Milliseconds(), Set: ChangeSetToWire(a.Set())})
+	}
+	for _, c := range s.Claims() {
+		m.Claims = append(m.Claims, &dhproto.ClaimRecord{
+			Key: claimKeyToWire(c.Key()), Claimant: claimantToWire(c.Claimant()), Digest: digestToWire(c.Digest()),
+			State: int32(c.State()), Answer: answerToWire(c.Answer()),
+			DeadlineMs: c.Deadline().Milliseconds(), ExpiryMs: c.Expiry().Milliseconds(),
+		})
+	}
+	return m
+}
+
+// SnapshotFromWire returns the snapshot of a message, or a FormatError.
+func SnapshotFromWire(m *dhproto.Snapshot) (dhmessage.Snapshot, error) {
+	c, err := catalogFromWire(m.GetCatalog())
+	if err != nil {
+		return dhmessage.Snapshot{}, err
+	}
+	o := dhmessage.SnapshotOptions{
+		Index: m.GetIndex(), Term: m.GetTerm(), At: dhclock.Millis(m.GetAtMs()),
+		Voters: VotersFromWire(m.GetVoters()), Catalog: c,
+	}
+	for _, w := range m.GetRecent() {
+		set, err := ChangeSetFromWire(w.GetSet())
+		if err != nil {
+			return dhmessage.Snapshot{}, err
+		}
+		o.Recent = append(o.Recent, dhmessage.NewAccepted(w.GetVersion(), dhclock.Millis(w.GetAtMs()), set))
+	}
+	for _, w := range m.GetClaims() {
+		o.Claims = append(o.Claims, dhmessage.NewClaimRecord(dhmessage.ClaimRecordOptions{
+			Key: claimKeyFromWire(w.GetKey()), Claimant: claimantFromWire(w.GetClaimant()),
+			Digest: digestFromWire(w.GetDigest()), State: dhmessage.ClaimState(w.GetState()),
+			Answer:   answerFromWire(w.GetAnswer()),
+			Deadline: dhclock.Millis(w.GetDeadlineMs()), Expiry: dhclock.Millis(w.GetExpiryMs()),
+		}))
+	}
+	return dhmessage.NewSnapshot(o), nil
+}
--- /dev/null
+++ b/io/dhwire/message.go
@@ -0,0 +1,326 @@
+package dhwire
+
+import (
+	"errors"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhconsensus"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhproto"
+)
+
+// Protocol is the version of the protocol between processes.
+const Protocol = 1
+
+// MessageToWire returns the message of the schema.
+func MessageToWire(m dhmessage.Message) *dhproto.Message {
+	switch m := m.(type) {
+	case *dhmessage.VoteAsk:
+		return &dhproto.Message{Message: &dhproto.Message_VoteAsk{VoteAsk: &dhproto.VoteAsk{
+			Term: m.Term(), LastIndex: m.LastIndex(), LastTerm: m.LastTerm(), Pre: m.Pre(),
+		}}}
+	case *dhmessage.VoteAnswer:
+		return &dhproto.Message{Message: &dhproto.Message_VoteAnswer{VoteAnswer: &dhproto.VoteAnswer{
+			Term: m.Term(), Granted: m.Granted(), Pre: m.Pre(),
+		}}}
+	case *dhmessage.Append:
+		return &dhproto.Message{Message: &dhproto.Message_Append{Append: appendToWire(m)}}
+	case *dhmessage.AppendAnswer:
+		return &dhproto.Message{Message: &dhproto.Message_AppendAnswer{AppendAnswer: &dhproto.AppendAnswer{
+			Term: m.Term(), Accepted: m.Accepted(), Match: m.Match(), Round: m.Round(),
+		}}}
+	case *dhmessage.Install:
+		return &dhproto.Message{Message: &dhproto.Message_Install{Install: &dhproto.Install{
+			Term: m.Term(), Snapshot: SnapshotToWire(m.Snapshot()), Round: m.Round(),
+		}}}
+	case *dhmessage.Poll:
+		return &dhproto.Message{Message: &dhproto.Message_Poll{Poll: pollToWire(m)}}
+	case *dhmessage.Update:
+		return &dhproto.Message{Message: &dhproto.Message_Update{Update: updateToWire(m)}}
+	case *dhmessage.GrantAsk:
+		return &dhproto.Message{Message: &dhproto.Message_GrantAsk{GrantAsk: grantAskToWire(m)}}
+	case *dhmessage.GrantGive:
+		return &dhproto.Message{Message: &dhproto.Message_GrantGive{GrantGive: grantGiveToWire(m)}}
+	case *dhmessage.Propose:
+		return &dhproto.Message{Message: &dhproto.Message_Propose{Propose: &dhproto.Propose{
+			Ticket: m.Ticket(), Command: commandToWire(m.Command()),
+		}}}
+	case *dhmessage.Proposed:
+		return &dhproto.Message{Message: &dhproto.Message_Proposed{Proposed: &dhproto.Proposed{
+			Ticket: m.Ticket(), Result: resultToWire(m.Result()),
+		}}}
+	case *dhmessage.Redirect:
+		return &dhproto.Message{Message: &dhproto.Message_Redirect{Redirect: &dhproto.Redirect{
+			Ticket: m.Ticket(), Leader: m.Leader(),
+		}}}
+	case *dhmessage.IntakeAsk:
+		return &dhproto.Message{Message: &dhproto.Message_IntakeAsk{IntakeAsk: &dhproto.IntakeAsk{
+			Service: m.Service(), SentMs: m.Sent().Milliseconds(), Want: int32(m.Want()),
+		}}}
+	case *dhmessage.IntakeGive:
+		return &dhproto.Message{Message: &dhproto.Message_IntakeGive{IntakeGive: &dhproto.IntakeGive{
+			Service: m.Service(), SentMs: m.Sent().Milliseconds(), LifeMs: m.Life().Milliseconds(), Slots: int32(m.Slots()),
+		}}}
+	default:
+		return &dhproto.Message{}
+	}
+}
+
+func appendToWire(m *dhmessage.Append) *dhproto.Append {
+	w := &dhproto.Append{
+		Term: m.Term(), PreviousIndex: m.PreviousIndex(), PreviousTerm: m.PreviousTerm(),
+		Commit: m.Commit(), Round: m.Round(),
+	}
+	for _, e := range m.Entries() {
+		w.Entries = append(w.Entries, EntryToWire(e))
+	}
+	return w
+}
+
+func pollToWire(m *dhmessage.Poll) *dhproto.Poll {
+	w := &dhproto.Poll{Version: m.Version(), SentMs: m.Sent().Milliseconds()}
+	for _, a := range m.Acks() {
+		w.Acks = append(w.Acks, &dhproto.Ack{Instance: a.Instance(), Version: a.Version(), Leaving: a.Leaving()})
+	}
+	return w
+}
+
+func updateToWire(m *dhmessage.Update) *dhproto.Update {
+	w := &dhproto.Update{
+		SentMs: m.Sent().Milliseconds(), Version: m.Version(), Confirmed: m.Confirmed(), AgeMs: m.Age().Milliseconds(),
+		Full: catalogToWire(m.Full()), Leader: m.Leader(), InForce: m.InForce(),
+	}
+	for _, c := range m.Changes() {
+		w.Changes = append(w.Changes, ChangeSetToWire(c))
+	}
+	for _, a := range m.Away() {
+		w.Away = append(w.Away, &dhproto.Away{Instance: a.Instance(), Leaving: a.Leaving()})
+	}
+	for _, d := range m.Drains() {
+		w.Drains = append(w.Drains, &dhproto.DrainAge{Name: d.Name(), AgeMs: d.Age().Milliseconds()})
+	}
+	return w
+}
+
+func grantAskToWire(m *dhmessage.GrantAsk) *dhproto.GrantAsk {
+	w := &dhproto.GrantAsk{Stream: m.Stream(), Owner: m.Owner(), SentMs: m.Sent().Milliseconds()}
+	for _, a := range m.Asks() {
+		w.Asks = append(w.Asks, &dhproto.Ask{
+			Organisation: a.Organisation(), Want: int64(a.Want()), Used: int64(a.Used()), Dropped: int64(a.Dropped()),
+		})
+	}
+	return w
+}
+
+func grantGiveToWire(m *dhmessage.GrantGive) *dhproto.GrantGive {
+	w := &dhproto.GrantGive{
+		Stream: m.Stream(), Owner: m.Owner(), SentMs: m.Sent().Milliseconds(), LifeMs: m.Life().Milliseconds(),
+	}
+	for _, g := range m.Gives() {
+		w.Gives = append(w.Gives, &dhproto.Give{
+			Organisation: g.Organisation(), Amount: int64(g.Amount()), Through: int64(g.Through()), Short: g.Short(),
+		})
+	}
+	return w
+}
+
+// MessageFromWire returns the core's message, or a FormatError.
+func MessageFromWire(w *dhproto.Message) (dhmessage.Message, error) {
+	switch m := w.GetMessage().(type) {
+	case *dhproto.Message_VoteAsk:
+		return dhmessage.NewVoteAsk(dhmessage.VoteAskOptions{
+			Term: m.VoteAsk.GetTerm(), LastIndex: m.VoteAsk.GetLastIndex(),
+			LastTerm: m.VoteAsk.GetLastTerm(), Pre: m.VoteAsk.GetPre(),
+		}), nil
+	case *dhproto.Message_VoteAnswer:
+		return dhmessage.NewVoteAnswer(dhmessage.VoteAnswerOptions{
+			Term: m.VoteAnswer.GetTerm(), Granted: m.VoteAnswer.GetGranted(), Pre: m.VoteAnswer.GetPre(),
+		}), nil
+	case *dhproto.Message_Append:
+		return appendFromWire(m.Append)
+	case *dhproto.Message_AppendAnswer:
+		return dhmessage.NewAppendAnswer(dhmessage.AppendAnswerOptions{
+			Term: m.AppendAnswer.GetTerm(), Accepted: m.AppendAnswer.GetAccepted(),
+			Match: m.AppendAnswer.GetMatch(), Round: m.AppendAnswer.GetRound(),
+		}), nil
+	case *dhproto.Message_Install:
+		s, err := SnapshotFromWire(m.Install.GetSnapshot())
+		return dhmessage.NewInstall(dhmessage.InstallOptions{
+			Term: m.Install.GetTerm(), Snapshot: s, Round: m.Install.GetRound(),
+		}), err
+	case *dhproto.Message_Poll:
+		return pollFromWire(m.Poll), nil
+	case *dhproto.Message_Update:
+		return updateFromWire(m.Update)
+	case *dhproto.Message_GrantAsk:
+		return grantAskFromWire(m.GrantAsk), nil
+	case *dhproto.Message_GrantGive:
+		return grantGiveFromWire(m.GrantGive), nil
+	case *dhproto.Message_Propose:
+		c, err := commandFromWire(m.Propose.GetCommand())
+		return dhmessage.NewPropose(dhmessage.ProposeOptions{Ticket: m.Propose.GetTicket(), Command: c}), err
+	case *dhproto.Message_Proposed:
+		return dhmessage.NewProposed(dhmessage.ProposedOptions{
+			Ticket: m.Proposed.GetTicket(), Result: resultFromWire(m.Proposed.GetResult()),
+		}), nil
+	case *dhproto.Message_Redirect:
+		return dhmessage.NewRedirect(dhmessage.RedirectOptions{
+			Ticket: m.Redirect.GetTicket(), Leader: m.Redirect.GetLeader(),
+		}), nil
+	case *dhproto.Message_IntakeAsk:
+		return dhmessage.NewIntakeAsk(dhmessage.IntakeAskOptions{
+			Service: m.IntakeAsk.GetService(), Sent: dhclock.Millis(m.IntakeAsk.GetSentMs()), Want: int(m.IntakeAsk.GetWant()),
+		}), nil
+	case *dhproto.Message_IntakeGive:
+		return dhmessage.NewIntakeGive(dhmessage.IntakeGiveOptions{
+			Service: m.IntakeGive.GetService(), Sent: dhclock.Millis(m.IntakeGive.GetSentMs()),
+			Life: dhclock.Millis(m.IntakeGive.GetLifeMs()), Slots: int(m.IntakeGive.GetSlots()),
+		}), nil
+	default:
+		return nil, FormatError{"message", "an unknown kind", "bring all processes to the same release"}
+	}
+}
+
+func appendFromWire(w *dhproto.Append) (dhmessage.Message, error) {
+	o := dhmessage.AppendOptions{
+		Term: w.GetTerm(), PreviousIndex: w.GetPreviousIndex(), PreviousTerm: w.GetPreviousTerm(),
+		Commit: w.GetCommit(), Round: w.GetRound(),
+	}
+	for _, x := range w.GetEntries() {
+		e, err := EntryFromWire(x)
+		if err != nil {
+			return nil, err
+		}
+		o.Entries = append(o.Entries, e)
+	}
+	return dhmessage.NewAppend(o), nil
+}
+
+func pollFromWire(w *dhproto.Poll) dhmessage.Message {
+	o := dhmessage.PollOptions{Version: w.GetVersion(), Sent: dhclock.Millis(w.GetSentMs())}
+	for _, a := range w.GetAcks() {
+		o.Acks = append(o.Acks, dhmessage.NewAck(a.GetInstance(), a.GetVersion(), a.GetLeaving()))
+	}
+	return dhmessage.NewPoll(o)
+}
+
+func updateFromWire(w *dhproto.Update) (dhmessage.Message, error) {
+	full, err := catalogFromWire(w.GetFull())
+	if err != nil {
+		return nil, err
+	}
+	o := dhmessage.UpdateOptions{
+		Sent: dhclock.Millis(w.GetSentMs()), Version: w.GetVersion(), Confirmed: w.GetConfirmed(),
+		Age: dhclock.Millis(w.GetAgeMs()), Full: full, Leader: w.GetLeader(), InForce: w.GetInForce(),
+	}
+	for _, x := range w.GetChanges() {
+		c, err := ChangeSetFromWire(x)
+		if err != nil {
+			return nil, err
+		}
+		o.Changes = append(o.Changes, c)
+	}
+	for _, a := range w.GetAway() {
+		o.Away = append(o.Away, dhmessage.NewAway(a.GetInstance(), a.GetLeaving()))
+	}
+	for _, d := range w.GetDrains() {
+		o.Drains = append(o.Drains, dhmessage.NewDrainAge(d.GetName(), dhclock.Millis(d.GetAgeMs())))
+	}
+	return dhmessage.NewUpdate(o), nil
+}
+
+func grantAskFromWire(w *dhproto.GrantAsk) dhmessage.Message {
+	o := dhmessage.GrantAskOptions{Stream: w.GetStream(), Owner: w.GetOwner(), Sent: dhclock.Millis(w.GetSentMs())}
+	for _, a := range w.GetAsks() {
+		o.Asks = append(o.Asks, dhmessage.NewAsk(a.GetOrganisation(),
+			dhmessage.Tokens(a.GetWant()), dhmessage.Tokens(a.GetUsed()), dhmessage.Tokens(a.GetDropped())))
+	}
+	return dhmessage.NewGrantAsk(o)
+}
+
+func grantGiveFromWire(w *dhproto.GrantGive) dhmessage.Message {
+	o := dhmessage.GrantGiveOptions{
+		Stream: w.GetStream(), Owner: w.GetOwner(),
+		Sent: dhclock.Millis(w.GetSentMs()), Life: dhclock.Millis(w.GetLifeMs()),
+	}
+	for _, g := range w.GetGives() {
+		o.Gives = append(o.Gives, dhmessage.NewGive(g.GetOrganisation(),
+			dhmessage.Tokens(g.GetAmount()), dhmessage.Tokens(g.GetThrough()), g.GetShort()))
+	}
+	return dhmessage.NewGrantGive(o)
+}
+
+func resultToWire(r dhmessage.Result) *dhproto.Result {
+	return &dhproto.Result{
+		Version: r.Version(), Claim: int32(r.Claim()), Answer: answerToWire(r.Answer()),
+		Failure: failureToWire(r.Err()), Unsure: r.Unsure(),
+	}
+}
+
+func resultFromWire(w *dhproto.Result) dhmessage.Result {
+	return dhmessage.NewResult(dhmessage.ResultOptions{
+		Version: w.GetVersion(), Claim: dhmessage.ClaimState(w.GetClaim()), Answer: answerFromWire(w.GetAnswer()),
+		Err: failureFromWire(w.GetFailure()), Unsure: w.GetUnsure(),
+	})
+}
+
+// The kinds of Failure that carry facts of their own.
+const (
+	failureConflict = "conflict"
+	failureInvalid  = "invalid"
+	failureReused   = "changeIdReused"
+	failureMembers  = "membersRefused"
+	failureOther    = "refused"
+)
+
+func failureToWire(err error) *dhproto.Failure {
+	var conflict dhcatalog.ConflictError
+	var invalid dhcatalog.InvalidError
+	var reused dhcatalog.ReusedError
+	var members dhconsensus.MembersError
+	var refused dhmessage.RefusedError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
+		return &dhproto.Failure{Kind: failureConflict, Base: conflict.Base(), Current: conflict.Current()}
+	case errors.As(err, &invalid):
+		f := &dhproto.Failure{Kind: failureInvalid}
+		for _, p := range invalid.Problems() {
+			f.Problems = append(f.Problems, &dhproto.Problem{
+				Kind: string(p.Ref().Kind()), Name: p.Ref().Name(), Field: p.Field(), Found: p.Found(), Remedy: p.Remedy(),
+			})
+		}
+		return f
+	case errors.As(err, &reused):
+		return &dhproto.Failure{Kind: failureReused, Text: reused.ID()}
+	case errors.As(err, &members):
+		return &dhproto.Failure{Kind: failureMembers, Text: members.Reason(), Remedy: members.Remedy()}
+	case errors.As(err, &refused):
+		return &dhproto.Failure{Kind: refused.Kind(), Text: refused.Text(), Remedy: refused.Remedy()}
+	default:
+		return &dhproto.Failure{Kind: failureOther, Text: err.Error(), Remedy: "see the message"}
+	}
+}
+
+func failureFromWire(f *dhproto.Failure) error {
+	if f == nil {
+		return nil
+	}
+	switch f.GetKind() {
+	case failureConflict:
+		return dhcatalog.NewConflictError(f.GetBase(), f.GetCurrent())
+	case failureReused:
+		return dhcatalog.NewReusedError(f.GetText())
+	case failureInvalid:
+		var list []dhcatalog.Problem
+		for _, p := range f.GetProblems() {
+			ref := dhcatalog.NewRef(dhcatalog.Kind(p.GetKind()), p.GetName())
+			list = append(list, dhcatalog.NewProblem(ref, p.GetField(), p.GetFound(), p.GetRemedy()))
+		}
+		return dhcatalog.NewInvalidError(list)
+	default:
+		return dhmessage.NewRefusedError(f.GetKind(), f.GetText(), f.GetRemedy())
+	}
+}
