Prove the path over separate processes under kills, cuts, freezes and a lost disk

Cause of the first failure: a leader kept what it knew of a voter's lost data folder (its match index) when a blank folder answered under the same name, so the blank one was never sent the first entries. Ruled out: the spread and the transport (heartbeats arrived). Change: progress starts anew when another folder answers.

Also: resends that find their first attempt still running wait for its outcome up to the route's queueWaitMs instead of being refused.

--- /dev/null
+++ b/cmd/dogwoodhitch/cluster_test.go
@@ -0,0 +1,422 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"dogwoodhitch/io/dhclient"
+	"dogwoodhitch/io/dhoperator"
+	"dogwoodhitch/io/dhstandin"
+)
+
+// program is the binary under test, built once.
+var program string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "dogwoodhitch")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(folder, "dogwoodhitch")
+	args := []string{"build", "-o", program, "."}
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// deadline bounds every wait for something that must come.
+const deadline = 30 * time.Second
+
+const testSecret = "a-secret-of-the-tests"
+
+// link is a TCP forwarder that can be cut.
+type link struct {
+	listener net.Listener
+	target   string
+	mutex    sync.Mutex
+	cut      bool
+	open     map[net.Conn]bool
+}
+
+func withLink(t *testing.T, target string) *link {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &link{listener: l, target: target, open: map[net.Conn]bool{}}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go k.forward(c)
+		}
+	}()
+	return k
+}
+
+func (k *link) forward(c net.Conn) {
+	defer c.Close()
+	k.mutex.Lock()
+	cut := k.cut
+	k.mutex.Unlock()
+	if cut {
+		return
+	}
+	d, err := net.Dial("tcp", k.target)
+	if err != nil {
+		return
+	}
+	defer d.Close()
+	k.mutex.Lock()
+	k.open[c], k.open[d] = true, true
+	k.mutex.Unlock()
+	go func() {
+		io.Copy(d, c)
+		d.Close()
+	}()
+	io.Copy(c, d)
+	k.mutex.Lock()
+	delete(k.open, c)
+	delete(k.open, d)
+	k.mutex.Unlock()
+}
+
+func (k *link) set(cut bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.cut = cut
+	if cut {
+		for c := range k.open {
+			c.Close()
+		}
+	}
+}
+
+// process is one process of the program.
+type process struct {
+	name, role, zone string
+	folder           string
+	callers          string
+	upstreams        string
+	peers            string
+	operators        string
+	command          *exec.Cmd
+	done             chan struct{}
+	log              *bytes.Buffer
+}
+
+// cluster is a running system of separate processes.
+type cluster struct {
+	t       *testing.T
+	folder  string
+	voters  []*process
+	entries []*process
+	links   map[[2]string]*link // from process, to process
+	version uint64
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// withCluster starts voters and one entry instance a zone, and puts the sample
+// objects in force.
+func withCluster(t *testing.T, voters int, zones ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir(), links: map[[2]string]*link{}}
+	for _, s := range []string{"peers", "operators", "upstreams"} {
+		os.WriteFile(filepath.Join(c.folder, s), []byte(testSecret+s), 0o600)
+	}
+	for i := range voters {
+		c.voters = append(c.voters, c.newProcess(fmt.Sprintf("c%d", i+1), "control", ""))
+	}
+	for _, z := range zones {
+		c.entries = append(c.entries, c.newProcess(z+"-1", "entry", z))
+	}
+	for _, p := range append(append([]*process{}, c.voters...), c.entries...) {
+		c.settings(p)
+	}
+	for _, v := range c.voters {
+		c.run("found", "--settings", v.folder+".jsonc")
+	}
+	for _, p := range append(append([]*process{}, c.voters...), c.entries...) {
+		c.start(p)
+	}
+	c.apply(c.sample())
+	for _, e := range c.entries {
+		c.waitReady(e)
+	}
+	return c
+}
+
+func (c *cluster) newProcess(name, role, zone string) *process {
+	return &process{
+		name: name, role: role, zone: zone, folder: filepath.Join(c.folder, name),
+		callers: freeAddress(c.t), upstreams: freeAddress(c.t), peers: freeAddress(c.t), operators: freeAddress(c.t),
+	}
+}
+
+// linkTo returns the forwarder that carries what one process sends another.
+func (c *cluster) linkTo(from, to string, address string) *link {
+	key := [2]string{from, to}
+	if c.links[key] == nil {
+		c.links[key] = withLink(c.t, address)
+	}
+	return c.links[key]
+}
+
+// cut cuts or heals every link from and to a process.
+func (c *cluster) cut(name string, cut bool) {
+	for key, k := range c.links {
+		if key[0] == name || key[1] == name {
+			k.set(cut)
+		}
+	}
+}
+
+func (c *cluster) settings(p *process) {
+	type voter struct {
+		Name    string `json:"name"`
+		Address string `json:"address"`
+	}
+	var voters []voter
+	for _, v := range c.voters {
+		address := v.peers
+		if v != p {
+			address = c.linkTo(p.name, v.name, v.peers).listener.Addr().String()
+		}
+		voters = append(voters, voter{v.name, address})
+	}
+	listen := map[string]string{"peers": p.peers, "operators": p.operators}
+	secrets := map[string]string{"peersFile": "peers", "operatorsFile": "operators"}
+	s := map[string]any{
+		"name": p.name, "role": p.role, "voters": voters, "listen": listen, "secrets": secrets,
+		"logs": map[string]any{"level": "info"}, "shutdown": map[string]int{"leaveWaitMs": 1500, "finishMs": 10000},
+	}
+	if p.role == "control" {
+		s["dataFolder"] = p.folder
+	} else {
+		s["zone"] = p.zone
+		listen["callers"], listen["upstreams"] = p.callers, p.upstreams
+		secrets["upstreamsFile"] = "upstreams"
+		s["journalFile"] = p.folder + ".journal"
+	}
+	raw, _ := json.Marshal(s)
+	if err := os.WriteFile(p.folder+".jsonc", raw, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) run(args ...string) string {
+	c.t.Helper()
+	out, err := exec.Command(program, args...).CombinedOutput()
+	if err != nil {
+		c.t.Fatalf("%v: %v: %s", args, err, out)
+	}
+	return string(out)
+}
+
+func (c *cluster) start(p *process) {
+	c.t.Helper()
+	p.log = &bytes.Buffer{}
+	p.command = exec.Command(program, p.role, "--settings", p.folder+".jsonc")
+	p.command.Stderr = p.log
+	if err := p.command.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	p.done = make(chan struct{})
+	go func(p *process, command *exec.Cmd, done chan struct{}) {
+		command.Wait()
+		close(done)
+	}(p, p.command, p.done)
+	c.t.Cleanup(func() {
+		c.kill(p)
+		if c.t.Failed() {
+			c.t.Logf("log of %s:\n%s", p.name, p.log)
+		}
+	})
+}
+
+func (c *cluster) kill(p *process) {
+	p.command.Process.Signal(syscall.SIGCONT)
+	p.command.Process.Kill()
+	<-p.done
+}
+
+func (c *cluster) client(list ...*process) *dhclient.Client {
+	var servers []string
+	for _, p := range list {
+		servers = append(servers, p.operators)
+	}
+	return dhclient.New(dhclient.Options{Servers: servers, Secret: testSecret + "operators"})
+}
+
+// sample returns the objects of the tests.
+func (c *cluster) sample() string {
+	var puts []string
+	put := func(kind, body string, args ...any) {
+		puts = append(puts, fmt.Sprintf(`{%q: %s}`, kind, fmt.Sprintf(body, args...)))
+	}
+	for i, e := range c.entries {
+		put("zone", `{"name": %q, "region": %q}`, e.zone, e.zone[:1])
+		put("instance", `{"name": %q, "zone": %q, "callerAddress": %q, "peerAddress": %q}`,
+			e.name, e.zone, e.callers, c.linkTo("*", e.name, e.peers).listener.Addr())
+		put("site", `{"name": "site-%s", "zone": %q, "timeToLiveMs": 1000, "default": %t}`, e.zone, e.zone, i == 0)
+	}
+	put("organisation", `{"name": "glenmorven"}`)
+	put("key", `{"name": "key-1", "organisation": "glenmorven", "secret": "key-one-of-glenmorven"}`)
+	put("key", `{"name": "key-2", "organisation": "glenmorven", "secret": "key-two-of-glenmorven"}`)
+	put("limit", `{"name": "glenmorven", "organisation": "glenmorven", "rate": 1000, "burst": 500}`)
+	put("service", `{"name": "gate", "spillPercent": 50}`)
+	put("route", `{"name": "gate", "pathPrefix": "/gate/", "service": "gate", "idempotent": true, "timeoutMs": 5000, "queueWaitMs": 2000}`)
+	put("route", `{"name": "open", "pathPrefix": "/open/", "service": "gate", "open": true, "idempotent": true, "timeoutMs": 5000, "queueWaitMs": 2000}`)
+	put("route", `{"name": "purchase", "pathPrefix": "/purchases/", "service": "gate", "claimRequired": true, "timeoutMs": 8000, "queueWaitMs": 5000, "retentionMs": 3600000}`)
+	return strings.Join(puts, ",\n")
+}
+
+// apply puts objects in force everywhere.
+func (c *cluster) apply(puts string, deletes ...string) {
+	c.t.Helper()
+	c.version++
+	raw := fmt.Sprintf(`{"id": "change-%d", "author": "test", "base": %d, "puts": [%s], "deletes": [%s]}`,
+		c.version, c.version-1, puts, strings.Join(deletes, ","))
+	var last error
+	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		changed, err := c.client(c.voters...).Change(c.t.Context(), []byte(raw), false, true)
+		if err == nil && changed.Version == c.version && changed.InForce {
+			return
+		}
+		last = err
+	}
+	c.t.Fatalf("change %d is not in force: %v", c.version, last)
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal("never came: " + what)
+}
+
+func (c *cluster) waitReady(p *process) {
+	c.t.Helper()
+	eventually(c.t, p.name+" is ready", func() bool {
+		r, err := http.Get("http://" + p.operators + "/readyz")
+		if err != nil {
+			return false
+		}
+		r.Body.Close()
+		return r.StatusCode == http.StatusOK
+	})
+}
+
+// leader returns the voter that leads, among those given.
+func (c *cluster) leader(among ...*process) *process {
+	c.t.Helper()
+	var found *process
+	eventually(c.t, "a leader", func() bool {
+		for _, v := range among {
+			var s dhoperator.Status
+			s, err := c.client(v).Status(c.t.Context())
+			if err == nil && s.Leads && s.Confirmed && s.AgeMs < 500 {
+				found = v
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// withUpstream starts a stand-in upstream at an entry instance.
+func (c *cluster) withUpstream(name string, e *process, serve http.HandlerFunc) *dhstandin.Standin {
+	c.t.Helper()
+	s, err := dhstandin.New(dhstandin.Options{
+		Name: name, Service: "gate", Address: "127.0.0.1:0", Entries: []string{e.upstreams},
+		Secret: testSecret + "upstreams", Slots: 8, Serve: serve,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		s.Run(ctx)
+		close(done)
+	}()
+	c.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	eventually(c.t, name+" is announced", func() bool {
+		pools, err := c.client(e).Pools(c.t.Context())
+		return err == nil && len(pools) > 0 && len(pools[0].Upstreams) > 0
+	})
+	return s
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	kind    string
+	run     string
+	body    string
+	replay  bool
+	problem error
+}
+
+var caller = &http.Client{Timeout: deadline}
+
+// call sends a request as a caller.
+func call(e *process, method, path, key, idempotency, body string) reply {
+	r, err := http.NewRequest(method, "http://"+e.callers+path, strings.NewReader(body))
+	if err != nil {
+		return reply{problem: err}
+	}
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	if idempotency != "" {
+		r.Header.Set("Idempotency-Key", idempotency)
+	}
+	answer, err := caller.Do(r)
+	if err != nil {
+		return reply{problem: err}
+	}
+	defer answer.Body.Close()
+	raw, err := io.ReadAll(answer.Body)
+	return reply{
+		status: answer.StatusCode, kind: answer.Header.Get("Dogwoodhitch-Refusal"), run: answer.Header.Get("Dogwoodhitch-Run"),
+		body: string(raw), replay: answer.Header.Get("Dogwoodhitch-Replayed") != "", problem: err,
+	}
+}
--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -190,7 +190,11 @@
 		return
 	}
 	p := n.progressOf(from.Name())
-	p.folder = from.Folder()
+	if p.folder != from.Folder() {
+		// Another data folder answers under the name: what the old one had
+		// says nothing about it.
+		*p = progress{next: n.log.lastIndex() + 1, folder: from.Folder()}
+	}
 	if _, member := findVoter(n.log.voters(), from); !member {
 		return
 	}
--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -4,8 +4,10 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhgrant"
 	"dogwoodhitch/core/dhledger"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhview"
 )
 
 // minCompactEntries is how many log entries are kept at least between two
@@ -18,6 +20,8 @@
 	looked   dhclock.Millis
 	accepted []acceptance
 	grace    dhclock.Millis // longest grace of any organisation since
+	// grantFrom is when the first tokens may be granted.
+	grantFrom dhclock.Millis
 }
 
 // acceptance is when a version was accepted, on this process's clock.
@@ -35,6 +39,7 @@
 	if base := v.node.Base(); base.Index() > v.ledger.Index() {
 		v.ledger = dhledger.New(base)
 		v.members = base.Voters()
+		s.spread.SetMembers(v.members)
 		s.takeCatalog()
 	}
 	for v.ledger.Index() < v.node.Commit() {
@@ -52,9 +57,14 @@
 	result := v.ledger.Apply(e)
 	if m, ok := e.Command().(dhmessage.Members); ok {
 		v.members = m.Voters()
+		s.spread.SetMembers(v.members)
 	}
 	if version := v.ledger.Catalog().Version(); version != before {
 		v.reign.accept(version, s.now, v.ledger.Catalog())
+		if e.Term() < v.term {
+			// A predecessor may have accepted it, and granted under it.
+			v.reign.grantFrom = max(v.reign.grantFrom, s.now+max(dhgrant.OwnerLife, dhview.FreshnessLease))
+		}
 		s.takeCatalog()
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "ledger", Text: "accepted a change set", Number: version}))
 	}
--- a/core/dhcontrol/limits.go
+++ b/core/dhcontrol/limits.go
@@ -20,7 +20,6 @@
 type limits struct {
 	version uint64
 	owners  map[string]*dhgrant.Owner
-	from    dhclock.Millis
 	swept   dhclock.Millis
 }
 
@@ -73,7 +72,7 @@
 	if m.Owner() == v.node.Term() {
 		w.Report(now, holder, m.Stream(), a.Used(), a.Dropped())
 	}
-	if a.Want() <= 0 || now < v.limits.from {
+	if a.Want() <= 0 || now < v.reign.grantFrom {
 		return dhmessage.Give{}, false
 	}
 	amount, through := w.Give(now, holder, m.Stream(), a.Want())
@@ -90,7 +89,7 @@
 		return
 	}
 	if v.limits == nil {
-		v.limits = &limits{owners: map[string]*dhgrant.Owner{}, from: v.grantFrom()}
+		v.limits = &limits{owners: map[string]*dhgrant.Owner{}}
 	}
 	if v.limits.version != v.ledger.Catalog().Version() {
 		v.limits.configure(now, v.ledger.Catalog(), v.node.Since())
@@ -103,18 +102,19 @@
 	}
 }
 
-// grantFrom is when this leader may start to grant: after the predecessor's
-// grants, and after floors of an earlier version that it may not know.
-func (v *voter) grantFrom() dhclock.Millis {
-	if v.ledger.Catalog().Version() == 0 {
-		return v.node.Since() // no limit was ever in force
-	}
+// grantFrom is when a leader that was just elected may start to grant: after
+// the predecessor's grants, and after floors of an earlier version that some
+// instance may still use. Before the first version there was no limit.
+func (v *voter) grantFrom(now dhclock.Millis) dhclock.Millis {
 	recent := v.ledger.Recent()
-	from := v.node.Since() + dhgrant.OwnerLife
-	if len(recent) > 0 && v.node.LogNow().Since(recent[len(recent)-1].At()) < dhview.FreshnessLease {
-		from = max(from, v.node.Since()+dhview.FreshnessLease)
+	switch {
+	case v.ledger.Catalog().Version() == 0:
+		return now
+	case len(recent) > 0 && v.node.LogNow().Since(recent[len(recent)-1].At()) < dhview.FreshnessLease:
+		return now + max(dhgrant.OwnerLife, dhview.FreshnessLease)
+	default:
+		return now + dhgrant.OwnerLife
 	}
-	return from
 }
 
 // configure takes the limits of a version. Buckets of a new leader fill from
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -78,6 +78,7 @@
 		pending: map[uint64]pending{},
 		asked:   map[askedKey]uint64{},
 	}
+	s.spread.SetMembers(members)
 	s.takeCatalog()
 	return s
 }
--- a/core/dhcontrol/status.go
+++ b/core/dhcontrol/status.go
@@ -29,6 +29,7 @@
 		v.asked = map[askedKey]uint64{}
 		v.reign = reign{}
 		if v.led {
+			v.reign.grantFrom = v.grantFrom(s.now)
 			v.reign.accept(v.ledger.Catalog().Version(), s.now, v.ledger.Catalog())
 		}
 		s.spread.Lead(v.led, s.now)
--- a/core/dhmessage/spread.go
+++ b/core/dhmessage/spread.go
@@ -79,6 +79,8 @@
 	InForce uint64
 	// Drains is how long ago each drain started.
 	Drains []DrainAge
+	// Voters is the members of the consensus group.
+	Voters []Voter
 }
 
 // Update answers a Poll, or comes unasked when the version rises.
@@ -121,6 +123,9 @@
 // Drains returns how long ago each drain started.
 func (m *Update) Drains() []DrainAge { return m.options.Drains }
 
+// Voters returns the members of the consensus group.
+func (m *Update) Voters() []Voter { return m.options.Voters }
+
 func (*Update) message() {}
 
 // DrainAge says how long ago a drain started.
--- a/core/dhspread/children.go
+++ b/core/dhspread/children.go
@@ -25,6 +25,7 @@
 	o := dhmessage.UpdateOptions{
 		Sent: sent, Version: s.catalog.Version(), Confirmed: s.ever, Age: now.Since(s.confirmed),
 		Away: s.away, Leader: s.leader, InForce: s.inForce, Drains: s.drainAges(now),
+		Voters: s.members,
 	}
 	if version < s.catalog.Version() {
 		var kept bool
--- a/core/dhspread/parent.go
+++ b/core/dhspread/parent.go
@@ -42,8 +42,9 @@
 	for _, c := range []byte(s.self) {
 		start = start*31 + int(c)
 	}
-	for i := range s.voters {
-		list = append(list, s.voters[(start+i)%len(s.voters)])
+	voters := s.voterNames()
+	for i := range voters {
+		list = append(list, voters[(start+i)%len(voters)])
 	}
 	return list
 }
@@ -129,6 +130,9 @@
 	s.Confirm(m.Sent() - m.Age())
 	s.SetInForce(m.InForce())
 	s.setDrains(now, m.Drains())
+	if !s.voter && len(m.Voters()) > 0 {
+		s.SetMembers(m.Voters())
+	}
 	if !s.voter && m.Leader() != "" {
 		s.SetLeader(m.Leader())
 	}
--- a/core/dhspread/state.go
+++ b/core/dhspread/state.go
@@ -66,6 +66,7 @@
 	ever      bool
 	away      []dhmessage.Away
 	inForce   uint64
+	members   []dhmessage.Voter
 	drains    map[string]dhclock.Millis
 
 	parent   parent
@@ -156,7 +157,27 @@
 	}
 }
 
-// SetDrains notes how long ago each drain started. A start that is known is
+// SetMembers notes the members of the consensus group.
+func (s *State) SetMembers(list []dhmessage.Voter) {
+	if !slices.Equal(list, s.members) {
+		s.members, s.dirty = list, true
+	}
+}
+
+// voterNames returns the voters to poll: the members, or before they are known
+// those of the settings.
+func (s *State) voterNames() []string {
+	if len(s.members) == 0 {
+		return s.voters
+	}
+	var list []string
+	for _, v := range s.members {
+		list = append(list, v.Peer().Name())
+	}
+	return list
+}
+
+// setDrains notes how long ago each drain started. A start that is known is
 // kept, so that it doesn't wander with each message.
 func (s *State) setDrains(now dhclock.Millis, ages []dhmessage.DrainAge) {
 	next := make(map[string]dhclock.Millis, len(ages))
@@ -217,7 +238,7 @@
 	s.dirty = false
 	out.Add(dheffect.NewPublish(dheffect.PublishOptions{View: dhview.New(dhview.Options{
 		Catalog: s.catalog, Confirmed: s.confirmed, Ever: s.ever, Applied: s.applied,
-		Away: s.away, Leader: s.leader, InForce: s.inForce, DrainStarts: s.drains,
+		Away: s.away, Leader: s.leader, InForce: s.inForce, DrainStarts: s.drains, Voters: s.members,
 	})}))
 }
 
--- a/core/dhtraffic/claim.go
+++ b/core/dhtraffic/claim.go
@@ -11,6 +11,26 @@
 // in milliseconds.
 const outcomePatience = 60 * dhclock.Second
 
+// claimRetry is after how long a request whose earlier attempt still runs asks
+// again what became of it, in milliseconds.
+const claimRetry dhclock.Millis = 40
+
+// tickClaims asks again for the requests whose earlier attempt still ran.
+func (s *State) tickClaims(now dhclock.Millis, out *dheffect.List) {
+	kept := s.reclaims[:0]
+	for _, r := range s.reclaims {
+		switch {
+		case s.requests[r.id] != r:
+		case r.claimAt <= now:
+			s.seekClaim(now, r, out)
+		default:
+			kept = append(kept, r)
+		}
+	}
+	clear(s.reclaims[len(kept):])
+	s.reclaims = kept
+}
+
 // seekClaim asks the voters to let this attempt run the request. Nothing is
 // sent to an upstream before a majority has stored the claim.
 func (s *State) seekClaim(now dhclock.Millis, r *request, out *dheffect.List) {
@@ -55,6 +75,11 @@
 	case dhmessage.ClaimMismatch:
 		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseClaimReused, false, 0), out)
 	case dhmessage.ClaimOpen:
+		if now+claimRetry < r.waitUntil {
+			r.claimAt = now + claimRetry
+			s.reclaims = append(s.reclaims, r)
+			return
+		}
 		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseClaimOpen, true, retryLater), out)
 	case dhmessage.ClaimRan:
 		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseClaimRan, true, 0), out)
--- a/core/dhtraffic/pools.go
+++ b/core/dhtraffic/pools.go
@@ -30,6 +30,7 @@
 // Tick lets time pass.
 func (s *State) Tick(now dhclock.Millis, out *dheffect.List) {
 	s.tickTenants(now, out)
+	s.tickClaims(now, out)
 	s.tickPools(now, out)
 }
 
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -34,6 +34,7 @@
 	requests map[uint64]*request
 	burn     *dhburn.Recorder
 	reported dhclock.Millis
+	reclaims []*request // wait to ask again for their claim
 }
 
 // New returns traffic state that serves nothing until it gets a view.
@@ -81,6 +82,7 @@
 	claim        *dhmessage.ClaimKey
 	digest       dhcatalog.KeyHash
 	claimed      bool // the claim is granted
+	claimAt      dhclock.Millis
 	waiter       *dhsteer.Waiter
 	pool         *pool
 	upstream     *dhsteer.Upstream
--- a/core/dhview/view.go
+++ b/core/dhview/view.go
@@ -23,6 +23,8 @@
 	Applied dhclock.Millis
 	Away    []dhmessage.Away
 	Leader  string
+	// Voters are the members of the consensus group, as far as is known.
+	Voters []dhmessage.Voter
 	// InForce is the newest version known to be in force everywhere.
 	InForce uint64
 	// DrainStarts holds when each drain started, on this instance's clock.
@@ -56,6 +58,9 @@
 // Leader returns the voter that leads, or "" if unknown.
 func (v *View) Leader() string { return v.options.Leader }
 
+// Voters returns the members of the consensus group, as far as is known.
+func (v *View) Voters() []dhmessage.Voter { return v.options.Voters }
+
 // Away returns the instances that look-ups must not name.
 func (v *View) Away() []dhmessage.Away { return v.options.Away }
 
--- a/io/dhcommand/main.go
+++ b/io/dhcommand/main.go
@@ -88,7 +88,7 @@
 		Commands: []*cli.Command{
 			quickstartCommand(), entryCommand(), controlCommand(), foundCommand(), checkCommand(),
 			applyCommand(), getCommand(), historyCommand(), statusCommand(), lookupCommand(), poolsCommand(),
-			drainCommand(), burnCommand(), claimCommand(), voterCommand(), inspectCommand(), replayCommand(),
+			drainCommand(), burnCommand(), claimCommand(), voterCommand(), inspectCommand(), replayCommand(), docsCommand(),
 		},
 	}
 }
--- a/io/dhjournal/journal.go
+++ b/io/dhjournal/journal.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return line{}, err
 	}
-	list, err := c.encode(effects)
+	list, err := c.encode(append([]dheffect.Effect{}, effects...))
 	return line{State: state, Event: event, Effects: list}, err
 }
 
--- a/io/dhpeer/book.go
+++ b/io/dhpeer/book.go
@@ -4,13 +4,16 @@
 	"sync"
 
 	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhview"
 )
 
 // Book knows at which address each process listens: from the settings, from
-// the configuration, and from the messages that came.
+// the list of voters, from the configuration, and else from the messages that
+// came.
 type Book struct {
 	mutex   sync.RWMutex
 	fixed   map[string]string
+	voters  map[string]string
 	learnt  map[string]string
 	catalog *dhcatalog.Catalog
 }
@@ -20,11 +23,17 @@
 	return &Book{fixed: fixed, learnt: map[string]string{}, catalog: dhcatalog.New()}
 }
 
-// SetCatalog takes the addresses of a configuration.
-func (b *Book) SetCatalog(c *dhcatalog.Catalog) {
+// SetView takes the addresses of a configuration and of the voters.
+func (b *Book) SetView(v *dhview.View) {
+	voters := make(map[string]string, len(v.Voters()))
+	for _, m := range v.Voters() {
+		if m.Address() != "" {
+			voters[m.Peer().Name()] = m.Address()
+		}
+	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.catalog = c
+	b.catalog, b.voters = v.Catalog(), voters
 }
 
 // Learn notes where a process says that it listens.
@@ -41,11 +50,14 @@
 func (b *Book) Lookup(name string) string {
 	b.mutex.RLock()
 	defer b.mutex.RUnlock()
-	if a, found := b.learnt[name]; found {
+	if a, found := b.fixed[name]; found {
+		return a
+	}
+	if a, found := b.voters[name]; found {
 		return a
 	}
 	if i, found := b.catalog.Instance(name); found {
 		return i.PeerAddress()
 	}
-	return b.fixed[name]
+	return b.learnt[name]
 }
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -204,7 +204,7 @@
 
 func (p *Process) publish(v *dhview.View) {
 	p.view.Store(v)
-	p.book.SetCatalog(v.Catalog())
+	p.book.SetView(v)
 	p.metrics.Gauge(int64(v.Catalog().Version()), "dogwoodhitch_version")
 	p.metrics.Gauge(int64(v.InForce()), "dogwoodhitch_version_in_force")
 	if p.shard != nil {
--- a/io/dhquickstart/system.go
+++ b/io/dhquickstart/system.go
@@ -29,8 +29,8 @@
 const (
 	voterName   = "control-1"
 	loopback    = "127.0.0.1:0"
-	sampleRate  = 200
-	sampleBurst = 100
+	sampleRate  = 400
+	sampleBurst = 200
 	holdBytes   = 64 << 10
 	maxBody     = 1 << 20
 	connections = 64
