--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -211,6 +211,7 @@
 	p.match = max(p.match, m.Match())
 	p.next = max(p.next, p.match+1)
 	n.advance()
+	n.confirm()
 	if p.next <= n.log.lastIndex() {
 		n.sendAppend(from.Name(), out)
 	}
--- a/core/dhconsensus/members.go
+++ b/core/dhconsensus/members.go
@@ -22,13 +22,16 @@
 // Error implements error.
 func (e MembersError) Error() string { return e.reason + "; " + e.remedy }
 
+// Changing tells whether a change of members isn't committed yet.
+func (n *Node) Changing() bool { return n.log.changedAt() > n.commit }
+
 // CheckMembers tells whether a change of members may be proposed now. Two
 // changes never overlap, and each changes at most one vote.
 func (n *Node) CheckMembers(next []dhmessage.Voter) error {
 	if n.role != leader {
 		return MembersError{"this voter doesn't lead", "send the command again"}
 	}
-	if n.log.changedAt() > n.commit || n.commit < n.lead.firstTerm {
+	if n.Changing() || n.commit < n.lead.firstTerm {
 		return MembersError{"another change of members is under way", "wait until status shows it as done"}
 	}
 	if countVotes(next) == 0 {
@@ -76,7 +79,7 @@
 // promote gives a vote to a learner that has synced all that is committed, and
 // binds founders to the data folders that answered under their names.
 func (n *Node) promote(out *dheffect.List) {
-	if n.log.changedAt() > n.commit || n.commit < n.lead.firstTerm {
+	if n.Changing() || n.commit < n.lead.firstTerm {
 		return
 	}
 	next := slices.Clone(n.log.voters())
--- a/core/dhconsensus/vote.go
+++ b/core/dhconsensus/vote.go
@@ -30,10 +30,10 @@
 	n.countVotes(out)
 }
 
+// onVoteAsk answers whatever this node believes about the members: its list may
+// be older than the candidate's. The candidate counts only answers from the
+// folders that have a vote by its own list, so a blank folder's never count.
 func (n *Node) onVoteAsk(from dhmessage.Peer, m *dhmessage.VoteAsk, out *dheffect.List) {
-	if !n.isVoter(from) || !n.isVoter(n.self) {
-		return
-	}
 	granted := n.wouldVote(from, m)
 	if !m.Pre() && m.Term() > n.term && granted {
 		n.adopt(m.Term(), out)
--- a/core/dhcontrol/status.go
+++ b/core/dhcontrol/status.go
@@ -100,16 +100,18 @@
 	return dheffect.NewVoterStatus(dheffect.VoterStatusOptions{
 		Name: m.Voter().Peer().Name(), Address: m.Voter().Address(),
 		Folder: m.Voter().Peer().Folder(), Answers: m.Folder(), Learner: m.Voter().Learner(),
-		Lag: lag, Silent: m.Silent(), Heard: m.Heard(), Advice: advice(m, n.Leads()),
+		Lag: lag, Silent: m.Silent(), Heard: m.Heard(), Advice: advice(m, n),
 	})
 }
 
 // advice tells an operator what to do about a member, or "".
-func advice(m dhconsensus.Progress, leads bool) string {
+func advice(m dhconsensus.Progress, n *dhconsensus.Node) string {
 	folder := m.Voter().Peer().Folder()
 	switch {
-	case !leads:
+	case !n.Leads():
 		return ""
+	case n.Changing():
+		return "a change of members is under way: wait before the next one, and before stopping a voter"
 	case m.Folder() != "" && folder != "" && m.Folder() != folder:
 		return "answers from another data folder: run 'voter replace " + m.Voter().Peer().Name() + "'"
 	case !m.Heard():
--- /dev/null
+++ b/core/dhreducer/network_test.go
@@ -0,0 +1,343 @@
+package dhreducer
+
+import (
+	"fmt"
+	"slices"
+
+	"pgregory.net/rapid"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhconsensus"
+	"dogwoodhitch/core/dhcontrol"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhview"
+)
+
+// disk is what a voter's data folder would hold.
+type disk struct {
+	folder   string
+	founders []dhmessage.Voter
+	term     uint64
+	vote     string
+	snapshot dhmessage.Snapshot
+	entries  []dhmessage.Entry
+}
+
+func (d *disk) persist(p *dheffect.Persist) {
+	d.term, d.vote = p.Term(), p.Vote()
+	for _, e := range p.Entries() {
+		d.entries = append(d.entries[:e.Index()-d.snapshot.Index()-1], e)
+	}
+}
+
+func (d *disk) save(e *dheffect.SaveSnapshot) {
+	d.term, d.vote, d.snapshot = e.Term(), e.Vote(), e.Snapshot()
+	d.entries = slices.Clone(e.Rest())
+}
+
+// machine is one process with a clock of its own.
+type machine struct {
+	name    string
+	zone    string
+	disk    *disk // nil on an entry instance
+	state   *State
+	offset  dhclock.Millis
+	frozen  bool
+	version uint64
+	view    *dhview.View
+	starts  uint64
+}
+
+func (m *machine) self() dhmessage.Peer {
+	if m.disk == nil {
+		return dhmessage.NewPeer(m.name, "")
+	}
+	return dhmessage.NewPeer(m.name, m.disk.folder)
+}
+
+type packet struct {
+	from dhmessage.Peer
+	to   string
+	body dhmessage.Message
+}
+
+// fataler ends a test.
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+// network drives several reducers and carries their messages, or loses,
+// repeats and reorders them.
+type network struct {
+	t        fataler
+	now      dhclock.Millis
+	machines []*machine
+	voters   []string
+	packets  []packet
+	cut      map[string]bool
+	random   uint64
+	ticket   uint64
+	replies  map[uint64]dhmessage.Result
+	traffic  func(m *machine, e dhevent.Event)
+	// lose, repeat and late are how many packets in a hundred are lost,
+	// delivered twice, or held until the next step, while run delivers.
+	lose, repeat, late uint64
+	// crash tells whether a machine dies before it carries out its effects.
+	crash func(m *machine) bool
+}
+
+// withNetwork returns a network of voters and entry instances that are
+// started.
+func withNetwork(t fataler, voters int, entries ...string) *network {
+	n := &network{
+		t: t, now: 1_000_000, cut: map[string]bool{}, random: 1, replies: map[uint64]dhmessage.Result{},
+		crash: func(*machine) bool { return false },
+	}
+	var founders []dhmessage.Voter
+	for i := range voters {
+		name := fmt.Sprintf("c%d", i+1)
+		n.voters = append(n.voters, name)
+		founders = append(founders, dhmessage.NewVoter(dhmessage.NewPeer(name, ""), name+":1", false))
+	}
+	for i, name := range n.voters {
+		n.machines = append(n.machines, &machine{
+			name: name, offset: dhclock.Millis(i * 7919),
+			disk: &disk{folder: name + "-folder", founders: founders},
+		})
+	}
+	for i, name := range entries {
+		n.machines = append(n.machines, &machine{name: name, zone: name[:2], offset: dhclock.Millis(500_000 + i*104_729)})
+	}
+	for _, m := range n.machines {
+		n.start(m)
+	}
+	return n
+}
+
+func (n *network) next() uint64 {
+	n.random = n.random*6364136223846793005 + 1442695040888963407
+	return n.random >> 11
+}
+
+func (n *network) clock(m *machine) dhclock.Millis { return n.now + m.offset }
+
+func (n *network) start(m *machine) {
+	m.starts++
+	o := dhcontrol.Options{Self: m.self(), Zone: m.zone, Voters: n.voters, Stream: n.next(), Now: n.clock(m)}
+	if m.disk != nil {
+		o.Consensus = &dhconsensus.Options{
+			Self: m.self(), Founders: m.disk.founders, Term: m.disk.term, Vote: m.disk.vote,
+			Snapshot: m.disk.snapshot, Entries: slices.Clone(m.disk.entries), Now: n.clock(m), Random: n.next(),
+		}
+	}
+	m.state, m.version, m.frozen = NewControl(o), 0, false
+}
+
+func (n *network) stop(m *machine) { m.state = nil }
+
+// wipe deletes a voter's data folder and starts it with an empty one.
+func (n *network) wipe(m *machine) {
+	m.disk = &disk{folder: fmt.Sprintf("%s-folder-%d", m.name, m.starts)}
+	n.start(m)
+}
+
+func (n *network) find(name string) *machine {
+	for _, m := range n.machines {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// take lets a machine reduce an event and carry out what it gives.
+func (n *network) take(m *machine, e dhevent.Event) {
+	if m == nil || m.state == nil || m.frozen {
+		return
+	}
+	events := []dhevent.Event{e, dhevent.NewSettled(n.clock(m))}
+	for len(events) > 0 {
+		var out dheffect.List
+		Reduce(m.state, events[0], &out)
+		if n.crash(m) {
+			n.stop(m)
+			return
+		}
+		events = append(events[1:], n.carryOut(m, out.Items())...)
+		if m.state == nil {
+			return
+		}
+	}
+}
+
+// carryOut does what a reducer gave, Persist effects first.
+func (n *network) carryOut(m *machine, list []dheffect.Effect) []dhevent.Event {
+	var events []dhevent.Event
+	for _, e := range list {
+		if p, ok := e.(*dheffect.Persist); ok {
+			m.disk.persist(p)
+			if k := len(p.Entries()); k > 0 {
+				last := p.Entries()[k-1]
+				events = append(events, dhevent.NewLogSynced(n.clock(m), dhevent.LogSyncedOptions{Index: last.Index(), Term: last.Term()}))
+			}
+		}
+	}
+	for _, e := range list {
+		switch e := e.(type) {
+		case *dheffect.SaveSnapshot:
+			m.disk.save(e)
+		case *dheffect.Send:
+			n.packets = append(n.packets, packet{from: m.self(), to: e.To(), body: e.Message()})
+		case *dheffect.Reply:
+			n.replies[e.Ticket()] = e.Result()
+		case *dheffect.Publish:
+			n.published(m, e.View())
+		case *dheffect.ToTraffic:
+			if n.traffic != nil {
+				n.traffic(m, e.Event())
+			}
+		}
+	}
+	return events
+}
+
+// published checks that a machine's version never goes back.
+func (n *network) published(m *machine, v *dhview.View) {
+	if v.Catalog().Version() < m.version {
+		n.t.Fatalf("%s went back from version %d to %d", m.name, m.version, v.Catalog().Version())
+	}
+	m.version, m.view = v.Catalog().Version(), v
+}
+
+// deliver hands over the packet at an index.
+func (n *network) deliver(i int) {
+	p := n.packets[i]
+	n.packets = slices.Delete(n.packets, i, i+1)
+	if n.cut[p.from.Name()] != n.cut[p.to] && p.from.Name() != p.to {
+		return
+	}
+	m := n.find(p.to)
+	if m == nil {
+		return
+	}
+	n.take(m, dhevent.NewMessageReceived(n.clock(m), dhevent.MessageReceivedOptions{From: p.from, Message: p.body}))
+}
+
+// tick lets time pass on every machine.
+func (n *network) tick(span dhclock.Millis) {
+	n.now += span
+	for _, m := range n.machines {
+		n.take(m, dhevent.NewTicked(n.clock(m), dhevent.TickedOptions{Random: n.next()}))
+	}
+}
+
+// run lets time pass and delivers everything in order.
+func (n *network) run(span dhclock.Millis) {
+	const step dhclock.Millis = 20
+	for end := n.now + span; n.now < end; {
+		n.tick(step)
+		for count := len(n.packets); count > 0 && len(n.packets) > 0; count-- {
+			n.deliverInWeather()
+		}
+	}
+}
+
+// deliverInWeather hands over the first packet, or loses, repeats or delays
+// it.
+func (n *network) deliverInWeather() {
+	p := n.packets[0]
+	chance := n.next() % 100
+	switch {
+	case chance < n.lose:
+		n.packets = n.packets[1:]
+	case chance < n.lose+n.late:
+		n.packets = append(n.packets[1:], p)
+	case chance < n.lose+n.late+n.repeat:
+		n.packets = append(n.packets, p)
+		n.deliver(0)
+	default:
+		n.deliver(0)
+	}
+}
+
+// propose lets a machine ask for a command, and returns the ticket.
+func (n *network) propose(m *machine, c dhmessage.Command) uint64 {
+	n.ticket++
+	n.take(m, dhevent.NewProposalWanted(n.clock(m), dhevent.ProposalWantedOptions{
+		Ticket: n.ticket, Command: c, Patience: 5000,
+	}))
+	return n.ticket
+}
+
+// leader returns the voter that leads in the newest term, or nil.
+func (n *network) leader() *machine {
+	for _, m := range n.machines {
+		if m.state == nil || m.disk == nil {
+			continue
+		}
+		if s := n.status(m); s.Leads() && s.Confirmed() && s.Age() < 1000 {
+			return m
+		}
+	}
+	return nil
+}
+
+func (n *network) status(m *machine) dheffect.Status {
+	var out dheffect.List
+	Reduce(m.state, dhevent.NewStatusWanted(n.clock(m), dhevent.StatusWantedOptions{}), &out)
+	for _, e := range out.Items() {
+		if r, ok := e.(*dheffect.StatusReply); ok {
+			return r.Status()
+		}
+	}
+	return dheffect.Status{}
+}
+
+// heal ends every fault and lets the system settle.
+func (n *network) heal() {
+	n.crash = func(*machine) bool { return false }
+	n.cut = map[string]bool{}
+	n.packets = nil
+	n.lose, n.late, n.repeat = 0, 0, 0
+	for _, m := range n.machines {
+		m.frozen = false
+		if m.state == nil {
+			n.start(m)
+		}
+	}
+	n.run(8000)
+}
+
+// actions are the faults and the passing of time, for rapid's state machines.
+func (n *network) actions() map[string]func(*rapid.T) {
+	pick := func(t *rapid.T) *machine { return rapid.SampledFrom(n.machines).Draw(t, "machine") }
+	index := func(t *rapid.T) int {
+		if len(n.packets) == 0 {
+			t.Skip("no packets")
+		}
+		return rapid.IntRange(0, len(n.packets)-1).Draw(t, "packet")
+	}
+	return map[string]func(*rapid.T){
+		"tick":    func(t *rapid.T) { n.tick(dhclock.Millis(rapid.IntRange(1, 400).Draw(t, "span"))) },
+		"run":     func(t *rapid.T) { n.run(dhclock.Millis(rapid.IntRange(20, 2000).Draw(t, "span"))) },
+		"deliver": func(t *rapid.T) { n.deliver(index(t)) },
+		"lose":    func(t *rapid.T) { i := index(t); n.packets = slices.Delete(n.packets, i, i+1) },
+		"repeat":  func(t *rapid.T) { n.packets = append(n.packets, n.packets[index(t)]) },
+		"cut":     func(t *rapid.T) { m := pick(t); n.cut[m.name] = !n.cut[m.name] },
+		"freeze":  func(t *rapid.T) { m := pick(t); m.frozen = !m.frozen },
+		"crash":   func(t *rapid.T) { n.stop(pick(t)) },
+		"crashBeforeSync": func(t *rapid.T) {
+			victim := pick(t)
+			n.crash = func(m *machine) bool { return m == victim }
+			n.run(100)
+			n.crash = func(*machine) bool { return false }
+		},
+		"restart": func(t *rapid.T) {
+			if m := pick(t); m.state == nil {
+				n.start(m)
+			}
+		},
+	}
+}
--- /dev/null
+++ b/core/dhreducer/rate_test.go
@@ -0,0 +1,356 @@
+package dhreducer
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhsteer"
+	"dogwoodhitch/core/dhtraffic"
+)
+
+const (
+	fleetRate  = 100
+	fleetBurst = 60
+)
+
+// fleet adds traffic state to the entry instances of a network and records
+// when requests are admitted.
+type fleet struct {
+	*network
+	traffic  map[string]*State
+	request  uint64
+	admitted []dhclock.Millis
+	refused  int
+	version  uint64
+	// decided gets what becomes of requests, in place of the default, which
+	// answers every attempt at once.
+	decided func(m *machine, e dheffect.Effect)
+}
+
+// withFleet returns a fleet whose one organisation has a limit in force.
+func withFleet(t fataler, voters int, entries ...string) *fleet {
+	f := &fleet{network: withNetwork(t, voters, entries...), traffic: map[string]*State{}}
+	f.network.traffic = f.toTraffic
+	for _, m := range f.machines {
+		f.startTraffic(m)
+	}
+	f.run(2000)
+	puts := []dhcatalog.Object{
+		dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "org"}),
+		dhcatalog.NewKey(dhcatalog.KeyOptions{Name: "key", Organisation: "org", Hash: dhcatalog.KeyHash{1}}),
+		dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "limit", Organisation: "org", Rate: fleetRate, Burst: fleetBurst}),
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "service"}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{
+			Name: "route", PathPrefix: "/", Service: "service", Idempotent: true, Timeout: 1000, QueueWait: 200,
+		}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{
+			Name: "once", PathPrefix: "/once/", Service: "service", ClaimRequired: true, Timeout: 3000, QueueWait: 1000, Retention: 600_000,
+		}),
+	}
+	f.change(append(puts, instances(entries...)...)...)
+	return f
+}
+
+func instances(names ...string) []dhcatalog.Object {
+	var list []dhcatalog.Object
+	for _, name := range names {
+		list = append(list,
+			dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: name[:2], Region: name[:1]}),
+			dhcatalog.NewInstance(dhcatalog.InstanceOptions{
+				Name: name, Zone: name[:2], CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2",
+			}))
+	}
+	return dedupe(list)
+}
+
+func dedupe(list []dhcatalog.Object) []dhcatalog.Object {
+	seen := map[dhcatalog.Ref]bool{}
+	var out []dhcatalog.Object
+	for _, o := range list {
+		if !seen[o.Ref()] {
+			out = append(out, o)
+		}
+		seen[o.Ref()] = true
+	}
+	return out
+}
+
+func (f *fleet) change(puts ...dhcatalog.Object) {
+	f.version++
+	f.propose(f.machines[0], dhmessage.NewChange(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+		ID: fmt.Sprint("change-", f.version), Base: f.version - 1, Author: "test", Puts: puts,
+	})))
+	f.run(1500)
+}
+
+func (f *fleet) startTraffic(m *machine) {
+	if m.disk != nil {
+		return
+	}
+	f.traffic[m.name] = NewTraffic(dhtraffic.Options{Instance: m.name, Zone: m.zone, Stream: f.next(), Now: f.clock(m)})
+	f.onTraffic(m, dhevent.NewUpstreamAnnounced(f.clock(m), dhevent.UpstreamAnnouncedOptions{
+		Announce: dhsteer.NewAnnounce(dhsteer.AnnounceOptions{Name: "u", Service: "service", Address: "10.0.0.9:1", Slots: 10_000}),
+	}))
+}
+
+func (f *fleet) toTraffic(m *machine, e dhevent.Event) { f.onTraffic(m, e) }
+
+// onTraffic drives a machine's traffic state. Every Forward is an admission;
+// its attempt is answered at once.
+func (f *fleet) onTraffic(m *machine, e dhevent.Event) {
+	s := f.traffic[m.name]
+	if s == nil || m.frozen {
+		return
+	}
+	var out dheffect.List
+	Reduce(s, e, &out)
+	for _, x := range out.Items() {
+		if f.decided != nil {
+			f.decided(m, x)
+		}
+		switch x := x.(type) {
+		case *dheffect.Forward:
+			if f.decided != nil {
+				continue
+			}
+			f.admitted = append(f.admitted, f.now)
+			f.onTraffic(m, dhevent.NewAttemptEnded(f.clock(m), dhevent.AttemptEndedOptions{Request: x.Request(), Status: 200}))
+		case *dheffect.Refuse:
+			f.refused++
+		case *dheffect.ToControl:
+			f.take(m, x.Event())
+		case *dheffect.Send:
+			f.packets = append(f.packets, packet{from: m.self(), to: x.To(), body: x.Message()})
+		}
+	}
+}
+
+// views hands the newest view of each machine to its traffic state.
+func (f *fleet) tickTraffic() {
+	for _, m := range f.machines {
+		if m.disk == nil && m.state != nil && m.view != nil {
+			f.onTraffic(m, dhevent.NewViewPublished(f.clock(m), dhevent.ViewPublishedOptions{View: m.view}))
+			f.onTraffic(m, dhevent.NewUpstreamAnnounced(f.clock(m), dhevent.UpstreamAnnouncedOptions{
+				Announce: dhsteer.NewAnnounce(dhsteer.AnnounceOptions{Name: "u", Service: "service", Address: "10.0.0.9:1", Slots: 10_000}),
+			}))
+			f.onTraffic(m, dhevent.NewTrafficTicked(f.clock(m)))
+		}
+	}
+}
+
+// runFleet lets time pass for control and traffic, with so many requests a
+// second at each of some machines.
+func (f *fleet) runFleet(span dhclock.Millis, perSecond int, at ...*machine) {
+	const step dhclock.Millis = 20
+	owed := 0
+	for end := f.now + span; f.now < end; {
+		f.run(step)
+		f.tickTraffic()
+		for owed += perSecond * int(step); owed >= 1000; owed -= 1000 {
+			for _, m := range at {
+				f.arrive(m)
+			}
+		}
+	}
+}
+
+func (f *fleet) arrive(m *machine) {
+	if m.disk != nil || m.state == nil {
+		return
+	}
+	f.request++
+	f.onTraffic(m, dhevent.NewRequestArrived(f.clock(m), dhevent.RequestArrivedOptions{
+		Request: f.request, Path: "/x", KeyHash: dhcatalog.KeyHash{1},
+	}))
+}
+
+// overshoot returns by how many requests the admissions of the worst window
+// exceed burst + rate x window.
+func overshoot(admitted []dhclock.Millis, rate, burst int64) int64 {
+	worst := int64(-1 << 62)
+	least := int64(1 << 62)
+	for i, at := range admitted {
+		// In thousandths of a request: i - rate x time.
+		start := int64(i)*1000 - rate*int64(at)
+		least = min(least, start)
+		worst = max(worst, start+1000-least-burst*1000)
+	}
+	return worst / 1000
+}
+
+// TestRate lets a flood arrive at entry instances that freeze, crash-loop, are
+// cut off, restart, and lose, repeat and delay messages, while leaders fail and
+// instances are added. No window may see more than its burst and rate.
+func TestRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := withFleet(t, 3, "a1-1", "a1-2", "b1-1")
+		f.random = rapid.Uint64().Draw(t, "seed")
+		f.lose, f.late, f.repeat = f.next()%20, f.next()%40, f.next()%20
+		actions := map[string]func(*rapid.T){}
+		all := f.actions()
+		for _, name := range []string{"cut", "freeze", "crash", "crashBeforeSync", "restart"} {
+			actions[name] = all[name]
+		}
+		pick := func(t *rapid.T) *machine { return rapid.SampledFrom(f.machines).Draw(t, "machine") }
+		actions["restartTraffic"] = func(t *rapid.T) { f.restartTraffic(pick(t)) }
+		actions["restartLeader"] = func(*rapid.T) {
+			if lead := f.leader(); lead != nil {
+				f.stop(lead)
+				f.start(lead)
+			}
+		}
+		actions["addInstance"] = func(t *rapid.T) {
+			f.propose(f.machines[0], dhmessage.NewChange(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+				ID: fmt.Sprint("instance-", f.now), Base: f.machines[0].version, Author: "test",
+				Puts: instances(fmt.Sprintf("b1-%d", rapid.IntRange(2, 4).Draw(t, "number"))),
+			})))
+		}
+		actions["flood"] = func(*rapid.T) {}
+		actions[""] = func(t *rapid.T) {
+			f.runFleet(dhclock.Millis(rapid.IntRange(20, 1200).Draw(t, "span")), 150, f.machines...)
+		}
+		t.Repeat(actions)
+		f.heal()
+		f.runFleet(3000, 150, f.machines...)
+		checkRate(t, f)
+	})
+}
+
+func checkRate(t fataler, f *fleet) {
+	if over := overshoot(f.admitted, fleetRate, fleetBurst); over > 0 {
+		t.Fatalf("%d of %d requests too many", over, len(f.admitted))
+	}
+}
+
+// restartTraffic restarts an entry instance.
+func (f *fleet) restartTraffic(m *machine) {
+	if m.disk == nil && m.state != nil {
+		f.start(m)
+		f.startTraffic(m)
+	}
+}
+
+// TestRateUnder holds one fault at a time against a flood.
+func TestRateUnder(t *testing.T) {
+	faults := map[string]func(f *fleet, round int){
+		"crash loops": func(f *fleet, round int) {
+			f.restartTraffic(f.machines[3+round%3])
+		},
+		"crash loop of one instance": func(f *fleet, _ int) { f.restartTraffic(f.machines[3]) },
+		"leaders that restart": func(f *fleet, round int) {
+			if lead := f.leader(); lead != nil && round%8 == 0 {
+				f.stop(lead)
+				f.start(lead)
+			}
+		},
+		"leaders that are cut off": func(f *fleet, round int) {
+			if lead := f.leader(); lead != nil && round%8 == 0 {
+				f.cut = map[string]bool{lead.name: true}
+			}
+		},
+		"a leader that is cut off with an instance": func(f *fleet, round int) {
+			if lead := f.leader(); lead != nil && round%12 == 0 {
+				f.cut = map[string]bool{lead.name: true, "a1-1": true}
+			}
+		},
+		"instances that are cut off": func(f *fleet, round int) {
+			f.cut = map[string]bool{f.machines[3+round/6%3].name: true}
+		},
+		"freezes": func(f *fleet, round int) {
+			m := f.machines[3+round/5%3]
+			m.frozen = round%5 < 4
+		},
+		"late and lost messages": func(f *fleet, _ int) { f.lose, f.late, f.repeat = 10, 60, 20 },
+		"a growing fleet": func(f *fleet, round int) {
+			if round%20 == 0 && f.leader() != nil {
+				f.version++
+				f.propose(f.machines[0], dhmessage.NewChange(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+					ID: fmt.Sprint("grow-", round), Base: f.version - 1, Author: "test", Puts: instances(fmt.Sprint("a1-", 3+round/20)),
+				})))
+			}
+		},
+		"a shrinking and growing limit": func(f *fleet, round int) {
+			if round%20 == 0 {
+				f.version++
+				f.propose(f.machines[0], dhmessage.NewChange(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+					ID: fmt.Sprint("limit-", round), Base: f.version - 1, Author: "test",
+					Puts: []dhcatalog.Object{dhcatalog.NewLimit(dhcatalog.LimitOptions{
+						Name: "limit", Organisation: "org", Rate: fleetRate - int64(round%40), Burst: fleetBurst - int64(round%40),
+					})},
+				})))
+			}
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			f := withFleet(t, 3, "a1-1", "a1-2", "b1-1")
+			f.runFleet(5000, 100, f.machines...)
+			for round := range 100 {
+				fault(f, round)
+				f.runFleet(300, 150, f.machines...)
+			}
+			checkRate(t, f)
+			if len(f.admitted) == 0 {
+				t.Error("nothing was admitted")
+			}
+		})
+	}
+}
+
+// TestRateHoard lets an instance hold tokens while it is quiet or frozen until
+// every bucket is full, and then gives the whole fleet a flood.
+func TestRateHoard(t *testing.T) {
+	for _, frozen := range []bool{false, true} {
+		f := withFleet(t, 3, "a1-1", "a1-2", "b1-1")
+		f.runFleet(5000, 100, f.machines...)
+		for round := range 30 {
+			holder := f.machines[3+round%3]
+			f.runFleet(1000, 40, holder)
+			holder.frozen = frozen
+			f.runFleet(dhclock.Millis(700+round*100), 0)
+			holder.frozen = false
+			f.runFleet(200, 1000, f.machines...)
+		}
+		checkRate(t, f)
+	}
+}
+
+// TestRateHandover lets an instance hold tokens while the leader that granted
+// them is lost, and floods the fleet as soon as the next one grants.
+func TestRateHandover(t *testing.T) {
+	for quiet := dhclock.Millis(100); quiet < 3000; quiet += 25 {
+		f := withFleet(t, 3, "a1-1", "a1-2", "b1-1")
+		f.random += uint64(quiet)
+		f.runFleet(5000, 100, f.machines...)
+		f.runFleet(3000, 0)
+		f.runFleet(300, 130, f.machines...)
+		lead := f.leader()
+		f.cut = map[string]bool{lead.name: true, "a1-1": true}
+		f.runFleet(quiet, 0)
+		f.runFleet(4000, 500, f.machines...)
+		checkRate(t, f)
+	}
+}
+
+// TestRateFollowsDemand moves an organisation's whole traffic between
+// instances, at nine tenths of its rate. Hardly any of it may be refused.
+func TestRateFollowsDemand(t *testing.T) {
+	f := withFleet(t, 3, "a1-1", "a1-2", "b1-1")
+	f.runFleet(6000, 50, f.find("a1-1")) // grants and floors are in force
+	f.refused, f.request = 0, 0
+	for i := range 30 {
+		f.runFleet(1000, fleetRate*9/10, f.machines[3+i%3])
+	}
+	t.Logf("%d of %d refused", f.refused, f.request)
+	if f.refused*1000 > int(f.request) {
+		t.Errorf("%d of %d requests within the rate were refused, aim under 1 in 1000", f.refused, f.request)
+	}
+	checkRate(t, f)
+}
