--- a/core/dhsteer/pool.go
+++ b/core/dhsteer/pool.go
@@ -99,7 +99,7 @@
 	p.turn++
 	for i := range n {
 		u := p.upstreams[(i+p.turn)%n]
-		if !u.alive(now) || u.running >= u.allowed(now) || slices.Contains(tried, u) {
+		if !u.alive(now) || now < u.shed || u.running >= u.allowed(now) || slices.Contains(tried, u) {
 			continue
 		}
 		if now < u.ejected && !ignoreEjection {
@@ -143,6 +143,8 @@
 	Answered Verdict = iota
 	// Failed means that the upstream failed, or answered that it is unable.
 	Failed
+	// Shed means that the upstream refused the work and did not run it.
+	Shed
 	// Neutral says nothing about the upstream: the caller went away.
 	Neutral
 )
@@ -160,6 +162,8 @@
 		if u.fail() {
 			u.eject(now)
 		}
+	case Shed:
+		u.shedLoad(now)
 	case Neutral:
 	}
 }
@@ -168,7 +172,7 @@
 // many of them are free.
 func (p *Pool) Slots(now dhclock.Millis) (all, free int) {
 	for _, u := range p.upstreams {
-		if u.alive(now) && !u.Ejected(now) {
+		if u.alive(now) && !u.Ejected(now) && now >= u.shed {
 			all += u.allowed(now)
 			free += u.free(now)
 		}
--- a/core/dhsteer/upstream.go
+++ b/core/dhsteer/upstream.go
@@ -17,6 +17,10 @@
 	// ejectFirst and ejectMost bound how long an ejection lasts.
 	ejectFirst dhclock.Millis = 1000
 	ejectMost  dhclock.Millis = 30_000
+	// shedFirst and shedMost bound how long an upstream that sheds load is left
+	// alone.
+	shedFirst dhclock.Millis = 50
+	shedMost  dhclock.Millis = 1000
 	// latencyScale is the fixed-point scale of the latency estimate.
 	latencyScale = 64
 	// latencyWeight is the weight of a new latency, one in so many.
@@ -78,7 +82,9 @@
 	latency  int64
 	failures int
 	ejected  dhclock.Millis // until when; 0 if never
-	ejection dhclock.Millis // length of the next ejection
+	ejection dhclock.Millis // length of the last ejection
+	shed     dhclock.Millis // until when it is left alone; 0 if never
+	shedding dhclock.Millis // length of the last such time
 }
 
 // Name returns the upstream's name.
@@ -140,8 +146,7 @@
 
 // succeed notes an answer that came after a span.
 func (u *Upstream) succeed(latency dhclock.Millis) {
-	u.failures = 0
-	u.ejection = 0
+	u.failures, u.ejection, u.shedding = 0, 0, 0
 	if u.latency == 0 {
 		u.latency = int64(latency) * latencyScale
 		return
@@ -155,6 +160,16 @@
 	return u.failures >= ejectFailures
 }
 
+// shedLoad leaves an upstream that refused work alone for a time that doubles
+// with each refusal in a row.
+func (u *Upstream) shedLoad(now dhclock.Millis) {
+	if now < u.shed {
+		return
+	}
+	u.shedding = min(shedMost, max(shedFirst, u.shedding*2))
+	u.shed = now + u.shedding
+}
+
 // eject leaves the upstream out for a time that doubles with each ejection,
 // after which it warms up again.
 func (u *Upstream) eject(now dhclock.Millis) {
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -68,7 +68,9 @@
 			return dhsteer.Failed
 		}
 		return dhsteer.Answered
-	case dhevent.EndRefused, dhevent.EndCallerGone:
+	case dhevent.EndRefused:
+		return dhsteer.Shed
+	case dhevent.EndCallerGone:
 		return dhsteer.Neutral
 	default:
 		return dhsteer.Failed
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -114,6 +114,7 @@
 			Pool:     dhsteer.NewPool(service),
 			passages: map[string]*passage{},
 			intake:   intake{promised: map[string]promise{}},
+			budget:   budget{tenths: budgetMost},
 		}
 		s.pools[service] = p
 	}
