Test and measure look-ups, choice, queues and grants; make block tables denser

Found by the tests: clients of a region that is gone were spread 3 to 1 over the two zones of the other one, because the walk over zones started at a hashed index and took the first zone of the wanted distance. Now the hash picks among the zones of that distance: 400 to 600 of 1000 each.

--- a/core/dhcatalog/catalog.go
+++ b/core/dhcatalog/catalog.go
@@ -12,8 +12,8 @@
 type Catalog struct {
 	version uint64
 	objects map[Ref]Object
-	blocks4 *blockTable
-	blocks6 *blockTable
+	blocks4 *blockTable[uint32]
+	blocks6 *blockTable[uint64]
 	// siteNumbers gives each site a number that is stable between versions.
 	siteNumbers map[string]uint16
 	siteNames   []string
@@ -24,8 +24,8 @@
 func New() *Catalog {
 	c := &Catalog{
 		objects:     map[Ref]Object{},
-		blocks4:     &blockTable{},
-		blocks6:     &blockTable{},
+		blocks4:     &blockTable[uint32]{},
+		blocks6:     &blockTable[uint64]{},
 		siteNumbers: map[string]uint16{},
 	}
 	c.index = newIndex(c.objects)
@@ -58,23 +58,28 @@
 
 // EachBlock calls f for every client block and the name of its site.
 func (c *Catalog) EachBlock(f func(block Block, site string)) {
-	visit := func(six bool) func(uint64, uint8, uint16) {
-		return func(start uint64, bits uint8, site uint16) {
-			f(Block{start: start, bits: bits, six: six}, c.siteNames[site])
-		}
-	}
-	c.blocks4.each(visit(false))
-	c.blocks6.each(visit(true))
+	c.blocks4.each(func(x cell[uint32]) {
+		f(Block{start: uint64(x.start) << fourShift, bits: x.meta.bits()}, c.siteNames[x.meta.site()])
+	})
+	c.blocks6.each(func(x cell[uint64]) {
+		f(Block{start: x.start, bits: x.meta.bits(), six: true}, c.siteNames[x.meta.site()])
+	})
 }
 
+// fourShift aligns an IPv4 address to the left of 64 bits.
+const fourShift = 32
+
 // SiteOf returns the site for a client address: that of the block that covers
 // it, or the default site. It returns false where there is neither.
 func (c *Catalog) SiteOf(address uint64, six bool) (Site, bool) {
-	table := c.blocks4
+	var n uint16
+	var found bool
 	if six {
-		table = c.blocks6
+		n, found = c.blocks6.find(address)
+	} else {
+		n, found = c.blocks4.find(uint32(address >> fourShift))
 	}
-	if n, found := table.find(address); found {
+	if found {
 		return c.index.sites[n], true
 	}
 	return c.index.defaultSite, c.index.hasDefault
@@ -180,49 +185,53 @@
 }
 
 func (c *Catalog) applyBlocks(old *Catalog, s ChangeSet, p *problems) {
-	var edits4, edits6 []blockEdit
+	var edits4 []blockEdit[uint32]
+	var edits6 []blockEdit[uint64]
 	for _, b := range s.Blocks() {
-		e, ok := c.resolveBlock(b, p)
+		meta, ok := c.resolveBlock(b, p)
 		switch {
 		case !ok:
 		case b.block.six:
-			edits6 = append(edits6, e)
+			edits6 = append(edits6, blockEdit[uint64]{cell[uint64]{b.block.start, meta}, b.site == ""})
 		default:
-			edits4 = append(edits4, e)
+			edits4 = append(edits4, blockEdit[uint32]{cell[uint32]{uint32(b.block.start >> fourShift), meta}, b.site == ""})
 		}
 	}
-	c.blocks4 = old.blocks4.with(edits4, reportBlock(p, false, "overlaps another block", "split or remove the other block"),
-		reportBlock(p, false, "no such block", "leave the removal out"))
-	c.blocks6 = old.blocks6.with(edits6, reportBlock(p, true, "overlaps another block", "split or remove the other block"),
-		reportBlock(p, true, "no such block", "leave the removal out"))
+	four := func(start uint32) Block { return Block{start: uint64(start) << fourShift} }
+	six := func(start uint64) Block { return Block{start: start, six: true} }
+	c.blocks4 = old.blocks4.with(edits4,
+		func(start uint32) { p.overlap(four(start)) }, func(start uint32) { p.missing(four(start)) })
+	c.blocks6 = old.blocks6.with(edits6,
+		func(start uint64) { p.overlap(six(start)) }, func(start uint64) { p.missing(six(start)) })
 	if len(p.list) == 0 {
 		c.checkBlockSites(old, p)
 	}
 }
 
-func reportBlock(p *problems, six bool, found, remedy string) func(start uint64) {
-	return func(start uint64) {
-		b := Block{start: start, six: six}
-		p.add(NewRef("block", b.String()), "blocks", found, remedy)
-	}
+func (p *problems) overlap(b Block) {
+	p.add(NewRef("block", b.String()), "blocks", "overlaps another block", "split or remove the other block")
+}
+
+func (p *problems) missing(b Block) {
+	p.add(NewRef("block", b.String()), "blocks", "no such block", "leave the removal out")
 }
 
-func (c *Catalog) resolveBlock(b BlockChange, p *problems) (blockEdit, bool) {
+// resolveBlock checks a change of a block and returns what the table keeps of
+// it.
+func (c *Catalog) resolveBlock(b BlockChange, p *problems) (blockMeta, bool) {
 	ref := NewRef("block", b.block.String())
 	if b.block.bits < 1 || b.block.bits > MaxBlockBits || !b.block.six && b.block.bits > 32 {
 		p.add(ref, "bits", strconv.Itoa(int(b.block.bits)), "use 1 to 32 bits for IPv4 and 1 to 64 for IPv6")
-		return blockEdit{}, false
+		return 0, false
 	}
-	e := blockEdit{start: b.block.start, bits: b.block.bits, site: -1}
 	if b.site == "" {
-		return e, true
+		return newBlockMeta(b.block.bits, 0), true
 	}
 	if _, found := c.objects[NewRef(KindSite, b.site)]; !found {
 		p.add(ref, "site", strconv.Quote(b.site)+", which does not exist", "put the site in the same change set, or name another")
-		return e, false
+		return 0, false
 	}
-	e.site = int(c.siteNumbers[b.site])
-	return e, true
+	return newBlockMeta(b.block.bits, c.siteNumbers[b.site]), true
 }
 
 // checkBlockSites refuses to delete a site that blocks still point to.
@@ -236,14 +245,14 @@
 	if len(gone) == 0 {
 		return
 	}
-	check := func(_ uint64, _ uint8, site uint16) {
-		if name, found := gone[site]; found {
+	check := func(m blockMeta) {
+		if name, found := gone[m.site()]; found {
 			p.add(NewRef(KindSite, name), "deletes", "blocks that point to the site", "move its blocks to another site first")
-			delete(gone, site)
+			delete(gone, m.site())
 		}
 	}
-	c.blocks4.each(check)
-	c.blocks6.each(check)
+	c.blocks4.each(func(x cell[uint32]) { check(x.meta) })
+	c.blocks6.each(func(x cell[uint64]) { check(x.meta) })
 }
 
 // Restore rebuilds a catalog from a stored version. The content was checked
--- /dev/null
+++ b/core/dhcatalog/catalog_test.go
@@ -0,0 +1,187 @@
+package dhcatalog
+
+import (
+	"errors"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func withSites(t testing.TB, n int, more ...Object) *Catalog {
+	t.Helper()
+	puts := append([]Object{NewZone(ZoneOptions{Name: "z", Region: "r"})}, more...)
+	for i := range n {
+		puts = append(puts, NewSite(SiteOptions{Name: fmt.Sprint("s", i), Zone: "z", TimeToLive: 1000}))
+	}
+	return apply(t, New(), puts, nil)
+}
+
+func apply(t testing.TB, c *Catalog, puts []Object, blocks []BlockChange) *Catalog {
+	t.Helper()
+	next, err := c.Apply(NewChangeSet(ChangeSetOptions{ID: "x", Base: c.Version(), Author: "test", Puts: puts, Blocks: blocks}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// TestWholeChecks refuses each fault, and names it with a remedy.
+func TestWholeChecks(t *testing.T) {
+	cases := []struct {
+		name  string
+		set   ChangeSetOptions
+		fault string
+	}{
+		{"missing reference", ChangeSetOptions{Puts: []Object{NewSite(SiteOptions{Name: "s", Zone: "none", TimeToLive: 1})}}, "zone/none"},
+		{"bad name", ChangeSetOptions{Puts: []Object{NewOrganisation(OrganisationOptions{Name: "a b"})}}, "letters"},
+		{"twice", ChangeSetOptions{Puts: []Object{NewService(ServiceOptions{Name: "s"}), NewService(ServiceOptions{Name: "s"})}}, "once"},
+		{"range", ChangeSetOptions{Puts: []Object{NewService(ServiceOptions{Name: "s", SpillPercent: 200})}}, "from 0 to 100"},
+		{"address", ChangeSetOptions{Puts: []Object{NewInstance(InstanceOptions{Name: "i", Zone: "z", CallerAddress: "host:1", PeerAddress: "10.0.0.1:1"})}}, "IP number"},
+		{"still referred to", ChangeSetOptions{Deletes: []Ref{NewRef(KindZone, "z")}}, "zone/z"},
+		{"not there", ChangeSetOptions{Deletes: []Ref{NewRef(KindZone, "q")}}, "no such object"},
+		{"same key", ChangeSetOptions{Puts: []Object{
+			NewOrganisation(OrganisationOptions{Name: "o"}),
+			NewKey(KeyOptions{Name: "a", Organisation: "o", Hash: KeyHash{1}}), NewKey(KeyOptions{Name: "b", Organisation: "o", Hash: KeyHash{1}}),
+		}}, "another secret"},
+		{"claim on an open route", ChangeSetOptions{Puts: []Object{
+			NewService(ServiceOptions{Name: "s"}),
+			NewRoute(RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Open: true, ClaimRequired: true, Timeout: 1, Retention: 1}),
+		}}, "claimRequired"},
+		{"drain faster than caches", ChangeSetOptions{Puts: []Object{NewDrain(DrainOptions{Name: "d", Target: NewRef(KindZone, "z"), Ramp: 10})}}, "time to live"},
+		{"overlap", ChangeSetOptions{Blocks: []BlockChange{
+			NewBlockChange(NewBlock(1<<40, 24, false), "s0"), NewBlockChange(NewBlock(1<<40, 28, false), "s0"),
+		}}, "overlaps"},
+		{"nothing", ChangeSetOptions{}, "at least one"},
+	}
+	c := withSites(t, 1)
+	for _, x := range cases {
+		x.set.ID, x.set.Author, x.set.Base = "x", "test", c.Version()
+		_, err := c.Apply(NewChangeSet(x.set))
+		var invalid InvalidError
+		if !errors.As(err, &invalid) || !strings.Contains(err.Error(), x.fault) {
+			t.Errorf("%s: %v", x.name, err)
+		}
+	}
+}
+
+// TestBlocks compares the table with a plain map under random edits.
+func TestBlocks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, err := New().Apply(NewChangeSet(ChangeSetOptions{ID: "x", Author: "test", Puts: []Object{
+			NewZone(ZoneOptions{Name: "z", Region: "r"}),
+			NewSite(SiteOptions{Name: "s0", Zone: "z", TimeToLive: 1}), NewSite(SiteOptions{Name: "s1", Zone: "z", TimeToLive: 1}),
+		}}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		plain := map[uint64]string{}
+		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			var blocks []BlockChange
+			seen := map[uint64]bool{}
+			for range rapid.IntRange(1, 3000).Draw(t, "edits") {
+				start := uint64(rapid.IntRange(0, 5000).Draw(t, "block")) << 40
+				if seen[start] {
+					continue
+				}
+				seen[start] = true
+				site := rapid.SampledFrom([]string{"s0", "s1", ""}).Draw(t, "site")
+				if _, found := plain[start]; site == "" && !found {
+					continue
+				}
+				blocks = append(blocks, NewBlockChange(NewBlock(start, 24, false), site))
+				if plain[start] = site; site == "" {
+					delete(plain, start)
+				}
+			}
+			if len(blocks) == 0 {
+				continue
+			}
+			if c, err = c.Apply(NewChangeSet(ChangeSetOptions{ID: "x", Base: c.Version(), Author: "test", Blocks: blocks})); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := range uint64(5001) {
+			site, found := c.SiteOf(i<<40|77, false)
+			if want, has := plain[i<<40]; has != found || found && site.Name() != want {
+				t.Fatalf("block %d is at %q, want %q", i, site.Name(), want)
+			}
+		}
+		if c.BlockCount() != len(plain) {
+			t.Fatalf("%d blocks, want %d", c.BlockCount(), len(plain))
+		}
+	})
+}
+
+// targetTable is the table of the target size: 2.4 million blocks, 260 sites.
+func targetTable(b testing.TB, blocks int) *Catalog {
+	const sites = 260
+	c := withSites(b, sites)
+	list := make([]BlockChange, 0, blocks)
+	for i := range blocks {
+		list = append(list, NewBlockChange(NewBlock(uint64(i)<<40, 24, false), fmt.Sprint("s", i%sites)))
+	}
+	return apply(b, c, nil, list)
+}
+
+// BenchmarkLookUp finds the site of an address, and reports the memory of a
+// block.
+func BenchmarkLookUp(b *testing.B) {
+	for _, blocks := range []int{600_000, 1_200_000, 2_400_000} {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		c := targetTable(b, blocks)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.Run(fmt.Sprint(blocks), func(b *testing.B) {
+			b.ReportAllocs()
+			addresses := make([]uint64, 1<<16)
+			random := uint64(1)
+			for i := range addresses {
+				random = random*6364136223846793005 + 1442695040888963407
+				addresses[i] = random % (uint64(blocks) << 40)
+			}
+			for i := 0; b.Loop(); i++ {
+				c.SiteOf(addresses[i%len(addresses)], false)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(blocks), "B/block")
+		})
+		runtime.KeepAlive(c)
+	}
+}
+
+// BenchmarkBlockDelta applies a change of one block to the whole table.
+func BenchmarkBlockDelta(b *testing.B) {
+	c := targetTable(b, 2_400_000)
+	set := NewChangeSet(ChangeSetOptions{
+		ID: "x", Base: c.Version(), Author: "test",
+		Blocks: []BlockChange{NewBlockChange(NewBlock(77<<40, 24, false), "s1")},
+	})
+	for b.Loop() {
+		if _, err := c.Apply(set); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkApply applies a change of one object to catalogs of several sizes.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range []int{1000, 2000, 4000} {
+		var puts []Object
+		for i := range n {
+			puts = append(puts, NewOrganisation(OrganisationOptions{Name: fmt.Sprint("o", i)}))
+		}
+		c := apply(b, New(), puts, nil)
+		set := NewChangeSet(ChangeSetOptions{ID: "x", Base: 1, Author: "test", Puts: puts[:1]})
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := c.Apply(set); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/core/dhledger/ledger_test.go
+++ b/core/dhledger/ledger_test.go
@@ -114,3 +114,16 @@
 		t.Errorf("an old base gave %+v", r)
 	}
 }
+
+// BenchmarkClaim applies a claim and its outcome.
+func BenchmarkClaim(b *testing.B) {
+	_, apply := withLedger()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		k := dhmessage.NewClaimKey("org", fmt.Sprint("key-", i))
+		by := dhmessage.NewClaimant("i", 1, uint64(i))
+		at := dhclock.Millis(i)
+		apply(at, dhmessage.NewClaim(dhmessage.ClaimOptions{Key: k, Claimant: by, Deadline: 100, Retention: 100_000}))
+		apply(at, dhmessage.NewOutcome(k, by, dhmessage.ClaimDone, nil))
+	}
+}
--- a/core/dhlookup/lookup.go
+++ b/core/dhlookup/lookup.go
@@ -103,16 +103,39 @@
 	}
 }
 
-// addZones adds instances of other zones, in the home region if near.
+// addZones adds instances of another zone, in the home region if near. The
+// client's hash picks the zone among those of that distance, so that the
+// clients of a zone that is gone spread evenly.
 func (f finder) addZones(a *Answer, home dhcatalog.Zone, near bool) {
-	zones := f.view.Catalog().Zones()
-	for i := range zones {
-		z := zones[(uint64(i)+f.hash)%uint64(len(zones))]
+	count := 0
+	f.eachZone(home, near, func(dhcatalog.Zone) bool {
+		count++
+		return true
+	})
+	for offset := range uint64(count) {
+		skip := (f.hash + offset) % uint64(count)
+		f.eachZone(home, near, func(z dhcatalog.Zone) bool {
+			if skip > 0 {
+				skip--
+				return true
+			}
+			f.addZone(a, z)
+			return false
+		})
+		if a.count > 0 {
+			return
+		}
+	}
+}
+
+// eachZone calls visit for the other zones of one distance until it returns
+// false.
+func (f finder) eachZone(home dhcatalog.Zone, near bool, visit func(z dhcatalog.Zone) bool) {
+	for _, z := range f.view.Catalog().Zones() {
 		if z.Name() == home.Name() || (z.Region() == home.Region()) != near {
 			continue
 		}
-		f.addZone(a, z)
-		if a.count > 0 {
+		if !visit(z) {
 			return
 		}
 	}
--- /dev/null
+++ b/core/dhlookup/lookup_test.go
@@ -0,0 +1,108 @@
+package dhlookup
+
+import (
+	"fmt"
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhview"
+)
+
+// withCatalog returns two regions with two zones each, and three instances in
+// each zone; blocks point to the first zone.
+func withCatalog(t testing.TB, more ...dhcatalog.Object) *dhcatalog.Catalog {
+	t.Helper()
+	puts := more
+	for _, z := range []string{"a1", "a2", "b1", "b2"} {
+		puts = append(puts, dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: z, Region: z[:1]}),
+			dhcatalog.NewSite(dhcatalog.SiteOptions{Name: "site-" + z, Zone: z, TimeToLive: 1000}))
+		for i := range 3 {
+			puts = append(puts, dhcatalog.NewInstance(dhcatalog.InstanceOptions{
+				Name: fmt.Sprintf("%s-%d", z, i), Zone: z, CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:81",
+			}))
+		}
+	}
+	var blocks []dhcatalog.BlockChange
+	for i := range uint64(1000) {
+		blocks = append(blocks, dhcatalog.NewBlockChange(dhcatalog.NewBlock(i<<40, 24, false), "site-a1"))
+	}
+	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: puts, Blocks: blocks}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// zones counts the look-ups of 1000 blocks by the zone that they are sent to.
+func zones(now dhclock.Millis, v *dhview.View) map[string]int {
+	count := map[string]int{}
+	for i := range uint64(1000) {
+		a := Find(now, v, i<<40|5, false)
+		count[a.Zone()]++
+	}
+	return count
+}
+
+func TestNamesLiveInstancesNearby(t *testing.T) {
+	c := withCatalog(t)
+	v := dhview.New(dhview.Options{Catalog: c})
+	if got := zones(0, v); got["a1"] != 1000 {
+		t.Errorf("all well: %v", got)
+	}
+	away := []dhmessage.Away{dhmessage.NewAway("a1-0", true), dhmessage.NewAway("a1-1", false)}
+	v = dhview.New(dhview.Options{Catalog: c, Away: away})
+	for i := range uint64(1000) {
+		a := Find(0, v, i<<40, false)
+		if list := a.Targets(); len(list) != 1 || list[0].Name() != "a1-2" {
+			t.Fatalf("with two instances away: %v", list)
+		}
+	}
+	v = dhview.New(dhview.Options{Catalog: c, Away: append(away, dhmessage.NewAway("a1-2", false))})
+	if got := zones(0, v); got["a2"] != 1000 {
+		t.Errorf("with the zone away, its region should serve: %v", got)
+	}
+	for i := range 3 {
+		away = append(away, dhmessage.NewAway(fmt.Sprint("a2-", i), false))
+	}
+	v = dhview.New(dhview.Options{Catalog: c, Away: append(away, dhmessage.NewAway("a1-2", false))})
+	if got := zones(0, v); got["b1"]+got["b2"] != 1000 || got["b1"] < 400 || got["b2"] < 400 {
+		t.Errorf("with the region away, the other one should share: %v", got)
+	}
+}
+
+// TestDrainMovesInSteps follows a drain over its ramp. In no time to live do
+// more look-ups move than the ramp's share of it, so that answers still cached
+// and new ones together stay under the planned step.
+func TestDrainMovesInSteps(t *testing.T) {
+	const ramp, timeToLive dhclock.Millis = 10_000, 1000
+	c := withCatalog(t, dhcatalog.NewDrain(dhcatalog.DrainOptions{
+		Name: "d", Target: dhcatalog.NewRef(dhcatalog.KindZone, "a1"), Ramp: ramp,
+	}))
+	v := dhview.New(dhview.Options{Catalog: c, DrainStarts: map[string]dhclock.Millis{"d": 5000}})
+	before := 0
+	for now := dhclock.Millis(5000); now <= 5000+ramp; now += timeToLive {
+		moved := 1000 - zones(now, v)["a1"]
+		if step := moved - before; step > 1000*int(timeToLive)/int(ramp)+60 {
+			t.Errorf("at %d: %d look-ups in a thousand moved within one time to live", now, step)
+		}
+		if moved < before {
+			t.Errorf("at %d: look-ups came back", now)
+		}
+		before = moved
+	}
+	if before != 1000 {
+		t.Errorf("%d of 1000 look-ups moved by the end", before)
+	}
+}
+
+func BenchmarkFind(b *testing.B) {
+	v := dhview.New(dhview.Options{Catalog: withCatalog(b)})
+	b.ReportAllocs()
+	address := uint64(1)
+	for b.Loop() {
+		address += 1 << 40
+		Find(0, v, address%(1000<<40), false)
+	}
+}
--- a/core/dhsteer/pool.go
+++ b/core/dhsteer/pool.go
@@ -15,6 +15,8 @@
 	queue     queue
 	taken     int // slots that requests from other instances hold
 	turn      int
+	// ejectedUntil is when the last ejection ends.
+	ejectedUntil dhclock.Millis
 }
 
 // NewPool returns an empty pool.
@@ -42,7 +44,7 @@
 	}
 	if !u.alive(now) || u.announce.Address() != a.Address() {
 		u.warmFrom, u.cold = now, cold
-		u.leaving, u.gone = false, false
+		u.leaving = false
 	}
 	u.announce = a
 	u.renewed = now
@@ -92,26 +94,37 @@
 // when more than half of the pool is ejected: then the failures are more
 // likely to lie elsewhere.
 func (p *Pool) Choose(now dhclock.Millis, tried []*Upstream) *Upstream {
-	ignoreEjection := p.mostEjected(now)
+	ignoreEjection := now < p.ejectedUntil && p.mostEjected(now)
+	n := len(p.upstreams)
+	if n == 0 {
+		return nil
+	}
+	p.turn = (p.turn + 1) % n
+	first, firstLoad := p.least(now, p.upstreams[p.turn:], tried, ignoreEjection)
+	second, secondLoad := p.least(now, p.upstreams[:p.turn], tried, ignoreEjection)
+	if first == nil || second != nil && secondLoad < firstLoad {
+		return second
+	}
+	return first
+}
+
+// least returns the least busy of some upstreams that may be used, and its
+// load.
+func (p *Pool) least(now dhclock.Millis, list, tried []*Upstream, ignoreEjection bool) (*Upstream, int64) {
 	var best *Upstream
 	var bestLoad int64
-	n := len(p.upstreams)
-	p.turn++
-	for i := range n {
-		u := p.upstreams[(i+p.turn)%n]
-		if !u.alive(now) || now < u.shed || u.running >= u.allowed(now) || slices.Contains(tried, u) {
-			continue
-		}
-		if now < u.ejected && !ignoreEjection {
+	for _, u := range list {
+		if !u.usable(now, ignoreEjection) || slices.Contains(tried, u) {
 			continue
 		}
 		if load := u.load(now); best == nil || load < bestLoad {
 			best, bestLoad = u, load
 		}
 	}
-	return best
+	return best, bestLoad
 }
 
+// mostEjected tells whether more than half of the live upstreams are ejected.
 func (p *Pool) mostEjected(now dhclock.Millis) bool {
 	alive, ejected := 0, 0
 	for _, u := range p.upstreams {
@@ -161,6 +174,7 @@
 	case Failed:
 		if u.fail() {
 			u.eject(now)
+			p.ejectedUntil = max(p.ejectedUntil, u.ejected)
 		}
 	case Shed:
 		u.shedLoad(now)
--- /dev/null
+++ b/core/dhsteer/pool_test.go
@@ -0,0 +1,155 @@
+package dhsteer
+
+import (
+	"fmt"
+	"testing"
+
+	"dogwoodhitch/core/dhclock"
+)
+
+func withPool(n, slots int) *Pool {
+	p := NewPool("service")
+	for i := range n {
+		p.Announce(0, 0, NewAnnounce(AnnounceOptions{Name: fmt.Sprintf("u%02d", i), Service: "service", Address: "10.0.0.1:80", Slots: slots}))
+	}
+	return p
+}
+
+// TestSlotsAreKept takes slots until none is left.
+func TestSlotsAreKept(t *testing.T) {
+	p := withPool(3, 2)
+	for range 6 {
+		p.Take(p.Choose(0, nil), false)
+	}
+	if u := p.Choose(0, nil); u != nil {
+		t.Errorf("%s was chosen with %d running on %d slots", u.Name(), u.Running(), u.Slots())
+	}
+	for _, u := range p.Upstreams() {
+		if u.Running() != 2 {
+			t.Errorf("%s runs %d", u.Name(), u.Running())
+		}
+	}
+}
+
+// TestEjectionNeverTakesAll lets every upstream fail.
+func TestEjectionNeverTakesAll(t *testing.T) {
+	p := withPool(4, 2)
+	for _, u := range p.Upstreams() {
+		for range ejectFailures {
+			p.Take(u, false)
+			p.Finish(0, u, false, Failed, 0)
+		}
+	}
+	if p.Choose(10, nil) == nil {
+		t.Error("with every upstream ejected none is tried")
+	}
+	good := p.Upstreams()[:3]
+	for _, u := range good {
+		u.ejected = 0
+	}
+	for range 100 {
+		if u := p.Choose(10, nil); u == p.Upstreams()[3] {
+			t.Fatal("an ejected upstream was chosen although most are well")
+		}
+	}
+}
+
+// TestLyingReports lets one upstream claim to be idle and another to be full.
+func TestLyingReports(t *testing.T) {
+	p := withPool(2, 4)
+	busy, idle := p.Upstreams()[0], p.Upstreams()[1]
+	for now := dhclock.Millis(0); now < 100; now++ {
+		p.Announce(now, 0, NewAnnounce(AnnounceOptions{Name: busy.Name(), Address: "10.0.0.1:80", Slots: 4, Running: 1 << 30}))
+		p.Announce(now, 0, NewAnnounce(AnnounceOptions{Name: idle.Name(), Address: "10.0.0.1:80", Slots: 4, Running: 0}))
+		if u := p.Choose(now, nil); u != nil {
+			p.Take(u, false)
+		}
+	}
+	if busy.Running() != 4 || idle.Running() != 4 {
+		t.Errorf("running %d at the one that claims to be full, %d at the idle one, want 4 each", busy.Running(), idle.Running())
+	}
+}
+
+// TestLeavingAndSilentUpstreams get no new work.
+func TestLeavingAndSilentUpstreams(t *testing.T) {
+	p := withPool(2, 4)
+	p.Leave("u00")
+	if u := p.Choose(0, nil); u.Name() != "u01" {
+		t.Errorf("%s was chosen", u.Name())
+	}
+	if u := p.Choose(AnnounceLife+1, nil); u != nil {
+		t.Errorf("%s was chosen after its announcement ran out", u.Name())
+	}
+}
+
+// TestColdStart lets a new upstream rise to its slots.
+func TestColdStart(t *testing.T) {
+	p := NewPool("service")
+	announce := NewAnnounce(AnnounceOptions{Name: "u", Address: "10.0.0.1:80", Slots: 10})
+	last := 0
+	for now := dhclock.Millis(0); now <= 1000; now += 100 {
+		p.Announce(now, 1000, announce)
+		all, _ := p.Slots(now)
+		if all < last || all > 1+int(now/100) {
+			t.Errorf("%d slots after %d ms", all, now)
+		}
+		last = all
+	}
+	if last != 10 {
+		t.Errorf("%d slots when warm", last)
+	}
+}
+
+// TestFairQueue lets one organisation flood the queue: another's request waits
+// behind one of them, not behind all; a lower priority waits for both.
+func TestFairQueue(t *testing.T) {
+	p := withPool(1, 1)
+	wait := func(id uint64, organisation string, priority int) {
+		p.Wait(NewWaiter(WaiterOptions{Request: id, Organisation: organisation, Priority: priority, Deadline: 1000}))
+	}
+	wait(900, "renewals", 5)
+	for id := range uint64(100) {
+		wait(id, "flood", 1)
+	}
+	wait(500, "small", 1)
+	order := map[uint64]int{}
+	for i := 0; p.Waiting() > 0; i++ {
+		order[p.Next().Request()] = i
+	}
+	if order[500] > 1 {
+		t.Errorf("the small organisation's request went out as number %d", order[500])
+	}
+	if order[900] != 101 {
+		t.Errorf("the request of low priority went out as number %d", order[900])
+	}
+}
+
+// TestFullQueue makes room for other organisations at the flood's expense.
+func TestFullQueue(t *testing.T) {
+	p := withPool(1, 1)
+	for id := range uint64(MaxWaiting) {
+		p.Wait(NewWaiter(WaiterOptions{Request: id, Organisation: "flood"}))
+	}
+	if _, ok := p.Wait(NewWaiter(WaiterOptions{Request: 1 << 20, Organisation: "flood"})); ok {
+		t.Error("the flood got a place in a full queue")
+	}
+	dropped, ok := p.Wait(NewWaiter(WaiterOptions{Request: 1 << 21, Organisation: "small"}))
+	if !ok || dropped == nil || dropped.Request() != MaxWaiting-1 {
+		t.Errorf("the small organisation got no place: %v", dropped)
+	}
+}
+
+// BenchmarkRoute chooses among 36 upstreams.
+func BenchmarkRoute(b *testing.B) {
+	for _, n := range []int{9, 18, 36} {
+		p := withPool(n, 9)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				u := p.Choose(1, nil)
+				p.Take(u, false)
+				p.Finish(1, u, false, Answered, 5)
+			}
+		})
+	}
+}
--- a/core/dhsteer/upstream.go
+++ b/core/dhsteer/upstream.go
@@ -77,7 +77,6 @@
 	foreign  int
 	reported dhclock.Millis
 	leaving  bool
-	gone     bool
 
 	latency  int64
 	failures int
@@ -113,7 +112,15 @@
 
 // alive tells whether the upstream may get new work at all.
 func (u *Upstream) alive(now dhclock.Millis) bool {
-	return !u.leaving && !u.gone && now.Since(u.renewed) <= AnnounceLife
+	return !u.leaving && now.Since(u.renewed) <= AnnounceLife
+}
+
+// usable tells whether one more request may start there now.
+func (u *Upstream) usable(now dhclock.Millis, ignoreEjection bool) bool {
+	if u.leaving || now.Since(u.renewed) > AnnounceLife || now < u.shed {
+		return false
+	}
+	return (now >= u.ejected || ignoreEjection) && u.running < u.allowed(now)
 }
 
 // allowed returns how many requests may run there now: all slots, or fewer
