Keep sending nothing to a zone whose upstreams are all ejected

Cause: with more than half of a pool ejected, ejection was ignored, so a zone with three dead upstreams kept all of its requests. Ruled out: the place of the last try. Change: passing on goes before ejected upstreams, and those get a quarter of their slots at most.

--- /dev/null
+++ b/core/dhsteer/choice_test.go
@@ -0,0 +1,147 @@
+package dhsteer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"dogwoodhitch/core/dhclock"
+)
+
+// choice picks an upstream for the next request, or nil.
+type choice func(p *Pool, now dhclock.Millis, random uint64) *Upstream
+
+// free lists the upstreams that a baseline may use.
+func free(p *Pool, now dhclock.Millis) []*Upstream {
+	var list []*Upstream
+	for _, u := range p.Upstreams() {
+		if u.usable(now) {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+func choices() map[string]choice {
+	turn := 0
+	return map[string]choice{
+		"1 random": func(p *Pool, now dhclock.Millis, random uint64) *Upstream {
+			list := free(p, now)
+			if len(list) == 0 {
+				return nil
+			}
+			return list[random%uint64(len(list))]
+		},
+		"2 round robin": func(p *Pool, now dhclock.Millis, _ uint64) *Upstream {
+			list := free(p, now)
+			if len(list) == 0 {
+				return nil
+			}
+			turn++
+			return list[turn%len(list)]
+		},
+		"3 least in flight": func(p *Pool, now dhclock.Millis, _ uint64) *Upstream {
+			var best *Upstream
+			for _, u := range free(p, now) {
+				if best == nil || u.Running() < best.Running() {
+					best = u
+				}
+			}
+			return best
+		},
+		"4 two choices": func(p *Pool, now dhclock.Millis, random uint64) *Upstream {
+			list := free(p, now)
+			if len(list) == 0 {
+				return nil
+			}
+			a, b := list[random%uint64(len(list))], list[random>>20%uint64(len(list))]
+			if b.Running() < a.Running() {
+				return b
+			}
+			return a
+		},
+		"5 ours": func(p *Pool, now dhclock.Millis, _ uint64) *Upstream { return p.Choose(now, nil) },
+	}
+}
+
+// BenchmarkChoice compares choices among 18 upstreams of which some are four
+// times slower, fail at once, or lie in their reports, on the same arrivals.
+func BenchmarkChoice(b *testing.B) {
+	for b.Loop() {
+		for _, trouble := range []string{"alike", "three slow", "one fails at once", "reports lie"} {
+			list := choices()
+			for _, name := range slices.Sorted(func(yield func(string) bool) {
+				for k := range list {
+					if !yield(k) {
+						return
+					}
+				}
+			}) {
+				runChoice(trouble, name, list[name])
+			}
+		}
+	}
+}
+
+// runChoice sends 1200 requests a second for 20 s, each taking 20 to 40 ms,
+// and prints a row.
+func runChoice(trouble, name string, pick choice) {
+	p := withPool(18, 9)
+	random := uint64(1)
+	next := func() uint64 {
+		random = random*6364136223846793005 + 1442695040888963407
+		return random >> 20
+	}
+	type running struct {
+		u             *Upstream
+		started, ends dhclock.Millis
+		fails         bool
+	}
+	var runs []running
+	var latencies []dhclock.Millis
+	refused, failed, owed := 0, 0, 0
+	for now := dhclock.Millis(1); now < 20_000; now++ {
+		if now%1000 == 0 {
+			for i, u := range p.Upstreams() {
+				reported := u.Running()
+				if trouble == "reports lie" {
+					reported = i % 2 * 1000
+				}
+				p.Announce(now, 0, NewAnnounce(AnnounceOptions{Name: u.Name(), Address: u.Address(), Slots: 9, Running: reported}))
+			}
+		}
+		runs = slices.DeleteFunc(runs, func(r running) bool {
+			if r.ends > now {
+				return false
+			}
+			verdict := Answered
+			if r.fails {
+				verdict = Failed
+				failed++
+			} else {
+				latencies = append(latencies, now-r.started)
+			}
+			p.Finish(now, r.u, false, verdict, now-r.started)
+			return true
+		})
+		for owed += 1200; owed >= 1000; owed -= 1000 {
+			u := pick(p, now, next())
+			if u == nil {
+				refused++
+				continue
+			}
+			p.Take(u, false)
+			r := running{u: u, started: now, ends: now + 20 + dhclock.Millis(next()%20)}
+			if trouble == "three slow" && u.Name() < "u03" {
+				r.ends += 3 * (r.ends - now)
+			}
+			if trouble == "one fails at once" && u.Name() == "u00" {
+				r.ends, r.fails = now+1, true
+			}
+			runs = append(runs, r)
+		}
+	}
+	slices.Sort(latencies)
+	fmt.Printf("%-18s %-18s p50 %3d ms  p99 %3d ms  refused %d  failed %d\n", trouble, name,
+		latencies[len(latencies)/2], latencies[len(latencies)*99/100], refused, failed)
+}
--- a/core/dhsteer/pool.go
+++ b/core/dhsteer/pool.go
@@ -90,18 +90,31 @@
 
 // Choose returns the upstream with a free slot that is least busy, or nil.
 // Among equally busy ones the choice goes round. Upstreams that were tried
-// before for the same request are passed over. Ejected upstreams are used only
-// when more than half of the pool is ejected: then the failures are more
-// likely to lie elsewhere.
+// before for the same request, and ejected ones, are passed over.
 func (p *Pool) Choose(now dhclock.Millis, tried []*Upstream) *Upstream {
-	ignoreEjection := now < p.ejectedUntil && p.mostEjected(now)
+	return p.choose(now, tried, false)
+}
+
+// ChooseEjected returns an ejected upstream to try, or nil. It gives one only
+// when more than half of the pool is ejected: then the failures may lie
+// elsewhere, and somebody must find out.
+func (p *Pool) ChooseEjected(now dhclock.Millis, tried []*Upstream) *Upstream {
+	if now >= p.ejectedUntil || !p.mostEjected(now) {
+		return nil
+	}
+	return p.choose(now, tried, true)
+}
+
+// choose goes round the upstreams that may be used, or those that are worth
+// trying although they are ejected.
+func (p *Pool) choose(now dhclock.Millis, tried []*Upstream, ejected bool) *Upstream {
 	n := len(p.upstreams)
 	if n == 0 {
 		return nil
 	}
 	p.turn = (p.turn + 1) % n
-	first, firstLoad := p.least(now, p.upstreams[p.turn:], tried, ignoreEjection)
-	second, secondLoad := p.least(now, p.upstreams[:p.turn], tried, ignoreEjection)
+	first, firstLoad := least(now, p.upstreams[p.turn:], tried, ejected)
+	second, secondLoad := least(now, p.upstreams[:p.turn], tried, ejected)
 	if first == nil || second != nil && secondLoad < firstLoad {
 		return second
 	}
@@ -110,11 +123,14 @@
 
 // least returns the least busy of some upstreams that may be used, and its
 // load.
-func (p *Pool) least(now dhclock.Millis, list, tried []*Upstream, ignoreEjection bool) (*Upstream, int64) {
+func least(now dhclock.Millis, list, tried []*Upstream, ejected bool) (*Upstream, int64) {
 	var best *Upstream
 	var bestLoad int64
 	for _, u := range list {
-		if !u.usable(now, ignoreEjection) || slices.Contains(tried, u) {
+		if ejected && !u.worthTrying(now) || !ejected && !u.usable(now) {
+			continue
+		}
+		if len(tried) > 0 && slices.Contains(tried, u) {
 			continue
 		}
 		if load := u.load(now); best == nil || load < bestLoad {
--- a/core/dhsteer/upstream.go
+++ b/core/dhsteer/upstream.go
@@ -116,11 +116,21 @@
 }
 
 // usable tells whether one more request may start there now.
-func (u *Upstream) usable(now dhclock.Millis, ignoreEjection bool) bool {
-	if u.leaving || now.Since(u.renewed) > AnnounceLife || now < u.shed {
+func (u *Upstream) usable(now dhclock.Millis) bool {
+	if u.leaving || now.Since(u.renewed) > AnnounceLife || now < u.shed || now < u.ejected {
 		return false
 	}
-	return (now >= u.ejected || ignoreEjection) && u.running < u.allowed(now)
+	return u.running < u.allowed(now)
+}
+
+// triedSlots is the share of its slots that an ejected upstream may get when
+// most are ejected, one in so many.
+const triedSlots = 4
+
+// worthTrying tells whether an upstream may get one more request although it
+// is ejected.
+func (u *Upstream) worthTrying(now dhclock.Millis) bool {
+	return u.alive(now) && now >= u.shed && u.running < max(1, u.Slots()/triedSlots)
 }
 
 // allowed returns how many requests may run there now: all slots, or fewer
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -113,14 +113,21 @@
 		s.refuse(now, r, f, out)
 		return
 	}
-	r.waitUntil = min(r.waitUntil, r.deadline)
 	if u := r.pool.Choose(now, r.tried); u != nil {
 		s.forward(now, r.pool, r, u, out)
 		return
 	}
-	if g := s.passageFor(now, r.pool, r); g != nil && !r.passed {
+	if g := s.passageFor(now, r.pool, r); g != nil {
 		s.pass(now, r.pool, r, g, out)
 		return
 	}
-	s.refuse(now, r, f, out)
+	if r.passed || r.route.QueueWait() == 0 {
+		s.refuse(now, r, f, out)
+		return
+	}
+	// Nobody can take it now. It waits like a request that has just come; what
+	// was tried may be tried again by then.
+	r.tried, r.shunned = nil, nil
+	r.waitUntil = min(r.deadline, now+r.route.QueueWait())
+	s.waitForSlot(now, r.pool, r, out)
 }
--- a/core/dhtraffic/pass.go
+++ b/core/dhtraffic/pass.go
@@ -96,7 +96,7 @@
 	r.attempts++
 	g.running++
 	p.passUntil = now + keepAsking
-	p.budget.earn()
+	p.earnRetry(now)
 	out.Add(dheffect.NewPass(dheffect.PassOptions{
 		Request: r.id, Instance: g.instance.Name(), Address: g.instance.PeerAddress(),
 		Organisation: r.organisation, Timeout: r.timeout(now), Claimed: r.claimed,
--- a/core/dhtraffic/slot.go
+++ b/core/dhtraffic/slot.go
@@ -38,6 +38,10 @@
 		s.pass(now, p, r, g, out)
 		return
 	}
+	if u := p.ChooseEjected(now, r.tried); u != nil && p.Waiting() == 0 {
+		s.forward(now, p, r, u, out)
+		return
+	}
 	s.waitForSlot(now, p, r, out)
 }
 
@@ -94,7 +98,7 @@
 	r.upstream = u
 	r.waiter = nil
 	r.attempts++
-	p.budget.earn()
+	p.earnRetry(now)
 	p.Take(u, r.passed)
 	out.Add(dheffect.NewForward(dheffect.ForwardOptions{
 		Request: r.id, Service: p.Service(), Upstream: u.Name(), Address: u.Address(), Organisation: r.organisation,
@@ -106,6 +110,9 @@
 func (s *State) dispatch(now dhclock.Millis, p *pool, out *dheffect.List) {
 	for p.Waiting() > 0 {
 		u := p.Choose(now, nil)
+		if u == nil {
+			u = p.ChooseEjected(now, nil)
+		}
 		if u == nil {
 			return
 		}
@@ -127,8 +134,8 @@
 	for _, name := range sortedPools(s.pools) {
 		p := s.pools[name]
 		p.Sweep(now)
-		s.dispatch(now, p, out)
 		s.passWaiting(now, p, out)
+		s.dispatch(now, p, out)
 		for _, w := range p.Expired(now) {
 			p.Cancel(w)
 			s.refuse(now, s.requests[w.Request()], s.noSlot(now, p), out)
@@ -140,16 +147,20 @@
 }
 
 // budget keeps retries to a tenth of the requests, so that they can't
-// multiply a failure. It counts in tenths of a retry.
+// multiply a failure, but for a reserve of one retry a slot: when a whole zone
+// fails, everything that runs fails at once. It counts in tenths of a retry.
 type budget struct{ tenths int }
 
 // Bounds of a retry budget, in tenths of a retry.
 const (
-	budgetMost  = 100
+	budgetLeast = 100 // of the reserve
 	budgetRetry = 10
 )
 
-func (b *budget) earn() { b.tenths = min(budgetMost, b.tenths+1) }
+// earn adds a tenth of a retry, up to the reserve for so many slots.
+func (b *budget) earn(slots int) {
+	b.tenths = min(max(budgetLeast, slots*budgetRetry), b.tenths+1)
+}
 
 func (b *budget) take() bool {
 	if b.tenths < budgetRetry {
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -100,12 +100,24 @@
 	passages map[string]*passage
 	intake   intake
 	budget   budget
+	reserve  int // most slots seen, which the budget's reserve follows
 	asked    dhclock.Millis
 	coldRamp dhclock.Millis
 	// passUntil is until when promises of other instances are kept up.
 	passUntil dhclock.Millis
 }
 
+// earnRetry counts a request that is sent out. A pool that grows starts with a
+// full reserve.
+func (p *pool) earnRetry(now dhclock.Millis) {
+	all, _ := p.Slots(now)
+	if all > p.reserve {
+		p.budget.tenths += (all - p.reserve) * budgetRetry
+		p.reserve = all
+	}
+	p.budget.earn(p.reserve)
+}
+
 // poolOf returns the pool of a service that the catalog holds.
 func (s *State) poolOf(service string) *pool {
 	p, found := s.pools[service]
@@ -114,7 +126,7 @@
 			Pool:     dhsteer.NewPool(service),
 			passages: map[string]*passage{},
 			intake:   intake{promised: map[string]promise{}},
-			budget:   budget{tenths: budgetMost},
+			budget:   budget{tenths: budgetLeast},
 		}
 		s.pools[service] = p
 	}
