--- /dev/null
+++ b/io/dhprocess/operator_test.go
@@ -0,0 +1,110 @@
+package dhprocess
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhlogs"
+	"dogwoodhitch/io/dhsettings"
+	"dogwoodhitch/io/dhtime"
+)
+
+// operators calls a voter's operators' API.
+type operators struct {
+	t       *testing.T
+	process *Process
+	log     *bytes.Buffer
+}
+
+// withOperators starts a voter that keeps its state in memory.
+func withOperators(t *testing.T) *operators {
+	t.Helper()
+	log := &bytes.Buffer{}
+	logs, err := dhlogs.New(dhlogs.Options{Level: "trace", Output: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := New(Options{
+		Name: "c1", Role: dhsettings.RoleControl, Logs: logs, Clock: dhtime.System(),
+		Listen:   Addresses{Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"},
+		Founders: []dhmessage.Voter{dhmessage.NewVoter(dhmessage.NewPeer("c1", ""), "", false)},
+		Secrets:  Secrets{Peers: "peers", Operators: "operators"},
+	})
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Stop)
+	return &operators{t: t, process: p, log: log}
+}
+
+func (o *operators) call(method, path, secret, body string) (int, string) {
+	o.t.Helper()
+	r, err := http.NewRequestWithContext(o.t.Context(), method, "http://"+o.process.Bound().Operators+path, strings.NewReader(body))
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+secret)
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	defer a.Body.Close()
+	raw, err := io.ReadAll(a.Body)
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	return a.StatusCode, string(raw)
+}
+
+// TestOperatorsAPI follows change sets through the API, good and bad.
+func TestOperatorsAPI(t *testing.T) {
+	o := withOperators(t)
+	const secret = "a-secret-key-of-a-caller"
+	key := `{"key": {"name": "k", "organisation": "o", "secret": "` + secret + `"}}`
+	first := `{"id": "first", "author": "me", "puts": [{"organisation": {"name": "o"}}, ` + key + `]}`
+	cases := []struct {
+		method, path, secret, body string
+		status                     int
+		holds                      string
+	}{
+		{"POST", "/v1/changes?wait=true", "operators", first, 200, `"inForce":true`},
+		{"POST", "/v1/changes", "operators", first, 200, `"version":1`}, // a resend
+		{"POST", "/v1/changes", "operators", strings.Replace(first, "me", "you", 1), 409, "changeIdReused"},
+		{"POST", "/v1/changes", "operators", `{"id": "late", "author": "me", "puts": [{"organisation": {"name": "p"}}]}`, 409, "current version 1"},
+		{"POST", "/v1/changes", "operators", `{"id": "bad", "base": 1, "author": "me", "puts": [{"limit": {"name": "l", "organisation": "none", "rate": 0, "burst": 1}}]}`, 422, "organisation/none"},
+		{"POST", "/v1/changes", "operators", `{"id": "odd", "shape": 1}`, 400, "unknown field"},
+		{"POST", "/v1/changes", "operators", `{"id": "short", "base": 1, "puts": [{"key": {"name": "s", "organisation": "o", "secret": "short"}}]}`, 422, "at least 16"},
+		{"POST", "/v1/changes?dryRun=true", "operators", `{"id": "dry", "base": 1, "author": "me", "puts": [{"organisation": {"name": "dry"}}]}`, 200, `"dryRun":true`},
+		{"GET", "/v1/objects?current=true", "operators", "", 200, `"version":1`},
+		{"GET", "/v1/objects?kind=organisation&name=dry", "operators", "", 404, "notFound"},
+		{"GET", "/v1/changes", "operators", "", 200, `"id":"first"`},
+		{"GET", "/v1/status", "operators", "", 200, `"leads":true`},
+		{"GET", "/v1/status", "another", "", 401, "denied"},
+		{"GET", "/v1/burn", "operators", "", 404, "entry instance"},
+		{"GET", "/v1/claims?organisation=o&key=none", "operators", "", 404, "retentionMs"},
+		{"POST", "/v1/claims/settle", "operators", `{"organisation": "o", "key": "none", "ran": true}`, 409, "claimUnknown"},
+		{"POST", "/v1/claims/settle", "operators", `{"organisation": "o", "key": "none"}`, 400, "ran is missing"},
+		{"POST", "/v1/voters", "operators", `{"action": "remove", "name": "c1"}`, 409, "no voter would be left"},
+		{"POST", "/v1/voters", "operators", `{"action": "grow"}`, 400, "add, remove or replace"},
+		{"GET", "/nothing", "operators", "", 404, "OPERATING"},
+		{"GET", "/healthz", "", "", 200, "{}"},
+		{"GET", "/readyz", "", "", 200, "{}"},
+		{"GET", "/metrics", "", "", 200, "dogwoodhitch_version 1"},
+	}
+	for _, c := range cases {
+		status, body := o.call(c.method, c.path, c.secret, c.body)
+		if status != c.status || !strings.Contains(body, c.holds) {
+			t.Errorf("%s %s %s: got %d %s", c.method, c.path, c.body, status, body)
+		}
+		if strings.Contains(body, secret) {
+			t.Errorf("%s %s answers with a key's secret", c.method, c.path)
+		}
+	}
+	if strings.Contains(o.log.String(), secret) {
+		t.Error("a key's secret was logged")
+	}
+}
--- /dev/null
+++ b/io/dhsettings/settings_test.go
@@ -0,0 +1,72 @@
+package dhsettings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// withSettings writes a settings file beside its secrets.
+func withSettings(t *testing.T, edit func(text string) string) string {
+	t.Helper()
+	folder := t.TempDir()
+	for _, s := range []string{"peers.secret", "operators.secret", "upstreams.secret"} {
+		if err := os.WriteFile(filepath.Join(folder, s), []byte("a-secret-of-the-tests\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	raw, err := os.ReadFile("../../examples/entry.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(folder, "entry.jsonc")
+	if err := os.WriteFile(path, []byte(edit(string(raw))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestExampleIsGood(t *testing.T) {
+	s, err := Read(withSettings(t, func(text string) string { return text }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Role() != RoleEntry || s.Zone() != "a1" || s.PeerSecret() != "a-secret-of-the-tests" || len(s.Voters()) != 1 {
+		t.Errorf("got %+v", s.file)
+	}
+}
+
+// TestFaults makes one fault at a time: the error names the file, the path,
+// what was found and the remedy.
+func TestFaults(t *testing.T) {
+	cases := []struct{ old, new, path, found, remedy string }{
+		{`"zone": "a1"`, `"zone": ""`, "zone", `""`, "letters"},
+		{`"zone": "a1"`, `"zone": "a1", "colour": 1`, "colour", "unknown", "remove"},
+		{`"role": "entry"`, `"role": "guard"`, "role", "guard", "entry or control"},
+		{`"127.0.0.1:8080"`, `"example.org:8080"`, "listen.callers", "example.org", "IP number"},
+		{`"127.0.0.1:7002"`, `"127.0.0.1"`, "voters[0].address", "127.0.0.1", "port"},
+		{`"peers.secret"`, `"none.secret"`, "secrets.peersFile", "no such file", "create"},
+		{`"maxBodyBytes": 1048576`, `"maxBodyBytes": -1`, "requests.maxBodyBytes", "-1", "from 1"},
+		{`"maxBodyBytes": 1048576`, `"maxBodyBytes": "big"`, "requests.maxBodyBytes", "string", "int64"},
+		{`"journalFile": ""`, `"dataFolder": "/x"`, "dataFolder", "/x", "remove"},
+		{`{`, ``, "file", "", "JSON"},
+	}
+	for _, c := range cases {
+		path := withSettings(t, func(text string) string { return strings.Replace(text, c.old, c.new, 1) })
+		_, err := Read(path)
+		var bad Error
+		if !errors.As(err, &bad) || len(bad.Problems()) != 1 {
+			t.Errorf("%s: %v", c.new, err)
+			continue
+		}
+		p := bad.Problems()[0]
+		if p.Path() != c.path || !strings.Contains(p.Found(), c.found) || !strings.Contains(p.Remedy(), c.remedy) || !strings.Contains(err.Error(), path) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	if _, err := Read("/none"); err == nil || !strings.Contains(err.Error(), "examples/") {
+		t.Errorf("a missing file: %v", err)
+	}
+}
