--- a/cmd/dogwoodhitch/cluster_test.go
+++ b/cmd/dogwoodhitch/cluster_test.go
@@ -31,7 +31,11 @@
 		panic(err)
 	}
 	program = filepath.Join(folder, "dogwoodhitch")
-	args := []string{"build", "-o", program, "."}
+	args := []string{"build", "-o", program}
+	if raceDetector {
+		args = append(args, "-race")
+	}
+	args = append(args, ".")
 	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
 		panic(string(out))
 	}
@@ -257,6 +261,9 @@
 	}(p, p.command, p.done)
 	c.t.Cleanup(func() {
 		c.kill(p)
+		if strings.Contains(p.log.String(), "DATA RACE") {
+			c.t.Errorf("%s has a data race", p.name)
+		}
 		if c.t.Failed() {
 			c.t.Logf("log of %s:\n%s", p.name, p.log)
 		}
--- a/core/dhcatalog/catalog_test.go
+++ b/core/dhcatalog/catalog_test.go
@@ -174,7 +174,12 @@
 		for i := range n {
 			puts = append(puts, NewOrganisation(OrganisationOptions{Name: fmt.Sprint("o", i)}))
 		}
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
 		c := apply(b, New(), puts, nil)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
 		set := NewChangeSet(ChangeSetOptions{ID: "x", Base: 1, Author: "test", Puts: puts[:1]})
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
@@ -182,6 +187,8 @@
 					b.Fatal(err)
 				}
 			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/object")
 		})
+		runtime.KeepAlive(c)
 	}
 }
--- a/core/dhreducer/rate_test.go
+++ b/core/dhreducer/rate_test.go
@@ -373,3 +373,35 @@
 		fmt.Printf("the leader is lost: %d of %d refused in 20 times 10 s\n", refused, total)
 	}
 }
+
+// BenchmarkLeaderAsk lets a leader answer asks of so many holders, each for 8
+// of 64 organisations.
+func BenchmarkLeaderAsk(b *testing.B) {
+	for _, holders := range []int{109, 435, 870} {
+		f := withFleet(b, 1, "a1-1")
+		var puts []dhcatalog.Object
+		for i := range 64 {
+			name := fmt.Sprint("org-", i)
+			puts = append(puts, dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: name}),
+				dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: name, Organisation: name, Rate: 100_000, Burst: 100_000}))
+		}
+		f.change(puts...)
+		f.run(3000)
+		used := make([]dhmessage.Tokens, holders)
+		b.Run(fmt.Sprint(holders), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				h := i % holders
+				used[h] += dhmessage.Token
+				var asks []dhmessage.Ask
+				for k := range 8 {
+					asks = append(asks, dhmessage.NewAsk(fmt.Sprint("org-", (h+k)%64), dhmessage.Token, used[h], 0))
+				}
+				m := dhmessage.NewGrantAsk(dhmessage.GrantAskOptions{Stream: 1, Owner: 1, Asks: asks})
+				var out dheffect.List
+				Reduce(f.machines[0].state, dhevent.NewMessageReceived(f.clock(f.machines[0]), dhevent.MessageReceivedOptions{
+					From: dhmessage.NewPeer(fmt.Sprint("holder-", h), ""), Message: m,
+				}), &out)
+			}
+		})
+	}
+}
--- a/io/dhcommand/change.go
+++ b/io/dhcommand/change.go
@@ -98,6 +98,9 @@
 func printChanges(c *cli.Command, m *dhproto.ChangeSet) {
 	w := c.Root().Writer
 	for _, o := range m.GetPuts() {
+		if k := o.GetKey(); k.GetSecret() != "" {
+			k.Secret = "(not shown)"
+		}
 		fmt.Fprintln(w, "put    ", protojson.MarshalOptions{}.Format(o))
 	}
 	for _, r := range m.GetDeletes() {
--- /dev/null
+++ b/io/dhpeer/peer_test.go
@@ -0,0 +1,118 @@
+package dhpeer
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dogwoodhitch/core/dhmessage"
+)
+
+// pair is a sender and the receiver that it sends to.
+type pair struct {
+	sender *Sender
+	got    chan dhmessage.Message
+	from   atomic.Value
+	full   atomic.Bool
+}
+
+func withPair(t testing.TB, secret string) *pair {
+	t.Helper()
+	p := &pair{got: make(chan dhmessage.Message, 4096)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	book := NewBook(nil)
+	receiver := NewReceiver(ReceiverOptions{
+		Secret: "secret", Learn: book.Learn, Log: logrus.NewEntry(log),
+		Take: func(from dhmessage.Peer, m dhmessage.Message) bool {
+			if p.full.Load() {
+				return false
+			}
+			p.from.Store(from)
+			p.got <- m
+			return true
+		},
+	})
+	_, handler := receiver.Handler()
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	ctx, cancel := context.WithCancel(t.Context())
+	p.sender = NewSender(ctx, SenderOptions{
+		Self: dhmessage.NewPeer("a", "folder"), Address: "10.0.0.1:1", Secret: secret, Log: logrus.NewEntry(log),
+		Lookup: func(name string) string {
+			if name != "b" {
+				return ""
+			}
+			return strings.TrimPrefix(s.URL, "http://")
+		},
+	})
+	t.Cleanup(func() {
+		cancel()
+		p.sender.Wait()
+	})
+	return p
+}
+
+func poll(version uint64) dhmessage.Message {
+	return dhmessage.NewPoll(dhmessage.PollOptions{Version: version})
+}
+
+// TestDelivery sends messages, and some that must be lost without harm.
+func TestDelivery(t *testing.T) {
+	p := withPair(t, "secret")
+	p.sender.Send("unknown", poll(1))
+	for i := range uint64(100) {
+		p.sender.Send("b", poll(i))
+	}
+	seen := map[uint64]bool{}
+	for range 100 {
+		seen[(<-p.got).(*dhmessage.Poll).Version()] = true
+	}
+	if from := p.from.Load().(dhmessage.Peer); len(seen) != 100 || from.Name() != "a" || from.Folder() != "folder" {
+		t.Errorf("%d messages from %v", len(seen), from)
+	}
+	p.full.Store(true)
+	p.sender.Send("b", poll(1))
+	for i := range uint64(2 * queueSize) { // never waits, whatever the queue holds
+		p.sender.Send("b", poll(i))
+	}
+}
+
+// TestWrongSecret delivers nothing.
+func TestWrongSecret(t *testing.T) {
+	p := withPair(t, "another")
+	p.sender.Send("b", poll(1))
+	select {
+	case m := <-p.got:
+		t.Errorf("got %v", m)
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+// BenchmarkDeliver sends messages one at a time, and reports the processor
+// time of both sides together.
+func BenchmarkDeliver(b *testing.B) {
+	p := withPair(b, "secret")
+	var before, after syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &before); err != nil {
+		b.Fatal(err)
+	}
+	n := 0
+	for b.Loop() {
+		p.sender.Send("b", poll(1))
+		<-p.got
+		n++
+	}
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &after); err != nil {
+		b.Fatal(err)
+	}
+	spent := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
+	b.ReportMetric(float64(spent)/float64(n)/1000, "cpu-us/call")
+}
--- /dev/null
+++ b/io/dhwire/wire_test.go
@@ -0,0 +1,194 @@
+package dhwire
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhproto"
+)
+
+func objects() []dhcatalog.Object {
+	return []dhcatalog.Object{
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "z", Region: "r"}),
+		dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "i", Zone: "z", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}),
+		dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "o", StaleGrace: 5, Weight: 2}),
+		dhcatalog.NewKey(dhcatalog.KeyOptions{Name: "k", Organisation: "o", Hash: HashSecret("a secret of the tests")}),
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s", SpillPercent: 5, ColdStart: 6}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "t", PathPrefix: "/", Service: "s", ClaimRequired: true, Timeout: 1, QueueWait: 2, Priority: 3, Retention: 4}),
+		dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "l", Organisation: "o", Rate: 7, Burst: 8}),
+		dhcatalog.NewObjective(dhcatalog.ObjectiveOptions{Name: "b", Route: "t", TargetPerMillion: 9, Latency: 10}),
+		dhcatalog.NewSite(dhcatalog.SiteOptions{Name: "e", Zone: "z", TimeToLive: 11, Default: true}),
+		dhcatalog.NewDrain(dhcatalog.DrainOptions{Name: "d", Target: dhcatalog.NewRef(dhcatalog.KindZone, "z"), Ramp: 12, Paused: true, MovedPercent: 13}),
+	}
+}
+
+func changeSet(t testing.TB) dhcatalog.ChangeSet {
+	t.Helper()
+	four, err := BlockFromWire("203.0.113.0/24")
+	if err != nil {
+		t.Fatal(err)
+	}
+	six, err := BlockFromWire("2001:db8::/48")
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, err := ChangeSetFromWire(ChangeSetToWire(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+		ID: "x", Author: "a", Puts: objects(),
+		Blocks: []dhcatalog.BlockChange{dhcatalog.NewBlockChange(four, "e"), dhcatalog.NewBlockChange(six, "e")},
+	})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+// TestEverythingComesBack converts every kind of message, command, object and
+// error to the schema and back.
+func TestEverythingComesBack(t *testing.T) {
+	set := changeSet(t)
+	for i, o := range set.Puts() {
+		if !reflect.DeepEqual(o, objects()[i]) {
+			t.Errorf("%s came back as %+v", o.Ref(), o)
+		}
+	}
+	c, err := dhcatalog.New().Apply(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	voters := []dhmessage.Voter{dhmessage.NewVoter(dhmessage.NewPeer("c", "f"), "10.0.0.1:1", true)}
+	key, by := dhmessage.NewClaimKey("o", "k"), dhmessage.NewClaimant("i", 1, 2)
+	answer := dhmessage.NewAnswer(200, []dhmessage.Field{dhmessage.NewField("A", "b")}, []byte("body"))
+	commands := []dhmessage.Command{
+		dhmessage.Noop{}, dhmessage.NewChange(set), dhmessage.NewMembers(voters),
+		dhmessage.NewClaim(dhmessage.ClaimOptions{Key: key, Claimant: by, Digest: dhcatalog.KeyHash{1}, Deadline: 3, Retention: 4}),
+		dhmessage.NewOutcome(key, by, dhmessage.ClaimDone, answer), dhmessage.NewResolve(key, true),
+		dhmessage.NewMemberEdit(dhmessage.MemberReplace, "c", "10.0.0.1:1", "f"),
+	}
+	var entries []dhmessage.Entry
+	for i, x := range commands {
+		entries = append(entries, dhmessage.NewEntry(uint64(i+1), 2, 3, x))
+	}
+	snapshot := dhmessage.NewSnapshot(dhmessage.SnapshotOptions{
+		Index: 1, Term: 2, At: 3, Voters: voters, Catalog: c, Recent: []dhmessage.Accepted{dhmessage.NewAccepted(1, 2, set)},
+		Claims: []dhmessage.ClaimRecord{dhmessage.NewClaimRecord(dhmessage.ClaimRecordOptions{
+			Key: key, Claimant: by, Digest: dhcatalog.KeyHash{1}, State: dhmessage.ClaimDone, Answer: answer, Deadline: 5, Expiry: 6,
+		})},
+	})
+	results := []dhmessage.ResultOptions{
+		{Version: 1, Claim: dhmessage.ClaimDone, Answer: answer}, {Unsure: true},
+		{Err: dhcatalog.NewConflictError(1, 2)}, {Err: dhcatalog.NewReusedError("x")},
+		{Err: dhcatalog.NewInvalidError([]dhcatalog.Problem{dhcatalog.NewProblem(dhcatalog.NewRef("zone", "z"), "f", "1", "r")})},
+		{Err: dhmessage.NewRefusedError("kind", "text", "remedy")},
+	}
+	messages := []dhmessage.Message{
+		dhmessage.NewVoteAsk(dhmessage.VoteAskOptions{Term: 1, LastIndex: 2, LastTerm: 3, Pre: true}),
+		dhmessage.NewVoteAnswer(dhmessage.VoteAnswerOptions{Term: 1, Granted: true, Pre: true}),
+		dhmessage.NewAppend(dhmessage.AppendOptions{Term: 1, PreviousIndex: 2, PreviousTerm: 3, Entries: entries, Commit: 4, Round: 5}),
+		dhmessage.NewAppendAnswer(dhmessage.AppendAnswerOptions{Term: 1, Accepted: true, Match: 2, Round: 3}),
+		dhmessage.NewInstall(dhmessage.InstallOptions{Term: 1, Snapshot: snapshot, Round: 2}),
+		dhmessage.NewPoll(dhmessage.PollOptions{Version: 1, Sent: 2, Acks: []dhmessage.Ack{dhmessage.NewAck("i", 1, true)}}),
+		dhmessage.NewUpdate(dhmessage.UpdateOptions{
+			Sent: 1, Version: 2, Confirmed: true, Age: 3, Full: c, Changes: []dhcatalog.ChangeSet{set},
+			Away: []dhmessage.Away{dhmessage.NewAway("i", true)}, Leader: "c", InForce: 4,
+			Drains: []dhmessage.DrainAge{dhmessage.NewDrainAge("d", 5)}, Voters: voters,
+		}),
+		dhmessage.NewGrantAsk(dhmessage.GrantAskOptions{Stream: 1, Owner: 2, Sent: 3, Asks: []dhmessage.Ask{dhmessage.NewAsk("o", 1, 2, 3)}}),
+		dhmessage.NewGrantGive(dhmessage.GrantGiveOptions{Stream: 1, Owner: 2, Sent: 3, Life: 4, Gives: []dhmessage.Give{dhmessage.NewGive("o", 1, 2, true)}}),
+		dhmessage.NewRedirect(dhmessage.RedirectOptions{Ticket: 1, Leader: "c"}),
+		dhmessage.NewIntakeAsk(dhmessage.IntakeAskOptions{Service: "s", Sent: 1, Want: 2}),
+		dhmessage.NewIntakeGive(dhmessage.IntakeGiveOptions{Service: "s", Sent: 1, Life: 2, Slots: 3}),
+	}
+	for _, x := range commands {
+		messages = append(messages, dhmessage.NewPropose(dhmessage.ProposeOptions{Ticket: 1, Command: x}))
+	}
+	for _, r := range results {
+		messages = append(messages, dhmessage.NewProposed(dhmessage.ProposedOptions{Ticket: 1, Result: dhmessage.NewResult(r)}))
+	}
+	for _, m := range messages {
+		first := MessageToWire(m)
+		back, err := MessageFromWire(first)
+		if err != nil {
+			t.Errorf("%T: %v", m, err)
+			continue
+		}
+		if again := MessageToWire(back); !proto.Equal(first, again) || reflect.TypeOf(back) != reflect.TypeOf(m) {
+			t.Errorf("%T came back as %v", m, again)
+		}
+	}
+}
+
+// TestUnreadableMessages refuses what can't be read, with a remedy.
+func TestUnreadableMessages(t *testing.T) {
+	bad := []*dhproto.Message{
+		{},
+		{Message: &dhproto.Message_Propose{Propose: &dhproto.Propose{}}},
+		{Message: &dhproto.Message_Update{Update: &dhproto.Update{Changes: []*dhproto.ChangeSet{{Puts: []*dhproto.Object{{}}}}}}},
+		{Message: &dhproto.Message_Update{Update: &dhproto.Update{Full: &dhproto.Catalog{Version: 1, Blocks: &dhproto.BlockTable{Starts: []uint64{1}}}}}},
+		{Message: &dhproto.Message_Append{Append: &dhproto.Append{Entries: []*dhproto.Entry{{}}}}},
+	}
+	for _, m := range bad {
+		_, err := MessageFromWire(m)
+		var format FormatError
+		if !errors.As(err, &format) || format.Remedy() == "" {
+			t.Errorf("%v: %v", m, err)
+		}
+	}
+	for _, text := range []string{"", "10.0.0.1", "10.0.0.1/24", "2001:db8::/96", "x/8"} {
+		if _, err := BlockFromWire(text); err == nil {
+			t.Errorf("block %q was read", text)
+		}
+	}
+}
+
+// BenchmarkMessages converts and encodes a message and reads it again, and
+// reports its size.
+func BenchmarkMessages(b *testing.B) {
+	measure := func(name string, m dhmessage.Message) {
+		b.Run(name, func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				raw, err := proto.Marshal(MessageToWire(m))
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(raw)
+				w := &dhproto.Message{}
+				if err := proto.Unmarshal(raw, w); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := MessageFromWire(w); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "B/message")
+		})
+	}
+	for _, n := range []int{1, 8, 24} {
+		var acks []dhmessage.Ack
+		for i := range n {
+			acks = append(acks, dhmessage.NewAck(fmt.Sprintf("zone-%02d-instance-%02d", n, i), 123_456, false))
+		}
+		measure(fmt.Sprint("poll with acks ", n), dhmessage.NewPoll(dhmessage.PollOptions{Version: 123_456, Sent: 1 << 40, Acks: acks}))
+	}
+	for _, n := range []int{1, 8, 32} {
+		var asks []dhmessage.Ask
+		for i := range n {
+			asks = append(asks, dhmessage.NewAsk(fmt.Sprintf("organisation-%03d", i), 20*dhmessage.Token, 1<<40, 1<<30))
+		}
+		measure(fmt.Sprint("ask for organisations ", n), dhmessage.NewGrantAsk(dhmessage.GrantAskOptions{Stream: 1 << 60, Owner: 7, Sent: 1 << 40, Asks: asks}))
+	}
+	set := dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "change-0123456789", Base: 9, Author: "operator", Puts: objects()[2:4]})
+	measure("update with a change", dhmessage.NewUpdate(dhmessage.UpdateOptions{
+		Sent: 1 << 40, Version: 10, Confirmed: true, Age: dhclock.Millis(200), Changes: []dhcatalog.ChangeSet{set}, Leader: "control-1",
+	}))
+	measure("update without news", dhmessage.NewUpdate(dhmessage.UpdateOptions{
+		Sent: 1 << 40, Version: 10, Confirmed: true, Age: dhclock.Millis(200), Leader: "control-1",
+	}))
+}
