Answer peers within their own calls, and poll less often in large zones

Cause: each question between processes was answered by a call of its own: two HTTP exchanges, on two connections, for one answer. Change: a call with a question waits up to 6 ms for what its receiver says to the sender, and brings it back. Polls of zones with more than 8 instances spread from 400 up to 800 ms, since a relay of 24 would otherwise take 57 polls a second.

--- a/core/dhspread/parent.go
+++ b/core/dhspread/parent.go
@@ -71,7 +71,7 @@
 	if p.choice > 0 && now.Since(p.since) > returnInterval {
 		p.choice, p.since, p.waits = 0, now, false
 	}
-	wait := PollInterval
+	wait := s.interval()
 	if s.ackNews {
 		wait = ackInterval
 	}
@@ -80,6 +80,12 @@
 	}
 }
 
+// interval returns the time between two polls.
+func (s *State) interval() dhclock.Millis {
+	beyond := max(0, len(s.catalog.InstancesIn(s.zone))-smallZone)
+	return min(pollMost, pollInterval+dhclock.Millis(beyond)*pollSpread)
+}
+
 func (s *State) poll(now dhclock.Millis, out *dheffect.List) {
 	list := s.candidates()
 	if s.leads || len(list) == 0 {
@@ -106,7 +112,7 @@
 		list = append(list, dhmessage.NewAck(s.self, s.catalog.Version(), s.leaving))
 	}
 	for _, r := range s.sortedReports() {
-		if now.Since(r.heard) <= PollInterval*2 && r.ack.Instance() != s.self {
+		if now.Since(r.heard) <= ackLife && r.ack.Instance() != s.self {
 			list = append(list, r.ack)
 		}
 	}
--- a/core/dhspread/state.go
+++ b/core/dhspread/state.go
@@ -22,8 +22,14 @@
 
 // Time constants of the spread, in milliseconds.
 const (
-	// PollInterval is the time between two polls of the parent.
-	PollInterval dhclock.Millis = 400
+	// pollInterval is the time between two polls of the parent in a small zone.
+	// Each instance beyond smallZone adds pollSpread, up to pollMost, so that
+	// the load of a zone's relay stays bounded.
+	pollInterval dhclock.Millis = 400
+	pollSpread   dhclock.Millis = 25
+	pollMost     dhclock.Millis = 800
+	// ackLife is for how long an acknowledgement is passed on.
+	ackLife dhclock.Millis = 1800
 	// ackInterval is the least time between two polls that pass on news of
 	// acknowledgements.
 	ackInterval dhclock.Millis = 60
@@ -37,6 +43,9 @@
 	instanceLife dhclock.Millis = 2500
 )
 
+// smallZone is how many instances of a zone poll at the shortest interval.
+const smallZone = 8
+
 // maxHistory is how many change sets a process keeps for its children.
 const maxHistory = 512
 
--- a/io/dhpeer/peer_test.go
+++ b/io/dhpeer/peer_test.go
@@ -21,21 +21,29 @@
 	got    chan dhmessage.Message
 	from   atomic.Value
 	full   atomic.Bool
+	// answers come with the calls of the sender.
+	answers chan dhmessage.Message
 }
 
 func withPair(t testing.TB, secret string) *pair {
 	t.Helper()
-	p := &pair{got: make(chan dhmessage.Message, 4096)}
+	p := &pair{got: make(chan dhmessage.Message, 4096), answers: make(chan dhmessage.Message, 16)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	book := NewBook(nil)
+	answering := NewSender(t.Context(), SenderOptions{
+		Log: logrus.NewEntry(log), Lookup: func(string) string { return "" },
+	})
 	receiver := NewReceiver(ReceiverOptions{
-		Secret: "secret", Learn: book.Learn, Log: logrus.NewEntry(log),
+		Self: dhmessage.NewPeer("b", "other"), Answers: answering.Answers, Secret: "secret", Learn: book.Learn, Log: logrus.NewEntry(log),
 		Take: func(from dhmessage.Peer, m dhmessage.Message) bool {
 			if p.full.Load() {
 				return false
 			}
 			p.from.Store(from)
+			if u, ok := m.(*dhmessage.GrantAsk); ok {
+				answering.Send(from.Name(), dhmessage.NewRedirect(dhmessage.RedirectOptions{Ticket: u.Stream()}))
+			}
 			p.got <- m
 			return true
 		},
@@ -46,6 +54,11 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	p.sender = NewSender(ctx, SenderOptions{
 		Self: dhmessage.NewPeer("a", "folder"), Address: "10.0.0.1:1", Secret: secret, Log: logrus.NewEntry(log),
+		Take: func(from dhmessage.Peer, m dhmessage.Message) bool {
+			p.from.Store(from)
+			p.answers <- m
+			return true
+		},
 		Lookup: func(name string) string {
 			if name != "b" {
 				return ""
@@ -85,6 +98,19 @@
 	}
 }
 
+// TestAnswerComesWithTheCall asks a question of a process that can't reach the
+// asker by a call of its own.
+func TestAnswerComesWithTheCall(t *testing.T) {
+	p := withPair(t, "secret")
+	p.sender.Send("b", dhmessage.NewGrantAsk(dhmessage.GrantAskOptions{Stream: 7}))
+	if m := (<-p.answers).(*dhmessage.Redirect); m.Ticket() != 7 {
+		t.Errorf("got %+v", m)
+	}
+	if from := p.from.Load().(dhmessage.Peer); from.Name() != "b" || from.Folder() != "other" {
+		t.Errorf("from %v", from)
+	}
+}
+
 // TestWrongSecret delivers nothing.
 func TestWrongSecret(t *testing.T) {
 	p := withPair(t, "another")
--- a/io/dhpeer/receiver.go
+++ b/io/dhpeer/receiver.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhproto"
@@ -26,6 +28,12 @@
 	Take func(from dhmessage.Peer, m dhmessage.Message) bool
 	// Learn gets the address at which a sender listens.
 	Learn func(name, address string)
+	// Self is this process.
+	Self dhmessage.Peer
+	// Answers collects what this process says to another one; see Sender.
+	Answers func(name string) (answers chan dhmessage.Message, end func() []dhmessage.Message)
+	// Count gets the bytes of the answers that were sent; nil for none.
+	Count func(bytes int)
 	Log   *logrus.Entry
 }
 
@@ -41,8 +49,12 @@
 		connect.WithInterceptors(requireSecret(r.options.Secret)))
 }
 
+// answerWait is how long a call with a question waits for the answer, so that
+// most answers need no call of their own.
+const answerWait = 6 * time.Millisecond
+
 // Deliver implements the service.
-func (r *Receiver) Deliver(_ context.Context, request *dhproto.DeliverRequest) (*dhproto.DeliverResponse, error) {
+func (r *Receiver) Deliver(ctx context.Context, request *dhproto.DeliverRequest) (*dhproto.DeliverResponse, error) {
 	if request.GetProtocol() != dhwire.Protocol {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, fmt.Errorf(
 			"protocol %d is spoken by the sender and %d here; bring all processes to the same release",
@@ -51,17 +63,63 @@
 	w := request.GetFrom()
 	from := dhmessage.NewPeer(w.GetName(), w.GetFolder())
 	r.options.Learn(w.GetName(), w.GetAddress())
-	for _, x := range request.GetMessages() {
+	answers, end := r.options.Answers(from.Name())
+	asked, err := r.take(from, request.GetMessages())
+	var list []dhmessage.Message
+	if asked && err == nil {
+		list = waitForAnswer(ctx, answers)
+	}
+	list = append(list, end()...)
+	if err != nil {
+		return nil, err
+	}
+	response := &dhproto.DeliverResponse{From: &dhproto.Peer{Name: r.options.Self.Name(), Folder: r.options.Self.Folder()}}
+	for _, m := range list {
+		response.Messages = append(response.Messages, dhwire.MessageToWire(m))
+	}
+	if r.options.Count != nil {
+		r.options.Count(proto.Size(response))
+	}
+	return response, nil
+}
+
+// take hands messages on and tells whether one of them is a question.
+func (r *Receiver) take(from dhmessage.Peer, list []*dhproto.Message) (asked bool, err error) {
+	for _, x := range list {
 		m, err := dhwire.MessageFromWire(x)
 		if err != nil {
 			r.options.Log.WithError(err).WithField("peer", from.Name()).Warn("message can't be read")
-			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+			return false, connect.NewError(connect.CodeInvalidArgument, err)
 		}
 		if !r.options.Take(from, m) {
-			return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("the mailbox is full; messages are lost"))
+			return false, connect.NewError(connect.CodeResourceExhausted, errors.New("the mailbox is full; messages are lost"))
 		}
+		asked = asked || isQuestion(m)
+	}
+	return asked, nil
+}
+
+// isQuestion tells whether a message is answered soon.
+func isQuestion(m dhmessage.Message) bool {
+	switch m.(type) {
+	case *dhmessage.VoteAsk, *dhmessage.Append, *dhmessage.Poll, *dhmessage.GrantAsk, *dhmessage.Propose, *dhmessage.IntakeAsk:
+		return true
+	default:
+		return false
+	}
+}
+
+// waitForAnswer returns the first answer that comes in time, if one does.
+func waitForAnswer(ctx context.Context, answers chan dhmessage.Message) []dhmessage.Message {
+	timer := time.NewTimer(answerWait)
+	defer timer.Stop()
+	select {
+	case m := <-answers:
+		return []dhmessage.Message{m}
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return &dhproto.DeliverResponse{}, nil
+	return nil
 }
 
 func requireSecret(secret string) connect.UnaryInterceptorFunc {
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +55,8 @@
 	// Lookup returns the address of a process, or "".
 	Lookup func(name string) string
 	Log    *logrus.Entry
+	// Take gets what the other side answers at once.
+	Take func(from dhmessage.Peer, m dhmessage.Message) bool
 	// Count gets the bytes of the messages that were sent; nil for none.
 	Count func(bytes int)
 	// Client carries calls; nil for one of the sender's own.
@@ -70,6 +73,7 @@
 	group   sync.WaitGroup
 	mutex   sync.Mutex
 	queues  map[string]chan dhmessage.Message
+	calls   map[string][]chan dhmessage.Message // of peers that wait for an answer
 }
 
 // NewSender returns a sender that works until the context ends.
@@ -86,14 +90,18 @@
 	if o.Scheme == "" {
 		o.Scheme = "http"
 	}
-	return &Sender{options: o, client: client, context: ctx, queues: map[string]chan dhmessage.Message{}}
+	return &Sender{options: o, client: client, context: ctx, queues: map[string]chan dhmessage.Message{}, calls: map[string][]chan dhmessage.Message{}}
 }
 
-// Send queues a message for a process. It never waits: when the queue is full
-// the message is lost.
+// Send queues a message for a process, or hands it to a call of that process
+// that waits for an answer. It never waits itself: when the queue is full the
+// message is lost.
 func (s *Sender) Send(to string, m dhmessage.Message) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.answerCall(to, m) {
+		return
+	}
 	q, found := s.queues[to]
 	if !found {
 		if s.context.Err() != nil {
@@ -109,6 +117,40 @@
 	}
 }
 
+// answerCall hands a message to a call of a process, if one waits.
+func (s *Sender) answerCall(to string, m dhmessage.Message) bool {
+	for _, c := range s.calls[to] {
+		select {
+		case c <- m:
+			return true
+		default:
+		}
+	}
+	return false
+}
+
+// Answers lets messages to a process be returned by its own call, until the
+// returned function is called, which gives those that weren't taken.
+func (s *Sender) Answers(name string) (answers chan dhmessage.Message, end func() []dhmessage.Message) {
+	answers = make(chan dhmessage.Message, batchSize)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls[name] = append(s.calls[name], answers)
+	return answers, func() []dhmessage.Message {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		list := slices.DeleteFunc(s.calls[name], func(c chan dhmessage.Message) bool { return c == answers })
+		if s.calls[name] = list; len(list) == 0 {
+			delete(s.calls, name)
+		}
+		var rest []dhmessage.Message
+		for len(answers) > 0 {
+			rest = append(rest, <-answers)
+		}
+		return rest
+	}
+}
+
 // Wait waits until every goroutine has ended, after the context has.
 func (s *Sender) Wait() { s.group.Wait() }
 
@@ -188,8 +230,20 @@
 	defer cancel()
 	client := dhprotoconnect.NewPeerServiceClient(s.client, s.options.Scheme+"://"+address,
 		connect.WithInterceptors(withSecret(s.options.Secret)))
-	if _, err := client.Deliver(ctx, request); err != nil && s.context.Err() == nil {
-		s.options.Log.WithError(err).WithField("peer", to).Debug("delivery failed; messages may be lost")
+	response, err := client.Deliver(ctx, request)
+	if err != nil {
+		if s.context.Err() == nil {
+			s.options.Log.WithError(err).WithField("peer", to).Debug("delivery failed; messages may be lost")
+		}
+		return
+	}
+	from := dhmessage.NewPeer(response.GetFrom().GetName(), response.GetFrom().GetFolder())
+	for _, x := range response.GetMessages() {
+		m, err := dhwire.MessageFromWire(x)
+		if err != nil || !s.options.Take(from, m) {
+			s.options.Log.WithField("peer", to).Debug("an answer was lost")
+			return
+		}
 	}
 }
 
--- a/io/dhprocess/group_test.go
+++ b/io/dhprocess/group_test.go
@@ -186,11 +186,12 @@
 			time.Sleep(2 * time.Second)
 			n := float64(len(g.entries))
 			for b.Loop() {
-				cpu, sent, started := cpuTime(), g.sent(), time.Now()
+				cpu, sent, calls, started := cpuTime(), g.sent(), g.calls(), time.Now()
 				time.Sleep(5 * time.Second)
 				span := time.Since(started).Seconds()
 				b.ReportMetric(1000*(cpuTime()-cpu).Seconds()/span/n, "mcore/node")
 				b.ReportMetric(float64(g.sent()-sent)/span/n, "B/s/node")
+				b.ReportMetric(float64(g.calls()-calls)/span/n, "sends/s/node")
 				b.ReportMetric(float64(heap()-before)/1024/n, "KiB/node")
 			}
 		})
@@ -212,11 +213,16 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// sent returns the bytes that all processes have sent.
-func (g *group) sent() int64 {
+// sent returns the bytes of messages that all processes have sent.
+func (g *group) sent() int64 { return g.total("dogwoodhitch_peer_bytes_total") }
+
+// calls returns how many calls and answers to calls were sent.
+func (g *group) calls() int64 { return g.total("dogwoodhitch_peer_messages_total") }
+
+func (g *group) total(name string) int64 {
 	total := int64(0)
 	for _, p := range append(append([]*Process{}, g.voters...), g.entries...) {
-		total += p.metrics.Value("dogwoodhitch_peer_bytes_total")
+		total += p.metrics.Value(name)
 	}
 	return total
 }
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -90,10 +90,7 @@
 // address can't be had.
 func (p *Process) Start() error {
 	stream := randomNumber()
-	self := dhmessage.NewPeer(p.options.Name, "")
-	if p.options.Folder != nil {
-		self = dhmessage.NewPeer(p.options.Name, p.options.Folder.State().Identity())
-	}
+	self := p.self()
 	if p.options.Role == dhsettings.RoleEntry {
 		p.makeEntry(stream)
 	}
@@ -105,8 +102,8 @@
 	p.makeLoop(self, stream)
 	p.sender = dhpeer.NewSender(p.work, dhpeer.SenderOptions{
 		Self: self, Address: p.bound.Peers, Secret: p.options.Secrets.Peers,
-		Lookup: p.book.Lookup, Log: p.options.Logs.Layer("peer"),
-		Count: func(bytes int) { p.metrics.Count(int64(bytes), "dogwoodhitch_peer_bytes_total") },
+		Lookup: p.book.Lookup, Log: p.options.Logs.Layer("peer"), Take: p.take,
+		Count: p.countBytes,
 	})
 	p.group.Go(func() { p.fail(p.loop.Run(p.work)) })
 	if p.shard != nil {
@@ -120,6 +117,20 @@
 	return nil
 }
 
+// countBytes counts what is sent to other processes of the system.
+func (p *Process) countBytes(bytes int) {
+	p.metrics.Count(int64(bytes), "dogwoodhitch_peer_bytes_total")
+	p.metrics.Count(1, "dogwoodhitch_peer_messages_total")
+}
+
+// self returns the process's name and the identity of its data folder.
+func (p *Process) self() dhmessage.Peer {
+	if p.options.Folder == nil {
+		return dhmessage.NewPeer(p.options.Name, "")
+	}
+	return dhmessage.NewPeer(p.options.Name, p.options.Folder.State().Identity())
+}
+
 func (p *Process) fail(err error) {
 	if err == nil {
 		return
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -12,6 +12,7 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhannounce"
 	"dogwoodhitch/io/dhoperator"
 	"dogwoodhitch/io/dhpeer"
@@ -70,6 +71,8 @@
 	mux := http.NewServeMux()
 	receiver := dhpeer.NewReceiver(dhpeer.ReceiverOptions{
 		Secret: p.options.Secrets.Peers, Take: p.take, Learn: p.book.Learn, Log: p.options.Logs.Layer("peer"),
+		Self: p.self(), Answers: func(name string) (chan dhmessage.Message, func() []dhmessage.Message) { return p.sender.Answers(name) },
+		Count: p.countBytes,
 	})
 	mux.Handle(receiver.Handler())
 	if p.entry != nil {
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -66,7 +66,8 @@
 	key, by := dhmessage.NewClaimKey("o", "k"), dhmessage.NewClaimant("i", 1, 2)
 	answer := dhmessage.NewAnswer(200, []dhmessage.Field{dhmessage.NewField("A", "b")}, []byte("body"))
 	commands := []dhmessage.Command{
-		dhmessage.Noop{}, dhmessage.NewChange(set), dhmessage.NewMembers(voters),
+		dhmessage.Noop{},
+		dhmessage.NewChange(set), dhmessage.NewMembers(voters),
 		dhmessage.NewClaim(dhmessage.ClaimOptions{Key: key, Claimant: by, Digest: dhcatalog.KeyHash{1}, Deadline: 3, Retention: 4}),
 		dhmessage.NewOutcome(key, by, dhmessage.ClaimDone, answer), dhmessage.NewResolve(key, true),
 		dhmessage.NewMemberEdit(dhmessage.MemberReplace, "c", "10.0.0.1:1", "f"),
@@ -82,8 +83,10 @@
 		})},
 	})
 	results := []dhmessage.ResultOptions{
-		{Version: 1, Claim: dhmessage.ClaimDone, Answer: answer}, {Unsure: true},
-		{Err: dhcatalog.NewConflictError(1, 2)}, {Err: dhcatalog.NewReusedError("x")},
+		{Version: 1, Claim: dhmessage.ClaimDone, Answer: answer},
+		{Unsure: true},
+		{Err: dhcatalog.NewConflictError(1, 2)},
+		{Err: dhcatalog.NewReusedError("x")},
 		{Err: dhcatalog.NewInvalidError([]dhcatalog.Problem{dhcatalog.NewProblem(dhcatalog.NewRef("zone", "z"), "f", "1", "r")})},
 		{Err: dhmessage.NewRefusedError("kind", "text", "remedy")},
 	}
