--- a/cmd/dogwoodhitch/fault_test.go
+++ b/cmd/dogwoodhitch/fault_test.go
@@ -154,6 +154,26 @@
 	})
 }
 
+// TestFrozenLeader freezes the leader until another one leads, and wakes it: it
+// accepts nothing and follows.
+func TestFrozenLeader(t *testing.T) {
+	c := withCluster(t, 3, "a1")
+	old := c.leader(c.voters...)
+	old.command.Process.Signal(syscall.SIGSTOP)
+	eventually(t, "the others accept a change", func() bool {
+		raw := fmt.Sprintf(`{"id": "kept", "author": "test", "base": 1, "puts": [%s]}`, organisation("kept"))
+		changed, err := c.client(c.others(old)...).Change(t.Context(), []byte(raw), false, false)
+		return err == nil && changed.Version == 2
+	})
+	old.command.Process.Signal(syscall.SIGCONT)
+	raw := fmt.Sprintf(`{"id": "late", "author": "test", "base": 1, "puts": [%s]}`, organisation("late"))
+	if _, err := c.client(old).Change(t.Context(), []byte(raw), false, false); dhfault.KindOf(err) != dhfault.KindConflict {
+		t.Errorf("the leader that was frozen answered a stale change with %v", err)
+	}
+	c.version = 2
+	c.apply(organisation("after"))
+}
+
 // TestRacingOperators lets two operators send change sets against the same
 // version.
 func TestRacingOperators(t *testing.T) {
@@ -203,7 +223,8 @@
 	for range 4 {
 		group.Go(func() {
 			for !stop.Load() {
-				r := call(leaving, http.MethodGet, "/gate/1", keyOne, "", "")
+				// The client of this test would send a GET again by itself.
+				r := call(leaving, http.MethodPost, "/gate/1", keyOne, "", "x")
 				switch {
 				case r.status == http.StatusOK && r.body == "whole":
 					served.Add(1)
--- a/core/dhlookup/lookup_test.go
+++ b/core/dhlookup/lookup_test.go
@@ -97,6 +97,28 @@
 	}
 }
 
+// TestRegionFailsWhileAnotherDrains takes one region away in the middle of a
+// drain of a zone in the other: every client is still sent to a live instance
+// that isn't drained for it.
+func TestRegionFailsWhileAnotherDrains(t *testing.T) {
+	c := withCatalog(t, dhcatalog.NewDrain(dhcatalog.DrainOptions{
+		Name: "d", Target: dhcatalog.NewRef(dhcatalog.KindZone, "a1"), Ramp: 10_000,
+	}))
+	var away []dhmessage.Away
+	for _, z := range []string{"b1", "b2"} {
+		for i := range 3 {
+			away = append(away, dhmessage.NewAway(fmt.Sprintf("%s-%d", z, i), false))
+		}
+	}
+	v := dhview.New(dhview.Options{Catalog: c, Away: away, DrainStarts: map[string]dhclock.Millis{"d": 0}})
+	for now := dhclock.Millis(0); now <= 10_000; now += 1000 {
+		got := zones(now, v)
+		if got["a1"]+got["a2"] != 1000 || got["a2"] < int(now/10)-60 {
+			t.Errorf("at %d: %v", now, got)
+		}
+	}
+}
+
 func BenchmarkFind(b *testing.B) {
 	v := dhview.New(dhview.Options{Catalog: withCatalog(b)})
 	b.ReportAllocs()
--- /dev/null
+++ b/core/dhtraffic/intake_test.go
@@ -0,0 +1,97 @@
+package dhtraffic
+
+import (
+	"fmt"
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhsteer"
+	"dogwoodhitch/core/dhview"
+)
+
+const (
+	spillPercent = 40
+	coldStart    = 1000
+	servers      = 5
+	slotsEach    = 10
+)
+
+// withReceiver returns the state of an instance with upstreams of its own.
+func withReceiver(t testing.TB) *State {
+	t.Helper()
+	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+		ID: "x", Author: "test", Puts: []dhcatalog.Object{
+			dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s", SpillPercent: spillPercent, ColdStart: coldStart}),
+			dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Open: true, Idempotent: true, Timeout: 60_000, QueueWait: 100}),
+		},
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(Options{Instance: "a1-1", Zone: "a1"})
+	s.Published(dhevent.NewViewPublished(1, dhevent.ViewPublishedOptions{
+		View: dhview.New(dhview.Options{Catalog: c, Ever: true, Confirmed: 1 << 40}),
+	}))
+	return s
+}
+
+// renew lets the upstreams announce themselves.
+func renew(s *State, now dhclock.Millis) {
+	var out dheffect.List
+	for i := range servers {
+		s.Announced(dhevent.NewUpstreamAnnounced(now, dhevent.UpstreamAnnouncedOptions{
+			Announce: dhsteer.NewAnnounce(dhsteer.AnnounceOptions{Name: fmt.Sprint("u", i), Service: "s", Address: "10.0.0.1:1", Slots: slotsEach}),
+		}), &out)
+	}
+}
+
+// TestIntakeStaysUnderItsCap lets other instances ask for everything and pass
+// on more than they were promised: guests never hold more than their share of
+// the slots, the share rises in steps from the start of the shift, and what is
+// promised to all together keeps to it too.
+func TestIntakeStaysUnderItsCap(t *testing.T) {
+	s := withReceiver(t)
+	const start dhclock.Millis = 10_000
+	request := uint64(0)
+	atStart := 0
+	for now := start - 2*coldStart; now < start; now += 500 {
+		renew(s, now) // the upstreams are warm when the shift begins
+	}
+	for now := start; now <= start+2*coldStart; now += 50 {
+		if now == start || now%500 == 0 {
+			renew(s, now)
+		}
+		promised := 0
+		for i := range 6 {
+			var out dheffect.List
+			s.IntakeAsked(dhevent.NewIntakeAsked(now, dhevent.IntakeAskedOptions{
+				Instance: fmt.Sprint("b", i), Ask: dhmessage.NewIntakeAsk(dhmessage.IntakeAskOptions{Service: "s", Sent: now, Want: 100}),
+			}), &out)
+			promised += out.Items()[0].(*dheffect.Send).Message().(*dhmessage.IntakeGive).Slots()
+		}
+		for range 30 {
+			var out dheffect.List
+			request++
+			s.Arrive(dhevent.NewRequestArrived(now, dhevent.RequestArrivedOptions{Request: request, Path: "/x", Passed: true}), &out)
+			if f, ok := out.Items()[0].(*dheffect.Refuse); ok && f.Refusal().MayHaveRun() {
+				t.Fatal("a guest that found no room was not refused truly")
+			}
+		}
+		all, _ := s.pools["s"].Slots(now)
+		limit := all * spillPercent / 100
+		if guests := s.pools["s"].Guests(); guests > limit || promised > limit {
+			t.Fatalf("after %d ms: %d guests and %d promised on %d slots, limit %d", now-start, guests, promised, all, limit)
+		}
+		if now == start {
+			atStart = s.pools["s"].Guests()
+		}
+	}
+	most := servers * slotsEach * spillPercent / 100
+	if got := s.pools["s"].Guests(); got != most || atStart > most*intakeFirstPercent/100 {
+		t.Errorf("%d guests at the start and %d in the end, want %d", atStart, got, most)
+	}
+}
--- a/io/dhentry/server_test.go
+++ b/io/dhentry/server_test.go
@@ -358,8 +358,9 @@
 // TestKeyIsTakenOut looks for the key wherever a caller may put it.
 func TestKeyIsTakenOut(t *testing.T) {
 	var seen atomic.Value
+	seen.Store("")
 	u := withUpstream(t, func(r *http.Request, _ int64) (string, bool) {
-		seen.Store(fmt.Sprint(r.URL, r.Header))
+		seen.Store(seen.Load().(string) + fmt.Sprint(r.URL, r.Header))
 		return whole("ok"), false
 	})
 	f := withFront(t, u.Addr().String())
