Send a whole configuration once, with time to arrive

Cause, found by reading: since answers come with calls, a whole configuration of 20 MB would have to arrive within the poller's 1.5 s, and a child that polled every 0.4 s would be sent another one each time. Change: large messages go by a call of their own, and a child gets the whole again only after 10 s.

--- a/core/dhspread/children.go
+++ b/core/dhspread/children.go
@@ -12,28 +12,37 @@
 
 // Polled answers a child.
 func (s *State) Polled(now dhclock.Millis, from string, m *dhmessage.Poll, out *dheffect.List) {
-	s.children[from] = &child{version: m.Version(), heard: now}
+	c, found := s.children[from]
+	if !found {
+		c = &child{}
+		s.children[from] = c
+	}
+	c.version, c.heard = m.Version(), now
 	for _, a := range m.Acks() {
 		if old, found := s.reports[a.Instance()]; !found || old.ack != a {
 			s.ackNews = true
 		}
 		s.reports[a.Instance()] = &report{ack: a, heard: now}
 	}
-	out.Add(dheffect.NewSend(dheffect.SendOptions{To: from, Message: s.update(now, m.Version(), m.Sent())}))
+	out.Add(dheffect.NewSend(dheffect.SendOptions{To: from, Message: s.update(now, c, m.Sent())}))
 }
 
-// update returns what a process with a version needs. Sent is 0 for one that
-// didn't ask.
-func (s *State) update(now dhclock.Millis, version uint64, sent dhclock.Millis) *dhmessage.Update {
+// fullRetry is the time after which a whole configuration is sent again to a
+// child that still lacks it, in milliseconds. It may be large and slow.
+const fullRetry dhclock.Millis = 10_000
+
+// update returns what a child needs. Sent is 0 for one that didn't ask.
+func (s *State) update(now dhclock.Millis, c *child, sent dhclock.Millis) *dhmessage.Update {
 	o := dhmessage.UpdateOptions{
 		Sent: sent, Version: s.catalog.Version(), Confirmed: s.ever, Age: now.Since(s.confirmed),
 		Away: s.away, Leader: s.leader, InForce: s.inForce, Drains: s.drainAges(now),
 		Voters: s.members,
 	}
-	if version < s.catalog.Version() {
+	if c.version < s.catalog.Version() {
 		var kept bool
-		if o.Changes, kept = s.sets(version); !kept {
-			o.Full = s.catalog
+		o.Changes, kept = s.sets(c.version)
+		if !kept && (!c.everFull || now.Since(c.full) >= fullRetry) {
+			o.Full, c.full, c.everFull = s.catalog, now, true
 		}
 	}
 	return dhmessage.NewUpdate(o)
@@ -56,7 +65,7 @@
 			continue
 		}
 		if c.version < s.catalog.Version() {
-			out.Add(dheffect.NewSend(dheffect.SendOptions{To: name, Message: s.update(now, c.version, 0)}))
+			out.Add(dheffect.NewSend(dheffect.SendOptions{To: name, Message: s.update(now, c, 0)}))
 			c.version = s.catalog.Version()
 		}
 	}
--- /dev/null
+++ b/core/dhspread/spread_test.go
@@ -0,0 +1,127 @@
+package dhspread
+
+import (
+	"fmt"
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhmessage"
+)
+
+func change(c *dhcatalog.Catalog) (*dhcatalog.Catalog, dhmessage.Accepted) {
+	set := dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+		ID: fmt.Sprint("id-", c.Version()), Base: c.Version(), Author: "test",
+		Puts: []dhcatalog.Object{dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "o"})},
+	})
+	next, err := c.Apply(set)
+	if err != nil {
+		panic(err)
+	}
+	return next, dhmessage.NewAccepted(next.Version(), 0, set)
+}
+
+// withLeader returns the spread of a leader with so many changes, of which it
+// remembers the last ones.
+func withLeader(changes, remembered int) *State {
+	s := New(Options{Self: "c1", Voter: true, Voters: []string{"c1"}})
+	s.Lead(true, 0)
+	c := dhcatalog.New()
+	var history []dhmessage.Accepted
+	for range changes {
+		var a dhmessage.Accepted
+		c, a = change(c)
+		history = append(history, a)
+	}
+	s.SetCatalog(1, c, history[len(history)-remembered:])
+	s.Confirm(1)
+	return s
+}
+
+func ask(s *State, now dhclock.Millis, from string, version uint64) *dhmessage.Update {
+	var out dheffect.List
+	s.Polled(now, from, dhmessage.NewPoll(dhmessage.PollOptions{Version: version, Sent: now}), &out)
+	return out.Items()[0].(*dheffect.Send).Message().(*dhmessage.Update)
+}
+
+// TestCatchingUp asks with versions near and far: deltas where they are
+// remembered, else the whole configuration, and that not again and again while
+// it is under way.
+func TestCatchingUp(t *testing.T) {
+	s := withLeader(20, 5)
+	if u := ask(s, 10, "near", 17); len(u.Changes()) != 3 || u.Full() != nil {
+		t.Errorf("near: %d changes, full %v", len(u.Changes()), u.Full() != nil)
+	}
+	if u := ask(s, 10, "far", 2); u.Full() == nil {
+		t.Error("far: no whole configuration")
+	}
+	if u := ask(s, 400, "far", 2); u.Full() != nil || len(u.Changes()) != 0 {
+		t.Error("far: the whole configuration was sent again while it is under way")
+	}
+	if u := ask(s, 10+fullRetry, "far", 2); u.Full() == nil {
+		t.Error("far: the whole configuration was not sent again")
+	}
+	if u := ask(s, 10, "current", 20); u.Full() != nil || len(u.Changes()) != 0 {
+		t.Error("current: something was sent")
+	}
+}
+
+// TestVersionsNeverGoBack gives an instance late and repeated updates.
+func TestVersionsNeverGoBack(t *testing.T) {
+	leader := withLeader(20, 20)
+	s := New(Options{Self: "i", Zone: "z", Voters: []string{"c1"}})
+	var out dheffect.List
+	s.Updated(5, "c1", ask(leader, 5, "i", 0), &out)
+	old := withLeader(3, 3)
+	s.Updated(6, "c1", ask(old, 6, "i", 0), &out)
+	s.Updated(7, "c1", dhmessage.NewUpdate(dhmessage.UpdateOptions{Sent: 7, Version: 3, Confirmed: true, Full: old.Catalog()}), &out)
+	if s.Catalog().Version() != 20 {
+		t.Errorf("version %d", s.Catalog().Version())
+	}
+}
+
+// TestProofNeedsTheVersion gives an instance the proof of a version that it
+// doesn't have: it may not take it for its own.
+func TestProofNeedsTheVersion(t *testing.T) {
+	s := New(Options{Self: "i", Zone: "z", Voters: []string{"c1"}, Now: 1})
+	var out dheffect.List
+	s.Updated(50, "c1", dhmessage.NewUpdate(dhmessage.UpdateOptions{Sent: 40, Version: 9, Confirmed: true}), &out)
+	if _, ever := s.Confirmed(); ever {
+		t.Error("an older version was taken for current")
+	}
+	s.Updated(60, "c1", dhmessage.NewUpdate(dhmessage.UpdateOptions{Sent: 55, Version: 0, Confirmed: true, Age: 30}), &out)
+	if at, ever := s.Confirmed(); !ever || at != 25 {
+		t.Errorf("confirmed at %d, want the asking time less the age, 25", at)
+	}
+}
+
+// TestParents tries one parent after another while they are silent, and never
+// an instance that comes later by name, so that no circle can form.
+func TestParents(t *testing.T) {
+	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+		ID: "x", Author: "test", Puts: []dhcatalog.Object{
+			dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "z", Region: "r"}), instance("i1"), instance("i2"), instance("i3"),
+		},
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(Options{Self: "i2", Zone: "z", Voters: []string{"c1"}})
+	s.apply(1, c, nil)
+	asked := map[string]int{}
+	for now := dhclock.Millis(10); now < 5000; now += 20 {
+		var out dheffect.List
+		s.Tick(now, &out)
+		for _, e := range out.Items() {
+			asked[e.(*dheffect.Send).To()]++
+		}
+	}
+	if asked["i1"] == 0 || asked["c1"] == 0 || asked["i3"] > 0 || asked["i2"] > 0 {
+		t.Errorf("asked %v", asked)
+	}
+}
+
+func instance(name string) dhcatalog.Object {
+	return dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: name, Zone: "z", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"})
+}
--- a/core/dhspread/state.go
+++ b/core/dhspread/state.go
@@ -93,6 +93,9 @@
 type child struct {
 	version uint64
 	heard   dhclock.Millis
+	// full is when the child was last sent a whole configuration, if ever.
+	full     dhclock.Millis
+	everFull bool
 }
 
 // report is what an instance last acknowledged, directly or through others.
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -117,8 +117,12 @@
 	}
 }
 
-// answerCall hands a message to a call of a process, if one waits.
+// answerCall hands a message to a call of a process, if one waits. A large
+// message goes by a call of its own, which has more time.
 func (s *Sender) answerCall(to string, m dhmessage.Message) bool {
+	if bulky(m) {
+		return false
+	}
 	for _, c := range s.calls[to] {
 		select {
 		case c <- m:
