--- /dev/null
+++ b/io/dhcommand/docs_test.go
@@ -0,0 +1,109 @@
+package dhcommand
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/io/dhentry"
+)
+
+const root = "../.."
+
+func pages(t *testing.T) map[string]string {
+	t.Helper()
+	texts := map[string]string{}
+	for _, pattern := range []string{"*.md", "docs/*.md"} {
+		names, err := filepath.Glob(filepath.Join(root, pattern))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, n := range names {
+			raw, err := os.ReadFile(n)
+			if err != nil {
+				t.Fatal(err)
+			}
+			texts[n] = string(raw)
+		}
+	}
+	return texts
+}
+
+// TestPagesNameRealTests looks for every test and benchmark that a page names.
+func TestPagesNameRealTests(t *testing.T) {
+	var sources bytes.Buffer
+	for _, pattern := range []string{"core/*/*_test.go", "io/*/*_test.go", "cmd/*/*_test.go"} {
+		names, _ := filepath.Glob(filepath.Join(root, pattern))
+		for _, n := range names {
+			raw, err := os.ReadFile(n)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sources.Write(raw)
+		}
+	}
+	for page, text := range pages(t) {
+		for _, name := range regexp.MustCompile(`\b(Test|Benchmark)[A-Z]\w+`).FindAllString(text, -1) {
+			if !strings.Contains(sources.String(), "func "+name+"(") {
+				t.Errorf("%s names %s, which doesn't exist", page, name)
+			}
+		}
+	}
+}
+
+// TestPagesLinkToRealFiles follows the links between pages.
+func TestPagesLinkToRealFiles(t *testing.T) {
+	for page, text := range pages(t) {
+		for _, m := range regexp.MustCompile(`\]\(([^)#]+)\)`).FindAllStringSubmatch(text, -1) {
+			if strings.Contains(m[1], "://") {
+				continue
+			}
+			if _, err := os.Stat(filepath.Join(filepath.Dir(page), m[1])); err != nil {
+				t.Errorf("%s links to %s", page, m[1])
+			}
+		}
+	}
+}
+
+// TestEveryRefusalIsExplained looks for each kind on the operators' page.
+func TestEveryRefusalIsExplained(t *testing.T) {
+	text := pages(t)[filepath.Join(root, "docs/OPERATING.md")]
+	dhentry.EachRefusal(func(kind dheffect.RefusalKind, status int, remedy string) {
+		if !strings.Contains(text, string(kind)) {
+			t.Errorf("%s (%d, %s) isn't explained", kind, status, remedy)
+		}
+	})
+}
+
+// TestCommandLine runs commands that need no system.
+func TestCommandLine(t *testing.T) {
+	cases := []struct {
+		args  []string
+		code  int
+		holds string
+	}{
+		{[]string{"check", root + "/examples/entry.jsonc", root + "/examples/control.jsonc", root + "/examples/first.json"}, ExitDone, "first.json: ok"},
+		{[]string{"check", "none.json"}, ExitUsage, "name a file"},
+		{[]string{"check"}, ExitUsage, "at least one file"},
+		{[]string{"entry", "--settings", root + "/examples/control.jsonc"}, ExitUsage, "dogwoodhitch control"},
+		{[]string{"entry"}, ExitUsage, "settings"},
+		{[]string{"status", "--server", "127.0.0.1:1", "--secret-file", root + "/examples/operators.secret"}, ExitUnreachable, "--server"},
+		{[]string{"status", "--server", "127.0.0.1:1", "--secret-file", "none"}, ExitUsage, "credential"},
+		{[]string{"status", "--server", "127.0.0.1:1", "--secret-file", root + "/examples/operators.secret", "-o", "xml"}, ExitUsage, "table or json"},
+		{[]string{"drain", "start", "region", "a", "--server", "x", "--secret-file", "y"}, ExitUsage, "zone NAME"},
+		{[]string{"inspect", "/none"}, ExitFailed, "no such file"},
+		{[]string{"replay", root + "/go.mod"}, ExitFailed, "isn't a journal"},
+		{[]string{"none"}, ExitUsage, "none"},
+	}
+	for _, c := range cases {
+		var out bytes.Buffer
+		code := Main(append([]string{"dogwoodhitch"}, c.args...), &out, &out)
+		if code != c.code || !strings.Contains(out.String(), c.holds) {
+			t.Errorf("%v: exit code %d, %s", c.args, code, out.String())
+		}
+	}
+}
--- a/io/dhcommand/main.go
+++ b/io/dhcommand/main.go
@@ -44,14 +44,33 @@
 		<-ctx.Done()
 		stop()
 	}()
-	err := New(stdout, stderr).Run(ctx, args)
+	root := New(stdout, stderr)
+	started := false
+	noteStart(root, &started)
+	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitDone
 	}
 	fmt.Fprintln(stderr, "dogwoodhitch:", err)
+	if !started {
+		return ExitUsage // the command line itself is wrong
+	}
 	return exitCode(err)
 }
 
+// noteStart lets every command note that its command line was understood.
+func noteStart(c *cli.Command, started *bool) {
+	if action := c.Action; action != nil {
+		c.Action = func(ctx context.Context, c *cli.Command) error {
+			*started = true
+			return action(ctx, c)
+		}
+	}
+	for _, sub := range c.Commands {
+		noteStart(sub, started)
+	}
+}
+
 func exitCode(err error) int {
 	var coded cli.ExitCoder
 	if errors.As(err, &coded) {
@@ -82,9 +101,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {
 			// Main reports errors.
 		},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return cli.Exit(err.Error()+"; see --help", ExitUsage)
-		},
+		EnableShellCompletion: true,
 		Commands: []*cli.Command{
 			quickstartCommand(), entryCommand(), controlCommand(), foundCommand(), checkCommand(),
 			applyCommand(), getCommand(), historyCommand(), statusCommand(), lookupCommand(), poolsCommand(),
--- /dev/null
+++ b/io/dhdisk/identity.go
@@ -0,0 +1,53 @@
+package dhdisk
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhproto"
+	"dogwoodhitch/io/dhwire"
+)
+
+// identitySize is the length of a folder's random identity, in bytes.
+const identitySize = 8
+
+// Found gives an empty folder the identity of a founder of a new group.
+func Found(path, name string, founders []dhmessage.Voter) error {
+	if err := os.MkdirAll(path, folderPermission); err != nil {
+		return fmt.Errorf("create data folder: %w", err)
+	}
+	if _, err := os.Stat(filepath.Join(path, "identity")); err == nil {
+		return FoundedError{folder: path}
+	}
+	return writeIdentity(path, name, founders)
+}
+
+func writeIdentity(path, name string, founders []dhmessage.Voter) error {
+	raw := make([]byte, identitySize)
+	if _, err := rand.Read(raw); err != nil {
+		return err
+	}
+	payload, err := proto.Marshal(&dhproto.Identity{
+		Format: Format, Name: name, Folder: hex.EncodeToString(raw), Founders: dhwire.VotersToWire(founders),
+	})
+	if err != nil {
+		return err
+	}
+	return writeSynced(filepath.Join(path, "identity"), identityMark, payload)
+}
+
+// requireBlank refuses a folder that lost its identity but not its log.
+func (f *Folder) requireBlank() error {
+	for _, pattern := range []string{"log-*", "snapshot-*"} {
+		if found, _ := filepath.Glob(filepath.Join(f.path, pattern)); len(found) > 0 {
+			return DamageError{path: filepath.Join(f.path, "identity"), reason: "it is missing beside " + filepath.Base(found[0])}
+		}
+	}
+	return nil
+}
--- a/io/dhentry/refusal.go
+++ b/io/dhentry/refusal.go
@@ -45,31 +45,30 @@
 }
 
 var advices = map[dheffect.RefusalKind]advice{
-	dheffect.RefuseNoRoute:        {http.StatusNotFound, "check the path against the routes"},
-	dheffect.RefuseKeyMissing:     {http.StatusUnauthorized, "send the organisation's key as 'Authorization: Bearer KEY'"},
-	dheffect.RefuseKeyUnknown:     {http.StatusUnauthorized, "the key is unknown or withdrawn; ask the operator for another"},
-	dheffect.RefuseStale:          {http.StatusServiceUnavailable, "this instance can't vouch for its configuration; use another instance of the look-up, or retry"},
-	dheffect.RefuseOverLimit:      {http.StatusTooManyRequests, "the organisation's rate is used up; slow down and retry"},
-	dheffect.RefuseNoCapacity:     {http.StatusServiceUnavailable, "no upstream had a free slot in time; retry later"},
-	dheffect.RefuseNoUpstream:     {http.StatusServiceUnavailable, "no upstream of the service is known; retry later"},
-	dheffect.RefuseTimeout:        {http.StatusGatewayTimeout, "the time was over; raise the deadline or retry later"},
-	dheffect.RefuseBroken:         {http.StatusBadGateway, "the upstream gave no whole answer; retry if the request is idempotent"},
-	dheffect.RefuseNotStarted:     {http.StatusServiceUnavailable, "no upstream could be reached; retry later"},
-	dheffect.RefuseClaimMissing:   {http.StatusBadRequest, "send an Idempotency-Key that is new for each purchase"},
-	dheffect.RefuseClaimReused:    {http.StatusUnprocessableEntity, "the Idempotency-Key came with another content before; use a new one"},
-	dheffect.RefuseClaimOpen:      {http.StatusConflict, "an earlier attempt is still running; resend with the same Idempotency-Key for its answer"},
-	dheffect.RefuseClaimUnclear:   {http.StatusConflict, "an earlier attempt may have run; ask the operator to resolve the claim"},
-	dheffect.RefuseClaimRan:       {http.StatusConflict, "the request ran before; its answer isn't kept"},
-	dheffect.RefuseClaimFailed:    {http.StatusServiceUnavailable, "the claim couldn't be stored by a majority; resend with the same Idempotency-Key"},
-	dheffect.RefuseLeaving:        {http.StatusServiceUnavailable, "this instance is about to stop; look up another"},
-	dheffect.RefuseMalformed:      {http.StatusBadRequest, "correct the request"},
-	dheffect.RefuseTooLarge:       {http.StatusRequestEntityTooLarge, "send a smaller request"},
-	dheffect.RefuseInstanceFailed: {http.StatusInternalServerError, "tell the operator the request's identifier"},
+	dheffect.RefuseNoRoute:      {http.StatusNotFound, "check the path against the routes"},
+	dheffect.RefuseKeyMissing:   {http.StatusUnauthorized, "send the organisation's key as 'Authorization: Bearer KEY'"},
+	dheffect.RefuseKeyUnknown:   {http.StatusUnauthorized, "the key is unknown or withdrawn; ask the operator for another"},
+	dheffect.RefuseStale:        {http.StatusServiceUnavailable, "this instance can't vouch for its configuration; use another instance of the look-up, or retry"},
+	dheffect.RefuseOverLimit:    {http.StatusTooManyRequests, "the organisation's rate is used up; slow down and retry"},
+	dheffect.RefuseNoCapacity:   {http.StatusServiceUnavailable, "no upstream had a free slot in time; retry later"},
+	dheffect.RefuseNoUpstream:   {http.StatusServiceUnavailable, "no upstream of the service is known; retry later"},
+	dheffect.RefuseTimeout:      {http.StatusGatewayTimeout, "the time was over; raise the deadline or retry later"},
+	dheffect.RefuseBroken:       {http.StatusBadGateway, "the upstream gave no whole answer; retry if the request is idempotent"},
+	dheffect.RefuseNotStarted:   {http.StatusServiceUnavailable, "no upstream could be reached; retry later"},
+	dheffect.RefuseClaimMissing: {http.StatusBadRequest, "send an Idempotency-Key that is new for each purchase"},
+	dheffect.RefuseClaimReused:  {http.StatusUnprocessableEntity, "the Idempotency-Key came with another content before; use a new one"},
+	dheffect.RefuseClaimOpen:    {http.StatusConflict, "an earlier attempt is still running; resend with the same Idempotency-Key for its answer"},
+	dheffect.RefuseClaimUnclear: {http.StatusConflict, "an earlier attempt may have run; ask the operator to resolve the claim"},
+	dheffect.RefuseClaimRan:     {http.StatusConflict, "the request ran before; its answer isn't kept"},
+	dheffect.RefuseClaimFailed:  {http.StatusServiceUnavailable, "the claim couldn't be stored by a majority; resend with the same Idempotency-Key"},
+	dheffect.RefuseLeaving:      {http.StatusServiceUnavailable, "this instance is about to stop; look up another"},
+	dheffect.RefuseMalformed:    {http.StatusBadRequest, "correct the request"},
+	dheffect.RefuseTooLarge:     {http.StatusRequestEntityTooLarge, "send a smaller request"},
 }
 
-// KeptKinds returns every kind of refusal with its status and remedy, for the
+// EachRefusal calls f with every kind of refusal, its status and remedy, for the
 // documentation.
-func KeptKinds(f func(kind dheffect.RefusalKind, status int, remedy string)) {
+func EachRefusal(f func(kind dheffect.RefusalKind, status int, remedy string)) {
 	for k, a := range advices {
 		f(k, a.status, a.remedy)
 	}
--- a/io/dhoperator/api.go
+++ b/io/dhoperator/api.go
@@ -70,7 +70,19 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { answer(w, struct{}{}) })
 	mux.HandleFunc("GET /readyz", a.ready)
 	mux.Handle("GET /metrics", a.options.Metrics)
-	for pattern, f := range map[string]func(r *http.Request) (any, error){
+	for pattern, f := range a.routes() {
+		mux.HandleFunc(pattern, a.guard(f))
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, dhfault.New(dhfault.KindNotFound, "nothing stands at "+r.URL.Path, "see docs/OPERATING.md for the paths"))
+	})
+	return mux
+}
+
+// routes returns what needs the operators' credential. docs/openapi.json
+// describes it.
+func (a *API) routes() map[string]func(r *http.Request) (any, error) {
+	return map[string]func(r *http.Request) (any, error){
 		"POST /v1/changes":       a.change,
 		"GET /v1/changes":        a.history,
 		"GET /v1/objects":        a.objects,
@@ -80,13 +92,7 @@
 		"GET /v1/claims":         a.claim,
 		"POST /v1/claims/settle": a.settle,
 		"POST /v1/voters":        a.voters,
-	} {
-		mux.HandleFunc(pattern, a.guard(f))
 	}
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		refuse(w, dhfault.New(dhfault.KindNotFound, "nothing stands at "+r.URL.Path, "see docs/OPERATING.md for the paths"))
-	})
-	return mux
 }
 
 // guard checks the credential, and writes what a function returns.
