Give large zones two relays

Cause: by the slopes in CAPACITY.md a relay of 24 instances answers 29 polls a second and sends 28 KB against the 17 allowed. Change: in zones of 12 and more, every other instance polls the second one first. Worked out: 15 polls, 20.6 KB with 8 organisations active at the relay itself.

--- a/core/dhspread/parent.go
+++ b/core/dhspread/parent.go
@@ -29,22 +29,39 @@
 		}
 		return []string{s.leader}
 	}
+	list := s.relays()
+	start := 0
+	for _, c := range []byte(s.self) {
+		start = start*31 + int(c)
+	}
+	voters := s.voterNames()
+	for i := range voters {
+		list = append(list, voters[(start+i)%len(voters)])
+	}
+	return list
+}
+
+// largeZone is from how many instances on a zone has two relays.
+const largeZone = 12
+
+// relays lists the instances of the zone that come before this one by name and
+// aren't gone. In a large zone every other instance polls the second one first,
+// which halves the load of the first.
+func (s *State) relays() []string {
+	all := s.catalog.InstancesIn(s.zone)
 	var list []string
-	for _, i := range s.catalog.InstancesIn(s.zone) {
+	position := 0
+	for _, i := range all {
 		if i.Name() >= s.self {
 			break
 		}
+		position++
 		if !s.isGone(i.Name()) {
 			list = append(list, i.Name())
 		}
 	}
-	start := 0
-	for _, c := range []byte(s.self) {
-		start = start*31 + int(c)
-	}
-	voters := s.voterNames()
-	for i := range voters {
-		list = append(list, voters[(start+i)%len(voters)])
+	if len(all) >= largeZone && position%2 == 1 && len(list) > 1 {
+		list[0], list[1] = list[1], list[0]
 	}
 	return list
 }
--- a/core/dhspread/spread_test.go
+++ b/core/dhspread/spread_test.go
@@ -122,6 +122,27 @@
 	}
 }
 
+// TestTwoRelays looks whom the instances of a large zone poll first.
+func TestTwoRelays(t *testing.T) {
+	puts := []dhcatalog.Object{dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "z", Region: "r"})}
+	for i := range 24 {
+		puts = append(puts, instance(fmt.Sprintf("i%02d", i)))
+	}
+	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: puts}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	polled := map[string]int{}
+	for i := range 24 {
+		s := New(Options{Self: fmt.Sprintf("i%02d", i), Zone: "z", Voters: []string{"c1"}})
+		s.apply(1, c, nil)
+		polled[s.candidates()[0]]++
+	}
+	if polled["i00"] != 12 || polled["i01"] != 11 || polled["c1"] != 1 {
+		t.Errorf("polled %v", polled)
+	}
+}
+
 func instance(name string) dhcatalog.Object {
 	return dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: name, Zone: "z", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"})
 }
