Keep what each change replaced: diff and rollback

A roll-back is a new change set that the oldest undo of each touched object and block makes up; what came and went meanwhile is left out. Seen failing first: an object that was created and deleted after the version made the way back invalid.

--- a/core/dhcatalog/catalog_test.go
+++ b/core/dhcatalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"runtime"
 	"strings"
 	"testing"
@@ -115,6 +116,40 @@
 	})
 }
 
+// TestRollback makes changes of every kind and goes back over all of them with
+// one change set.
+func TestRollback(t *testing.T) {
+	start := withSites(t, 2, NewOrganisation(OrganisationOptions{Name: "kept"}), NewOrganisation(OrganisationOptions{Name: "changed", Weight: 1}))
+	four := NewBlock(5<<40, 24, false)
+	start = apply(t, start, nil, []BlockChange{NewBlockChange(four, "s0")})
+	c := start
+	var undos []ChangeSet
+	for _, o := range []ChangeSetOptions{
+		{Puts: []Object{NewOrganisation(OrganisationOptions{Name: "new"}), NewOrganisation(OrganisationOptions{Name: "brief"}), NewOrganisation(OrganisationOptions{Name: "changed", Weight: 2})}},
+		{Puts: []Object{NewOrganisation(OrganisationOptions{Name: "changed", Weight: 3})}, Blocks: []BlockChange{NewBlockChange(four, "s1")}},
+		{Deletes: []Ref{NewRef(KindOrganisation, "kept"), NewRef(KindOrganisation, "brief")}, Blocks: []BlockChange{NewBlockChange(four, ""), NewBlockChange(NewBlock(9<<40, 24, true), "s1")}},
+	} {
+		o.ID, o.Author, o.Base = "x", "test", c.Version()
+		set := NewChangeSet(o)
+		undos = append(undos, c.Undo(set))
+		next, err := c.Apply(set)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c = next
+	}
+	back, err := c.Apply(c.Rollback(ChangeSetOptions{ID: "back", Author: "test", Base: c.Version()}, undos))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !maps.Equal(back.objects, start.objects) || back.BlockCount() != 1 {
+		t.Errorf("got %v and %d blocks", back.objects, back.BlockCount())
+	}
+	if s, found := back.SiteOf(5<<40|1, false); !found || s.Name() != "s0" {
+		t.Errorf("the block is at %q", s.Name())
+	}
+}
+
 // targetTable is the table of the target size: 2.4 million blocks, 260 sites.
 func targetTable(b testing.TB, blocks int) *Catalog {
 	const sites = 260
--- a/core/dhledger/change.go
+++ b/core/dhledger/change.go
@@ -17,8 +17,9 @@
 	if err != nil {
 		return refused(err)
 	}
+	undo := l.catalog.Undo(s)
 	l.catalog = next
-	l.remember(dhmessage.NewAccepted(next.Version(), l.at, s))
+	l.remember(dhmessage.NewAccepted(next.Version(), l.at, s, undo))
 	return dhmessage.NewResult(dhmessage.ResultOptions{Version: next.Version()})
 }
 
--- a/core/dhmessage/snapshot.go
+++ b/core/dhmessage/snapshot.go
@@ -49,13 +49,18 @@
 	version uint64
 	at      dhclock.Millis
 	set     dhcatalog.ChangeSet
+	undo    dhcatalog.ChangeSet
 }
 
-// NewAccepted returns an accepted change set.
-func NewAccepted(version uint64, at dhclock.Millis, s dhcatalog.ChangeSet) Accepted {
-	return Accepted{version: version, at: at, set: s}
+// NewAccepted returns an accepted change set. The undo holds what it replaced.
+func NewAccepted(version uint64, at dhclock.Millis, s, undo dhcatalog.ChangeSet) Accepted {
+	return Accepted{version: version, at: at, set: s, undo: undo}
 }
 
+// Undo returns the objects, deletions and blocks that lead back to the version
+// before.
+func (a Accepted) Undo() dhcatalog.ChangeSet { return a.undo }
+
 // Version returns the version that the change set made.
 func (a Accepted) Version() uint64 { return a.version }
 
--- a/core/dhspread/spread_test.go
+++ b/core/dhspread/spread_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return next, dhmessage.NewAccepted(next.Version(), 0, set)
+	return next, dhmessage.NewAccepted(next.Version(), 0, set, c.Undo(set))
 }
 
 // withLeader returns the spread of a leader with so many changes, of which it
--- a/core/dhspread/state.go
+++ b/core/dhspread/state.go
@@ -227,8 +227,9 @@
 		if err != nil {
 			return
 		}
+		undo := s.catalog.Undo(c)
 		s.catalog, s.applied = next, now
-		s.history = append(s.history, dhmessage.NewAccepted(next.Version(), 0, c))
+		s.history = append(s.history, dhmessage.NewAccepted(next.Version(), 0, c, undo))
 		s.dirty, s.grown = true, true
 	}
 	if len(s.history) > 2*maxHistory {
--- a/io/dhclient/client.go
+++ b/io/dhclient/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -142,6 +143,13 @@
 	return out.Changes, err
 }
 
+// Diff returns what leads from a version to the current one, and back.
+func (c *Client) Diff(ctx context.Context, since uint64) (dhoperator.Diff, error) {
+	var out dhoperator.Diff
+	err := c.call(ctx, http.MethodGet, "/v1/changes/diff", url.Values{"since": {strconv.FormatUint(since, 10)}}, nil, &out)
+	return out, err
+}
+
 // Status returns what a process knows; the leader's word if a server leads.
 func (c *Client) Status(ctx context.Context) (dhoperator.Status, error) {
 	var best dhoperator.Status
--- a/io/dhcommand/main.go
+++ b/io/dhcommand/main.go
@@ -104,7 +104,7 @@
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
 			quickstartCommand(), entryCommand(), controlCommand(), foundCommand(), checkCommand(),
-			applyCommand(), getCommand(), historyCommand(), statusCommand(), lookupCommand(), poolsCommand(),
+			applyCommand(), getCommand(), historyCommand(), diffCommand(), rollbackCommand(), statusCommand(), lookupCommand(), poolsCommand(),
 			drainCommand(), burnCommand(), claimCommand(), voterCommand(), inspectCommand(), replayCommand(), docsCommand(),
 		},
 	}
--- /dev/null
+++ b/io/dhcommand/rollback.go
@@ -0,0 +1,65 @@
+package dhcommand
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"dogwoodhitch/io/dhfault"
+	"dogwoodhitch/io/dhoperator"
+	"dogwoodhitch/io/dhproto"
+)
+
+func diffCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "diff",
+		Usage:       "show what changed since a version, and what would lead back",
+		ArgsUsage:   "VERSION",
+		Description: "Example:\n   dogwoodhitch diff 41",
+		Flags:       clientFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			d, err := readDiff(ctx, c)
+			if err != nil {
+				return err
+			}
+			return show(c, d, nil)
+		},
+	}
+}
+
+func rollbackCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "rollback",
+		Usage:     "put what was in force at a version in force again, as a new change",
+		ArgsUsage: "VERSION",
+		Description: "Fails with a conflict if another change comes in between; look at 'diff' first.\n\n" +
+			"Example:\n   dogwoodhitch rollback 41",
+		Flags: clientFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			d, err := readDiff(ctx, c)
+			if err != nil {
+				return err
+			}
+			m := &dhproto.ChangeSet{}
+			if err := protojson.Unmarshal(d.Back, m); err != nil {
+				return err
+			}
+			m.Id = newID("rollback-to-" + strconv.FormatUint(d.From, 10))
+			return submit(ctx, c, m)
+		},
+	}
+}
+
+func readDiff(ctx context.Context, c *cli.Command) (dhoperator.Diff, error) {
+	version, err := strconv.ParseUint(c.Args().First(), 10, 64)
+	if err != nil {
+		return dhoperator.Diff{}, dhfault.New(dhfault.KindMalformed, "version "+strconv.Quote(c.Args().First()), "give a number of 'history'")
+	}
+	cl, err := client(c)
+	if err != nil {
+		return dhoperator.Diff{}, err
+	}
+	return cl.Diff(ctx, version)
+}
--- a/io/dhoperator/api.go
+++ b/io/dhoperator/api.go
@@ -85,6 +85,7 @@
 	return map[string]func(r *http.Request) (any, error){
 		"POST /v1/changes":       a.change,
 		"GET /v1/changes":        a.history,
+		"GET /v1/changes/diff":   a.diff,
 		"GET /v1/objects":        a.objects,
 		"GET /v1/status":         a.status,
 		"GET /v1/pools":          a.pools,
--- a/io/dhprocess/operator_test.go
+++ b/io/dhprocess/operator_test.go
@@ -82,6 +82,8 @@
 		{"GET", "/v1/objects?current=true", "operators", "", 200, `"version":1`},
 		{"GET", "/v1/objects?kind=organisation&name=dry", "operators", "", 404, "notFound"},
 		{"GET", "/v1/changes", "operators", "", 200, `"id":"first"`},
+		{"GET", "/v1/changes/diff?since=0", "operators", "", 200, `"back":{"base":1,"deletes":[{"kind":"organisation","name":"o"}`},
+		{"GET", "/v1/changes/diff?since=7", "operators", "", 404, "current version is 1"},
 		{"GET", "/v1/status", "operators", "", 200, `"leads":true`},
 		{"GET", "/v1/status", "another", "", 401, "denied"},
 		{"GET", "/v1/burn", "operators", "", 404, "entry instance"},
--- a/io/dhwire/log.go
+++ b/io/dhwire/log.go
@@ -153,7 +153,7 @@
 		Voters: VotersToWire(s.Voters()), Catalog: catalogToWire(s.Catalog()),
 	}
 	for _, a := range s.Recent() {
-		m.Recent = append(m.Recent, &dhproto.Accepted{Version: a.Version(), AtMs: a.At().Milliseconds(), Set: ChangeSetToWire(a.Set())})
+		m.Recent = append(m.Recent, &dhproto.Accepted{Version: a.Version(), AtMs: a.At().Milliseconds(), Set: ChangeSetToWire(a.Set()), Undo: ChangeSetToWire(a.Undo())})
 	}
 	for _, c := range s.Claims() {
 		m.Claims = append(m.Claims, &dhproto.ClaimRecord{
@@ -180,7 +180,11 @@
 		if err != nil {
 			return dhmessage.Snapshot{}, err
 		}
-		o.Recent = append(o.Recent, dhmessage.NewAccepted(w.GetVersion(), dhclock.Millis(w.GetAtMs()), set))
+		undo, err := ChangeSetFromWire(w.GetUndo())
+		if err != nil {
+			return dhmessage.Snapshot{}, err
+		}
+		o.Recent = append(o.Recent, dhmessage.NewAccepted(w.GetVersion(), dhclock.Millis(w.GetAtMs()), set, undo))
 	}
 	for _, w := range m.GetClaims() {
 		o.Claims = append(o.Claims, dhmessage.NewClaimRecord(dhmessage.ClaimRecordOptions{
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -77,7 +77,7 @@
 		entries = append(entries, dhmessage.NewEntry(uint64(i+1), 2, 3, x))
 	}
 	snapshot := dhmessage.NewSnapshot(dhmessage.SnapshotOptions{
-		Index: 1, Term: 2, At: 3, Voters: voters, Catalog: c, Recent: []dhmessage.Accepted{dhmessage.NewAccepted(1, 2, set)},
+		Index: 1, Term: 2, At: 3, Voters: voters, Catalog: c, Recent: []dhmessage.Accepted{dhmessage.NewAccepted(1, 2, set, dhcatalog.New().Undo(set))},
 		Claims: []dhmessage.ClaimRecord{dhmessage.NewClaimRecord(dhmessage.ClaimRecordOptions{
 			Key: key, Claimant: by, Digest: dhcatalog.KeyHash{1}, State: dhmessage.ClaimDone, Answer: answer, Deadline: 5, Expiry: 6,
 		})},
