--- a/cmd/dogwoodhitch/cluster_test.go
+++ b/cmd/dogwoodhitch/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -20,6 +21,7 @@
 	"dogwoodhitch/io/dhclient"
 	"dogwoodhitch/io/dhoperator"
 	"dogwoodhitch/io/dhstandin"
+	"dogwoodhitch/io/dhtls"
 )
 
 // program is the binary under test, built once.
@@ -137,6 +139,7 @@
 	entries []*process
 	links   map[[2]string]*link // from process, to process
 	version uint64
+	secure  string // folder of the certificates, or ""
 }
 
 func freeAddress(t *testing.T) string {
@@ -153,7 +156,13 @@
 // objects in force.
 func withCluster(t *testing.T, voters int, zones ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, folder: t.TempDir(), links: map[[2]string]*link{}}
+	return withSecureCluster(t, "", voters, zones...)
+}
+
+// withSecureCluster does so over TLS, with the certificates of a folder.
+func withSecureCluster(t *testing.T, certificates string, voters int, zones ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir(), links: map[[2]string]*link{}, secure: certificates}
 	for _, s := range []string{"peers", "operators", "upstreams"} {
 		os.WriteFile(filepath.Join(c.folder, s), []byte(testSecret+s), 0o600)
 	}
@@ -223,6 +232,11 @@
 		"name": p.name, "role": p.role, "voters": voters, "listen": listen, "secrets": secrets,
 		"logs": map[string]any{"level": "info"}, "shutdown": map[string]int{"leaveWaitMs": 1500, "finishMs": 10000},
 	}
+	if c.secure != "" {
+		s["tls"] = map[string]string{
+			"certFile": filepath.Join(c.secure, "cert.pem"), "keyFile": filepath.Join(c.secure, "key.pem"), "caFile": filepath.Join(c.secure, "ca.pem"),
+		}
+	}
 	if p.role == "control" {
 		s["dataFolder"] = p.folder
 	} else {
@@ -281,7 +295,19 @@
 	for _, p := range list {
 		servers = append(servers, p.operators)
 	}
-	return dhclient.New(dhclient.Options{Servers: servers, Secret: testSecret + "operators"})
+	return dhclient.New(dhclient.Options{Servers: servers, Secret: testSecret + "operators", TLS: c.tls()})
+}
+
+// tls returns how to connect to the cluster; nil for plain connections.
+func (c *cluster) tls() *tls.Config {
+	if c.secure == "" {
+		return nil
+	}
+	trusted, err := dhtls.New(dhtls.Options{CAFile: filepath.Join(c.secure, "ca.pem")})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return trusted.Client()
 }
 
 // sample returns the objects of the tests.
@@ -337,8 +363,12 @@
 
 func (c *cluster) waitReady(p *process) {
 	c.t.Helper()
+	client, scheme := &http.Client{}, "http://"
+	if c.secure != "" {
+		client.Transport, scheme = &http.Transport{TLSClientConfig: c.tls()}, "https://"
+	}
 	eventually(c.t, p.name+" is ready", func() bool {
-		r, err := http.Get("http://" + p.operators + "/readyz")
+		r, err := client.Get(scheme + p.operators + "/readyz")
 		if err != nil {
 			return false
 		}
@@ -370,7 +400,7 @@
 	c.t.Helper()
 	s, err := dhstandin.New(dhstandin.Options{
 		Name: name, Service: "gate", Address: "127.0.0.1:0", Entries: []string{e.upstreams},
-		Secret: testSecret + "upstreams", Slots: 8, Serve: serve,
+		Secret: testSecret + "upstreams", Slots: 8, Serve: serve, TLS: c.tls(),
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/io/dhclient/client.go
+++ b/io/dhclient/client.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -27,6 +28,8 @@
 	// Servers are operators' addresses; they are tried in order.
 	Servers []string
 	Secret  string
+	// TLS is how to connect; nil for plain connections.
+	TLS *tls.Config
 }
 
 // Client calls the operators' API of one of several processes.
@@ -37,7 +40,12 @@
 
 // New returns a client.
 func New(o Options) *Client {
-	return &Client{options: o, http: &http.Client{Timeout: callTimeout}}
+	return &Client{options: o, http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{TLSClientConfig: o.TLS}}}
+}
+
+// only returns a client of a single process.
+func (c *Client) only(server string) *Client {
+	return &Client{options: Options{Servers: []string{server}, Secret: c.options.Secret, TLS: c.options.TLS}, http: c.http}
 }
 
 // call sends a request to the first process that answers, and decodes what it
@@ -58,6 +66,9 @@
 
 func (c *Client) send(ctx context.Context, server, method, path string, query url.Values, body []byte) (*http.Response, error) {
 	target := "http://" + server + path
+	if c.options.TLS != nil {
+		target = "https://" + server + path
+	}
 	if len(query) > 0 {
 		target += "?" + query.Encode()
 	}
@@ -157,7 +168,7 @@
 	found := false
 	for _, server := range c.options.Servers {
 		var s dhoperator.Status
-		one := New(Options{Servers: []string{server}, Secret: c.options.Secret})
+		one := c.only(server)
 		if err := one.call(ctx, http.MethodGet, "/v1/status", nil, nil, &s); err != nil {
 			last = err
 			continue
@@ -188,7 +199,7 @@
 		var out struct {
 			Rows []dhoperator.Burn `json:"rows"`
 		}
-		one := New(Options{Servers: []string{server}, Secret: c.options.Secret})
+		one := c.only(server)
 		if err := one.call(ctx, http.MethodGet, "/v1/burn", nil, nil, &out); err != nil {
 			return nil, err
 		}
--- a/io/dhcommand/client.go
+++ b/io/dhcommand/client.go
@@ -16,6 +16,7 @@
 
 	"dogwoodhitch/io/dhclient"
 	"dogwoodhitch/io/dhfault"
+	"dogwoodhitch/io/dhtls"
 )
 
 // clientFlags are the flags of commands that talk to a running system.
@@ -29,6 +30,10 @@
 			Name: "secret-file", Usage: "file with the operators' credential", Required: true,
 			Sources: cli.EnvVars("DOGWOODHITCH_SECRET_FILE"),
 		},
+		&cli.StringFlag{
+			Name: "ca-file", Usage: "certificates of the authority; connect over TLS",
+			Sources: cli.EnvVars("DOGWOODHITCH_CA_FILE"),
+		},
 		outputFlag(),
 	}, more...)
 }
@@ -50,9 +55,15 @@
 	if err != nil {
 		return nil, dhfault.New(dhfault.KindSettings, err.Error(), "name the file that holds the operators' credential")
 	}
-	return dhclient.New(dhclient.Options{
-		Servers: c.StringSlice("server"), Secret: strings.TrimSpace(string(raw)),
-	}), nil
+	o := dhclient.Options{Servers: c.StringSlice("server"), Secret: strings.TrimSpace(string(raw))}
+	if file := c.String("ca-file"); file != "" {
+		trusted, err := dhtls.New(dhtls.Options{CAFile: file})
+		if err != nil {
+			return nil, dhfault.Wrap(dhfault.KindSettings, err)
+		}
+		o.TLS = trusted.Client()
+	}
+	return dhclient.New(o), nil
 }
 
 // table writes rows in columns.
--- a/io/dhcommand/serve.go
+++ b/io/dhcommand/serve.go
@@ -15,6 +15,7 @@
 	"dogwoodhitch/io/dhoperator"
 	"dogwoodhitch/io/dhprocess"
 	"dogwoodhitch/io/dhsettings"
+	"dogwoodhitch/io/dhtls"
 )
 
 const settingsUsage = "path of the settings, JSON with comments"
@@ -79,6 +80,11 @@
 		o.Journal = dhjournal.New(file)
 		defer o.Journal.Close()
 	}
+	if cert, key, ca := s.TLS(); cert != "" {
+		if o.TLS, err = dhtls.New(dhtls.Options{CertFile: cert, KeyFile: key, CAFile: ca}); err != nil {
+			return dhfault.Wrap(dhfault.KindSettings, err)
+		}
+	}
 	if role == dhsettings.RoleControl {
 		if o.Folder, err = dhdisk.Open(s.DataFolder(), s.Name()); err != nil {
 			return dhfault.Wrap(dhfault.KindData, err)
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -37,7 +38,7 @@
 	fresh *http.Client // uses a new connection for each attempt
 }
 
-func newClients(maxConnections int) clients {
+func newClients(maxConnections int, passed *tls.Config) clients {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	kept := &http.Transport{
 		DialContext:            dialer.DialContext,
@@ -46,6 +47,7 @@
 		IdleConnTimeout:        idleConnections,
 		MaxResponseHeaderBytes: maxAnswerHeader,
 		DisableCompression:     true,
+		TLSClientConfig:        passed,
 	}
 	fresh := kept.Clone()
 	fresh.DisableKeepAlives = true
@@ -77,6 +79,7 @@
 	fresh   bool
 	echoes  bool
 	passed  bool
+	secure  bool // over TLS
 	extra   http.Header
 }
 
@@ -164,6 +167,9 @@
 func (in *inbound) outgoing(ctx context.Context, t target, number string) (*http.Request, error) {
 	u := *in.url
 	u.Scheme, u.Host = "http", t.address
+	if t.secure {
+		u.Scheme = "https"
+	}
 	u.Path = t.path + u.Path
 	if u.RawPath != "" {
 		u.RawPath = t.path + u.RawPath
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net/http"
@@ -41,6 +42,8 @@
 	Hold int
 	// MaxConnections bounds the connections to one upstream.
 	MaxConnections int
+	// TLS is how to connect to other instances; nil for plain connections.
+	TLS *tls.Config
 }
 
 // Server serves callers.
@@ -51,7 +54,7 @@
 }
 
 // New returns a server.
-func New(o Options) *Server { return &Server{options: o, clients: newClients(o.MaxConnections)} }
+func New(o Options) *Server { return &Server{options: o, clients: newClients(o.MaxConnections, o.TLS)} }
 
 // Close closes the connections that are kept.
 func (s *Server) Close() { s.clients.close() }
@@ -174,7 +177,8 @@
 		dhpeer.SetSecret(extra, x.server.options.Secret)
 		extra.Set(HeaderOrganisation, e.Organisation())
 		return x.attempt(ctx, d, target{
-			address: e.Address(), path: passPath, timeout: e.Timeout(), fresh: e.Claimed(), passed: true, extra: extra,
+			address: e.Address(), path: passPath, timeout: e.Timeout(), fresh: e.Claimed(), passed: true,
+			secure: x.server.options.TLS != nil, extra: extra,
 		}, e.Claimed())
 	default:
 		return true
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -59,10 +60,8 @@
 	Take func(from dhmessage.Peer, m dhmessage.Message) bool
 	// Count gets the bytes of the messages that were sent; nil for none.
 	Count func(bytes int)
-	// Client carries calls; nil for one of the sender's own.
-	Client *http.Client
-	// Scheme is http or https.
-	Scheme string
+	// TLS is how to connect to other processes; nil for plain connections.
+	TLS *tls.Config
 }
 
 // Sender sends messages to other processes, each through its own queue.
@@ -78,18 +77,13 @@
 
 // NewSender returns a sender that works until the context ends.
 func NewSender(ctx context.Context, o SenderOptions) *Sender {
-	client := o.Client
-	if client == nil {
-		client = &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: parallelCalls,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		}}
-	}
-	if o.Scheme == "" {
-		o.Scheme = "http"
-	}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig:     o.TLS,
+		MaxIdleConnsPerHost: parallelCalls,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}
 	return &Sender{options: o, client: client, context: ctx, queues: map[string]chan dhmessage.Message{}, calls: map[string][]chan dhmessage.Message{}}
 }
 
@@ -232,7 +226,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.context, timeout)
 	defer cancel()
-	client := dhprotoconnect.NewPeerServiceClient(s.client, s.options.Scheme+"://"+address,
+	client := dhprotoconnect.NewPeerServiceClient(s.client, s.scheme()+"://"+address,
 		connect.WithInterceptors(withSecret(s.options.Secret)))
 	response, err := client.Deliver(ctx, request)
 	if err != nil {
@@ -251,6 +245,13 @@
 	}
 }
 
+func (s *Sender) scheme() string {
+	if s.options.TLS != nil {
+		return "https"
+	}
+	return "http"
+}
+
 func bulky(m dhmessage.Message) bool {
 	switch m := m.(type) {
 	case *dhmessage.Install:
--- /dev/null
+++ b/io/dhprocess/main_test.go
@@ -0,0 +1,14 @@
+package dhprocess
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain fails if a process leaves goroutines behind.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("net/http.(*persistConn).writeLoop"),
+		goleak.IgnoreTopFunction("internal/poll.runtime_pollWait"), goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"),
+		goleak.IgnoreAnyFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+}
--- a/io/dhprocess/options.go
+++ b/io/dhprocess/options.go
@@ -10,6 +10,7 @@
 	"dogwoodhitch/io/dhlogs"
 	"dogwoodhitch/io/dhsettings"
 	"dogwoodhitch/io/dhtime"
+	"dogwoodhitch/io/dhtls"
 )
 
 // Addresses are where a process listens; empty ones are left out.
@@ -46,6 +47,8 @@
 	Finish         dhclock.Millis
 	Logs           *dhlogs.Logs
 	Clock          dhtime.Clock
+	// TLS is the process's identity; nil for plain connections.
+	TLS *dhtls.Identity
 	// Journal records events; nil for none.
 	Journal *dhjournal.Journal
 }
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"net"
@@ -103,7 +104,7 @@
 	p.sender = dhpeer.NewSender(p.work, dhpeer.SenderOptions{
 		Self: self, Address: p.bound.Peers, Secret: p.options.Secrets.Peers,
 		Lookup: p.book.Lookup, Log: p.options.Logs.Layer("peer"), Take: p.take,
-		Count: p.countBytes,
+		Count: p.countBytes, TLS: p.clientTLS(),
 	})
 	p.group.Go(func() { p.fail(p.loop.Run(p.work)) })
 	if p.shard != nil {
@@ -117,6 +118,14 @@
 	return nil
 }
 
+// clientTLS returns how to connect to other processes; nil for plain.
+func (p *Process) clientTLS() *tls.Config {
+	if p.options.TLS == nil {
+		return nil
+	}
+	return p.options.TLS.Client()
+}
+
 // countBytes counts what is sent to other processes of the system.
 func (p *Process) countBytes(bytes int) {
 	p.metrics.Count(int64(bytes), "dogwoodhitch_peer_bytes_total")
@@ -189,7 +198,7 @@
 	p.entry = dhentry.New(dhentry.Options{
 		Instance: p.options.Name, Shard: p.shard, Clock: p.options.Clock, Secret: p.options.Secrets.Peers,
 		Log: p.options.Logs.Layer("entry"), MaxBody: p.options.MaxBody,
-		Hold: p.options.Hold, MaxConnections: p.options.MaxConnections,
+		Hold: p.options.Hold, MaxConnections: p.options.MaxConnections, TLS: p.clientTLS(),
 	})
 }
 
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -92,16 +92,21 @@
 func (p *Process) serve(list []listener) {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetUnencryptedHTTP2(p.options.TLS == nil)
+	protocols.SetHTTP2(p.options.TLS != nil)
 	for _, l := range list {
 		s := &http.Server{
 			Handler: l.handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout,
 			ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-			ErrorLog: nil,
 		}
 		p.servers = append(p.servers, s)
+		serve := s.Serve
+		if p.options.TLS != nil {
+			s.TLSConfig = p.options.TLS.Server()
+			serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
+		}
 		p.group.Go(func() {
-			if err := s.Serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
 				p.fail(err)
 			}
 		})
--- a/io/dhsettings/settings.go
+++ b/io/dhsettings/settings.go
@@ -112,6 +112,11 @@
 		Level  string            `json:"level"`
 		Layers map[string]string `json:"layers"`
 	} `json:"logs"`
+	TLS struct {
+		CertFile string `json:"certFile"`
+		KeyFile  string `json:"keyFile"`
+		CAFile   string `json:"caFile"`
+	} `json:"tls"`
 	JournalFile string `json:"journalFile"`
 }
 
@@ -202,6 +207,12 @@
 // LogLayers returns the levels of single layers.
 func (s *Settings) LogLayers() map[string]string { return s.file.Logs.Layers }
 
+// TLS returns the files of the certificate, its key and the authorities; empty
+// for none.
+func (s *Settings) TLS() (certFile, keyFile, caFile string) {
+	return s.file.TLS.CertFile, s.file.TLS.KeyFile, s.file.TLS.CAFile
+}
+
 // JournalFile returns where events are recorded, or "".
 func (s *Settings) JournalFile() string { return s.file.JournalFile }
 
@@ -297,6 +308,7 @@
 	s.secrets[secretPeers] = c.secret("secrets.peersFile", f.Secrets.PeersFile)
 	s.secrets[secretOperators] = c.secret("secrets.operatorsFile", f.Secrets.OperatorsFile)
 	c.voters(s)
+	c.tls(f)
 	c.span("requests.maxBodyBytes", f.Requests.MaxBodyBytes, maxBytes)
 	c.span("requests.holdBytes", f.Requests.HoldBytes, maxBytes)
 	c.span("requests.maxConnections", f.Requests.MaxConnections, 1<<16)
@@ -349,6 +361,25 @@
 	return secret
 }
 
+// tls wants all three files or none, and makes their paths count from the
+// settings file.
+func (c *checker) tls(f *file) {
+	t := &f.TLS
+	given := 0
+	for _, name := range []*string{&t.CertFile, &t.KeyFile, &t.CAFile} {
+		if *name == "" {
+			continue
+		}
+		given++
+		if !filepath.IsAbs(*name) {
+			*name = filepath.Join(c.folder, *name)
+		}
+	}
+	if given != 0 && given != 3 {
+		c.add("tls", fmt.Sprintf("%d of 3 files", given), "give certFile, keyFile and caFile, or none of them")
+	}
+}
+
 func (c *checker) voters(s *Settings) {
 	if len(s.file.Voters) == 0 {
 		c.add("voters", "none", "list the name and peer address of each control process")
--- a/io/dhstandin/standin.go
+++ b/io/dhstandin/standin.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -31,6 +32,8 @@
 	Entries []string
 	Secret  string
 	Slots   int
+	// TLS is how to connect to the entries; nil for plain connections.
+	TLS *tls.Config
 	// Work is how long a request takes.
 	Work time.Duration
 	// Serve replaces the answer; nil echoes the request.
@@ -55,7 +58,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for upstream %s on %s: %w; free the address", o.Name, o.Address, err)
 	}
-	s := &Standin{options: o, listener: l, client: &http.Client{Timeout: time.Second}}
+	s := &Standin{options: o, listener: l, client: &http.Client{Timeout: time.Second, Transport: &http.Transport{TLSClientConfig: o.TLS}}}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Second}
 	return s, nil
 }
@@ -156,7 +159,11 @@
 	if err != nil {
 		return
 	}
-	url := "http://" + entry + dhcatalog.ReservedPrefix + "v1/upstreams/" + what
+	scheme := "http://"
+	if s.options.TLS != nil {
+		scheme = "https://"
+	}
+	url := scheme + entry + dhcatalog.ReservedPrefix + "v1/upstreams/" + what
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
 	if err != nil {
 		return
