Bound the memory of recorded answers and of request bodies

Found by reading: 200,000 claims with answers of 64 KiB could take 13 GB on each voter, and requests that wait could hold 1 MiB each without end. Now answers take 64 MiB together, after which a claim is kept as one that ran, the same on every voter; bodies take 32 MiB (maxHeldBytes), after which requests are refused as not run. Tests fill both and see room again. Burn windows and alerts got tests too.

--- /dev/null
+++ b/core/dhburn/burn_test.go
@@ -0,0 +1,54 @@
+package dhburn
+
+import (
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+)
+
+var objective = dhcatalog.NewObjective(dhcatalog.ObjectiveOptions{Name: "o", Route: "gate", TargetPerMillion: 999_000, Latency: 100})
+
+// rows records a request a second up to a time, of which one in so many is
+// bad, for two organisations; only the first one's are bad.
+func rows(until dhclock.Millis, oneIn int) []Row {
+	r := New()
+	n := 0
+	for now := dhclock.Second; now <= until; now += dhclock.Second {
+		n++
+		r.Add(now, "gate", "poor", n%oneIn == 0)
+		r.Add(now, "gate", "well", false)
+	}
+	return r.Rows(until, []dhcatalog.Objective{objective})
+}
+
+func TestWorstServedFirst(t *testing.T) {
+	list := rows(3600*dhclock.Second, 50)
+	if len(list) != 2 || list[0].Organisation() != "poor" || list[1].Bad() != 0 {
+		t.Fatalf("got %+v", list)
+	}
+	// One bad in 50 is 20 times a budget of one in 1000.
+	if b := list[0].Burn1h(); b < 19 || b > 21 || list[0].Alert() != AlertPage || list[1].Alert() != AlertNone {
+		t.Errorf("burn %v, alerts %v and %v", b, list[0].Alert(), list[1].Alert())
+	}
+}
+
+// TestWindows lets an hour of failures pass: the short windows forget first,
+// so that the alert ends, and the long one last.
+func TestWindows(t *testing.T) {
+	r := New()
+	for now := dhclock.Second; now <= 3600*dhclock.Second; now += dhclock.Second {
+		r.Add(now, "gate", "o", true)
+	}
+	at := func(now dhclock.Millis) Row { return r.Rows(now, []dhcatalog.Objective{objective})[0] }
+	if a := at(3600 * dhclock.Second).Alert(); a != AlertPage {
+		t.Errorf("while it fails: %v", a)
+	}
+	later := at(3600*dhclock.Second + 10*minute)
+	if later.Burn5m() != 0 || later.Burn1h() == 0 || later.Alert() != AlertTicket {
+		t.Errorf("ten minutes later: %+v, %v", later, later.Alert())
+	}
+	if last := at(8 * 3600 * dhclock.Second); last.Total() != 0 || last.Burn6h() != 0 {
+		t.Errorf("seven hours later: %+v", last)
+	}
+}
--- a/core/dhledger/claim.go
+++ b/core/dhledger/claim.go
@@ -61,11 +61,15 @@
 	if old.State() != dhmessage.ClaimOpen && old.State() != dhmessage.ClaimUnclear {
 		return claimResult(old.State(), old.Answer())
 	}
+	state, answer := o.State(), o.Answer()
+	if l.answers+sizeOf(answer) > MaxAnswerBytes {
+		state, answer = dhmessage.ClaimRan, nil
+	}
 	l.put(dhmessage.ClaimRecordOptions{
-		Key: old.Key(), Claimant: old.Claimant(), Digest: old.Digest(), State: o.State(),
-		Answer: o.Answer(), Deadline: old.Deadline(), Expiry: old.Expiry(),
+		Key: old.Key(), Claimant: old.Claimant(), Digest: old.Digest(), State: state,
+		Answer: answer, Deadline: old.Deadline(), Expiry: old.Expiry(),
 	})
-	return claimResult(o.State(), o.Answer())
+	return claimResult(state, answer)
 }
 
 // releaseLife is how long an early release is kept, in milliseconds.
@@ -110,9 +114,33 @@
 	return dhmessage.NewResult(dhmessage.ResultOptions{Claim: s, Answer: a})
 }
 
-func (l *Ledger) put(o dhmessage.ClaimRecordOptions) {
-	l.claims[o.Key] = dhmessage.NewClaimRecord(o)
-	l.expiry.push(o.Expiry, o.Key)
+func (l *Ledger) put(o dhmessage.ClaimRecordOptions) { l.keep(dhmessage.NewClaimRecord(o)) }
+
+// keep adds a claim in place of an older record of it.
+func (l *Ledger) keep(c dhmessage.ClaimRecord) {
+	l.drop(c.Key())
+	l.claims[c.Key()] = c
+	l.answers += sizeOf(c.Answer())
+	l.expiry.push(c.Expiry(), c.Key())
+}
+
+func (l *Ledger) drop(k dhmessage.ClaimKey) {
+	if c, found := l.claims[k]; found {
+		l.answers -= sizeOf(c.Answer())
+		delete(l.claims, k)
+	}
+}
+
+// sizeOf returns the bytes of an answer that count.
+func sizeOf(a *dhmessage.Answer) int {
+	if a == nil {
+		return 0
+	}
+	size := len(a.Body())
+	for _, f := range a.Header() {
+		size += len(f.Name()) + len(f.Value())
+	}
+	return size
 }
 
 // forget drops the claims whose retention is over.
@@ -120,7 +148,7 @@
 	for len(l.expiry) > 0 && l.expiry[0].at <= l.at {
 		k := l.expiry.pop()
 		if c, found := l.claims[k]; found && c.Expiry() <= l.at {
-			delete(l.claims, k)
+			l.drop(k)
 		}
 	}
 }
--- a/core/dhledger/ledger.go
+++ b/core/dhledger/ledger.go
@@ -22,6 +22,10 @@
 // MaxClaims bounds how many claims are kept at once.
 const MaxClaims = 200_000
 
+// MaxAnswerBytes bounds the recorded answers of all claims together. A claim
+// whose answer finds no room is kept as one that ran.
+const MaxAnswerBytes = 64 << 20
+
 // Ledger is the replicated state after the entry at Index.
 type Ledger struct {
 	index   uint64
@@ -32,6 +36,7 @@
 	byID    map[string]dhmessage.Accepted
 	claims  map[dhmessage.ClaimKey]dhmessage.ClaimRecord
 	expiry  expiryQueue
+	answers int // bytes of recorded answers
 }
 
 // New returns the state that a snapshot holds.
@@ -52,8 +57,7 @@
 		l.byID[a.Set().ID()] = a
 	}
 	for _, c := range s.Claims() {
-		l.claims[c.Key()] = c
-		l.expiry.push(c.Expiry(), c.Key())
+		l.keep(c)
 	}
 	return l
 }
--- a/core/dhledger/ledger_test.go
+++ b/core/dhledger/ledger_test.go
@@ -86,6 +86,34 @@
 	}
 }
 
+// TestAnswersAreBounded records large answers until there is no more room, and
+// again once older ones are forgotten.
+func TestAnswersAreBounded(t *testing.T) {
+	l, apply := withLedger()
+	body := make([]byte, 4<<20)
+	record := func(at dhclock.Millis, i int) dhmessage.ClaimState {
+		k := dhmessage.NewClaimKey("o", fmt.Sprint("k", i))
+		by := dhmessage.NewClaimant("a", 1, uint64(i))
+		apply(at, dhmessage.NewClaim(dhmessage.ClaimOptions{Key: k, Claimant: by, Deadline: 10, Retention: 1000}))
+		return apply(at, dhmessage.NewOutcome(k, by, dhmessage.ClaimDone, dhmessage.NewAnswer(200, nil, body))).Claim()
+	}
+	room := MaxAnswerBytes / len(body)
+	for i := range room {
+		if got := record(1, i); got != dhmessage.ClaimDone {
+			t.Fatalf("answer %d of %d: %v", i, room, got)
+		}
+	}
+	if got := record(1, room); got != dhmessage.ClaimRan {
+		t.Errorf("an answer without room is %v", got)
+	}
+	if again := New(l.Snapshot(nil)); again.answers != l.answers {
+		t.Errorf("%d bytes after a snapshot, %d before", again.answers, l.answers)
+	}
+	if got := record(2000, room+1); got != dhmessage.ClaimDone {
+		t.Errorf("after the older ones are forgotten an answer is %v", got)
+	}
+}
+
 func change(id string, base uint64, digest byte) dhmessage.Command {
 	return dhmessage.NewChange(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
 		ID: id, Base: base, Author: "test", Digest: dhcatalog.KeyHash{digest},
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -37,6 +37,8 @@
 	Log      *logrus.Entry
 	// MaxBody bounds the body of a request, in bytes.
 	MaxBody int64
+	// MaxHeld bounds the bodies of all requests together, in bytes.
+	MaxHeld int64
 	// Hold is up to which size an answer is given on only when it is whole, in
 	// bytes.
 	Hold int
@@ -51,6 +53,7 @@
 	options Options
 	clients clients
 	leaving atomic.Bool
+	held    atomic.Int64 // bytes of request bodies
 }
 
 // New returns a server.
@@ -88,8 +91,31 @@
 	})
 }
 
+// bodySize returns how many bytes a request's body may take.
+func (s *Server) bodySize(r *http.Request) int64 {
+	if r.ContentLength < 0 || r.ContentLength > s.options.MaxBody {
+		return s.options.MaxBody
+	}
+	return r.ContentLength
+}
+
+// hold reserves memory for a request's body, and tells whether there is room.
+func (s *Server) hold(r *http.Request) bool {
+	size := s.bodySize(r)
+	if s.held.Add(size) <= s.options.MaxHeld || size == 0 {
+		return true
+	}
+	s.held.Add(-size)
+	return false
+}
+
 // serve carries one request from its arrival to its end.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, organisation string, passed bool) {
+	if !s.hold(r) {
+		writeRefusal(w, requestID(r.Header.Get(HeaderRequest)), dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, dhclock.Second))
+		return
+	}
+	defer s.held.Add(-s.bodySize(r))
 	in, kind := readRequest(w, r, s.options.MaxBody)
 	if kind != "" {
 		writeRefusal(w, in.id, dheffect.NewRefusal(kind, false, 0))
--- a/io/dhentry/server_test.go
+++ b/io/dhentry/server_test.go
@@ -96,7 +96,7 @@
 	log.SetOutput(io.Discard)
 	s := New(Options{
 		Instance: "i", Shard: f.shard, Clock: clock, Log: logrus.NewEntry(log),
-		MaxBody: 1 << 10, Hold: 1 << 10, MaxConnections: 16,
+		MaxBody: 1 << 10, MaxHeld: 1 << 12, Hold: 1 << 10, MaxConnections: 16,
 	})
 	f.Server = httptest.NewUnstartedServer(s.Callers())
 	f.Config.Protocols = new(http.Protocols)
@@ -355,6 +355,43 @@
 	}
 }
 
+// TestBodiesAreBounded holds large requests open until their bodies fill the
+// memory that is set aside: one more is refused truly, one without a body is
+// served, and there is room again when they have ended.
+func TestBodiesAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	u := withUpstream(t, func(r *http.Request, _ int64) (string, bool) {
+		if r.Method == http.MethodPost {
+			<-release
+		}
+		return whole("ok"), false
+	})
+	f := withFront(t, u.Addr().String())
+	body := strings.Repeat("x", 1<<10)
+	results := make(chan got, 4)
+	for range cap(results) {
+		go func() { results <- f.send(http.MethodPost, "/read/1", body) }()
+	}
+	for f.shard.Open() < cap(results) {
+		time.Sleep(time.Millisecond)
+	}
+	if g := f.send(http.MethodPost, "/read/1", body); g.kind != "noCapacity" || g.run != RunNot {
+		t.Errorf("one too many got %+v", g)
+	}
+	if g := f.send(http.MethodGet, "/read/1", ""); g.body != "ok" {
+		t.Errorf("a request without a body got %+v", g)
+	}
+	close(release)
+	for range cap(results) {
+		if g := <-results; g.body != "ok" {
+			t.Errorf("got %+v", g)
+		}
+	}
+	if g := f.send(http.MethodPost, "/read/1", body); g.body != "ok" {
+		t.Errorf("with room again got %+v", g)
+	}
+}
+
 // TestKeyIsTakenOut looks for the key wherever a caller may put it.
 func TestKeyIsTakenOut(t *testing.T) {
 	var seen atomic.Value
--- a/io/dhprocess/group_test.go
+++ b/io/dhprocess/group_test.go
@@ -71,7 +71,7 @@
 	return Options{
 		Name: name, Zone: zone, Role: role, Voters: g.listed, Logs: g.logs, Clock: dhtime.System(),
 		Listen: Addresses{Peers: "127.0.0.1:0"}, Secrets: Secrets{Peers: "secret"},
-		MaxBody: 1 << 20, Hold: 1 << 16, MaxConnections: 16,
+		MaxBody: 1 << 20, MaxHeld: 1 << 24, Hold: 1 << 16, MaxConnections: 16,
 	}
 }
 
--- a/io/dhprocess/options.go
+++ b/io/dhprocess/options.go
@@ -41,6 +41,7 @@
 	Founders       []dhmessage.Voter
 	Secrets        Secrets
 	MaxBody        int64
+	MaxHeld        int64
 	Hold           int
 	MaxConnections int
 	LeaveWait      dhclock.Millis
@@ -62,7 +63,7 @@
 		},
 		Voters:  s.Voters(),
 		Secrets: Secrets{Peers: s.PeerSecret(), Operators: s.OperatorSecret(), Upstreams: s.UpstreamSecret()},
-		MaxBody: s.MaxBody(), Hold: s.Hold(), MaxConnections: s.MaxConnections(),
+		MaxBody: s.MaxBody(), MaxHeld: s.MaxHeld(), Hold: s.Hold(), MaxConnections: s.MaxConnections(),
 		LeaveWait: s.LeaveWait(), Finish: s.Finish(), Logs: logs, Clock: dhtime.System(),
 	}
 }
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -197,7 +197,7 @@
 	p.shard = dhshard.New(dhreducer.NewTraffic(o), seams)
 	p.entry = dhentry.New(dhentry.Options{
 		Instance: p.options.Name, Shard: p.shard, Clock: p.options.Clock, Secret: p.options.Secrets.Peers,
-		Log: p.options.Logs.Layer("entry"), MaxBody: p.options.MaxBody,
+		Log: p.options.Logs.Layer("entry"), MaxBody: p.options.MaxBody, MaxHeld: p.options.MaxHeld,
 		Hold: p.options.Hold, MaxConnections: p.options.MaxConnections, TLS: p.clientTLS(),
 	})
 }
--- a/io/dhquickstart/system.go
+++ b/io/dhquickstart/system.go
@@ -33,6 +33,7 @@
 	sampleBurst = 200
 	holdBytes   = 64 << 10
 	maxBody     = 1 << 20
+	maxHeld     = 32 << 20
 	connections = 64
 	// startTimeout bounds the time until the sample objects are in force.
 	startTimeout = 20 * time.Second
@@ -113,7 +114,7 @@
 	return dhprocess.Options{
 		Name: name, Zone: zone, Role: role,
 		Listen:  dhprocess.Addresses{Peers: loopback, Operators: loopback},
-		Secrets: s.secrets, MaxBody: maxBody, Hold: holdBytes, MaxConnections: connections,
+		Secrets: s.secrets, MaxBody: maxBody, MaxHeld: maxHeld, Hold: holdBytes, MaxConnections: connections,
 		Logs: s.logs, Clock: dhtime.System(),
 	}
 }
--- a/io/dhsettings/settings.go
+++ b/io/dhsettings/settings.go
@@ -32,6 +32,7 @@
 // Defaults and bounds, in bytes and milliseconds.
 const (
 	defaultMaxBody        = 1 << 20
+	defaultMaxHeld        = 32 << 20
 	defaultHold           = 64 << 10
 	defaultMaxConnections = 360
 	defaultLeaveWait      = 5000
@@ -101,6 +102,7 @@
 	} `json:"secrets"`
 	Requests struct {
 		MaxBodyBytes   int64 `json:"maxBodyBytes"`
+		MaxHeldBytes   int64 `json:"maxHeldBytes"`
 		HoldBytes      int64 `json:"holdBytes"`
 		MaxConnections int64 `json:"maxConnections"`
 	} `json:"requests"`
@@ -188,6 +190,9 @@
 // MaxBody returns the largest request body, in bytes.
 func (s *Settings) MaxBody() int64 { return s.file.Requests.MaxBodyBytes }
 
+// MaxHeld returns the most bytes of all request bodies together.
+func (s *Settings) MaxHeld() int64 { return s.file.Requests.MaxHeldBytes }
+
 // Hold returns up to which size an answer is held until it is whole, in bytes.
 func (s *Settings) Hold() int { return int(s.file.Requests.HoldBytes) }
 
@@ -259,6 +264,7 @@
 
 func (s *Settings) setDefaults() {
 	setDefault(&s.file.Requests.MaxBodyBytes, defaultMaxBody)
+	setDefault(&s.file.Requests.MaxHeldBytes, defaultMaxHeld)
 	setDefault(&s.file.Requests.HoldBytes, defaultHold)
 	setDefault(&s.file.Requests.MaxConnections, defaultMaxConnections)
 	setDefault(&s.file.Shutdown.LeaveWaitMs, defaultLeaveWait)
@@ -310,6 +316,7 @@
 	c.voters(s)
 	c.tls(f)
 	c.span("requests.maxBodyBytes", f.Requests.MaxBodyBytes, maxBytes)
+	c.span("requests.maxHeldBytes", f.Requests.MaxHeldBytes, maxBytes)
 	c.span("requests.holdBytes", f.Requests.HoldBytes, maxBytes)
 	c.span("requests.maxConnections", f.Requests.MaxConnections, 1<<16)
 	c.span("shutdown.leaveWaitMs", f.Shutdown.LeaveWaitMs, maxSpan)
