--- /dev/null
+++ b/io/dhoperator/change.go
@@ -0,0 +1,121 @@
+package dhoperator
+
+import (
+	"context"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhfault"
+	"dogwoodhitch/io/dhproto"
+	"dogwoodhitch/io/dhwire"
+)
+
+// minSecret is the least length of a caller's key.
+const minSecret = 16
+
+// change takes a change set. With dryRun it is only checked, against the
+// configuration in force here; with wait the answer comes once it is in force
+// everywhere.
+func (a *API) change(r *http.Request) (any, error) {
+	set, err := readChangeSet(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	if flag(r, "dryRun") {
+		next, err := a.options.View().Catalog().Apply(set)
+		if err != nil {
+			return nil, err
+		}
+		return Changed{Version: next.Version(), DryRun: true}, nil
+	}
+	result, err := a.propose(r.Context(), dhmessage.NewChange(set))
+	if err != nil {
+		return nil, err
+	}
+	changed := Changed{Version: result.Version()}
+	if flag(r, "wait") {
+		changed.InForce = a.waitInForce(r.Context(), result.Version())
+	}
+	return changed, nil
+}
+
+func flag(r *http.Request, name string) bool { return r.URL.Query().Get(name) == "true" }
+
+// readChangeSet decodes a change set and hashes the secrets in it.
+func readChangeSet(body io.Reader) (dhcatalog.ChangeSet, error) {
+	raw, err := io.ReadAll(io.LimitReader(body, maxBody))
+	if err != nil {
+		return dhcatalog.ChangeSet{}, dhfault.New(dhfault.KindMalformed, "the body can't be read: "+err.Error(), "send it again")
+	}
+	return ParseChangeSet(raw)
+}
+
+// ParseChangeSet decodes a change set from JSON and hashes the secrets in it.
+func ParseChangeSet(raw []byte) (dhcatalog.ChangeSet, error) {
+	m := &dhproto.ChangeSet{}
+	if err := protojson.Unmarshal(raw, m); err != nil {
+		return dhcatalog.ChangeSet{}, dhfault.New(dhfault.KindMalformed, err.Error(),
+			"send a change set as docs/OPERATING.md shows; unknown fields are refused")
+	}
+	for _, o := range m.GetPuts() {
+		k := o.GetKey()
+		if k.GetSecret() == "" {
+			continue
+		}
+		if len(k.GetSecret()) < minSecret {
+			return dhcatalog.ChangeSet{}, dhfault.New(dhfault.KindInvalid,
+				"key/"+k.GetName()+" has a secret of "+strconv.Itoa(len(k.GetSecret()))+" characters", "use at least 16 random ones")
+		}
+		hash := dhwire.HashSecret(k.GetSecret())
+		k.Hash, k.Secret = hex.EncodeToString(hash[:]), ""
+	}
+	return dhwire.ChangeSetFromWire(m)
+}
+
+func (a *API) propose(ctx context.Context, c dhmessage.Command) (dhmessage.Result, error) {
+	result, err := a.options.Asker.Propose(ctx, c, patience)
+	switch {
+	case err != nil:
+		return result, dhfault.New(dhfault.KindUnsure, "the request ended before the answer came", "send it again under the same id")
+	case result.Err() != nil:
+		return result, result.Err()
+	case result.Unsure():
+		return result, dhfault.New(dhfault.KindUnsure, "no majority of voters answered in time; it may still be accepted",
+			"send it again under the same id, or read status")
+	default:
+		return result, nil
+	}
+}
+
+// waitInForce waits until a version is in force everywhere.
+func (a *API) waitInForce(ctx context.Context, version uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, forcePatience)
+	defer cancel()
+	ticker := time.NewTicker(forcePoll)
+	defer ticker.Stop()
+	for a.options.View().InForce() < version {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+func (a *API) history(r *http.Request) (any, error) {
+	list, err := a.options.Asker.History(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	return struct {
+		Changes []Accepted `json:"changes"`
+	}{acceptedOf(list)}, nil
+}
--- /dev/null
+++ b/io/dhoperator/claims.go
@@ -0,0 +1,42 @@
+package dhoperator
+
+import (
+	"net/http"
+
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhfault"
+)
+
+func (a *API) claim(r *http.Request) (any, error) {
+	k := dhmessage.NewClaimKey(r.URL.Query().Get("organisation"), r.URL.Query().Get("key"))
+	record, found, err := a.options.Asker.Claim(r.Context(), k)
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, dhfault.New(dhfault.KindNotFound, "this process keeps no such claim", "ask the leading voter; claims are forgotten after retentionMs")
+	}
+	return claimOf(record), nil
+}
+
+// settle takes an operator's word on a claim whose outcome is unclear.
+func (a *API) settle(r *http.Request) (any, error) {
+	var body struct {
+		Organisation string `json:"organisation"`
+		Key          string `json:"key"`
+		Ran          *bool  `json:"ran"`
+	}
+	if err := decode(r.Body, &body); err != nil {
+		return nil, err
+	}
+	if body.Ran == nil {
+		return nil, dhfault.New(dhfault.KindMalformed, "ran is missing", "say true if the upstream ran the request, else false")
+	}
+	result, err := a.propose(r.Context(), dhmessage.NewResolve(dhmessage.NewClaimKey(body.Organisation, body.Key), *body.Ran))
+	if err != nil {
+		return nil, err
+	}
+	return struct {
+		State string `json:"state"`
+	}{result.Claim().String()}, nil
+}
--- /dev/null
+++ b/io/dhoperator/objects.go
@@ -0,0 +1,54 @@
+package dhoperator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/io/dhfault"
+	"dogwoodhitch/io/dhwire"
+)
+
+// objects lists objects, all or of a kind and name. With current the answer
+// certainly reflects every change accepted before the question.
+func (a *API) objects(r *http.Request) (any, error) {
+	if flag(r, "current") {
+		result, err := a.options.Asker.Current(r.Context(), patience)
+		if err != nil || result.Unsure() {
+			return nil, dhfault.New(dhfault.KindUnsure, "this process can't vouch for its configuration", "ask another one, or leave current out")
+		}
+	}
+	c := a.options.View().Catalog()
+	kind, name := dhcatalog.Kind(r.URL.Query().Get("kind")), r.URL.Query().Get("name")
+	out := struct {
+		Version uint64            `json:"version"`
+		Objects []json.RawMessage `json:"objects"`
+	}{Version: c.Version(), Objects: []json.RawMessage{}}
+	for _, k := range dhcatalog.Kinds() {
+		if kind != "" && kind != k {
+			continue
+		}
+		for _, o := range c.List(k) {
+			if name != "" && o.Ref().Name() != name {
+				continue
+			}
+			raw, err := encode(dhwire.ObjectToWire(o))
+			if err != nil {
+				return nil, err
+			}
+			out.Objects = append(out.Objects, raw)
+		}
+	}
+	if name != "" && len(out.Objects) == 0 {
+		return nil, dhfault.New(dhfault.KindNotFound, "there is no "+string(kind)+"/"+name, "list the objects with 'get'")
+	}
+	return out, nil
+}
+
+func encode(m proto.Message) (json.RawMessage, error) {
+	raw, err := protojson.MarshalOptions{EmitUnpopulated: false}.Marshal(m)
+	return raw, err
+}
