Remove what nothing uses, and judge a change set in one place

Found by reading as a newcomer: the preview of a change set repeated its acceptance; five accessors, an index of limits and the idle time of demand had no reader.

--- a/core/dhcatalog/index.go
+++ b/core/dhcatalog/index.go
@@ -9,7 +9,6 @@
 // index holds what requests look up, worked out once a version.
 type index struct {
 	keys        map[KeyHash]Key
-	limits      map[string]Limit
 	routes      []Route
 	instances   map[string][]Instance
 	zones       []Zone
@@ -23,7 +22,6 @@
 func newIndex(objects map[Ref]Object) *index {
 	x := &index{
 		keys:      map[KeyHash]Key{},
-		limits:    map[string]Limit{},
 		instances: map[string][]Instance{},
 		drains:    map[Ref]Drain{},
 	}
@@ -31,8 +29,6 @@
 		switch o := objects[r].(type) {
 		case Key:
 			x.keys[o.Hash()] = o
-		case Limit:
-			x.limits[o.Organisation()] = o
 		case Route:
 			x.routes = append(x.routes, o)
 		case Instance:
@@ -108,12 +104,6 @@
 	return k, found
 }
 
-// LimitOf returns an organisation's limit, if it has one.
-func (c *Catalog) LimitOf(organisation string) (Limit, bool) {
-	l, found := c.index.limits[organisation]
-	return l, found
-}
-
 // Organisation returns an organisation by name.
 func (c *Catalog) Organisation(name string) (Organisation, bool) {
 	o, found := c.objects[NewRef(KindOrganisation, name)].(Organisation)
--- a/core/dhgrant/demand.go
+++ b/core/dhgrant/demand.go
@@ -23,13 +23,11 @@
 	since   dhclock.Millis
 	count   int64
 	average int64 // requests a window, in sixteenths
-	latest  dhclock.Millis
 }
 
 func (d *demand) add(now dhclock.Millis) {
 	d.roll(now)
 	d.count++
-	d.latest = now
 }
 
 // roll closes the windows that are over. The estimate rises at once and falls
@@ -56,9 +54,6 @@
 	return dhmessage.Tokens(rate) * dhmessage.Token / 16 * dhmessage.Tokens(demandAhead/demandWindow)
 }
 
-// idle returns for how long there was no request.
-func (d *demand) idle(now dhclock.Millis) dhclock.Millis { return now.Since(d.latest) }
-
 // Want returns how many tokens to ask the owner for now, given how many
 // requests wait for a token; 0 if none are needed or an ask is under way.
 func (h *Holder) Want(now dhclock.Millis, waiting int) dhmessage.Tokens {
--- a/core/dhgrant/holder.go
+++ b/core/dhgrant/holder.go
@@ -67,9 +67,6 @@
 // Count notes that a request came, whether or not there is a token for it.
 func (h *Holder) Count(now dhclock.Millis) { h.demand.add(now) }
 
-// Idle returns for how long no request came, in milliseconds.
-func (h *Holder) Idle(now dhclock.Millis) dhclock.Millis { return h.demand.idle(now) }
-
 // take uses tokens of the first lot.
 func (h *Holder) take(l *lot, amount dhmessage.Tokens) {
 	l.left -= amount
--- a/core/dhledger/change.go
+++ b/core/dhledger/change.go
@@ -7,20 +7,35 @@
 
 // applyChange accepts a change set once. A resend gets the first answer.
 func (l *Ledger) applyChange(s dhcatalog.ChangeSet) dhmessage.Result {
+	next, result := l.judge(s)
+	if next != nil {
+		undo := l.catalog.Undo(s)
+		l.catalog = next
+		l.remember(dhmessage.NewAccepted(next.Version(), l.at, s, undo))
+	}
+	return result
+}
+
+// Preview tells what a change set would lead to now, without committing it.
+func (l *Ledger) Preview(s dhcatalog.ChangeSet) dhmessage.Result {
+	_, result := l.judge(s)
+	return result
+}
+
+// judge returns what a change set leads to, and the configuration that it
+// makes, unless it is refused or came before.
+func (l *Ledger) judge(s dhcatalog.ChangeSet) (*dhcatalog.Catalog, dhmessage.Result) {
 	if first, found := l.byID[s.ID()]; found {
 		if first.Set().Digest() != s.Digest() {
-			return refused(dhcatalog.NewReusedError(s.ID()))
+			return nil, refused(dhcatalog.NewReusedError(s.ID()))
 		}
-		return dhmessage.NewResult(dhmessage.ResultOptions{Version: first.Version()})
+		return nil, dhmessage.NewResult(dhmessage.ResultOptions{Version: first.Version()})
 	}
 	next, err := l.catalog.Apply(s)
 	if err != nil {
-		return refused(err)
+		return nil, refused(err)
 	}
-	undo := l.catalog.Undo(s)
-	l.catalog = next
-	l.remember(dhmessage.NewAccepted(next.Version(), l.at, s, undo))
-	return dhmessage.NewResult(dhmessage.ResultOptions{Version: next.Version()})
+	return next, dhmessage.NewResult(dhmessage.ResultOptions{Version: next.Version()})
 }
 
 func refused(err error) dhmessage.Result {
@@ -38,27 +53,6 @@
 	delete(l.byID, drop.Set().ID())
 }
 
-// Preview tells what a change set would lead to now, without committing it.
-func (l *Ledger) Preview(s dhcatalog.ChangeSet) dhmessage.Result {
-	if first, found := l.byID[s.ID()]; found {
-		if first.Set().Digest() != s.Digest() {
-			return refused(dhcatalog.NewReusedError(s.ID()))
-		}
-		return dhmessage.NewResult(dhmessage.ResultOptions{Version: first.Version()})
-	}
-	next, err := l.catalog.Apply(s)
-	if err != nil {
-		return refused(err)
-	}
-	return dhmessage.NewResult(dhmessage.ResultOptions{Version: next.Version()})
-}
-
-// Since returns the change sets that follow a version, in order, or false if
-// the memory doesn't reach back so far.
-func (l *Ledger) Since(version uint64) ([]dhcatalog.ChangeSet, bool) {
-	return SetsSince(l.recent, l.catalog.Version(), version)
-}
-
 // SetsSince returns the change sets of a history that lead from one version to
 // the current one, or false if the history doesn't reach back so far.
 func SetsSince(recent []dhmessage.Accepted, current, version uint64) ([]dhcatalog.ChangeSet, bool) {
--- a/core/dhview/view.go
+++ b/core/dhview/view.go
@@ -70,12 +70,6 @@
 	return found
 }
 
-// IsGone tells whether an instance is away and not merely leaving.
-func (v *View) IsGone(instance string) bool {
-	leaving, found := v.away[instance]
-	return found && !leaving
-}
-
 // Age returns how long ago the configuration was certainly current, and false
 // if it never was.
 func (v *View) Age(now dhclock.Millis) (dhclock.Millis, bool) {
