Cap in bytes what is passed on between regions

Instances have fixed shares of each link, half of each way for requests of one end and half for answers to the other's; a share is charged with what was really carried.

--- a/core/dhcatalog/catalog_test.go
+++ b/core/dhcatalog/catalog_test.go
@@ -55,6 +55,7 @@
 		{"overlap", ChangeSetOptions{Blocks: []BlockChange{
 			NewBlockChange(NewBlock(1<<40, 24, false), "s0"), NewBlockChange(NewBlock(1<<40, 28, false), "s0"),
 		}}, "overlaps"},
+		{"link to nowhere", ChangeSetOptions{Puts: []Object{NewLink(LinkOptions{Name: "l", Regions: [2]string{"r", "q"}, Kilobytes: 1})}}, "no zone is in"},
 		{"nothing", ChangeSetOptions{}, "at least one"},
 	}
 	c := withSites(t, 1)
--- a/core/dhcatalog/index.go
+++ b/core/dhcatalog/index.go
@@ -14,6 +14,7 @@
 	zones       []Zone
 	drains      map[Ref]Drain
 	objectives  []Objective
+	links       []Link
 	sites       []Site
 	defaultSite Site
 	hasDefault  bool
@@ -39,6 +40,8 @@
 			x.drains[o.Target()] = o
 		case Objective:
 			x.objectives = append(x.objectives, o)
+		case Link:
+			x.links = append(x.links, o)
 		case Site:
 			if o.Default() && !x.hasDefault {
 				x.defaultSite, x.hasDefault = o, true
@@ -67,6 +70,7 @@
 	limits := map[string]string{}
 	prefixes := map[string]string{}
 	drains := map[Ref]string{}
+	links := map[[2]string]string{}
 	defaults := ""
 	for _, r := range sortedRefs(c.objects) {
 		switch o := c.objects[r].(type) {
@@ -83,6 +87,8 @@
 			p.requireUnique(r, "target", drains[o.Target()], "keep one drain a target")
 			drains[o.Target()] = r.name
 			c.checkDrain(o, p)
+		case Link:
+			c.checkLink(o, links, p)
 		case Site:
 			if o.Default() {
 				p.requireUnique(r, "default", defaults, "make one site the default")
--- a/core/dhcatalog/object.go
+++ b/core/dhcatalog/object.go
@@ -20,6 +20,7 @@
 	KindObjective    Kind = "objective"
 	KindSite         Kind = "site"
 	KindDrain        Kind = "drain"
+	KindLink         Kind = "link"
 )
 
 // Kinds lists every kind in the order in which references point: an object
@@ -27,7 +28,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		KindZone, KindInstance, KindOrganisation, KindKey, KindService,
-		KindRoute, KindLimit, KindObjective, KindSite, KindDrain,
+		KindRoute, KindLimit, KindObjective, KindSite, KindDrain, KindLink,
 	}
 }
 
--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -211,6 +211,8 @@
 	IdempotencyKey string
 	// Digest is the hash of the request's content, set when there is an idempotency key.
 	Digest dhcatalog.KeyHash
+	// Size is the bytes of the request's body.
+	Size int
 }
 
 // RequestArrived is a caller's request, or one that another instance passes on.
@@ -248,6 +250,9 @@
 // Digest returns the hash of the request's content, set when there is an idempotency key.
 func (e *RequestArrived) Digest() dhcatalog.KeyHash { return e.options.Digest }
 
+// Size returns the bytes of the request's body.
+func (e *RequestArrived) Size() int { return e.options.Size }
+
 // AttemptEndedOptions are the fields of an AttemptEnded.
 type AttemptEndedOptions struct {
 	// Request is the request's number.
@@ -258,6 +263,8 @@
 	Latency dhclock.Millis
 	// Status is the answer's status code, or 0.
 	Status int
+	// Size is the bytes of the answer's body.
+	Size int
 	// Delivered is whether the caller has seen a part of the answer.
 	Delivered bool
 	// Answer is the whole answer, for a claimed request.
@@ -287,6 +294,9 @@
 // Status returns the answer's status code, or 0.
 func (e *AttemptEnded) Status() int { return e.options.Status }
 
+// Size returns the bytes of the answer's body.
+func (e *AttemptEnded) Size() int { return e.options.Size }
+
 // Delivered returns whether the caller has seen a part of the answer.
 func (e *AttemptEnded) Delivered() bool { return e.options.Delivered }
 
--- a/core/dhtraffic/arrive.go
+++ b/core/dhtraffic/arrive.go
@@ -17,7 +17,7 @@
 // Arrive admits a request, or refuses it at once.
 func (s *State) Arrive(e *dhevent.RequestArrived, out *dheffect.List) {
 	now := e.At()
-	r := &request{id: e.Request(), arrived: now, weight: 1, passed: e.Passed()}
+	r := &request{id: e.Request(), arrived: now, weight: 1, passed: e.Passed(), size: e.Size()}
 	route, found := s.view.Catalog().RouteFor(e.Path())
 	if !found {
 		s.refuse(now, r, s.unknownRoute(now), out)
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -50,6 +50,7 @@
 // release gives back the slot of an attempt and judges the other side.
 func (s *State) release(now dhclock.Millis, p *pool, r *request, e *dhevent.AttemptEnded) {
 	if r.passing != nil {
+		s.chargeLink(now, r.passing, e.Size())
 		r.passing.ended(e.End())
 		r.shunned = append(r.shunned, r.passing)
 		r.passing = nil
--- /dev/null
+++ b/core/dhtraffic/link_test.go
@@ -0,0 +1,68 @@
+package dhtraffic
+
+import (
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhview"
+)
+
+// withOrigin returns the state of an instance without upstreams, whose
+// neighbour in another region has promised room.
+func withOrigin(t testing.TB, kilobytes int64) *State {
+	t.Helper()
+	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+		ID: "x", Author: "test", Puts: []dhcatalog.Object{
+			dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
+			dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "b1", Region: "b"}),
+			dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "a1-1", Zone: "a1", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}),
+			dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "b1-1", Zone: "b1", CallerAddress: "10.0.0.2:1", PeerAddress: "10.0.0.2:2"}),
+			dhcatalog.NewLink(dhcatalog.LinkOptions{Name: "ab", Regions: [2]string{"b", "a"}, Kilobytes: kilobytes}),
+			dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
+			dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Open: true, Idempotent: true, Timeout: 60_000, QueueWait: 100}),
+		},
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(Options{Instance: "a1-1", Zone: "a1"})
+	s.Published(dhevent.NewViewPublished(1, dhevent.ViewPublishedOptions{
+		View: dhview.New(dhview.Options{Catalog: c, Ever: true, Confirmed: 1 << 40}),
+	}))
+	return s
+}
+
+// TestLinkStaysUnderItsCap passes on as much as it can: what goes over the
+// link, requests and answers, stays under this end's half of the capacity, but
+// for a second's worth saved up and the answers under way.
+func TestLinkStaysUnderItsCap(t *testing.T) {
+	const kilobytes, size, span = 1000, 20_000, 20 * dhclock.Second
+	s := withOrigin(t, kilobytes)
+	request, carried := uint64(0), 0
+	const start = 10 * dhclock.Second
+	for now := start; now < start+span; now += 10 {
+		var out dheffect.List
+		s.IntakeArrived(dhevent.NewIntakeArrived(now, dhevent.IntakeArrivedOptions{
+			Instance: "b1-1", Give: dhmessage.NewIntakeGive(dhmessage.IntakeGiveOptions{Service: "s", Sent: now, Life: 1000, Slots: 4}),
+		}), &out)
+		for range 4 {
+			request++
+			s.Arrive(dhevent.NewRequestArrived(now, dhevent.RequestArrivedOptions{Request: request, Path: "/x", Size: size}), &out)
+		}
+		s.Tick(now, &out)
+		for _, e := range out.Items() {
+			if p, ok := e.(*dheffect.Pass); ok {
+				carried += 2 * size
+				s.Ended(dhevent.NewAttemptEnded(now, dhevent.AttemptEndedOptions{Request: p.Request(), Status: 200, Size: size}), &out)
+			}
+		}
+	}
+	allowed := kilobytes * bytesPerKilobyte / 2 * (int(span/dhclock.Second) + 1)
+	if carried > allowed+8*size || carried < allowed/2 {
+		t.Errorf("%d bytes went over the link in %d ms, allowed %d", carried, span, allowed)
+	}
+}
--- a/core/dhtraffic/pass.go
+++ b/core/dhtraffic/pass.go
@@ -39,6 +39,7 @@
 type passage struct {
 	instance dhcatalog.Instance
 	distance distance
+	region   string
 	slots    int
 	running  int
 	expiry   dhclock.Millis
@@ -70,7 +71,7 @@
 		if !g.open(now) || s.view.IsAway(name) || slices.Contains(r.shunned, g) {
 			continue
 		}
-		if g.distance == otherRegion && !farAllowed {
+		if g.distance == otherRegion && (!farAllowed || !s.linkOpen(now, g)) {
 			continue
 		}
 		if best == nil || closer(g, best) {
@@ -95,6 +96,7 @@
 	r.passing = g
 	r.attempts++
 	g.running++
+	s.chargeLink(now, g, r.size)
 	p.passUntil = now + keepAsking
 	p.earnRetry(now)
 	out.Add(dheffect.NewPass(dheffect.PassOptions{
@@ -180,7 +182,8 @@
 		g = &passage{}
 		p.passages[i.Name()] = g
 	}
-	g.instance, g.distance = i, s.distanceTo(i)
+	there, _ := s.view.Catalog().Zone(i.Zone())
+	g.instance, g.distance, g.region = i, s.distanceTo(i), there.Region()
 	g.slots, g.expiry = e.Give().Slots(), e.Give().Sent()+e.Give().Life()
 	s.passWaiting(e.At(), p, out)
 }
--- a/core/dhtraffic/pools.go
+++ b/core/dhtraffic/pools.go
@@ -40,6 +40,7 @@
 	s.view = e.View()
 	if s.view.Catalog().Version() != old {
 		s.setLimits(e.At())
+		s.setLinks(e.At())
 	}
 }
 
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -34,6 +34,7 @@
 	requests map[uint64]*request
 	burn     *dhburn.Recorder
 	reported dhclock.Millis
+	links    linkBudgets
 	reclaims []*request // wait to ask again for their claim
 }
 
@@ -78,6 +79,7 @@
 	organisation string
 	key          dhcatalog.KeyHash
 	weight       int
+	size         int  // bytes of the body
 	passed       bool // came from another instance
 	claim        *dhmessage.ClaimKey
 	digest       dhcatalog.KeyHash
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -131,6 +131,7 @@
 		return dhevent.NewRequestArrived(at, dhevent.RequestArrivedOptions{
 			Request: request, Path: in.url.Path, KeyHash: in.key, Passed: passed, Organisation: organisation,
 			Patience: in.patience, IdempotencyKey: in.idempotency, Digest: in.digest,
+			Size: len(in.body),
 		})
 	})
 	defer s.options.Shard.Forget(waiter)
@@ -238,7 +239,7 @@
 
 // answer gives an answer to the caller and tells the reducer how it went.
 func (x *exchange) answer(a *attempt, d dhshard.Decision, claimed bool) {
-	o := dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: a.response.StatusCode, Delivered: true}
+	o := dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: a.response.StatusCode, Delivered: true, Size: len(a.hold)}
 	if a.whole {
 		if claimed {
 			o.Answer = keep(a)
@@ -249,7 +250,9 @@
 		return
 	}
 	x.writeHead(a)
-	if err := x.stream(a); err != nil {
+	size, err := x.stream(a)
+	o.Size += int(size)
+	if err != nil {
 		o.End = dhevent.EndBroken
 		if errors.Is(a.context.Err(), context.DeadlineExceeded) {
 			o.End = dhevent.EndTimedOut
@@ -282,12 +285,12 @@
 }
 
 // stream gives on an answer that is too large to be held.
-func (x *exchange) stream(a *attempt) error {
+// It returns the bytes beyond those held.
+func (x *exchange) stream(a *attempt) (int64, error) {
 	if _, err := x.writer.Write(a.hold); err != nil {
-		return err
+		return 0, err
 	}
-	_, err := io.Copy(x.writer, a.response.Body)
-	return err
+	return io.Copy(x.writer, a.response.Body)
 }
 
 // ended tells the reducer how an attempt ended.
--- a/io/dhjournal/types.go
+++ b/io/dhjournal/types.go
@@ -34,7 +34,7 @@
 	dhmessage.Resolve{}, dhmessage.MemberEdit{},
 	// Objects.
 	dhcatalog.Zone{}, dhcatalog.Instance{}, dhcatalog.Organisation{}, dhcatalog.Key{}, dhcatalog.Service{},
-	dhcatalog.Route{}, dhcatalog.Limit{}, dhcatalog.Objective{}, dhcatalog.Site{}, dhcatalog.Drain{},
+	dhcatalog.Route{}, dhcatalog.Limit{}, dhcatalog.Objective{}, dhcatalog.Site{}, dhcatalog.Drain{}, dhcatalog.Link{},
 	// Errors.
 	dhcatalog.ConflictError{}, dhcatalog.InvalidError{}, dhcatalog.ReusedError{},
 	dhconsensus.MembersError{}, dhmessage.RefusedError{},
--- a/io/dhwire/catalog.go
+++ b/io/dhwire/catalog.go
@@ -75,6 +75,10 @@
 			Name: o.Name(), TargetKind: string(o.Target().Kind()), Target: o.Target().Name(),
 			RampMs: int32(o.Ramp()), Paused: o.Paused(), MovedPercent: int32(o.MovedPercent()),
 		}}}
+	case dhcatalog.Link:
+		return &dhproto.Object{Object: &dhproto.Object_Link{Link: &dhproto.Link{
+			Name: o.Name(), Region: o.Regions()[0], OtherRegion: o.Regions()[1], KilobytesPerSecond: int32(o.Kilobytes()),
+		}}}
 	default:
 		return &dhproto.Object{}
 	}
@@ -132,6 +136,11 @@
 			Name: o.Drain.GetName(), Target: dhcatalog.NewRef(dhcatalog.Kind(o.Drain.GetTargetKind()), o.Drain.GetTarget()),
 			Ramp: dhclock.Millis(o.Drain.GetRampMs()), Paused: o.Drain.GetPaused(), MovedPercent: int(o.Drain.GetMovedPercent()),
 		}), nil
+	case *dhproto.Object_Link:
+		return dhcatalog.NewLink(dhcatalog.LinkOptions{
+			Name: o.Link.GetName(), Regions: [2]string{o.Link.GetRegion(), o.Link.GetOtherRegion()},
+			Kilobytes: int64(o.Link.GetKilobytesPerSecond()),
+		}), nil
 	default:
 		return nil, FormatError{"object", "no kind", "name one kind, such as {\"zone\": {…}}"}
 	}
