Give the process tests a loopback address of their own

A port that was found free could be taken by another package's test before its use; the tests now run on an address that no other test uses.

--- a/cmd/dogwoodhitch/cluster_test.go
+++ b/cmd/dogwoodhitch/cluster_test.go
@@ -49,6 +49,10 @@
 // deadline bounds every wait for something that must come.
 const deadline = 30 * time.Second
 
+// host is a loopback address of this run's own, so that no other test takes a
+// port between its being found free and its use.
+var host = fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+
 const testSecret = "a-secret-of-the-tests"
 
 // link is a TCP forwarder that can be cut.
@@ -62,7 +66,7 @@
 
 func withLink(t *testing.T, target string) *link {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -144,7 +148,7 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -399,7 +403,7 @@
 func (c *cluster) withUpstream(name string, e *process, serve http.HandlerFunc) *dhstandin.Standin {
 	c.t.Helper()
 	s, err := dhstandin.New(dhstandin.Options{
-		Name: name, Service: "gate", Address: "127.0.0.1:0", Entries: []string{e.upstreams},
+		Name: name, Service: "gate", Address: host + ":0", Entries: []string{e.upstreams},
 		Secret: testSecret + "upstreams", Slots: 8, Serve: serve, TLS: c.tls(),
 	})
 	if err != nil {
--- a/cmd/dogwoodhitch/tls_test.go
+++ b/cmd/dogwoodhitch/tls_test.go
@@ -18,7 +18,7 @@
 	"time"
 )
 
-// writeCertificate writes a certificate for 127.0.0.1 that is its own
+// writeCertificate writes a certificate for the loopback address that is its own
 // authority, with a serial number to tell it by.
 func writeCertificate(t *testing.T, folder string, serial int64) {
 	t.Helper()
@@ -28,7 +28,7 @@
 	}
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.ParseIP("127.0.0.1")}, IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.ParseIP(host)}, IsCA: true, BasicConstraintsValid: true,
 		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
 	}
 	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
