--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -10,10 +10,10 @@
 	"dogwoodhitch/core/dhview"
 )
 
-// minCompactEntries is how many log entries are kept at least between two
+// defaultCompactEntries is how many log entries are kept at least between two
 // snapshots. A large state is written less often, so that the cost of
 // snapshots stays in proportion to the log.
-const minCompactEntries = 1024
+const defaultCompactEntries = 1024
 
 // reign is what a leader knows since it was elected.
 type reign struct {
@@ -117,7 +117,7 @@
 	}
 	entries := v.ledger.Index() - v.node.SnapshotIndex()
 	state := v.ledger.Catalog().Len() + v.ledger.Catalog().BlockCount()/16 + v.ledger.ClaimCount() + len(v.ledger.Recent())
-	if entries < uint64(max(minCompactEntries, state/2)) {
+	if entries < uint64(max(v.compactEntries, state/2)) {
 		return
 	}
 	v.node.Compact(v.ledger.Snapshot(v.members), out)
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -5,6 +5,8 @@
 package dhcontrol
 
 import (
+	"cmp"
+
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhconsensus"
 	"dogwoodhitch/core/dheffect"
@@ -27,6 +29,9 @@
 	// Stream is a random number, new at each start.
 	Stream uint64
 	Now    dhclock.Millis
+	// CompactEntries is how many log entries a voter keeps at least between two
+	// snapshots; 0 stands for 1024.
+	CompactEntries int
 }
 
 // State is the control state of one process.
@@ -50,6 +55,8 @@
 	led     bool
 	term    uint64
 	reign   reign
+	// compactEntries is how many entries are kept between two snapshots.
+	compactEntries int
 }
 
 // New returns the state of a process that starts.
@@ -77,6 +84,8 @@
 		members: members,
 		pending: map[uint64]pending{},
 		asked:   map[askedKey]uint64{},
+
+		compactEntries: cmp.Or(o.CompactEntries, defaultCompactEntries),
 	}
 	s.spread.SetMembers(members)
 	s.takeCatalog()
--- a/core/dhreducer/change_test.go
+++ b/core/dhreducer/change_test.go
@@ -145,7 +145,11 @@
 // every accepted change in it.
 func TestChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := withNetwork(t, 3, "a1-1", "a1-2", "b1-1")
+		n := withNetwork(t, rapid.SampledFrom([]int{3, 5}).Draw(t, "voters"), "a1-1", "a1-2", "b1-1")
+		n.compact = rapid.SampledFrom([]int{0, 2, 8}).Draw(t, "entries between snapshots")
+		for _, m := range n.machines {
+			n.start(m)
+		}
 		h := &history{network: n, open: map[uint64]proposed{}}
 		n.run(2000)
 		actions := n.actions()
@@ -158,7 +162,7 @@
 		}
 		actions["wipe"] = func(t *rapid.T) {
 			lead := n.leader()
-			victim := rapid.SampledFrom(n.machines[:3]).Draw(t, "victim")
+			victim := rapid.SampledFrom(n.machines[:len(n.voters)]).Draw(t, "victim")
 			if lead == nil || victim == lead || !fullMembership(n, lead) {
 				t.Skip("a disk is still being replaced")
 			}
--- a/core/dhreducer/claim_test.go
+++ b/core/dhreducer/claim_test.go
@@ -40,7 +40,9 @@
 }
 
 func withShop(t fataler, random func(n int) int) *shop {
-	s := &shop{fleet: withFleet(t, 3, "a1-1", "a1-2", "b1-1"), t: t, purchases: map[uint64]*purchase{}, runs: map[string]int{}}
+	f := withFleet(t, 3, "a1-1", "a1-2", "b1-1")
+	f.compact = 4 // from the next start of each voter on
+	s := &shop{fleet: f, t: t, purchases: map[uint64]*purchase{}, runs: map[string]int{}}
 	s.decided = func(m *machine, e dheffect.Effect) { s.decide(m, e, random) }
 	s.runFleet(3000, 0)
 	return s
--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -81,6 +81,9 @@
 	ticket   uint64
 	replies  map[uint64]dhmessage.Result
 	traffic  func(m *machine, e dhevent.Event)
+	// compact is how many log entries voters keep between snapshots; 0 for as
+	// many as in earnest.
+	compact int
 	// lose, repeat and late are how many packets in a hundred are lost,
 	// delivered twice, or held until the next step, while run delivers.
 	lose, repeat, late uint64
@@ -125,7 +128,7 @@
 
 func (n *network) start(m *machine) {
 	m.starts++
-	o := dhcontrol.Options{Self: m.self(), Zone: m.zone, Voters: n.voters, Stream: n.next(), Now: n.clock(m)}
+	o := dhcontrol.Options{Self: m.self(), Zone: m.zone, Voters: n.voters, Stream: n.next(), Now: n.clock(m), CompactEntries: n.compact}
 	if m.disk != nil {
 		o.Consensus = &dhconsensus.Options{
 			Self: m.self(), Founders: m.disk.founders, Term: m.disk.term, Vote: m.disk.vote,
