Fill a floor from when it holds, not from its first use

Cause, found by TestCutOff: a share that was raised took effect at the first request after its time, with an empty bucket, so an instance that was cut off refused the first requests that its floor was for. The owner did the opposite: it made tokens at the new rate for time before it held, a quarter of a second at most. Change: both make tokens at the old share until the next one holds and at that one since.

--- a/core/dhgrant/grant_test.go
+++ b/core/dhgrant/grant_test.go
@@ -67,6 +67,27 @@
 	}
 }
 
+// TestRaisedShares looks at a floor and an owner that nobody asked anything
+// since their share was raised: they have what the old share made until the
+// new one held, and what that made since.
+func TestRaisedShares(t *testing.T) {
+	const token = dhmessage.Token
+	low, high := Share{rate: token, limit: 10 * token}, Share{rate: 10 * token, limit: 100 * token}
+	h := NewHolder(0)
+	h.SetFloor(0, low, 0)
+	h.SetFloor(0, high, 3000)
+	w := NewOwner(0, low)
+	w.Set(0, high, 3000)
+	spent := 0
+	for h.Spend(5000) {
+		spent++
+	}
+	w.Sweep(5000)
+	if want := 3 + 20; spent != want || w.Level() != dhmessage.Tokens(want)*token {
+		t.Errorf("floor %d, owner %d, want %d", spent, w.Level()/token, want)
+	}
+}
+
 // BenchmarkAdmit spends tokens that are granted in time.
 func BenchmarkAdmit(b *testing.B) {
 	h := NewHolder(0)
--- a/core/dhgrant/holder.go
+++ b/core/dhgrant/holder.go
@@ -146,13 +146,19 @@
 	b.refill(now)
 }
 
+// refill makes the tokens of the time that has passed: at the old share until
+// the next one holds, at that one since.
 func (b *bucket) refill(now dhclock.Millis) {
 	if now >= b.next && (b.rate != b.nextRate || b.limit != b.nextLimit) {
+		b.fillUntil(b.next)
 		b.rate, b.limit = b.nextRate, b.nextLimit
-		b.filled = now
 	}
-	b.level = min(b.limit, b.level+makeTokens(b.rate, now.Since(b.filled)))
-	b.filled = max(b.filled, now)
+	b.fillUntil(now)
+}
+
+func (b *bucket) fillUntil(at dhclock.Millis) {
+	b.level = min(b.limit, b.level+makeTokens(b.rate, at.Since(b.filled)))
+	b.filled = max(b.filled, at)
 }
 
 func (b *bucket) take(now dhclock.Millis) bool {
--- a/core/dhgrant/owner.go
+++ b/core/dhgrant/owner.go
@@ -77,15 +77,22 @@
 // Outstanding returns the tokens granted and not known to be used.
 func (w *Owner) Outstanding() dhmessage.Tokens { return w.outstanding }
 
+// refill makes the tokens of the time that has passed: at the old share until
+// the next one holds, at that one since.
 func (w *Owner) refill(now dhclock.Millis) {
 	if now >= w.from {
+		w.fillUntil(w.from)
 		w.rate, w.limit = w.next.rate, w.next.limit
 	}
-	span := now.Since(w.filled)
+	w.fillUntil(now)
+}
+
+func (w *Owner) fillUntil(at dhclock.Millis) {
+	span := at.Since(w.filled)
 	if span == 0 {
 		return
 	}
-	w.filled = now
+	w.filled = at
 	room := max(0, w.limit-w.outstanding-w.level)
 	w.level += min(makeTokens(w.rate, span), room)
 }
--- /dev/null
+++ b/core/dhtraffic/arrive_test.go
@@ -0,0 +1,100 @@
+package dhtraffic
+
+import (
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhview"
+)
+
+// withCutOff returns the state of an instance whose configuration was last
+// confirmed at 10 s. One organisation keeps to the lease, one has a grace.
+func withCutOff(t *testing.T) *State {
+	t.Helper()
+	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+		ID: "x", Author: "test", Puts: []dhcatalog.Object{
+			dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
+			dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "a1-1", Zone: "a1", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}),
+			dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "strict"}),
+			dhcatalog.NewKey(dhcatalog.KeyOptions{Name: "strict", Organisation: "strict", Hash: dhcatalog.KeyHash{1}}),
+			dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "lenient", StaleGrace: 60_000}),
+			dhcatalog.NewKey(dhcatalog.KeyOptions{Name: "lenient", Organisation: "lenient", Hash: dhcatalog.KeyHash{2}}),
+			dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "lenient", Organisation: "lenient", Rate: 100, Burst: 100}),
+			dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
+			dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "keyed", PathPrefix: "/keyed/", Service: "s", Idempotent: true, Timeout: 1000}),
+			dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "open", PathPrefix: "/open/", Service: "s", Open: true, Idempotent: true, Timeout: 1000}),
+		},
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(Options{Instance: "a1-1", Zone: "a1", Now: 1})
+	s.Published(dhevent.NewViewPublished(1, dhevent.ViewPublishedOptions{
+		View: dhview.New(dhview.Options{Catalog: c, Ever: true, Confirmed: 10_000}),
+	}))
+	return s
+}
+
+// TestCutOff lets requests arrive at an instance that is cut off: after its
+// lease keyed requests are refused truly, but those of an organisation that
+// accepts a grace are served from the instance's own floor, and open ones go
+// on.
+func TestCutOff(t *testing.T) {
+	s := withCutOff(t)
+	request := uint64(0)
+	send := func(now dhclock.Millis, path string, key byte) dheffect.RefusalKind {
+		renew(s, now)
+		request++
+		var out dheffect.List
+		s.Arrive(dhevent.NewRequestArrived(now, dhevent.RequestArrivedOptions{
+			Request: request, Path: path, KeyHash: dhcatalog.KeyHash{key},
+		}), &out)
+		for _, e := range out.Items() {
+			switch e := e.(type) {
+			case *dheffect.Refuse:
+				if e.Refusal().MayHaveRun() {
+					t.Error("a refusal on arrival says that the request may have run")
+				}
+				return e.Refusal().Kind()
+			case *dheffect.Forward:
+				s.Ended(dhevent.NewAttemptEnded(now, dhevent.AttemptEndedOptions{Request: request, Status: 200}), &out)
+				return ""
+			}
+		}
+		return "waits"
+	}
+	lease, grace := 10_000+dhview.FreshnessLease, 10_000+dhview.FreshnessLease+60_000
+	cases := []struct {
+		at   dhclock.Millis
+		path string
+		key  byte
+		want dheffect.RefusalKind
+	}{
+		{lease, "/keyed/", 1, ""},
+		{lease + 1, "/keyed/", 1, dheffect.RefuseStale},
+		{lease + 1, "/keyed/", 2, ""},
+		{lease + 1, "/keyed/", 9, dheffect.RefuseStale}, // it can't know that there is no such key
+		{lease + 1, "/none/", 1, dheffect.RefuseStale},
+		{lease + 1, "/open/", 0, ""},
+		{grace, "/keyed/", 2, ""},
+		{grace + 1, "/keyed/", 2, dheffect.RefuseStale},
+		{grace + 1, "/open/", 0, ""},
+	}
+	for _, c := range cases {
+		if got := send(c.at, c.path, c.key); got != c.want {
+			t.Errorf("at %d, %s with key %d: %q, want %q", c.at, c.path, c.key, got, c.want)
+		}
+	}
+	served := 0
+	for range 200 {
+		if send(grace, "/keyed/", 2) == "" {
+			served++
+		}
+	}
+	if served == 0 || served > 10 {
+		t.Errorf("%d served at once from a floor of 10", served)
+	}
+}
