--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -30,6 +30,7 @@
 	stream   uint64
 	view     *dhview.View
 	tenants  map[string]*tenant
+	limited  []string // names of the tenants, sorted
 	pools    map[string]*pool
 	requests map[uint64]*request
 	burn     *dhburn.Recorder
--- a/core/dhtraffic/token.go
+++ b/core/dhtraffic/token.go
@@ -130,15 +130,14 @@
 // tickTenants reports used tokens, asks for those that demand will need, and
 // ends waits that are over.
 func (s *State) tickTenants(now dhclock.Millis, out *dheffect.List) {
-	names := slices.Sorted(maps.Keys(s.tenants))
-	for _, name := range names {
+	for _, name := range s.limited {
 		s.spendWaiting(now, s.tenants[name], out)
 	}
 	if now.Since(s.reported) < reportInterval {
 		return
 	}
 	s.reported = now
-	s.askFor(now, names, out)
+	s.askFor(now, s.limited, out)
 }
 
 // setLimits takes the limits of a new version. A floor that grows holds only
@@ -168,4 +167,5 @@
 			delete(s.tenants, name)
 		}
 	}
+	s.limited = slices.Sorted(maps.Keys(s.tenants))
 }
