--- a/cmd/dogwoodhitch/cluster_test.go
+++ b/cmd/dogwoodhitch/cluster_test.go
@@ -49,9 +49,13 @@
 // deadline bounds every wait for something that must come.
 const deadline = 30 * time.Second
 
-// host is a loopback address of this run's own, so that no other test takes a
-// port between its being found free and its use.
-var host = fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+// host is a loopback address of this run's own, and nextPort the last port that
+// was given out, below those that the kernel gives to connections: so nothing
+// else takes a port between its choice and its use.
+var (
+	host     = fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+	nextPort = 20_000
+)
 
 const testSecret = "a-secret-of-the-tests"
 
@@ -132,7 +136,7 @@
 	operators        string
 	command          *exec.Cmd
 	done             chan struct{}
-	log              *bytes.Buffer
+	log              *logBuffer
 }
 
 // cluster is a running system of separate processes.
@@ -146,14 +150,39 @@
 	secure  string // folder of the certificates, or ""
 }
 
+// freeAddress returns an address that nothing else uses.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		nextPort++
+		address := fmt.Sprintf("%s:%d", host, nextPort)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			l.Close()
+			return address
+		}
+		if nextPort > 30_000 {
+			t.Fatal(err)
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+}
+
+// logBuffer is what a process has logged. It may be read meanwhile.
+type logBuffer struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
 }
 
 // withCluster starts voters and one entry instance a zone, and puts the sample
@@ -266,7 +295,7 @@
 
 func (c *cluster) start(p *process) {
 	c.t.Helper()
-	p.log = &bytes.Buffer{}
+	p.log = &logBuffer{}
 	p.command = exec.Command(program, p.role, "--settings", p.folder+".jsonc")
 	p.command.Stderr = p.log
 	if err := p.command.Start(); err != nil {
--- a/core/dhcatalog/drain.go
+++ b/core/dhcatalog/drain.go
@@ -10,7 +10,7 @@
 // DrainOptions are the fields of a Drain.
 type DrainOptions struct {
 	Name string
-	// Target is the zone or instance that is drained.
+	// Target is the region, zone or instance that is drained.
 	Target Ref
 	// Ramp is the time over which look-ups move away, in milliseconds.
 	Ramp dhclock.Millis
@@ -20,8 +20,8 @@
 	MovedPercent int
 }
 
-// Drain moves load away from a zone or an instance in steps. Deleting it
-// undoes the drain.
+// Drain moves load away from a region, a zone or an instance in steps.
+// Deleting it undoes the drain.
 type Drain struct{ options DrainOptions }
 
 // NewDrain returns a drain.
@@ -33,7 +33,7 @@
 // Name returns the drain's name.
 func (d Drain) Name() string { return d.options.Name }
 
-// Target returns the zone or instance that is drained.
+// Target returns the region, zone or instance that is drained.
 func (d Drain) Target() Ref { return d.options.Target }
 
 // Ramp returns the time over which look-ups move away, in milliseconds.
@@ -56,11 +56,16 @@
 	return min(100, d.options.MovedPercent+int(100*span/d.options.Ramp))
 }
 
-func (d Drain) references() []Ref { return []Ref{d.options.Target} }
+func (d Drain) references() []Ref {
+	if d.options.Target.Kind() == KindRegion {
+		return nil // checked against the zones
+	}
+	return []Ref{d.options.Target}
+}
 
 func (d Drain) check(p *problems) {
-	if k := d.options.Target.Kind(); k != KindZone && k != KindInstance {
-		p.add(d.Ref(), "targetKind", string(k), "drain a zone or an instance")
+	if k := d.options.Target.Kind(); k != KindZone && k != KindInstance && k != KindRegion {
+		p.add(d.Ref(), "targetKind", string(k), "drain a region, a zone or an instance")
 	}
 	p.requireRange(d.Ref(), "rampMs", d.options.Ramp.Milliseconds(), 0, MaxDrainRamp.Milliseconds())
 	p.requireRange(d.Ref(), "movedPercent", int64(d.options.MovedPercent), 0, 100)
--- a/core/dhcatalog/index.go
+++ b/core/dhcatalog/index.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"dogwoodhitch/core/dhclock"
 )
 
 // index holds what requests look up, worked out once a version.
@@ -160,15 +162,15 @@
 // checkDrain refuses a drain that would end while clients still cache its
 // target.
 func (c *Catalog) checkDrain(d Drain, p *problems) {
+	covers := c.drainedZones(d.Target())
+	if len(covers) == 0 {
+		p.add(d.Ref(), "target", strconv.Quote(d.Target().Name())+", which no zone is in", "name a region of a zone")
+	}
 	if d.Paused() || d.MovedPercent() == 100 {
 		return
 	}
-	zone := d.Target().Name()
-	if i, found := c.Instance(zone); found && d.Target().Kind() == KindInstance {
-		zone = i.Zone()
-	}
 	for _, s := range c.index.sites {
-		if s.Zone() == zone && d.Ramp() < s.TimeToLive() {
+		if covers[s.Zone()] && d.Ramp() < s.TimeToLive() {
 			p.add(d.Ref(), "rampMs", strconv.FormatInt(d.Ramp().Milliseconds(), 10),
 				"choose at least the time to live of site "+s.Name()+", "+
 					strconv.FormatInt(s.TimeToLive().Milliseconds(), 10)+" ms")
@@ -176,6 +178,20 @@
 	}
 }
 
+// drainedZones returns the zones that a drain's target is or lies in.
+func (c *Catalog) drainedZones(target Ref) map[string]bool {
+	covers := map[string]bool{}
+	for _, z := range c.index.zones {
+		if target == z.Ref() || target == NewRef(KindRegion, z.Region()) {
+			covers[z.Name()] = true
+		}
+	}
+	if i, found := c.Instance(target.Name()); found && target.Kind() == KindInstance {
+		covers[i.Zone()] = true
+	}
+	return covers
+}
+
 // Zones returns the zones, sorted by name. The caller must not change the
 // slice.
 func (c *Catalog) Zones() []Zone { return c.index.zones }
@@ -204,3 +220,16 @@
 	}
 	return list
 }
+
+// TimeToLiveOf returns the longest time for which clients cache answers that
+// name a region, zone or instance, in milliseconds.
+func (c *Catalog) TimeToLiveOf(target Ref) dhclock.Millis {
+	covers := c.drainedZones(target)
+	longest := dhclock.Millis(0)
+	for _, s := range c.index.sites {
+		if covers[s.Zone()] {
+			longest = max(longest, s.TimeToLive())
+		}
+	}
+	return longest
+}
--- a/core/dhcatalog/object.go
+++ b/core/dhcatalog/object.go
@@ -23,6 +23,10 @@
 	KindLink         Kind = "link"
 )
 
+// KindRegion is the kind of a drain's target that is a region. Regions are
+// named by zones and are no objects.
+const KindRegion Kind = "region"
+
 // Kinds lists every kind in the order in which references point: an object
 // refers only to kinds listed before its own.
 func Kinds() []Kind {
--- a/core/dheffect/status.go
+++ b/core/dheffect/status.go
@@ -28,6 +28,8 @@
 	Voters []VoterStatus
 	// Instances is the entry instances, as the leader knows them.
 	Instances []InstanceStatus
+	// Drains is the drains under way and done.
+	Drains []DrainStatus
 }
 
 // Status is what a process knows of the system.
@@ -76,6 +78,9 @@
 // Instances returns the entry instances, as the leader knows them.
 func (s Status) Instances() []InstanceStatus { return s.options.Instances }
 
+// Drains returns the drains under way and done.
+func (s Status) Drains() []DrainStatus { return s.options.Drains }
+
 // VoterStatusOptions are the fields of a VoterStatus.
 type VoterStatusOptions struct {
 	// Name is the member's name.
@@ -178,3 +183,42 @@
 
 // Leaving returns whether it is about to stop.
 func (s InstanceStatus) Leaving() bool { return s.options.Leaving }
+
+// DrainStatusOptions are the fields of a DrainStatus.
+type DrainStatusOptions struct {
+	// Name is the drain's name.
+	Name string
+	// Target is what is drained, as kind/name.
+	Target string
+	// MovedPercent is the share of look-ups that has moved.
+	MovedPercent int
+	// Paused is whether it stands still.
+	Paused bool
+	// Remaining is until all look-ups have moved and no client caches an older answer.
+	Remaining dhclock.Millis
+}
+
+// DrainStatus describes a drain.
+type DrainStatus struct {
+	options DrainStatusOptions
+}
+
+// NewDrainStatus returns a DrainStatus.
+func NewDrainStatus(o DrainStatusOptions) DrainStatus {
+	return DrainStatus{options: o}
+}
+
+// Name returns the drain's name.
+func (s DrainStatus) Name() string { return s.options.Name }
+
+// Target returns what is drained, as kind/name.
+func (s DrainStatus) Target() string { return s.options.Target }
+
+// MovedPercent returns the share of look-ups that has moved.
+func (s DrainStatus) MovedPercent() int { return s.options.MovedPercent }
+
+// Paused returns whether it stands still.
+func (s DrainStatus) Paused() bool { return s.options.Paused }
+
+// Remaining returns until all look-ups have moved and no client caches an older answer.
+func (s DrainStatus) Remaining() dhclock.Millis { return s.options.Remaining }
--- a/core/dhlookup/lookup.go
+++ b/core/dhlookup/lookup.go
@@ -83,7 +83,7 @@
 // addZone adds the usable instances of a zone, starting at one that the
 // client's hash picks, so that clients spread evenly.
 func (f finder) addZone(a *Answer, z dhcatalog.Zone) {
-	if f.moved(z.Ref()) {
+	if f.moved(z.Ref()) || f.moved(dhcatalog.NewRef(dhcatalog.KindRegion, z.Region())) {
 		return
 	}
 	list := f.view.Catalog().InstancesIn(z.Name())
--- a/core/dhlookup/lookup_test.go
+++ b/core/dhlookup/lookup_test.go
@@ -97,6 +97,20 @@
 	}
 }
 
+// TestRegionDrains moves both zones of a region away together.
+func TestRegionDrains(t *testing.T) {
+	c := withCatalog(t, dhcatalog.NewDrain(dhcatalog.DrainOptions{
+		Name: "d", Target: dhcatalog.NewRef(dhcatalog.KindRegion, "a"), Ramp: 10_000,
+	}))
+	v := dhview.New(dhview.Options{Catalog: c, DrainStarts: map[string]dhclock.Millis{"d": 0}})
+	if got := zones(5000, v); got["a2"] > 0 || got["a1"] < 400 || got["a1"] > 600 {
+		t.Errorf("half way: %v", got)
+	}
+	if got := zones(10_000, v); got["b1"]+got["b2"] != 1000 {
+		t.Errorf("in the end: %v", got)
+	}
+}
+
 // TestRegionFailsWhileAnotherDrains takes one region away in the middle of a
 // drain of a zone in the other: every client is still sent to a live instance
 // that isn't drained for it.
--- a/core/dhspread/children.go
+++ b/core/dhspread/children.go
@@ -130,6 +130,7 @@
 		Version: s.catalog.Version(), InForce: s.inForce,
 		Age: now.Since(s.confirmed), Confirmed: s.ever, Leader: s.leader,
 	}
+	o.Drains = s.drainStatus(now)
 	if !s.leads {
 		return o
 	}
@@ -144,3 +145,23 @@
 	}
 	return o
 }
+
+// drainStatus tells how far each drain is.
+func (s *State) drainStatus(now dhclock.Millis) []dheffect.DrainStatus {
+	var list []dheffect.DrainStatus
+	for _, d := range s.catalog.Drains() {
+		start, found := s.drains[d.Name()]
+		if !found {
+			start = s.applied
+		}
+		o := dheffect.DrainStatusOptions{
+			Name: d.Name(), Target: d.Target().String(), Paused: d.Paused(), MovedPercent: d.MovedAfter(now.Since(start)),
+		}
+		if !d.Paused() {
+			left := d.Ramp() * dhclock.Millis(100-d.MovedPercent()) / 100
+			o.Remaining = max(0, start+left+s.catalog.TimeToLiveOf(d.Target())-now)
+		}
+		list = append(list, dheffect.NewDrainStatus(o))
+	}
+	return list
+}
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -57,7 +57,9 @@
 		return
 	}
 	p.Finish(now, r.upstream, r.passed, verdict(e), e.Latency())
-	r.tried = append(r.tried, r.upstream)
+	if e.End() != dhevent.EndAnswered {
+		r.tried = append(r.tried, r.upstream)
+	}
 	r.upstream = nil
 }
 
--- a/io/dhcommand/docs_test.go
+++ b/io/dhcommand/docs_test.go
@@ -94,7 +94,7 @@
 		{[]string{"status", "--server", "127.0.0.1:1", "--secret-file", root + "/examples/operators.secret"}, ExitUnreachable, "--server"},
 		{[]string{"status", "--server", "127.0.0.1:1", "--secret-file", "none"}, ExitUsage, "credential"},
 		{[]string{"status", "--server", "127.0.0.1:1", "--secret-file", root + "/examples/operators.secret", "-o", "xml"}, ExitUsage, "table or json"},
-		{[]string{"drain", "start", "region", "a", "--server", "x", "--secret-file", "y"}, ExitUsage, "zone NAME"},
+		{[]string{"drain", "start", "planet", "a", "--server", "x", "--secret-file", "y"}, ExitUsage, "zone NAME"},
 		{[]string{"inspect", "/none"}, ExitFailed, "no such file"},
 		{[]string{"replay", root + "/go.mod"}, ExitFailed, "isn't a journal"},
 		{[]string{"none"}, ExitUsage, "none"},
--- a/io/dhcommand/drain.go
+++ b/io/dhcommand/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -17,9 +18,9 @@
 func drainCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "drain",
-		Usage: "move look-ups away from a zone or an instance in steps",
+		Usage: "move look-ups away from a region, a zone or an instance in steps",
 		Description: "Examples:\n   dogwoodhitch drain start zone a1 --ramp 10m\n   dogwoodhitch drain pause zone a1 --moved 40\n" +
-			"   dogwoodhitch drain undo zone a1",
+			"   dogwoodhitch drain show\n   dogwoodhitch drain undo zone a1",
 		Commands: []*cli.Command{
 			drainEdit("start", "begin or resume a drain", func(c *cli.Command, d *dhproto.Drain) {
 				d.RampMs = int32(c.Duration("ramp") / time.Millisecond)
@@ -30,22 +31,23 @@
 				d.Paused = true
 				d.MovedPercent = int32(c.Int("moved"))
 			}, &cli.IntFlag{Name: "moved", Required: true, Usage: "share to stand at, in percent"}),
-			drainUndo(),
+			drainUndo(), drainShow(),
 		},
 	}
 }
 
 func drainName(c *cli.Command) (kind, target, name string, err error) {
 	kind, target = c.Args().Get(0), c.Args().Get(1)
-	if kind != string(dhcatalog.KindZone) && kind != string(dhcatalog.KindInstance) || target == "" {
-		return "", "", "", cli.Exit("name what to drain: zone NAME or instance NAME", ExitUsage)
+	known := slices.Contains([]dhcatalog.Kind{dhcatalog.KindRegion, dhcatalog.KindZone, dhcatalog.KindInstance}, dhcatalog.Kind(kind))
+	if !known || target == "" {
+		return "", "", "", cli.Exit("name what to drain: region NAME, zone NAME or instance NAME", ExitUsage)
 	}
 	return kind, target, "drain-" + kind + "-" + target, nil
 }
 
 func drainEdit(name, usage string, edit func(c *cli.Command, d *dhproto.Drain), flags ...cli.Flag) *cli.Command {
 	return &cli.Command{
-		Name: name, Usage: usage, ArgsUsage: "zone|instance NAME", Flags: clientFlags(flags...),
+		Name: name, Usage: usage, ArgsUsage: "region|zone|instance NAME", Flags: clientFlags(flags...),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			kind, target, name, err := drainName(c)
 			if err != nil {
@@ -84,7 +86,7 @@
 
 func drainUndo() *cli.Command {
 	return &cli.Command{
-		Name: "undo", Usage: "end a drain and let look-ups come back", ArgsUsage: "zone|instance NAME", Flags: clientFlags(),
+		Name: "undo", Usage: "end a drain and let look-ups come back", ArgsUsage: "region|zone|instance NAME", Flags: clientFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			_, _, name, err := drainName(c)
 			if err != nil {
@@ -112,3 +114,30 @@
 	fmt.Fprintf(c.Root().Writer, "version %d, in force everywhere: %t\n", changed.Version, changed.InForce)
 	return nil
 }
+
+// drainShow shows how far each drain is and when it will be done.
+func drainShow() *cli.Command {
+	return &cli.Command{
+		Name: "show", Usage: "show the progress and the forecast of each drain", Flags: clientFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cl, err := client(c)
+			if err != nil {
+				return err
+			}
+			s, err := cl.Status(ctx)
+			if err != nil {
+				return err
+			}
+			return show(c, s.Drains, func(t *table) {
+				t.head = []string{"DRAIN", "TARGET", "MOVED", "DONE IN"}
+				for _, d := range s.Drains {
+					done := (time.Duration(d.RemainingMs) * time.Millisecond).String()
+					if d.Paused {
+						done = "paused"
+					}
+					t.add(d.Name, d.Target, fmt.Sprintf("%d%%", d.MovedPercent), done)
+				}
+			})
+		},
+	}
+}
--- a/io/dhoperator/openapi_test.go
+++ b/io/dhoperator/openapi_test.go
@@ -58,7 +58,7 @@
 		reflect.Int: "integer", reflect.Int64: "integer", reflect.Uint64: "integer",
 	}
 	for _, v := range []any{
-		Changed{}, Accepted{}, Status{}, VoterStatus{}, InstanceStatus{}, Pool{}, Upstream{}, Burn{}, Claim{},
+		Changed{}, Accepted{}, Status{}, VoterStatus{}, InstanceStatus{}, DrainStatus{}, Pool{}, Upstream{}, Burn{}, Claim{},
 	} {
 		typed := reflect.TypeOf(v)
 		schema := schemas[typed.Name()]
--- a/io/dhoperator/types.go
+++ b/io/dhoperator/types.go
@@ -23,6 +23,16 @@
 	Claims    int              `json:"claims,omitempty"`
 	Voters    []VoterStatus    `json:"voters,omitempty"`
 	Instances []InstanceStatus `json:"instances,omitempty"`
+	Drains    []DrainStatus    `json:"drains,omitempty"`
+}
+
+// DrainStatus describes a drain.
+type DrainStatus struct {
+	Name         string `json:"name"`
+	Target       string `json:"target"`
+	MovedPercent int    `json:"movedPercent"`
+	Paused       bool   `json:"paused,omitempty"`
+	RemainingMs  int64  `json:"remainingMs"`
 }
 
 // VoterStatus describes a member of the consensus group.
@@ -125,6 +135,12 @@
 			SilentMs: i.Silent().Milliseconds(), Heard: i.Heard(), Leaving: i.Leaving(),
 		})
 	}
+	for _, d := range s.Drains() {
+		o.Drains = append(o.Drains, DrainStatus{
+			Name: d.Name(), Target: d.Target(), MovedPercent: d.MovedPercent(),
+			Paused: d.Paused(), RemainingMs: d.Remaining().Milliseconds(),
+		})
+	}
 	return o
 }
 
--- a/io/dhprocess/group_test.go
+++ b/io/dhprocess/group_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -40,7 +42,7 @@
 	var founders []dhmessage.Voter
 	for i := range voters {
 		name := fmt.Sprint("c", i+1)
-		address := fmt.Sprintf("127.0.0.1:%d", freePort(t))
+		address := freeAddress(t)
 		g.listed = append(g.listed, dhsettings.NewVoter(name, address))
 		founders = append(founders, dhmessage.NewVoter(dhmessage.NewPeer(name, ""), address, false))
 	}
@@ -60,11 +62,25 @@
 	return g
 }
 
-func freePort(t testing.TB) int {
+// nextPort is the last port that was given out, below those that the kernel
+// gives to connections.
+var nextPort = 10_000
+
+// freeAddress returns an address that nothing else uses.
+func freeAddress(t testing.TB) string {
 	t.Helper()
-	l := listenAny(t)
-	defer l.Close()
-	return l.port()
+	for {
+		nextPort++
+		address := fmt.Sprintf("127.78.%d.%d:%d", os.Getpid()>>8&0xff, os.Getpid()&0xff, nextPort)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			l.Close()
+			return address
+		}
+		if nextPort > 30_000 {
+			t.Fatal(err)
+		}
+	}
 }
 
 func (g *group) options(name, zone string, role dhsettings.Role) Options {
@@ -227,6 +243,40 @@
 	return total
 }
 
+// BenchmarkLeaderLoss stops the leader at once and measures the time until the
+// next change set is accepted.
+func BenchmarkLeaderLoss(b *testing.B) {
+	var all []time.Duration
+	for b.Loop() {
+		g := withGroup(b, 3)
+		g.change(organisation(0))
+		time.Sleep(time.Second)
+		lead, others := g.leader()
+		started := time.Now()
+		lead.endWork() // everything that it does ends here and now
+		for _, s := range lead.servers {
+			s.Close()
+		}
+		g.voters = others
+		g.change(organisation(1))
+		all = append(all, time.Since(started))
+	}
+	slices.Sort(all)
+	b.ReportMetric(float64(all[len(all)/2].Milliseconds()), "ms-median")
+	b.ReportMetric(float64(all[len(all)-1].Milliseconds()), "ms-max")
+}
+
+// leader returns the voter that leads, and the others.
+func (g *group) leader() (*Process, []*Process) {
+	for i, p := range g.voters {
+		if s, err := p.Asker().Status(g.t.Context()); err == nil && s.Leads() {
+			return p, append(append([]*Process{}, g.voters[:i]...), g.voters[i+1:]...)
+		}
+	}
+	g.t.Fatal("no leader")
+	return nil, nil
+}
+
 // BenchmarkInForce measures from the acceptance of a change set until every
 // entry instance has it, and until the leader knows that.
 func BenchmarkInForce(b *testing.B) {
@@ -249,17 +299,3 @@
 		})
 	}
 }
-
-// anyListener is a listener on a free port.
-type anyListener struct{ net.Listener }
-
-func listenAny(t testing.TB) anyListener {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return anyListener{l}
-}
-
-func (l anyListener) port() int { return l.Addr().(*net.TCPAddr).Port }
