Name passing between entries by the field's terms

Read as a newcomer: passage, guest, promise, shunned and reign needed a sentence each. Behaviour is unchanged.

--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -15,8 +15,8 @@
 // snapshots stays in proportion to the log.
 const defaultCompactEntries = 1024
 
-// reign is what a leader knows since it was elected.
-type reign struct {
+// leadership is what a leader knows since it was elected.
+type leadership struct {
 	looked   dhclock.Millis
 	accepted []acceptance
 	grace    dhclock.Millis // longest grace of any organisation since
@@ -60,10 +60,10 @@
 		s.spread.SetMembers(v.members)
 	}
 	if version := v.ledger.Catalog().Version(); version != before {
-		v.reign.accept(version, s.now, v.ledger.Catalog())
+		v.leadership.accept(version, s.now, v.ledger.Catalog())
 		if e.Term() < v.term {
 			// A predecessor may have accepted it, and granted under it.
-			v.reign.grantFrom = max(v.reign.grantFrom, s.now+max(dhgrant.OwnerLife, dhview.FreshnessLease))
+			v.leadership.grantFrom = max(v.leadership.grantFrom, s.now+max(dhgrant.OwnerLife, dhview.FreshnessLease))
 		}
 		s.takeCatalog()
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "ledger", Text: "accepted a change set", Number: version}))
@@ -79,12 +79,12 @@
 	}
 }
 
-func (r *reign) accept(version uint64, now dhclock.Millis, c *dhcatalog.Catalog) {
+func (r *leadership) accept(version uint64, now dhclock.Millis, c *dhcatalog.Catalog) {
 	r.accepted = append(r.accepted, acceptance{version: version, at: now})
 	r.noteGrace(c)
 }
 
-func (r *reign) noteGrace(c *dhcatalog.Catalog) {
+func (r *leadership) noteGrace(c *dhcatalog.Catalog) {
 	for _, o := range c.List(dhcatalog.KindOrganisation) {
 		r.grace = max(r.grace, o.(dhcatalog.Organisation).StaleGrace())
 	}
@@ -92,7 +92,7 @@
 
 // lapsed returns the newest version that was accepted longer ago than any
 // instance may serve without it.
-func (r *reign) lapsed(now, lease dhclock.Millis) uint64 {
+func (r *leadership) lapsed(now, lease dhclock.Millis) uint64 {
 	newest := uint64(0)
 	for len(r.accepted) > 0 && now.Since(r.accepted[0].at) > lease+r.grace {
 		newest = r.accepted[0].version
--- a/core/dhcontrol/limits.go
+++ b/core/dhcontrol/limits.go
@@ -72,7 +72,7 @@
 	if m.Owner() == v.node.Term() {
 		w.Report(now, holder, m.Stream(), a.Used(), a.Dropped())
 	}
-	if a.Want() <= 0 || now < v.reign.grantFrom {
+	if a.Want() <= 0 || now < v.leadership.grantFrom {
 		return dhmessage.Give{}, false
 	}
 	amount, through := w.Give(now, holder, m.Stream(), a.Want())
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -46,15 +46,15 @@
 
 // voter is what only a voter has.
 type voter struct {
-	node    *dhconsensus.Node
-	ledger  *dhledger.Ledger
-	members []dhmessage.Voter // by the last applied entry
-	pending map[uint64]pending
-	asked   map[askedKey]uint64
-	limits  *limits
-	led     bool
-	term    uint64
-	reign   reign
+	node       *dhconsensus.Node
+	ledger     *dhledger.Ledger
+	members    []dhmessage.Voter // by the last applied entry
+	pending    map[uint64]pending
+	asked      map[askedKey]uint64
+	limits     *limits
+	led        bool
+	term       uint64
+	leadership leadership
 	// compactEntries is how many entries are kept between two snapshots.
 	compactEntries int
 }
@@ -130,7 +130,7 @@
 		s.voter.node.Tick(s.now, e.Random(), out)
 		s.voter.tickLimits(s.now)
 	}
-	s.followReign()
+	s.followLeadership()
 	s.spread.Tick(s.now, out)
 	s.proposals.retry(s.now, s.leader(), out)
 	s.answerReads(out)
@@ -142,7 +142,7 @@
 	if s.voter != nil {
 		s.voter.node.Flush(out)
 	}
-	s.followReign()
+	s.followLeadership()
 	s.spread.Settle(s.now, out)
 	s.answerReads(out)
 	s.compact(out)
--- a/core/dhcontrol/status.go
+++ b/core/dhcontrol/status.go
@@ -16,9 +16,9 @@
 // milliseconds.
 const lookInterval dhclock.Millis = 50
 
-// followReign shows leadership to the spread and works out what is in force
+// followLeadership shows leadership to the spread and works out what is in force
 // everywhere.
-func (s *State) followReign() {
+func (s *State) followLeadership() {
 	v := s.voter
 	if v == nil {
 		return
@@ -27,10 +27,10 @@
 		v.led, v.term = v.node.Leads(), v.node.Term()
 		v.pending = map[uint64]pending{}
 		v.asked = map[askedKey]uint64{}
-		v.reign = reign{}
+		v.leadership = leadership{}
 		if v.led {
-			v.reign.grantFrom = v.grantFrom(s.now)
-			v.reign.accept(v.ledger.Catalog().Version(), s.now, v.ledger.Catalog())
+			v.leadership.grantFrom = v.grantFrom(s.now)
+			v.leadership.accept(v.ledger.Catalog().Version(), s.now, v.ledger.Catalog())
 		}
 		s.spread.Lead(v.led, s.now)
 	}
@@ -40,12 +40,12 @@
 		return
 	}
 	s.spread.Confirm(confirmed)
-	if s.now.Since(v.reign.looked) < lookInterval {
+	if s.now.Since(v.leadership.looked) < lookInterval {
 		return
 	}
-	v.reign.looked = s.now
+	v.leadership.looked = s.now
 	s.spread.SetDrains(s.now, s.drainAges())
-	s.spread.SetInForce(max(s.spread.LeastAck(), v.reign.lapsed(s.now, dhview.FreshnessLease)))
+	s.spread.SetInForce(max(s.spread.LeastAck(), v.leadership.lapsed(s.now, dhview.FreshnessLease)))
 }
 
 // drainAges tells how long ago each drain was accepted. A drain older than the
--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -242,14 +242,14 @@
 	for end := n.now + span; n.now < end; {
 		n.tick(step)
 		for count := len(n.packets); count > 0 && len(n.packets) > 0; count-- {
-			n.deliverInWeather()
+			n.deliverWithFaults()
 		}
 	}
 }
 
-// deliverInWeather hands over the first packet, or loses, repeats or delays
+// deliverWithFaults hands over the first packet, or loses, repeats or delays
 // it.
-func (n *network) deliverInWeather() {
+func (n *network) deliverWithFaults() {
 	p := n.packets[0]
 	chance := n.next() % 100
 	switch {
--- a/core/dhsteer/pool.go
+++ b/core/dhsteer/pool.go
@@ -156,9 +156,9 @@
 }
 
 // Take starts a request at an upstream.
-func (p *Pool) Take(u *Upstream, guest bool) {
+func (p *Pool) Take(u *Upstream, remote bool) {
 	u.running++
-	if guest {
+	if remote {
 		p.taken++
 	}
 }
@@ -179,9 +179,9 @@
 )
 
 // Finish ends a request at an upstream.
-func (p *Pool) Finish(now dhclock.Millis, u *Upstream, guest bool, v Verdict, latency dhclock.Millis) {
+func (p *Pool) Finish(now dhclock.Millis, u *Upstream, remote bool, v Verdict, latency dhclock.Millis) {
 	u.running--
-	if guest {
+	if remote {
 		p.taken--
 	}
 	switch v {
@@ -210,12 +210,12 @@
 	return all, free
 }
 
-// GuestRoom returns how many more requests from other instances may run here,
+// RemoteRoom returns how many more requests from other instances may run here,
 // given the share of slots that is open to them, in percent.
-func (p *Pool) GuestRoom(now dhclock.Millis, percent int) int {
+func (p *Pool) RemoteRoom(now dhclock.Millis, percent int) int {
 	all, free := p.Slots(now)
 	return max(0, min(free-p.queue.size, all*percent/100-p.taken))
 }
 
-// Guests returns how many requests from other instances run here.
-func (p *Pool) Guests() int { return p.taken }
+// Remote returns how many requests from other instances run here.
+func (p *Pool) Remote() int { return p.taken }
--- a/core/dhsteer/status.go
+++ b/core/dhsteer/status.go
@@ -6,7 +6,7 @@
 type PoolStatus struct {
 	service   string
 	waiting   int
-	guests    int
+	remote    int
 	upstreams []UpstreamStatus
 }
 
@@ -16,8 +16,8 @@
 // Waiting returns how many requests wait for a slot.
 func (s PoolStatus) Waiting() int { return s.waiting }
 
-// Guests returns how many requests from other instances run here.
-func (s PoolStatus) Guests() int { return s.guests }
+// Remote returns how many requests from other instances run here.
+func (s PoolStatus) Remote() int { return s.remote }
 
 // Upstreams returns the upstreams, sorted by name.
 func (s PoolStatus) Upstreams() []UpstreamStatus { return s.upstreams }
@@ -52,7 +52,7 @@
 
 // Status describes the pool.
 func (p *Pool) Status(now dhclock.Millis) PoolStatus {
-	s := PoolStatus{service: p.service, waiting: p.queue.size, guests: p.taken}
+	s := PoolStatus{service: p.service, waiting: p.queue.size, remote: p.taken}
 	for _, u := range p.upstreams {
 		s.upstreams = append(s.upstreams, UpstreamStatus{
 			name: u.Name(), address: u.Address(), slots: u.allowed(now), running: u.running,
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -49,11 +49,11 @@
 
 // release gives back the slot of an attempt and judges the other side.
 func (s *State) release(now dhclock.Millis, p *pool, r *request, e *dhevent.AttemptEnded) {
-	if r.passing != nil {
-		s.chargeLink(now, r.passing, e.Size())
-		r.passing.ended(e.End())
-		r.shunned = append(r.shunned, r.passing)
-		r.passing = nil
+	if r.peer != nil {
+		s.chargeLink(now, r.peer, e.Size())
+		r.peer.ended(e.End())
+		r.triedPeers = append(r.triedPeers, r.peer)
+		r.peer = nil
 		return
 	}
 	p.Finish(now, r.upstream, r.passed, verdict(e), e.Latency())
@@ -120,7 +120,7 @@
 		s.forward(now, r.pool, r, u, out)
 		return
 	}
-	if g := s.passageFor(now, r.pool, r); g != nil {
+	if g := s.peerFor(now, r.pool, r); g != nil {
 		s.pass(now, r.pool, r, g, out)
 		return
 	}
@@ -130,7 +130,7 @@
 	}
 	// Nobody can take it now. It waits like a request that has just come; what
 	// was tried may be tried again by then.
-	r.tried, r.shunned = nil, nil
+	r.tried, r.triedPeers = nil, nil
 	r.waitUntil = min(r.deadline, now+r.route.QueueWait())
 	s.waitForSlot(now, r.pool, r, out)
 }
--- a/core/dhtraffic/intake.go
+++ b/core/dhtraffic/intake.go
@@ -9,25 +9,25 @@
 
 // Constants of the intake of requests from other instances.
 const (
-	// promiseLife is how long a promise of slots holds, in milliseconds.
-	promiseLife dhclock.Millis = 1000
+	// reservationLife is how long a reservation of slots holds, in milliseconds.
+	reservationLife dhclock.Millis = 1000
 	// intakeFirstPercent is the share of the cap that is open at once; the
 	// rest opens over the service's cold-start time.
 	intakeFirstPercent = 20
 )
 
-// promise is slots kept for another instance.
-type promise struct {
+// reservation is slots kept for another instance.
+type reservation struct {
 	slots  int
 	expiry dhclock.Millis
 }
 
-// intake caps the requests that other instances pass to this one. A promise
+// intake caps the requests that other instances pass to this one. A reservation
 // that has not run out counts as used.
 type intake struct {
-	promised map[string]promise
+	reserved map[string]reservation
 	since    dhclock.Millis // when the present shift began
-	latest   dhclock.Millis // when there was last a guest or a promise
+	latest   dhclock.Millis // when there was last a remote request or a reservation
 }
 
 // spill returns the share of slots open to other instances, in percent.
@@ -39,7 +39,7 @@
 // percent returns the open share of slots now: it ramps up from the start of a
 // shift, because caches here are cold for the clients that come.
 func (k *intake) percent(now, ramp dhclock.Millis, spill int) int {
-	if now.Since(k.latest) > ramp+promiseLife || k.latest == 0 {
+	if now.Since(k.latest) > ramp+reservationLife || k.latest == 0 {
 		k.since = now
 	}
 	k.latest = now
@@ -50,17 +50,17 @@
 	return first + int(int64(spill-first)*int64(now.Since(k.since))/int64(ramp))
 }
 
-// room returns how many more guests may run here.
+// room returns how many more remote requests may run here.
 func (k *intake) room(now dhclock.Millis, p *pool, spill int) int {
-	return p.GuestRoom(now, k.percent(now, p.coldRamp, spill))
+	return p.RemoteRoom(now, k.percent(now, p.coldRamp, spill))
 }
 
-// promiseTo keeps slots for an instance and returns how many.
-func (k *intake) promiseTo(now dhclock.Millis, p *pool, name string, want, spill int) int {
+// reserve keeps slots for an instance and returns how many.
+func (k *intake) reserve(now dhclock.Millis, p *pool, name string, want, spill int) int {
 	others := 0
-	for other, q := range k.promised {
+	for other, q := range k.reserved {
 		if q.expiry <= now {
-			delete(k.promised, other)
+			delete(k.reserved, other)
 			continue
 		}
 		if other != name {
@@ -69,12 +69,12 @@
 	}
 	all, free := p.Slots(now)
 	open := all * k.percent(now, p.coldRamp, spill) / 100
-	slots := max(0, min(want, open-others, free+p.Guests()-p.Waiting()-others))
+	slots := max(0, min(want, open-others, free+p.Remote()-p.Waiting()-others))
 	if slots == 0 {
-		delete(k.promised, name)
+		delete(k.reserved, name)
 		return 0
 	}
-	k.promised[name] = promise{slots: slots, expiry: now + promiseLife}
+	k.reserved[name] = reservation{slots: slots, expiry: now + reservationLife}
 	return slots
 }
 
@@ -82,12 +82,12 @@
 func (s *State) IntakeAsked(e *dhevent.IntakeAsked, out *dheffect.List) {
 	slots := 0
 	if p, found := s.pools[e.Ask().Service()]; found {
-		slots = p.intake.promiseTo(e.At(), p, e.Instance(), e.Ask().Want(), s.spill(p))
+		slots = p.intake.reserve(e.At(), p, e.Instance(), e.Ask().Want(), s.spill(p))
 	}
 	out.Add(dheffect.NewSend(dheffect.SendOptions{
 		To: e.Instance(),
 		Message: dhmessage.NewIntakeGive(dhmessage.IntakeGiveOptions{
-			Service: e.Ask().Service(), Sent: e.Ask().Sent(), Life: promiseLife, Slots: slots,
+			Service: e.Ask().Service(), Sent: e.Ask().Sent(), Life: reservationLife, Slots: slots,
 		}),
 	}))
 }
--- a/core/dhtraffic/intake_test.go
+++ b/core/dhtraffic/intake_test.go
@@ -50,9 +50,9 @@
 }
 
 // TestIntakeStaysUnderItsCap lets other instances ask for everything and pass
-// on more than they were promised: guests never hold more than their share of
+// on more than they were reserved: remote requests never hold more than their share of
 // the slots, the share rises in steps from the start of the shift, and what is
-// promised to all together keeps to it too.
+// reserved to all together keeps to it too.
 func TestIntakeStaysUnderItsCap(t *testing.T) {
 	s := withReceiver(t)
 	const start dhclock.Millis = 10_000
@@ -65,33 +65,33 @@
 		if now == start || now%500 == 0 {
 			renew(s, now)
 		}
-		promised := 0
+		reserved := 0
 		for i := range 6 {
 			var out dheffect.List
 			s.IntakeAsked(dhevent.NewIntakeAsked(now, dhevent.IntakeAskedOptions{
 				Instance: fmt.Sprint("b", i), Ask: dhmessage.NewIntakeAsk(dhmessage.IntakeAskOptions{Service: "s", Sent: now, Want: 100}),
 			}), &out)
-			promised += out.Items()[0].(*dheffect.Send).Message().(*dhmessage.IntakeGive).Slots()
+			reserved += out.Items()[0].(*dheffect.Send).Message().(*dhmessage.IntakeGive).Slots()
 		}
 		for range 30 {
 			var out dheffect.List
 			request++
 			s.Arrive(dhevent.NewRequestArrived(now, dhevent.RequestArrivedOptions{Request: request, Path: "/x", Passed: true}), &out)
 			if f, ok := out.Items()[0].(*dheffect.Refuse); ok && f.Refusal().MayHaveRun() {
-				t.Fatal("a guest that found no room was not refused truly")
+				t.Fatal("a remote request that found no room was not refused truly")
 			}
 		}
 		all, _ := s.pools["s"].Slots(now)
 		limit := all * spillPercent / 100
-		if guests := s.pools["s"].Guests(); guests > limit || promised > limit {
-			t.Fatalf("after %d ms: %d guests and %d promised on %d slots, limit %d", now-start, guests, promised, all, limit)
+		if remote := s.pools["s"].Remote(); remote > limit || reserved > limit {
+			t.Fatalf("after %d ms: %d remote requests and %d reserved on %d slots, limit %d", now-start, remote, reserved, all, limit)
 		}
 		if now == start {
-			atStart = s.pools["s"].Guests()
+			atStart = s.pools["s"].Remote()
 		}
 	}
 	most := servers * slotsEach * spillPercent / 100
-	if got := s.pools["s"].Guests(); got != most || atStart > most*intakeFirstPercent/100 {
-		t.Errorf("%d guests at the start and %d in the end, want %d", atStart, got, most)
+	if got := s.pools["s"].Remote(); got != most || atStart > most*intakeFirstPercent/100 {
+		t.Errorf("%d remote requests at the start and %d in the end, want %d", atStart, got, most)
 	}
 }
--- a/core/dhtraffic/link.go
+++ b/core/dhtraffic/link.go
@@ -44,13 +44,13 @@
 }
 
 // linkOpen tells whether a request may be passed to another region now.
-func (s *State) linkOpen(now dhclock.Millis, g *passage) bool {
+func (s *State) linkOpen(now dhclock.Millis, g *peer) bool {
 	b, limited := s.links[g.region]
 	return !limited || b.Open(now)
 }
 
 // chargeLink counts what a request or an answer takes of a link.
-func (s *State) chargeLink(now dhclock.Millis, g *passage, size int) {
+func (s *State) chargeLink(now dhclock.Millis, g *peer, size int) {
 	if b, limited := s.links[g.region]; limited && g.distance == otherRegion {
 		b.Charge(now, size+requestOverhead)
 	}
--- a/core/dhtraffic/link_test.go
+++ b/core/dhtraffic/link_test.go
@@ -12,7 +12,7 @@
 )
 
 // withOrigin returns the state of an instance without upstreams, whose
-// neighbour in another region has promised room.
+// neighbour in another region has reserved room.
 func withOrigin(t testing.TB, kilobytes int64) *State {
 	t.Helper()
 	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
--- a/core/dhtraffic/pass.go
+++ b/core/dhtraffic/pass.go
@@ -21,7 +21,7 @@
 	askBreadth = 3
 	// askSpare is how many slots beyond the present need are asked for.
 	askSpare = 2
-	// keepAsking is for how long promises are kept up after a request was
+	// keepAsking is for how long reservations are kept up after a request was
 	// passed, in milliseconds.
 	keepAsking dhclock.Millis = 2000
 )
@@ -35,8 +35,8 @@
 	otherRegion
 )
 
-// passage is what this instance knows of another one's room for a service.
-type passage struct {
+// peer is what this instance knows of another one's room for a service.
+type peer struct {
 	instance dhcatalog.Instance
 	distance distance
 	region   string
@@ -45,30 +45,30 @@
 	expiry   dhclock.Millis
 }
 
-func (g *passage) open(now dhclock.Millis) bool { return g.running < g.slots && now < g.expiry }
+func (g *peer) open(now dhclock.Millis) bool { return g.running < g.slots && now < g.expiry }
 
 // ended gives back a slot at the other instance. One that was not reached or
 // had no room gets nothing more until it answers an ask again.
-func (g *passage) ended(end dhevent.AttemptEnd) {
+func (g *peer) ended(end dhevent.AttemptEnd) {
 	g.running--
 	if end != dhevent.EndAnswered && end != dhevent.EndCallerGone {
 		g.slots = 0
 	}
 }
 
-// passageFor returns the nearest instance that has promised room, or nil. One
+// peerFor returns the nearest instance that has reserved room, or nil. One
 // in another region is used only if this zone has no slots at all, or the
 // request has waited for a while.
-func (s *State) passageFor(now dhclock.Millis, p *pool, r *request) *passage {
+func (s *State) peerFor(now dhclock.Millis, p *pool, r *request) *peer {
 	if r.passed {
 		return nil
 	}
 	all, _ := p.Slots(now)
 	farAllowed := all == 0 || now.Since(r.arrived) >= farPatience || r.attempts > 0
-	var best *passage
-	for _, name := range slices.Sorted(maps.Keys(p.passages)) {
-		g := p.passages[name]
-		if !g.open(now) || s.view.IsAway(name) || slices.Contains(r.shunned, g) {
+	var best *peer
+	for _, name := range slices.Sorted(maps.Keys(p.peers)) {
+		g := p.peers[name]
+		if !g.open(now) || s.view.IsAway(name) || slices.Contains(r.triedPeers, g) {
 			continue
 		}
 		if g.distance == otherRegion && (!farAllowed || !s.linkOpen(now, g)) {
@@ -81,19 +81,19 @@
 	return best
 }
 
-func closer(a, b *passage) bool {
+func closer(a, b *peer) bool {
 	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.slots-b.running, a.slots-a.running)) < 0
 }
 
 // pass hands a request to another instance.
-func (s *State) pass(now dhclock.Millis, p *pool, r *request, g *passage, out *dheffect.List) {
+func (s *State) pass(now dhclock.Millis, p *pool, r *request, g *peer, out *dheffect.List) {
 	if refusal, ok := s.allowed(now, r); !ok {
 		s.refuse(now, r, refusal, out)
 		return
 	}
 	r.phase = runs
 	r.waiter = nil
-	r.passing = g
+	r.peer = g
 	r.attempts++
 	g.running++
 	s.chargeLink(now, g, r.size)
@@ -110,7 +110,7 @@
 	for p.Waiting() > 0 {
 		w := p.Next()
 		r := s.requests[w.Request()]
-		g := s.passageFor(now, p, r)
+		g := s.peerFor(now, p, r)
 		if g == nil {
 			p.PutBack(w)
 			return
@@ -119,15 +119,15 @@
 	}
 }
 
-// askPassages asks a few instances of each distance how much they would take.
-func (s *State) askPassages(now dhclock.Millis, p *pool, out *dheffect.List) {
+// askPeers asks a few instances of each distance how much they would take.
+func (s *State) askPeers(now dhclock.Millis, p *pool, out *dheffect.List) {
 	if now.Since(p.asked) < askInterval && p.asked > 0 {
 		return
 	}
 	p.asked = now
 	for _, i := range s.neighbours(now) {
 		want := p.Waiting() + askSpare
-		if g, found := p.passages[i.Name()]; found {
+		if g, found := p.peers[i.Name()]; found {
 			want += g.running
 		}
 		out.Add(dheffect.NewSend(dheffect.SendOptions{
@@ -177,10 +177,10 @@
 		return
 	}
 	p := s.poolOf(e.Give().Service())
-	g, found := p.passages[i.Name()]
+	g, found := p.peers[i.Name()]
 	if !found {
-		g = &passage{}
-		p.passages[i.Name()] = g
+		g = &peer{}
+		p.peers[i.Name()] = g
 	}
 	there, _ := s.view.Catalog().Zone(i.Zone())
 	g.instance, g.distance, g.region = i, s.distanceTo(i), there.Region()
--- a/core/dhtraffic/slot.go
+++ b/core/dhtraffic/slot.go
@@ -25,7 +25,7 @@
 	p := s.poolOf(r.route.Service())
 	r.pool = p
 	if r.passed {
-		s.seekGuestSlot(now, p, r, out)
+		s.seekRemoteSlot(now, p, r, out)
 		return
 	}
 	if p.Waiting() == 0 {
@@ -34,7 +34,7 @@
 			return
 		}
 	}
-	if g := s.passageFor(now, p, r); g != nil {
+	if g := s.peerFor(now, p, r); g != nil {
 		s.pass(now, p, r, g, out)
 		return
 	}
@@ -45,9 +45,9 @@
 	s.waitForSlot(now, p, r, out)
 }
 
-// seekGuestSlot serves a request from another instance at once or refuses it
+// seekRemoteSlot serves a request from another instance at once or refuses it
 // truly: it never waits here while its origin could go elsewhere.
-func (s *State) seekGuestSlot(now dhclock.Millis, p *pool, r *request, out *dheffect.List) {
+func (s *State) seekRemoteSlot(now dhclock.Millis, p *pool, r *request, out *dheffect.List) {
 	if p.intake.room(now, p, s.spill(p)) > 0 {
 		if u := p.Choose(now, r.tried); u != nil {
 			s.forward(now, p, r, u, out)
@@ -76,7 +76,7 @@
 		s.refuse(now, r, s.noSlot(now, p), out)
 		return
 	}
-	s.askPassages(now, p, out)
+	s.askPeers(now, p, out)
 }
 
 // noSlot is the refusal of a request that found no slot in time.
@@ -141,7 +141,7 @@
 			s.refuse(now, s.requests[w.Request()], s.noSlot(now, p), out)
 		}
 		if p.Waiting() > 0 || now < p.passUntil {
-			s.askPassages(now, p, out)
+			s.askPeers(now, p, out)
 		}
 	}
 }
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -90,8 +90,8 @@
 	pool         *pool
 	upstream     *dhsteer.Upstream
 	tried        []*dhsteer.Upstream
-	passing      *passage // the instance that the request was passed to
-	shunned      []*passage
+	peer         *peer // the instance that the request was passed to
+	triedPeers   []*peer
 	attempts     int
 }
 
@@ -100,13 +100,13 @@
 // pool is the upstreams of one service and the ways to other instances.
 type pool struct {
 	*dhsteer.Pool
-	passages map[string]*passage
+	peers    map[string]*peer
 	intake   intake
 	budget   budget
 	reserve  int // most slots seen, which the budget's reserve follows
 	asked    dhclock.Millis
 	coldRamp dhclock.Millis
-	// passUntil is until when promises of other instances are kept up.
+	// passUntil is until when reservations of other instances are kept up.
 	passUntil dhclock.Millis
 }
 
@@ -126,10 +126,10 @@
 	p, found := s.pools[service]
 	if !found {
 		p = &pool{
-			Pool:     dhsteer.NewPool(service),
-			passages: map[string]*passage{},
-			intake:   intake{promised: map[string]promise{}},
-			budget:   budget{tenths: budgetLeast},
+			Pool:   dhsteer.NewPool(service),
+			peers:  map[string]*peer{},
+			intake: intake{reserved: map[string]reservation{}},
+			budget: budget{tenths: budgetLeast},
 		}
 		s.pools[service] = p
 	}
--- a/io/dhcommand/quickstart.go
+++ b/io/dhcommand/quickstart.go
@@ -15,7 +15,7 @@
 		Description: "Needs no files and keeps nothing.\n\nExamples:\n   dogwoodhitch quickstart\n" +
 			"   dogwoodhitch quickstart --once",
 		Flags: []cli.Flag{
-			&cli.BoolFlag{Name: "once", Usage: "send a sample load, print a summary, and exit 0 if every promise held"},
+			&cli.BoolFlag{Name: "once", Usage: "send a sample load, print a summary, and exit 0 if every invariant held"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			s, err := dhquickstart.Start(ctx, c.Root().ErrWriter)
--- a/io/dhoperator/types.go
+++ b/io/dhoperator/types.go
@@ -72,7 +72,7 @@
 type Pool struct {
 	Service   string     `json:"service"`
 	Waiting   int        `json:"waiting"`
-	Guests    int        `json:"guests"`
+	Remote    int        `json:"remote"`
 	Upstreams []Upstream `json:"upstreams"`
 }
 
@@ -162,7 +162,7 @@
 func poolsOf(list []dhsteer.PoolStatus) []Pool {
 	out := []Pool{}
 	for _, p := range list {
-		x := Pool{Service: p.Service(), Waiting: p.Waiting(), Guests: p.Guests(), Upstreams: []Upstream{}}
+		x := Pool{Service: p.Service(), Waiting: p.Waiting(), Remote: p.Remote(), Upstreams: []Upstream{}}
 		for _, u := range p.Upstreams() {
 			x.Upstreams = append(x.Upstreams, Upstream{
 				Name: u.Name(), Address: u.Address(), Slots: u.Slots(),
--- a/io/dhquickstart/checks.go
+++ b/io/dhquickstart/checks.go
@@ -13,7 +13,7 @@
 	"dogwoodhitch/io/dhstandin"
 )
 
-// checks watch what can be seen of the promises from the upstreams' side.
+// checks watch what can be seen of the invariants from the upstreams' side.
 type checks struct {
 	mutex    sync.Mutex
 	keys     map[string]string
@@ -82,14 +82,14 @@
 	}
 }
 
-// add notes a promise that was seen broken.
+// add notes an invariant that was seen broken.
 func (c *checks) add(what string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.broken = append(c.broken, what)
 }
 
-// result lists the promises that were seen broken.
+// result lists the invariants that were seen broken.
 func (c *checks) result() []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/io/dhquickstart/load.go
+++ b/io/dhquickstart/load.go
@@ -31,8 +31,8 @@
 	requestTimeout = 10 * time.Second
 )
 
-// ErrBroken says that the sample load saw a promise broken.
-var ErrBroken = errors.New("a promise was seen broken")
+// ErrBroken says that the sample load saw an invariant broken.
+var ErrBroken = errors.New("an invariant was seen broken")
 
 // summary counts what became of the sample load.
 type summary struct {
@@ -43,7 +43,7 @@
 }
 
 // Once sends the sample load through the entry instances, prints a summary,
-// and returns ErrBroken if a promise was seen broken.
+// and returns ErrBroken if an invariant was seen broken.
 func (s *System) Once(ctx context.Context, w io.Writer) error {
 	sum := &summary{
 		served: map[string]int{}, refused: map[string]int{},
@@ -63,7 +63,7 @@
 	if len(broken) > 0 {
 		return ErrBroken
 	}
-	fmt.Fprintln(w, "every promise that can be seen from here held: whole answers to their own callers, purchases at most once,",
+	fmt.Fprintln(w, "every invariant that can be seen from here held: whole answers to their own callers, purchases at most once,",
 		"keys unseen by upstreams, slots and rates kept")
 	return nil
 }
