--- a/cmd/dogwoodhitch/cluster_test.go
+++ b/cmd/dogwoodhitch/cluster_test.go
@@ -490,3 +490,17 @@
 		body: string(raw), replay: answer.Header.Get("Dogwoodhitch-Replayed") != "", problem: err,
 	}
 }
+
+// folderOf returns the identity of a process's data folder as it logs it, or
+// "".
+func (c *cluster) folderOf(p *process) string {
+	for line := range strings.Lines(p.log.String()) {
+		var started struct {
+			Folder string `json:"folder"`
+		}
+		if json.Unmarshal([]byte(line), &started) == nil && started.Folder != "" {
+			return started.Folder
+		}
+	}
+	return ""
+}
