--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -61,6 +61,7 @@
 	from dhmessage.Peer
 	to   string
 	body dhmessage.Message
+	due  dhclock.Millis // when run delivers it
 }
 
 // fataler ends a test.
@@ -81,6 +82,8 @@
 	ticket   uint64
 	replies  map[uint64]dhmessage.Result
 	traffic  func(m *machine, e dhevent.Event)
+	// hop is how long a packet is under way, in milliseconds.
+	hop dhclock.Millis
 	// compact is how many log entries voters keep between snapshots; 0 for as
 	// many as in earnest.
 	compact int
@@ -192,7 +195,7 @@
 		case *dheffect.SaveSnapshot:
 			m.disk.save(e)
 		case *dheffect.Send:
-			n.packets = append(n.packets, packet{from: m.self(), to: e.To(), body: e.Message()})
+			n.packets = append(n.packets, packet{from: m.self(), to: e.To(), body: e.Message(), due: n.now + n.hop})
 		case *dheffect.Reply:
 			n.replies[e.Ticket()] = e.Result()
 		case *dheffect.Publish:
@@ -253,6 +256,8 @@
 	p := n.packets[0]
 	chance := n.next() % 100
 	switch {
+	case p.due > n.now:
+		n.packets = append(n.packets[1:], p)
 	case chance < n.lose:
 		n.packets = n.packets[1:]
 	case chance < n.lose+n.late:
--- a/core/dhreducer/rate_test.go
+++ b/core/dhreducer/rate_test.go
@@ -127,7 +127,7 @@
 		case *dheffect.ToControl:
 			f.take(m, x.Event())
 		case *dheffect.Send:
-			f.packets = append(f.packets, packet{from: m.self(), to: x.To(), body: x.Message()})
+			f.packets = append(f.packets, packet{from: m.self(), to: x.To(), body: x.Message(), due: f.now + f.hop})
 		}
 	}
 }
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -136,9 +136,23 @@
 	})
 	defer s.options.Shard.Forget(waiter)
 	x := &exchange{server: s, in: in, waiter: waiter, writer: w, passed: passed}
+	defer x.log(s.options.Clock.Now())
 	x.run(r.Context())
 }
 
+// log writes a line for a request that ended, where the entry layer is at the
+// level debug.
+func (x *exchange) log(arrived dhclock.Millis) {
+	s := x.server
+	if !s.options.Log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	s.options.Log.WithFields(logrus.Fields{
+		"request": x.in.id, "method": x.in.method, "path": x.in.url.Path, "passed": x.passed,
+		"status": x.status, "refusal": x.refusal, "ms": s.options.Clock.Now().Since(arrived).Milliseconds(),
+	}).Debug("request ended")
+}
+
 // exchange is one caller's request and what it gets.
 type exchange struct {
 	server *Server
@@ -146,6 +160,9 @@
 	waiter *dhshard.Waiter
 	writer http.ResponseWriter
 	passed bool
+	// status and refusal are what the caller got.
+	status  int
+	refusal dheffect.RefusalKind
 }
 
 // run carries out decisions until the request has ended.
@@ -186,6 +203,7 @@
 func (x *exchange) carryOut(ctx context.Context, d dhshard.Decision) bool {
 	switch e := d.Effect().(type) {
 	case *dheffect.Refuse:
+		x.refusal = e.Refusal().Kind()
 		writeRefusal(x.writer, x.in.id, e.Refusal())
 		return true
 	case *dheffect.Replay:
@@ -281,7 +299,8 @@
 	if a.whole && a.response.Request.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.hold)))
 	}
-	x.writer.WriteHeader(a.response.StatusCode)
+	x.status = a.response.StatusCode
+	x.writer.WriteHeader(x.status)
 }
 
 // stream gives on an answer that is too large to be held.
@@ -326,6 +345,7 @@
 	h.Set(HeaderRequest, x.in.id)
 	h.Set(HeaderReplayed, "true")
 	h.Set("Content-Length", strconv.Itoa(len(answer.Body())))
-	x.writer.WriteHeader(answer.Status())
+	x.status = answer.Status()
+	x.writer.WriteHeader(x.status)
 	_, _ = x.writer.Write(answer.Body())
 }
