Measure a call together with its answer

Cause: BenchmarkDeliver sent questions that nobody answered, so since answers come with calls it measured the wait for one (864 us a call).

--- a/io/dhpeer/peer_test.go
+++ b/io/dhpeer/peer_test.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// BenchmarkDeliver sends messages one at a time, and reports the processor
-// time of both sides together.
+// BenchmarkDeliver sends questions one at a time, each answered within its
+// call, and reports the processor time of both sides together.
 func BenchmarkDeliver(b *testing.B) {
 	p := withPair(b, "secret")
 	var before, after syscall.Rusage
@@ -132,8 +132,9 @@
 	}
 	n := 0
 	for b.Loop() {
-		p.sender.Send("b", poll(1))
+		p.sender.Send("b", dhmessage.NewGrantAsk(dhmessage.GrantAskOptions{Stream: 7}))
 		<-p.got
+		<-p.answers
 		n++
 	}
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &after); err != nil {
