--- a/cmd/dogwoodhitch/cluster_test.go
+++ b/cmd/dogwoodhitch/cluster_test.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -59,73 +58,6 @@
 
 const testSecret = "a-secret-of-the-tests"
 
-// link is a TCP forwarder that can be cut.
-type link struct {
-	listener net.Listener
-	target   string
-	mutex    sync.Mutex
-	cut      bool
-	open     map[net.Conn]bool
-}
-
-func withLink(t *testing.T, target string) *link {
-	t.Helper()
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	k := &link{listener: l, target: target, open: map[net.Conn]bool{}}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go k.forward(c)
-		}
-	}()
-	return k
-}
-
-func (k *link) forward(c net.Conn) {
-	defer c.Close()
-	k.mutex.Lock()
-	cut := k.cut
-	k.mutex.Unlock()
-	if cut {
-		return
-	}
-	d, err := net.Dial("tcp", k.target)
-	if err != nil {
-		return
-	}
-	defer d.Close()
-	k.mutex.Lock()
-	k.open[c], k.open[d] = true, true
-	k.mutex.Unlock()
-	go func() {
-		io.Copy(d, c)
-		d.Close()
-	}()
-	io.Copy(c, d)
-	k.mutex.Lock()
-	delete(k.open, c)
-	delete(k.open, d)
-	k.mutex.Unlock()
-}
-
-func (k *link) set(cut bool) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	k.cut = cut
-	if cut {
-		for c := range k.open {
-			c.Close()
-		}
-	}
-}
-
 // process is one process of the program.
 type process struct {
 	name, role, zone string
@@ -455,42 +387,6 @@
 	return s
 }
 
-// reply is what a caller got.
-type reply struct {
-	status  int
-	kind    string
-	run     string
-	body    string
-	replay  bool
-	problem error
-}
-
-var caller = &http.Client{Timeout: deadline}
-
-// call sends a request as a caller.
-func call(e *process, method, path, key, idempotency, body string) reply {
-	r, err := http.NewRequest(method, "http://"+e.callers+path, strings.NewReader(body))
-	if err != nil {
-		return reply{problem: err}
-	}
-	if key != "" {
-		r.Header.Set("Authorization", "Bearer "+key)
-	}
-	if idempotency != "" {
-		r.Header.Set("Idempotency-Key", idempotency)
-	}
-	answer, err := caller.Do(r)
-	if err != nil {
-		return reply{problem: err}
-	}
-	defer answer.Body.Close()
-	raw, err := io.ReadAll(answer.Body)
-	return reply{
-		status: answer.StatusCode, kind: answer.Header.Get("Dogwoodhitch-Refusal"), run: answer.Header.Get("Dogwoodhitch-Run"),
-		body: string(raw), replay: answer.Header.Get("Dogwoodhitch-Replayed") != "", problem: err,
-	}
-}
-
 // folderOf returns the identity of a process's data folder as it logs it, or
 // "".
 func (c *cluster) folderOf(p *process) string {
--- a/core/dhtraffic/arrive_test.go
+++ b/core/dhtraffic/arrive_test.go
@@ -14,28 +14,18 @@
 // confirmed at 10 s. One organisation keeps to the lease, one has a grace.
 func withCutOff(t *testing.T) *State {
 	t.Helper()
-	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
-		ID: "x", Author: "test", Puts: []dhcatalog.Object{
-			dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
-			dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "a1-1", Zone: "a1", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}),
-			dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "strict"}),
-			dhcatalog.NewKey(dhcatalog.KeyOptions{Name: "strict", Organisation: "strict", Hash: dhcatalog.KeyHash{1}}),
-			dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "lenient", StaleGrace: 60_000}),
-			dhcatalog.NewKey(dhcatalog.KeyOptions{Name: "lenient", Organisation: "lenient", Hash: dhcatalog.KeyHash{2}}),
-			dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "lenient", Organisation: "lenient", Rate: 100, Burst: 100}),
-			dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
-			dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "keyed", PathPrefix: "/keyed/", Service: "s", Idempotent: true, Timeout: 1000}),
-			dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "open", PathPrefix: "/open/", Service: "s", Open: true, Idempotent: true, Timeout: 1000}),
-		},
-	}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := New(Options{Instance: "a1-1", Zone: "a1", Now: 1})
-	s.Published(dhevent.NewViewPublished(1, dhevent.ViewPublishedOptions{
-		View: dhview.New(dhview.Options{Catalog: c, Ever: true, Confirmed: 10_000}),
-	}))
-	return s
+	return withState(t, 10_000,
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
+		dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "a1-1", Zone: "a1", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}),
+		dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "strict"}),
+		dhcatalog.NewKey(dhcatalog.KeyOptions{Name: "strict", Organisation: "strict", Hash: dhcatalog.KeyHash{1}}),
+		dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "lenient", StaleGrace: 60_000}),
+		dhcatalog.NewKey(dhcatalog.KeyOptions{Name: "lenient", Organisation: "lenient", Hash: dhcatalog.KeyHash{2}}),
+		dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "lenient", Organisation: "lenient", Rate: 100, Burst: 100}),
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "keyed", PathPrefix: "/keyed/", Service: "s", Idempotent: true, Timeout: 1000}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "open", PathPrefix: "/open/", Service: "s", Open: true, Idempotent: true, Timeout: 1000}),
+	)
 }
 
 // TestCutOff lets requests arrive at an instance that is cut off: after its
--- /dev/null
+++ b/core/dhtraffic/helpers_test.go
@@ -0,0 +1,25 @@
+package dhtraffic
+
+import (
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhview"
+)
+
+// withState returns the state of the instance a1-1 with objects in force that
+// were confirmed at a time.
+func withState(t testing.TB, confirmed dhclock.Millis, puts ...dhcatalog.Object) *State {
+	t.Helper()
+	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: puts}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(Options{Instance: "a1-1", Zone: "a1"})
+	s.Published(dhevent.NewViewPublished(1, dhevent.ViewPublishedOptions{
+		View: dhview.New(dhview.Options{Catalog: c, Ever: true, Confirmed: confirmed}),
+	}))
+	return s
+}
--- a/core/dhtraffic/intake_test.go
+++ b/core/dhtraffic/intake_test.go
@@ -10,7 +10,6 @@
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/core/dhsteer"
-	"dogwoodhitch/core/dhview"
 )
 
 const (
@@ -23,20 +22,10 @@
 // withReceiver returns the state of an instance with upstreams of its own.
 func withReceiver(t testing.TB) *State {
 	t.Helper()
-	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
-		ID: "x", Author: "test", Puts: []dhcatalog.Object{
-			dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s", SpillPercent: spillPercent, ColdStart: coldStart}),
-			dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Open: true, Idempotent: true, Timeout: 60_000, QueueWait: 100}),
-		},
-	}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := New(Options{Instance: "a1-1", Zone: "a1"})
-	s.Published(dhevent.NewViewPublished(1, dhevent.ViewPublishedOptions{
-		View: dhview.New(dhview.Options{Catalog: c, Ever: true, Confirmed: 1 << 40}),
-	}))
-	return s
+	return withState(t, 1<<40,
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s", SpillPercent: spillPercent, ColdStart: coldStart}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Open: true, Idempotent: true, Timeout: 60_000, QueueWait: 100}),
+	)
 }
 
 // renew lets the upstreams announce themselves.
--- a/core/dhtraffic/link_test.go
+++ b/core/dhtraffic/link_test.go
@@ -8,32 +8,21 @@
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
-	"dogwoodhitch/core/dhview"
 )
 
 // withOrigin returns the state of an instance without upstreams, whose
 // neighbour in another region has reserved room.
 func withOrigin(t testing.TB, kilobytes int64) *State {
 	t.Helper()
-	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
-		ID: "x", Author: "test", Puts: []dhcatalog.Object{
-			dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
-			dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "b1", Region: "b"}),
-			dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "a1-1", Zone: "a1", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}),
-			dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "b1-1", Zone: "b1", CallerAddress: "10.0.0.2:1", PeerAddress: "10.0.0.2:2"}),
-			dhcatalog.NewLink(dhcatalog.LinkOptions{Name: "ab", Regions: [2]string{"b", "a"}, Kilobytes: kilobytes}),
-			dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
-			dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Open: true, Idempotent: true, Timeout: 60_000, QueueWait: 100}),
-		},
-	}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := New(Options{Instance: "a1-1", Zone: "a1"})
-	s.Published(dhevent.NewViewPublished(1, dhevent.ViewPublishedOptions{
-		View: dhview.New(dhview.Options{Catalog: c, Ever: true, Confirmed: 1 << 40}),
-	}))
-	return s
+	return withState(t, 1<<40,
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "b1", Region: "b"}),
+		dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "a1-1", Zone: "a1", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}),
+		dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "b1-1", Zone: "b1", CallerAddress: "10.0.0.2:1", PeerAddress: "10.0.0.2:2"}),
+		dhcatalog.NewLink(dhcatalog.LinkOptions{Name: "ab", Regions: [2]string{"b", "a"}, Kilobytes: kilobytes}),
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Open: true, Idempotent: true, Timeout: 60_000, QueueWait: 100}),
+	)
 }
 
 // TestLinkStaysUnderItsCap passes on as much as it can: what goes over the
--- a/core/dhtraffic/tick_test.go
+++ b/core/dhtraffic/tick_test.go
@@ -7,8 +7,6 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
-	"dogwoodhitch/core/dhevent"
-	"dogwoodhitch/core/dhview"
 )
 
 // BenchmarkTick lets time pass at an instance that knows so many organisations
@@ -21,12 +19,7 @@
 			puts = append(puts, dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: name}),
 				dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: name, Organisation: name, Rate: 100, Burst: 100}))
 		}
-		c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: puts}))
-		if err != nil {
-			b.Fatal(err)
-		}
-		s := New(Options{Instance: "a1-1", Zone: "a1"})
-		s.Published(dhevent.NewViewPublished(1, dhevent.ViewPublishedOptions{View: dhview.New(dhview.Options{Catalog: c})}))
+		s := withState(b, 1, puts...)
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			var out dheffect.List
 			now := dhclock.Millis(10_000)
