--- a/core/dhcatalog/catalog_test.go
+++ b/core/dhcatalog/catalog_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"maps"
+	"os"
 	"runtime"
 	"strings"
 	"testing"
@@ -11,6 +13,15 @@
 	"pgregory.net/rapid"
 )
 
+// TestMain gives rapid a fixed seed unless the command line gives another.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
 func withSites(t testing.TB, n int, more ...Object) *Catalog {
 	t.Helper()
 	puts := append([]Object{NewZone(ZoneOptions{Name: "z", Region: "r"})}, more...)
