Tell callers before a stopping instance closes their connections

Ruled out: requests that run (they were waited for). Change: from the start of the leave every answer ends its connection, and new requests are refused as not run for at least 500 ms before the listener closes. The test's callers now stop when they are told to, as callers do, and each must be told; before, a refused connection was let pass.

--- a/cmd/dogwoodhitch/fault_test.go
+++ b/cmd/dogwoodhitch/fault_test.go
@@ -218,7 +218,7 @@
 	c.withUpstream("gate-a1-1", c.entries[0], slow)
 	leaving := c.entries[0]
 	var stop atomic.Bool
-	var served atomic.Int64
+	var served, told atomic.Int64
 	var group sync.WaitGroup
 	for range 4 {
 		group.Go(func() {
@@ -229,12 +229,11 @@
 				case r.status == http.StatusOK && r.body == "whole":
 					served.Add(1)
 				case r.kind == "instanceLeaving" && r.run == "not-run":
-				case r.problem != nil && strings.Contains(r.problem.Error(), "connection refused"):
+					told.Add(1)
+					return // as a caller would, to another instance
 				default:
-					t.Errorf("a request was cut: %+v", r)
-				}
-				if r.status != http.StatusOK {
-					time.Sleep(10 * time.Millisecond)
+					t.Errorf("a request was cut: %+v, %v", r, r.problem)
+					return
 				}
 			}
 		})
@@ -248,6 +247,9 @@
 	<-leaving.done
 	stop.Store(true)
 	group.Wait()
+	if told.Load() != 4 {
+		t.Errorf("%d of 4 callers were told that the instance leaves", told.Load())
+	}
 	if served.Load() == 0 || leaving.command.ProcessState.ExitCode() != 0 {
 		t.Errorf("served %d, exit code %d", served.Load(), leaving.command.ProcessState.ExitCode())
 	}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -52,7 +52,8 @@
 type Server struct {
 	options Options
 	clients clients
-	leaving atomic.Bool
+	closing atomic.Bool  // connections end with their next answer
+	leaving atomic.Bool  // new requests are refused
 	held    atomic.Int64 // bytes of request bodies
 }
 
@@ -62,6 +63,10 @@
 // Close closes the connections that are kept.
 func (s *Server) Close() { s.clients.close() }
 
+// CloseConnections ends each connection with its next answer, so that none is
+// kept that a caller might use while the process stops.
+func (s *Server) CloseConnections() { s.closing.Store(true) }
+
 // Leave makes new requests end with a refusal that says that they did not run.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
@@ -111,6 +116,9 @@
 
 // serve carries one request from its arrival to its end.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, organisation string, passed bool) {
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if !s.hold(r) {
 		writeRefusal(w, requestID(r.Header.Get(HeaderRequest)), dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, dhclock.Second))
 		return
@@ -122,7 +130,6 @@
 		return
 	}
 	if s.leaving.Load() {
-		w.Header().Set("Connection", "close")
 		writeRefusal(w, in.id, dheffect.NewRefusal(dheffect.RefuseLeaving, false, dhclock.Second))
 		return
 	}
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -27,6 +27,10 @@
 	maxHeader     = 64 << 10
 	// trafficTick is the time between two ticks of traffic state.
 	trafficTick = 10 * time.Millisecond
+	// tellCallers is for how long at least a stopping instance refuses new
+	// requests before it closes its listener, so that callers that still come
+	// are told instead of cut.
+	tellCallers = 500 * time.Millisecond
 )
 
 var emptyCatalog = dhcatalog.New()
@@ -152,13 +156,15 @@
 	}
 	p.log.Info("leaving")
 	p.loop.Offer(dhevent.NewLeaveStarted(p.options.Clock.Now()))
+	p.entry.CloseConnections()
 	time.Sleep(dhtime.Span(p.options.LeaveWait))
 	p.entry.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), dhtime.Span(p.options.Finish))
 	defer cancel()
 	ticker := time.NewTicker(trafficTick)
 	defer ticker.Stop()
-	for p.shard.Open() > 0 && ctx.Err() == nil {
+	told := time.Now().Add(tellCallers)
+	for (p.shard.Open() > 0 || time.Now().Before(told)) && ctx.Err() == nil {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
