--- a/core/dhcatalog/catalog_test.go
+++ b/core/dhcatalog/catalog_test.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !maps.Equal(back.objects, start.objects) || back.BlockCount() != 1 {
+	if !maps.EqualFunc(back.objects, start.objects, same) || back.BlockCount() != 1 {
 		t.Errorf("got %v and %d blocks", back.objects, back.BlockCount())
 	}
 	if s, found := back.SiteOf(5<<40|1, false); !found || s.Name() != "s0" {
--- a/core/dhcatalog/index.go
+++ b/core/dhcatalog/index.go
@@ -1,9 +1,7 @@
 package dhcatalog
 
 import (
-	"slices"
 	"strconv"
-	"strings"
 
 	"dogwoodhitch/core/dhclock"
 )
@@ -11,7 +9,11 @@
 // index holds what requests look up, worked out once a version.
 type index struct {
 	keys        map[KeyHash]Key
-	routes      []Route
+	routes      map[string]*routeTable // by host
+	upstreams   map[string][]Upstream  // by service
+	addresses   map[string][]Upstream
+	evacuations map[string]bool
+	grace       dhclock.Millis // the longest of any organisation
 	instances   map[string][]Instance
 	zones       []Zone
 	drains      map[Ref]Drain
@@ -24,16 +26,27 @@
 
 func newIndex(objects map[Ref]Object) *index {
 	x := &index{
-		keys:      map[KeyHash]Key{},
-		instances: map[string][]Instance{},
-		drains:    map[Ref]Drain{},
+		keys:        map[KeyHash]Key{},
+		routes:      map[string]*routeTable{},
+		upstreams:   map[string][]Upstream{},
+		addresses:   map[string][]Upstream{},
+		evacuations: map[string]bool{},
+		instances:   map[string][]Instance{},
+		drains:      map[Ref]Drain{},
 	}
 	for _, r := range sortedRefs(objects) {
 		switch o := objects[r].(type) {
 		case Key:
 			x.keys[o.Hash()] = o
 		case Route:
-			x.routes = append(x.routes, o)
+			x.addRoute(o)
+		case Upstream:
+			x.upstreams[o.Service()] = append(x.upstreams[o.Service()], o)
+			x.addresses[o.Address()] = append(x.addresses[o.Address()], o)
+		case Organisation:
+			x.grace = max(x.grace, o.StaleGrace())
+		case Evacuation:
+			x.evacuations[o.Zone()] = true
 		case Instance:
 			x.instances[o.Zone()] = append(x.instances[o.Zone()], o)
 		case Zone:
@@ -50,9 +63,6 @@
 			}
 		}
 	}
-	slices.SortStableFunc(x.routes, func(a, b Route) int {
-		return len(b.PathPrefix()) - len(a.PathPrefix())
-	})
 	return x
 }
 
@@ -83,8 +93,9 @@
 			p.requireUnique(r, "organisation", limits[o.Organisation()], "keep one limit an organisation")
 			limits[o.Organisation()] = r.name
 		case Route:
-			p.requireUnique(r, "pathPrefix", prefixes[o.PathPrefix()], "choose another prefix")
-			prefixes[o.PathPrefix()] = r.name
+			place := o.Host() + o.PathPrefix()
+			p.requireUnique(r, "pathPrefix", prefixes[place], "choose another prefix")
+			prefixes[place] = r.name
 		case Drain:
 			p.requireUnique(r, "target", drains[o.Target()], "keep one drain a target")
 			drains[o.Target()] = r.name
@@ -118,22 +129,16 @@
 	return o, found
 }
 
+// LongestGrace returns by how much the freshness lease is extended for some
+// organisation, in milliseconds.
+func (c *Catalog) LongestGrace() dhclock.Millis { return c.index.grace }
+
 // Service returns a service by name.
 func (c *Catalog) Service(name string) (Service, bool) {
 	s, found := c.objects[NewRef(KindService, name)].(Service)
 	return s, found
 }
 
-// RouteFor returns the route with the longest prefix of a path.
-func (c *Catalog) RouteFor(path string) (Route, bool) {
-	for _, r := range c.index.routes {
-		if strings.HasPrefix(path, r.PathPrefix()) {
-			return r, true
-		}
-	}
-	return Route{}, false
-}
-
 // InstancesIn returns the declared instances of a zone, sorted by name. The
 // caller must not change the slice.
 func (c *Catalog) InstancesIn(zone string) []Instance { return c.index.instances[zone] }
--- a/core/dhcatalog/object.go
+++ b/core/dhcatalog/object.go
@@ -21,6 +21,9 @@
 	KindSite         Kind = "site"
 	KindDrain        Kind = "drain"
 	KindLink         Kind = "link"
+	KindUpstream     Kind = "upstream"
+	KindEvacuation   Kind = "evacuation"
+	KindDeclaration  Kind = "declaration"
 )
 
 // KindRegion is the kind of a drain's target that is a region. Regions are
@@ -33,6 +36,7 @@
 	return []Kind{
 		KindZone, KindInstance, KindOrganisation, KindKey, KindService,
 		KindRoute, KindLimit, KindObjective, KindSite, KindDrain, KindLink,
+		KindUpstream, KindEvacuation, KindDeclaration,
 	}
 }
 
--- a/core/dhcatalog/organisation.go
+++ b/core/dhcatalog/organisation.go
@@ -14,6 +14,12 @@
 	StaleGrace dhclock.Millis
 	// Weight is the organisation's share when requests queue; 0 stands for 1.
 	Weight int
+	// Rank orders the organisation's requests before the routes' own priorities:
+	// 1 plus its priority, of which 0 goes first. 0 leaves it to the routes.
+	Rank int
+	// Homes are the only regions in which its requests may be served; empty for
+	// all.
+	Homes []string
 }
 
 // Organisation is a tenant.
@@ -34,11 +40,28 @@
 // Weight returns the share in queues, at least 1.
 func (o Organisation) Weight() int { return max(1, o.options.Weight) }
 
+// Priority returns the rank of a request of the organisation on a route; 0 goes
+// first.
+func (o Organisation) Priority(r Route) int {
+	if o.options.Rank > 0 {
+		return o.options.Rank - 1
+	}
+	return r.Priority()
+}
+
+// Rank returns 1 plus the organisation's priority, or 0 if it has none.
+func (o Organisation) Rank() int { return o.options.Rank }
+
+// Homes returns the only regions that may serve the organisation; empty for
+// all.
+func (o Organisation) Homes() []string { return o.options.Homes }
+
 func (o Organisation) references() []Ref { return nil }
 
 func (o Organisation) check(p *problems) {
 	p.requireRange(o.Ref(), "staleGraceMs", o.options.StaleGrace.Milliseconds(), 0, MaxStaleGrace.Milliseconds())
 	p.requireRange(o.Ref(), "weight", int64(o.options.Weight), 0, maxWeight)
+	p.requireRange(o.Ref(), "rank", int64(o.options.Rank), 0, MaxPriority+1)
 }
 
 // maxWeight bounds an organisation's queue weight.
--- a/core/dhcatalog/route.go
+++ b/core/dhcatalog/route.go
@@ -13,48 +13,26 @@
 	MaxQueueWait = 60 * dhclock.Second
 	MaxPriority  = 9
 	MaxRetention = 7 * 24 * 3600 * dhclock.Second
+	// DefaultAttempts is how many upstreams a request is sent to at most where
+	// its route doesn't say.
+	DefaultAttempts  = 3
+	maxRouteAttempts = 100
+	maxSplitWeight   = 1_000_000
+	// maxObjectiveExcess is by how much an objective may exceed the timeout:
+	// more is a slip of units.
+	maxObjectiveExcess = 60 * dhclock.Second
 )
 
-// ServiceOptions are the fields of a Service.
-type ServiceOptions struct {
-	Name string
-	// SpillPercent is the largest share of a region's slots for this service
-	// that requests from other regions may hold, in percent.
-	SpillPercent int
-	// ColdStart is the time in which a new upstream rises to all its slots.
-	ColdStart dhclock.Millis
-}
-
-// Service is a set of interchangeable upstreams.
-type Service struct{ options ServiceOptions }
-
-// NewService returns a service.
-func NewService(o ServiceOptions) Service { return Service{options: o} }
-
-// Ref implements Object.
-func (s Service) Ref() Ref { return NewRef(KindService, s.options.Name) }
-
-// Name returns the service's name, which upstreams announce.
-func (s Service) Name() string { return s.options.Name }
-
-// SpillPercent returns the share of slots open to other zones, in percent.
-func (s Service) SpillPercent() int { return s.options.SpillPercent }
-
-// ColdStart returns the ramp of a new upstream, in milliseconds.
-func (s Service) ColdStart() dhclock.Millis { return s.options.ColdStart }
-
-func (s Service) references() []Ref { return nil }
-
-func (s Service) check(p *problems) {
-	p.requireRange(s.Ref(), "spillPercent", int64(s.options.SpillPercent), 0, 100)
-	p.requireRange(s.Ref(), "coldStartMs", s.options.ColdStart.Milliseconds(), 0, MaxTimeout.Milliseconds())
-}
-
 // RouteOptions are the fields of a Route.
 type RouteOptions struct {
-	Name       string
+	Name string
+	// Host is the host name that callers ask for, in lower case; "" for any.
+	Host       string
 	PathPrefix string
-	Service    string
+	// Service answers, unless Split names several.
+	Service string
+	// Split distributes the requests over services by weight.
+	Split []Weighted
 	// Open routes need no key.
 	Open bool
 	// Idempotent requests may be sent again after an unclear failure.
@@ -64,6 +42,16 @@
 	ClaimRequired bool
 	Timeout       dhclock.Millis
 	QueueWait     dhclock.Millis
+	// Objective is the latency within which an answer is of full use to the
+	// caller; 0 if none is known.
+	Objective dhclock.Millis
+	// MaxAttempts bounds the upstreams that one request is sent to; 0 stands for
+	// the default.
+	MaxAttempts int
+	// Affinity sends requests about the same object to the same upstream.
+	Affinity bool
+	// Homes are the only regions in which requests may be served; empty for all.
+	Homes []string
 	// Priority orders waiting requests; 0 goes first.
 	Priority int
 	// Retention is how long a claim and its outcome are kept.
@@ -85,9 +73,41 @@
 // PathPrefix returns the prefix of the paths that the route serves.
 func (r Route) PathPrefix() string { return r.options.PathPrefix }
 
-// Service returns the name of the service that answers.
+// Host returns the host name that callers ask for, or "" for any.
+func (r Route) Host() string { return r.options.Host }
+
+// Service returns the name of the service that answers, or "" if the route is
+// split.
 func (r Route) Service() string { return r.options.Service }
 
+// Split returns the services that share the requests. The caller must not
+// change the slice.
+func (r Route) Split() []Weighted { return r.options.Split }
+
+// Objective returns the latency of a good answer, in milliseconds, or 0.
+func (r Route) Objective() dhclock.Millis { return r.options.Objective }
+
+// MaxAttempts returns how many upstreams one request may be sent to.
+func (r Route) MaxAttempts() int {
+	if r.options.MaxAttempts == 0 {
+		return DefaultAttempts
+	}
+	return r.options.MaxAttempts
+}
+
+// ConfiguredAttempts returns what the route says about attempts; 0 for nothing.
+func (r Route) ConfiguredAttempts() int { return r.options.MaxAttempts }
+
+// ConfiguredQueueWait returns what the route says about waiting; 0 for nothing.
+func (r Route) ConfiguredQueueWait() dhclock.Millis { return r.options.QueueWait }
+
+// Affinity tells whether requests about the same object go to the same
+// upstream.
+func (r Route) Affinity() bool { return r.options.Affinity }
+
+// Homes returns the only regions that may serve the route; empty for all.
+func (r Route) Homes() []string { return r.options.Homes }
+
 // Open tells whether the route needs no key.
 func (r Route) Open() bool { return r.options.Open }
 
@@ -102,7 +122,18 @@
 func (r Route) Timeout() dhclock.Millis { return r.options.Timeout }
 
 // QueueWait returns the longest wait for a slot or a token, in milliseconds.
-func (r Route) QueueWait() dhclock.Millis { return r.options.QueueWait }
+// Where the route says nothing, it is a small part of its objective: a caller
+// that is refused at once can still be served elsewhere in time.
+func (r Route) QueueWait() dhclock.Millis {
+	if r.options.QueueWait == 0 {
+		return r.options.Objective / objectiveWaitPart
+	}
+	return r.options.QueueWait
+}
+
+// objectiveWaitPart is the part of the objective for which a request waits, one
+// in so many.
+const objectiveWaitPart = 10
 
 // Priority returns the rank among waiting requests; 0 goes first.
 func (r Route) Priority() int { return r.options.Priority }
@@ -110,7 +141,16 @@
 // Retention returns how long a claim's outcome is kept, in milliseconds.
 func (r Route) Retention() dhclock.Millis { return r.options.Retention }
 
-func (r Route) references() []Ref { return []Ref{NewRef(KindService, r.options.Service)} }
+func (r Route) references() []Ref {
+	if len(r.options.Split) == 0 {
+		return []Ref{NewRef(KindService, r.options.Service)}
+	}
+	list := make([]Ref, 0, len(r.options.Split))
+	for _, w := range r.options.Split {
+		list = append(list, NewRef(KindService, w.Service()))
+	}
+	return list
+}
 
 func (r Route) check(p *problems) {
 	if !strings.HasPrefix(r.options.PathPrefix, "/") {
@@ -128,7 +168,45 @@
 	p.requireRange(r.Ref(), "timeoutMs", r.options.Timeout.Milliseconds(), 1, MaxTimeout.Milliseconds())
 	p.requireRange(r.Ref(), "queueWaitMs", r.options.QueueWait.Milliseconds(), 0, MaxQueueWait.Milliseconds())
 	p.requireRange(r.Ref(), "priority", int64(r.options.Priority), 0, MaxPriority)
+	p.requireRange(r.Ref(), "objectiveMs", r.options.Objective.Milliseconds(), 0, (r.options.Timeout+maxObjectiveExcess).Milliseconds()-1)
+	p.requireRange(r.Ref(), "maxAttempts", int64(r.options.MaxAttempts), 0, maxRouteAttempts)
+	r.checkSplit(p)
 }
 
+// checkSplit refuses shares that can't be kept to.
+func (r Route) checkSplit(p *problems) {
+	if len(r.options.Split) == 0 {
+		return
+	}
+	if r.options.Service != "" {
+		p.add(r.Ref(), "service", strconv.Quote(r.options.Service)+" beside a split", "name one service, or a split")
+	}
+	total := int64(0)
+	for _, w := range r.options.Split {
+		p.requireRange(r.Ref(), "split.weight", int64(w.Weight()), 0, maxSplitWeight)
+		total += int64(w.Weight())
+	}
+	if total <= 0 {
+		p.add(r.Ref(), "split", "no weight above 0", "give at least one service a weight")
+	}
+}
+
+// Weighted is a service with its share of a split.
+type Weighted struct {
+	service string
+	weight  int
+}
+
+// NewWeighted returns a service with a weight.
+func NewWeighted(service string, weight int) Weighted {
+	return Weighted{service: service, weight: weight}
+}
+
+// Service returns the name of the service.
+func (w Weighted) Service() string { return w.service }
+
+// Weight returns the share, relative to the other weights of the split.
+func (w Weighted) Weight() int { return w.weight }
+
 // ReservedPrefix starts the paths that an entry instance answers by itself.
 const ReservedPrefix = "/dogwoodhitch/"
--- a/core/dhconsensus/members.go
+++ b/core/dhconsensus/members.go
@@ -85,7 +85,7 @@
 	next := slices.Clone(n.log.voters())
 	changed := n.bindFounders(next)
 	for i, v := range next {
-		if changed || !v.Learner() {
+		if changed || n.managed || !v.Learner() {
 			continue
 		}
 		p := n.progressOf(v.Peer().Name())
--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -55,6 +55,8 @@
 	Now dhclock.Millis
 	// Random seeds the first election timeout.
 	Random uint64
+	// Managed leaves it to the caller which learner gets a vote.
+	Managed bool
 }
 
 // Node is one voter or learner.
@@ -68,6 +70,8 @@
 	commit uint64
 	now    dhclock.Millis
 	random uint64
+	// managed leaves it to the caller which learner gets a vote.
+	managed bool
 
 	// heard is when a leader or candidate of the current term was last heard.
 	heard   dhclock.Millis
@@ -94,6 +98,8 @@
 		random: o.Random,
 		heard:  o.Now,
 		grown:  o.Now,
+
+		managed: o.Managed,
 	}
 	n.resetTimeout()
 	return n
--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -43,6 +43,15 @@
 	s.proposals.send(s.proposals.next, s.now, s.leader(), out)
 }
 
+// wish proposes a command whose result nobody waits for.
+func (s *State) wish(c dhmessage.Command, out *dheffect.List) {
+	s.propose(dhevent.NewProposalWanted(s.now, dhevent.ProposalWantedOptions{Command: c, Patience: wishPatience}), out)
+}
+
+// wishPatience is how long a command that nobody waits for is offered to the
+// voters, in milliseconds. Whoever wishes it comes back to it.
+const wishPatience = 2 * dhclock.Second
+
 // send offers a proposal to the leader, or to each voter in turn while none is
 // known. A process may send to itself.
 func (p *proposals) send(number uint64, now dhclock.Millis, leader string, out *dheffect.List) {
@@ -101,7 +110,9 @@
 		}))
 	case dhmessage.Outcome:
 	default:
-		out.Add(dheffect.NewReply(dheffect.ReplyOptions{Ticket: o.ticket, Result: r}))
+		if o.ticket != 0 {
+			out.Add(dheffect.NewReply(dheffect.ReplyOptions{Ticket: o.ticket, Result: r}))
+		}
 	}
 }
 
@@ -176,7 +187,10 @@
 			return nil, dhmessage.NewResult(dhmessage.ResultOptions{Err: err}), true
 		}
 		return dhmessage.NewMembers(next), dhmessage.Result{}, false
-	case dhmessage.Claim, dhmessage.Outcome, dhmessage.Resolve:
+	case dhmessage.Declare:
+		r, settled := v.previewDeclare(c)
+		return c, r, settled
+	case dhmessage.Claim, dhmessage.Outcome, dhmessage.Resolve, dhmessage.Edit:
 		return c, dhmessage.Result{}, false
 	default:
 		return nil, dhmessage.NewResult(dhmessage.ResultOptions{
@@ -199,6 +213,16 @@
 	return r, true
 }
 
+// previewDeclare answers a declaration that changes nothing or can't be
+// accepted, so that it doesn't fill the log.
+func (v *voter) previewDeclare(d dhmessage.Declare) (dhmessage.Result, bool) {
+	if _, sure := v.node.Confirmed(); !sure {
+		return dhmessage.Result{}, false
+	}
+	r := v.ledger.PreviewDeclare(d)
+	return r, r.Err() != nil
+}
+
 // editMembers returns the members after an edit.
 func (v *voter) editMembers(e dhmessage.MemberEdit) ([]dhmessage.Voter, error) {
 	next := slices.Clone(v.node.Voters())
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 
+	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhconsensus"
 	"dogwoodhitch/core/dheffect"
@@ -32,6 +33,12 @@
 	// CompactEntries is how many log entries a voter keeps at least between two
 	// snapshots; 0 stands for 1024.
 	CompactEntries int
+	// Introduce is an entry instance as it runs, which the leader adds to the
+	// configuration; nil where operators declare instances.
+	Introduce *dhcatalog.Instance
+	// Managed lets the leader look after members, zones and instances by itself;
+	// nil where operators do.
+	Managed *ManagedOptions
 }
 
 // State is the control state of one process.
@@ -42,6 +49,8 @@
 	spread    *dhspread.State
 	proposals proposals
 	reads     []read
+	registry  registry
+	fleet     *fleet // nil where operators look after members
 }
 
 // voter is what only a voter has.
@@ -66,9 +75,11 @@
 		now:  o.Now,
 		spread: dhspread.New(dhspread.Options{
 			Self: o.Self.Name(), Zone: o.Zone, Voters: o.Voters,
-			Voter: o.Consensus != nil, Now: o.Now,
+			Voter: o.Consensus != nil, Introduce: o.Introduce, Now: o.Now,
 		}),
 		proposals: newProposals(o.Stream, o.Voters),
+		registry:  newRegistry(),
+		fleet:     newFleet(o.Managed),
 	}
 	if o.Consensus == nil {
 		return s
@@ -119,6 +130,10 @@
 		out.Add(s.claimReply(e))
 	case *dhevent.GrantsWanted:
 		s.askOwner(e, out)
+	case *dhevent.UpstreamChecked:
+		s.checkIn(e, out)
+	case *dhevent.UpstreamCheckedOut:
+		s.checkOut(e, out)
 	case *dhevent.LeaveStarted:
 		s.spread.Leave()
 	}
@@ -131,6 +146,8 @@
 		s.voter.tickLimits(s.now)
 	}
 	s.followLeadership()
+	s.tickRegistry(out)
+	s.tickFleet(out)
 	s.spread.Tick(s.now, out)
 	s.proposals.retry(s.now, s.leader(), out)
 	s.answerReads(out)
@@ -175,6 +192,10 @@
 		s.proposals.answered(m, s.now, out)
 	case *dhmessage.Redirect:
 		s.redirected(m, out)
+	case *dhmessage.Join:
+		s.joined(from, m, out)
+	case *dhmessage.Heard:
+		s.registry.hearFrom(s.now, m.Upstreams())
 	default:
 		if s.voter != nil {
 			s.voter.node.Step(s.now, from, m, out)
--- a/core/dheffect/traffic.go
+++ b/core/dheffect/traffic.go
@@ -28,6 +28,9 @@
 	Fresh bool
 	// Echoes is whether the upstream repeats the attempt's number in its answer.
 	Echoes bool
+	// Registered is whether the upstream is registered with the whole fleet; it
+	// is named to whoever answers at the address.
+	Registered bool
 }
 
 // Forward sends a request to an upstream.
@@ -85,6 +88,9 @@
 	Claimed bool
 }
 
+// Registered returns whether the upstream is registered with the whole fleet.
+func (e *Forward) Registered() bool { return e.options.Registered }
+
 // Pass hands a request to another entry instance.
 type Pass struct {
 	options PassOptions
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -1,6 +1,7 @@
 package dhevent
 
 import (
+	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhmessage"
 )
@@ -235,6 +236,61 @@
 // Asks returns the wishes.
 func (e *GrantsWanted) Asks() []dhmessage.Ask { return e.options.Asks }
 
+// UpstreamCheckedOptions are the fields of an UpstreamChecked.
+type UpstreamCheckedOptions struct {
+	// Ticket is the number for the reply.
+	Ticket uint64
+	// Upstream is what the upstream says of itself.
+	Upstream dhcatalog.Upstream
+}
+
+// UpstreamChecked is a word of an upstream that registers with the whole fleet.
+type UpstreamChecked struct {
+	stamp
+	options UpstreamCheckedOptions
+}
+
+// NewUpstreamChecked returns an UpstreamChecked.
+func NewUpstreamChecked(at dhclock.Millis, o UpstreamCheckedOptions) *UpstreamChecked {
+	return &UpstreamChecked{stamp: stamp{at: at}, options: o}
+}
+
+// Ticket returns the number for the reply.
+func (e *UpstreamChecked) Ticket() uint64 { return e.options.Ticket }
+
+// Upstream returns what the upstream says of itself.
+func (e *UpstreamChecked) Upstream() dhcatalog.Upstream { return e.options.Upstream }
+
+// UpstreamCheckedOutOptions are the fields of an UpstreamCheckedOut.
+type UpstreamCheckedOutOptions struct {
+	// Ticket is the number for the reply.
+	Ticket uint64
+	// Name is the upstream's name.
+	Name string
+	// Lifetime is when the upstream started, by its own word; 0 if it didn't say.
+	Lifetime int64
+}
+
+// UpstreamCheckedOut is the last word of a registered upstream.
+type UpstreamCheckedOut struct {
+	stamp
+	options UpstreamCheckedOutOptions
+}
+
+// NewUpstreamCheckedOut returns an UpstreamCheckedOut.
+func NewUpstreamCheckedOut(at dhclock.Millis, o UpstreamCheckedOutOptions) *UpstreamCheckedOut {
+	return &UpstreamCheckedOut{stamp: stamp{at: at}, options: o}
+}
+
+// Ticket returns the number for the reply.
+func (e *UpstreamCheckedOut) Ticket() uint64 { return e.options.Ticket }
+
+// Name returns the upstream's name.
+func (e *UpstreamCheckedOut) Name() string { return e.options.Name }
+
+// Lifetime returns when the upstream started, or 0.
+func (e *UpstreamCheckedOut) Lifetime() int64 { return e.options.Lifetime }
+
 // LeaveStarted says that this instance is about to stop.
 type LeaveStarted struct {
 	stamp
--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -197,8 +197,14 @@
 type RequestArrivedOptions struct {
 	// Request is the request's number at this instance.
 	Request uint64
+	// Host is the host name that the caller asks for, in lower case, or "".
+	Host string
 	// Path is the path.
 	Path string
+	// Object is the hash of the object that the request is about; 0 if unknown.
+	Object uint64
+	// Random is fresh randomness.
+	Random uint64
 	// KeyHash is the hash of the caller's key; zero if none came.
 	KeyHash dhcatalog.KeyHash
 	// Passed is whether another instance admitted the request and passes it on.
@@ -229,6 +235,15 @@
 // Request returns the request's number at this instance.
 func (e *RequestArrived) Request() uint64 { return e.options.Request }
 
+// Host returns the host name that the caller asks for, or "".
+func (e *RequestArrived) Host() string { return e.options.Host }
+
+// Object returns the hash of the object that the request is about, or 0.
+func (e *RequestArrived) Object() uint64 { return e.options.Object }
+
+// Random returns fresh randomness.
+func (e *RequestArrived) Random() uint64 { return e.options.Random }
+
 // Path returns the path.
 func (e *RequestArrived) Path() string { return e.options.Path }
 
@@ -383,6 +398,9 @@
 	EndBroken
 	// EndTimedOut means that it may have run and the time was over.
 	EndTimedOut
+	// EndMisplaced means that another upstream answered at the address, which did
+	// not run it.
+	EndMisplaced
 	// EndCallerGone means that the caller went away while it ran.
 	EndCallerGone
 )
--- a/core/dhledger/change.go
+++ b/core/dhledger/change.go
@@ -9,13 +9,18 @@
 func (l *Ledger) applyChange(s dhcatalog.ChangeSet) dhmessage.Result {
 	next, result := l.judge(s)
 	if next != nil {
-		undo := l.catalog.Undo(s)
-		l.catalog = next
-		l.remember(dhmessage.NewAccepted(next.Version(), l.at, s, undo))
+		l.accept(next, s)
 	}
 	return result
 }
 
+// accept puts a change set in force and remembers it with the way back.
+func (l *Ledger) accept(next *dhcatalog.Catalog, s dhcatalog.ChangeSet) {
+	undo := l.catalog.Undo(s)
+	l.catalog = next
+	l.remember(dhmessage.NewAccepted(next.Version(), l.at, s, undo))
+}
+
 // Preview tells what a change set would lead to now, without committing it.
 func (l *Ledger) Preview(s dhcatalog.ChangeSet) dhmessage.Result {
 	_, result := l.judge(s)
--- a/core/dhledger/ledger.go
+++ b/core/dhledger/ledger.go
@@ -107,6 +107,10 @@
 	switch c := e.Command().(type) {
 	case dhmessage.Change:
 		return l.applyChange(c.Set())
+	case dhmessage.Declare:
+		return l.applyDeclare(c)
+	case dhmessage.Edit:
+		return l.applyEdit(c)
 	case dhmessage.Claim:
 		return l.applyClaim(c)
 	case dhmessage.Outcome:
--- /dev/null
+++ b/core/dhlookup/near.go
@@ -0,0 +1,32 @@
+package dhlookup
+
+import (
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhview"
+)
+
+// Near returns the instances that a client in a zone should use: those of its
+// region that are neither gone nor leaving, or if there are none those of all
+// regions. At most so many are named.
+func Near(v *dhview.View, region string, most int) []dhcatalog.Instance {
+	list := instancesOf(v, func(z dhcatalog.Zone) bool { return z.Region() == region })
+	if len(list) == 0 {
+		list = instancesOf(v, func(dhcatalog.Zone) bool { return true })
+	}
+	return list[:min(most, len(list))]
+}
+
+func instancesOf(v *dhview.View, include func(dhcatalog.Zone) bool) []dhcatalog.Instance {
+	var list []dhcatalog.Instance
+	for _, z := range v.Catalog().Zones() {
+		if !include(z) {
+			continue
+		}
+		for _, i := range v.Catalog().InstancesIn(z.Name()) {
+			if !v.IsAway(i.Name()) {
+				list = append(list, i)
+			}
+		}
+	}
+	return list
+}
--- a/core/dhmessage/command.go
+++ b/core/dhmessage/command.go
@@ -50,6 +50,51 @@
 
 func (Change) command() {}
 
+// Declare puts a whole configuration by number. It holds if the number is
+// higher than that of the last one; else it changes nothing.
+type Declare struct {
+	declaration dhcatalog.Declaration
+	objects     []dhcatalog.Object
+}
+
+// NewDeclare returns the command for a whole configuration.
+func NewDeclare(d dhcatalog.Declaration, objects []dhcatalog.Object) Declare {
+	return Declare{declaration: d, objects: objects}
+}
+
+// Declaration returns the number and the text of the configuration.
+func (d Declare) Declaration() dhcatalog.Declaration { return d.declaration }
+
+// Objects returns every object of the configuration.
+func (d Declare) Objects() []dhcatalog.Object { return d.objects }
+
+func (Declare) command() {}
+
+// Edit puts and deletes single objects, whatever the version is. Objects that
+// it deletes may be missing. A registered upstream is put only if it supersedes
+// the record that is kept.
+type Edit struct {
+	author  string
+	puts    []dhcatalog.Object
+	deletes []dhcatalog.Ref
+}
+
+// NewEdit returns the command for single objects.
+func NewEdit(author string, puts []dhcatalog.Object, deletes []dhcatalog.Ref) Edit {
+	return Edit{author: author, puts: puts, deletes: deletes}
+}
+
+// Author returns who or what edits.
+func (e Edit) Author() string { return e.author }
+
+// Puts returns the objects to create or replace.
+func (e Edit) Puts() []dhcatalog.Object { return e.puts }
+
+// Deletes returns the objects to remove.
+func (e Edit) Deletes() []dhcatalog.Ref { return e.deletes }
+
+func (Edit) command() {}
+
 // Voter is a member of the consensus group.
 type Voter struct {
 	peer    Peer
--- a/core/dhmessage/spread.go
+++ b/core/dhmessage/spread.go
@@ -7,9 +7,11 @@
 
 // Ack says which version an instance has in force.
 type Ack struct {
-	instance string
-	version  uint64
-	leaving  bool
+	instance     string
+	version      uint64
+	leaving      bool
+	introduced   bool
+	introduction dhcatalog.Instance
 }
 
 // NewAck returns an acknowledgement.
@@ -17,6 +19,13 @@
 	return Ack{instance: instance, version: version, leaving: leaving}
 }
 
+// Introduce returns the acknowledgement of an instance that the configuration
+// doesn't hold as it runs.
+func (a Ack) Introduce(i dhcatalog.Instance) Ack {
+	a.introduced, a.introduction = true, i
+	return a
+}
+
 // Instance returns the name of the instance.
 func (a Ack) Instance() string { return a.instance }
 
@@ -26,6 +35,10 @@
 // Leaving tells whether the instance is about to stop.
 func (a Ack) Leaving() bool { return a.leaving }
 
+// Introduction returns the instance as it runs, and false if the configuration
+// holds it so.
+func (a Ack) Introduction() (dhcatalog.Instance, bool) { return a.introduction, a.introduced }
+
 // PollOptions are the fields of a Poll.
 type PollOptions struct {
 	// Version is the version that the sender has.
--- a/core/dhspread/children.go
+++ b/core/dhspread/children.go
@@ -100,6 +100,37 @@
 	}
 }
 
+// Introductions returns the instances that introduce themselves and that the
+// configuration doesn't hold as they run, at the leader.
+func (s *State) Introductions(now dhclock.Millis) []dhcatalog.Instance {
+	var list []dhcatalog.Instance
+	for _, r := range s.sortedReports() {
+		i, introduced := r.ack.Introduction()
+		if !introduced || now.Since(r.heard) > instanceLife {
+			continue
+		}
+		if old, found := s.catalog.Instance(i.Name()); !found || old != i {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// Silent returns the declared instances that weren't heard for a span, at the
+// leader.
+func (s *State) Silent(now, span dhclock.Millis) []string {
+	if now.Since(s.led) <= span {
+		return nil
+	}
+	var list []string
+	for _, o := range s.catalog.List(dhcatalog.KindInstance) {
+		if r, found := s.reports[o.Ref().Name()]; !found || now.Since(r.heard) > span {
+			list = append(list, o.Ref().Name())
+		}
+	}
+	return list
+}
+
 // LeastAck returns the newest version that every declared instance has
 // acknowledged, at the leader.
 func (s *State) LeastAck() uint64 {
--- a/core/dhspread/parent.go
+++ b/core/dhspread/parent.go
@@ -126,7 +126,7 @@
 func (s *State) acks(now dhclock.Millis) []dhmessage.Ack {
 	var list []dhmessage.Ack
 	if !s.voter {
-		list = append(list, dhmessage.NewAck(s.self, s.catalog.Version(), s.leaving))
+		list = append(list, s.ownAck())
 	}
 	for _, r := range s.sortedReports() {
 		if now.Since(r.heard) <= ackLife && r.ack.Instance() != s.self {
@@ -136,6 +136,19 @@
 	return list
 }
 
+// ownAck tells which version this instance has in force, and introduces it if
+// the configuration doesn't hold it as it runs.
+func (s *State) ownAck() dhmessage.Ack {
+	a := dhmessage.NewAck(s.self, s.catalog.Version(), s.leaving)
+	if s.introduce == nil {
+		return a
+	}
+	if i, found := s.catalog.Instance(s.self); found && i == *s.introduce {
+		return a
+	}
+	return a.Introduce(*s.introduce)
+}
+
 // Updated takes a parent's answer, or its word of a new version. The proof of
 // being current counts only if this process has at least the version that it
 // was given for.
--- a/core/dhspread/state.go
+++ b/core/dhspread/state.go
@@ -56,7 +56,10 @@
 	Voters []string
 	// Voter tells whether the process is a voter itself.
 	Voter bool
-	Now   dhclock.Millis
+	// Introduce is the instance as it runs, which the leader adds to the
+	// configuration; nil where operators declare instances.
+	Introduce *dhcatalog.Instance
+	Now       dhclock.Millis
 }
 
 // State is one process's part in the spread.
@@ -70,6 +73,8 @@
 	looked  dhclock.Millis
 	leader  string
 	leaving bool
+	// introduce is the instance as it runs; nil where operators declare it.
+	introduce *dhcatalog.Instance
 
 	catalog   *dhcatalog.Catalog
 	history   []dhmessage.Accepted
@@ -107,7 +112,7 @@
 // New returns the state of a process that knows no configuration.
 func New(o Options) *State {
 	return &State{
-		self: o.Self, zone: o.Zone, voters: o.Voters, voter: o.Voter,
+		self: o.Self, zone: o.Zone, voters: o.Voters, voter: o.Voter, introduce: o.Introduce,
 		catalog: dhcatalog.New(), applied: o.Now,
 		children: map[string]*child{}, reports: map[string]*report{},
 		parent: parent{since: o.Now, first: o.Now}, dirty: true,
@@ -180,6 +185,10 @@
 	}
 }
 
+// VoterNames returns the members of the consensus group, or before they are
+// known the voters of the settings.
+func (s *State) VoterNames() []string { return s.voterNames() }
+
 // voterNames returns the voters to poll: the members, or before they are known
 // those of the settings.
 func (s *State) voterNames() []string {
--- /dev/null
+++ b/core/dhsteer/member.go
@@ -0,0 +1,102 @@
+package dhsteer
+
+import (
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+)
+
+// Bounds of what one instance sends to a registered upstream.
+const (
+	// queueFactor is how many requests one instance may have at an upstream, in
+	// multiples of its slots: those that run, and those that wait there because
+	// the objects that they are about are cached there.
+	queueFactor = 2
+	// coldWindow is the span over which a cold upstream's rate is counted.
+	coldWindow = dhclock.Second
+)
+
+// Member is one registered upstream as this instance sees it.
+type Member struct {
+	health
+	record  dhcatalog.Upstream
+	region  string
+	seed    uint64
+	running int
+	// away members get no new work: the record or an evacuation says so.
+	away bool
+	// misplaced means that another upstream answered at the address.
+	misplaced bool
+	coldUntil dhclock.Millis
+	coldShare int // requests in a coldWindow while it is cold; negative for any
+	coldSends []dhclock.Millis
+}
+
+// Name returns the upstream's name.
+func (m *Member) Name() string { return m.record.Name() }
+
+// Address returns the IP address and port that serve requests.
+func (m *Member) Address() string { return m.record.Address() }
+
+// Region returns the region in which the upstream runs.
+func (m *Member) Region() string { return m.region }
+
+// Running returns how many requests of this instance run there.
+func (m *Member) Running() int { return m.running }
+
+// Cold tells whether the upstream still warms up.
+func (m *Member) Cold(now dhclock.Millis) bool { return now < m.coldUntil }
+
+// usable tells whether one more request may go there now.
+func (m *Member) usable(now dhclock.Millis) bool {
+	if m.away || m.misplaced || now < m.ejected || now < m.shed {
+		return false
+	}
+	return m.running < queueFactor*m.record.Slots() && m.coldRoom(now)
+}
+
+// coldRoom tells whether a cold upstream bears one more request of this
+// instance.
+func (m *Member) coldRoom(now dhclock.Millis) bool {
+	if m.coldShare < 0 || !m.Cold(now) {
+		return true
+	}
+	sends := 0
+	for _, at := range m.coldSends {
+		if now.Since(at) < coldWindow {
+			sends++
+		}
+	}
+	return sends < m.coldShare
+}
+
+// noteSend counts a request that is sent to a cold upstream.
+func (m *Member) noteSend(now dhclock.Millis) {
+	if !m.Cold(now) {
+		m.coldSends = nil
+		return
+	}
+	for len(m.coldSends) > 0 && now.Since(m.coldSends[0]) >= coldWindow {
+		m.coldSends = m.coldSends[1:]
+	}
+	m.coldSends = append(m.coldSends, now)
+}
+
+// load returns how busy the upstream is with requests of this instance, for
+// comparison.
+func (m *Member) load() int64 {
+	return int64(m.running+1) * (m.latency + latencyScale) / int64(m.record.Slots())
+}
+
+// state names the member's condition for operators.
+func (m *Member) state(now dhclock.Millis) string {
+	switch {
+	case m.away || m.misplaced:
+		return "leaving"
+	case m.Ejected(now):
+		return "ejected"
+	case m.Cold(now):
+		return "warming"
+	default:
+		return "ok"
+	}
+}
--- a/core/dhsteer/pool.go
+++ b/core/dhsteer/pool.go
@@ -174,6 +174,10 @@
 	Failed
 	// Shed means that the upstream refused the work and did not run it.
 	Shed
+	// Unreachable means that no connection was had.
+	Unreachable
+	// Misplaced means that another upstream answers at the address.
+	Misplaced
 	// Neutral says nothing about the upstream: the caller went away.
 	Neutral
 )
@@ -187,7 +191,7 @@
 	switch v {
 	case Answered:
 		u.succeed(latency)
-	case Failed:
+	case Failed, Unreachable, Misplaced:
 		if u.fail() {
 			u.eject(now)
 			p.ejectedUntil = max(p.ejectedUntil, u.ejected)
--- a/core/dhsteer/upstream.go
+++ b/core/dhsteer/upstream.go
@@ -77,13 +77,7 @@
 	foreign  int
 	reported dhclock.Millis
 	leaving  bool
-
-	latency  int64
-	failures int
-	ejected  dhclock.Millis // until when; 0 if never
-	ejection dhclock.Millis // length of the last ejection
-	shed     dhclock.Millis // until when it is left alone; 0 if never
-	shedding dhclock.Millis // length of the last such time
+	health
 }
 
 // Name returns the upstream's name.
@@ -104,12 +98,6 @@
 // Leaving tells whether the upstream gets no new work.
 func (u *Upstream) Leaving() bool { return u.leaving }
 
-// Ejected tells whether the upstream is left out after failures.
-func (u *Upstream) Ejected(now dhclock.Millis) bool { return now < u.ejected }
-
-// Latency returns the smoothed latency in milliseconds.
-func (u *Upstream) Latency() float64 { return float64(u.latency) / latencyScale }
-
 // alive tells whether the upstream may get new work at all.
 func (u *Upstream) alive(now dhclock.Millis) bool {
 	return !u.leaving && now.Since(u.renewed) <= AnnounceLife
@@ -161,38 +149,10 @@
 	return taken * (u.latency + latencyScale) / int64(max(1, u.allowed(now)))
 }
 
-// succeed notes an answer that came after a span.
-func (u *Upstream) succeed(latency dhclock.Millis) {
-	u.failures, u.ejection, u.shedding = 0, 0, 0
-	if u.latency == 0 {
-		u.latency = int64(latency) * latencyScale
-		return
-	}
-	u.latency += (int64(latency)*latencyScale - u.latency) / latencyWeight
-}
-
-// fail notes a failure and tells whether the upstream should be ejected.
-func (u *Upstream) fail() bool {
-	u.failures++
-	return u.failures >= ejectFailures
-}
-
-// shedLoad leaves an upstream that refused work alone for a time that doubles
-// with each refusal in a row.
-func (u *Upstream) shedLoad(now dhclock.Millis) {
-	if now < u.shed {
-		return
-	}
-	u.shedding = min(shedMost, max(shedFirst, u.shedding*2))
-	u.shed = now + u.shedding
-}
-
 // eject leaves the upstream out for a time that doubles with each ejection,
 // after which it warms up again.
 func (u *Upstream) eject(now dhclock.Millis) {
-	u.ejection = min(ejectMost, max(ejectFirst, u.ejection*2))
-	u.ejected = now + u.ejection
-	u.failures = ejectFailures - 1
+	u.health.eject(now)
 	u.warmFrom = u.ejected
 	u.cold = max(u.cold, ejectFirst)
 }
--- a/core/dhtraffic/arrive.go
+++ b/core/dhtraffic/arrive.go
@@ -17,13 +17,17 @@
 // Arrive admits a request, or refuses it at once.
 func (s *State) Arrive(e *dhevent.RequestArrived, out *dheffect.List) {
 	now := e.At()
-	r := &request{id: e.Request(), arrived: now, weight: 1, passed: e.Passed(), size: e.Size()}
-	route, found := s.view.Catalog().RouteFor(e.Path())
+	r := &request{
+		id: e.Request(), arrived: now, weight: 1, passed: e.Passed(), size: e.Size(),
+		host: e.Host(), path: e.Path(), object: e.Object(), random: e.Random(),
+	}
+	route, found := s.view.Catalog().RouteFor(e.Host(), e.Path())
 	if !found {
 		s.refuse(now, r, s.unknownRoute(now), out)
 		return
 	}
 	r.route = route
+	r.service = s.serviceFor(route)
 	r.deadline = now + route.Timeout()
 	if e.Patience() > 0 {
 		r.deadline = min(r.deadline, now+e.Patience())
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -27,7 +27,7 @@
 	switch e.End() {
 	case dhevent.EndAnswered:
 		s.answered(now, r, e, out)
-	case dhevent.EndNotSent, dhevent.EndRefused:
+	case dhevent.EndNotSent, dhevent.EndRefused, dhevent.EndMisplaced:
 		s.tryAgain(now, r, dheffect.NewRefusal(notRunKind(e.End()), false, retrySoon), out)
 	case dhevent.EndBroken, dhevent.EndTimedOut:
 		s.unclear(now, r, e, out)
@@ -37,7 +37,9 @@
 		}
 		delete(s.requests, r.id)
 	}
-	s.dispatch(now, p, out)
+	if p != nil {
+		s.dispatch(now, p, out)
+	}
 }
 
 func notRunKind(end dhevent.AttemptEnd) dheffect.RefusalKind {
@@ -49,6 +51,14 @@
 
 // release gives back the slot of an attempt and judges the other side.
 func (s *State) release(now dhclock.Millis, p *pool, r *request, e *dhevent.AttemptEnded) {
+	if r.member != nil {
+		r.group.Finish(now, r.member, verdict(e), e.Latency())
+		if e.End() != dhevent.EndAnswered {
+			r.triedMembers = append(r.triedMembers, r.member)
+		}
+		r.member = nil
+		return
+	}
 	if r.peer != nil {
 		s.chargeLink(now, r.peer, e.Size())
 		r.peer.ended(e.End())
@@ -73,6 +83,10 @@
 		return dhsteer.Answered
 	case dhevent.EndRefused:
 		return dhsteer.Shed
+	case dhevent.EndNotSent:
+		return dhsteer.Unreachable
+	case dhevent.EndMisplaced:
+		return dhsteer.Misplaced
 	case dhevent.EndCallerGone:
 		return dhsteer.Neutral
 	default:
@@ -112,6 +126,10 @@
 // tryAgain sends a request out once more if the budget, the deadline and the
 // choice allow, else refuses it.
 func (s *State) tryAgain(now dhclock.Millis, r *request, f dheffect.Refusal, out *dheffect.List) {
+	if r.group != nil {
+		s.sendAgain(now, r, f, out)
+		return
+	}
 	if r.attempts >= maxAttempts || r.timeout(now) <= 0 || !r.pool.budget.take() {
 		s.refuse(now, r, f, out)
 		return
--- /dev/null
+++ b/core/dhtraffic/group.go
@@ -0,0 +1,209 @@
+package dhtraffic
+
+import (
+	"slices"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhsteer"
+)
+
+// group is the registered upstreams of one service, with this instance's part
+// of the budget for sending requests out again.
+type group struct {
+	*dhsteer.Group
+	retries retryShare
+}
+
+// retryShare is this instance's part of a service's retry budget, in
+// thousandths of a retry. Each instance earns with its own requests, and the
+// reserve is split, so that all parts together keep to the budget.
+type retryShare struct {
+	level int
+	most  int
+	earns int
+}
+
+// retryUnit is one retry.
+const retryUnit = 1000
+
+// Parts of the retry budget that are used, in percent: instances may differ for
+// a moment in what they know of the fleet.
+const (
+	retryEarnPercent    = 75
+	retryReservePercent = 70
+)
+
+func (b *retryShare) earn() { b.level = min(b.most, b.level+b.earns) }
+
+func (b *retryShare) take() bool {
+	if b.level < retryUnit {
+		return false
+	}
+	b.level -= retryUnit
+	return true
+}
+
+// set takes the budget and the number of instances that share it.
+func (b *retryShare) set(budget RetryBudget, instances int) {
+	first := b.most == 0
+	b.earns = budget.PerMille * retryEarnPercent / 100
+	b.most = max(retryUnit, budget.Reserve*retryUnit*retryReservePercent/100/max(1, instances))
+	b.level = min(b.level, b.most)
+	if first {
+		b.level = b.most / 2
+	}
+}
+
+// setGroups takes the registered upstreams of a new version.
+func (s *State) setGroups(now dhclock.Millis) {
+	c := s.view.Catalog()
+	l := s.layout()
+	instances := c.InstanceCount()
+	kept := map[string]bool{}
+	for _, name := range c.RegisteredServices() {
+		kept[name] = true
+		g, found := s.groups[name]
+		if !found {
+			g = &group{Group: dhsteer.NewGroup(name)}
+			s.groups[name] = g
+		}
+		service, _ := c.Service(name)
+		l.ColdStart = service.ColdStart()
+		l.ColdShare = s.coldShares(service)
+		var list []dhsteer.Registration
+		for _, u := range c.UpstreamsOf(name) {
+			if u.State() != dhcatalog.UpstreamGone {
+				list = append(list, dhsteer.NewRegistration(u, c.RegionOf(u.Zone()), c.Evacuated(u.Zone())))
+			}
+		}
+		g.Update(now, list, l)
+		g.retries.set(s.retries, instances)
+	}
+	for name, g := range s.groups {
+		if !kept[name] {
+			g.Update(now, nil, l)
+		}
+	}
+}
+
+// layout tells groups how the fleet is spread over the regions.
+func (s *State) layout() dhsteer.Layout {
+	c := s.view.Catalog()
+	l := dhsteer.Layout{Local: c.RegionOf(s.zone), Entries: map[string]int{}}
+	for _, z := range c.Zones() {
+		if n := len(c.InstancesIn(z.Name())); n > 0 {
+			l.Entries[z.Region()] += n
+		}
+	}
+	return l
+}
+
+// coldBurstPercent is how far all instances together may exceed a cold
+// upstream's rate within a second, in percent. Without it most instances would
+// send nothing to an upstream that warms up.
+const coldBurstPercent = 150
+
+// coldShares splits the rate that a cold upstream bears over the instances: each
+// gets the whole part, and the rest goes to as many of them, other ones for
+// each upstream.
+func (s *State) coldShares(service dhcatalog.Service) func(upstream string) int {
+	if service.ColdRate() == 0 {
+		return func(string) int { return -1 }
+	}
+	position, count := s.place()
+	total := int(service.ColdRate() * coldBurstPercent / 100 / retryUnit)
+	return func(upstream string) int {
+		if position < 0 {
+			return 0
+		}
+		turn := int(dhsteer.HashObject(upstream) % uint64(count))
+		share := total / count
+		if (position+turn)%count < total%count {
+			share++
+		}
+		return share
+	}
+}
+
+// place returns this instance's position among all declared instances, or -1,
+// and how many there are.
+func (s *State) place() (position, count int) {
+	position = -1
+	for _, z := range s.view.Catalog().Zones() {
+		for _, i := range s.view.Catalog().InstancesIn(z.Name()) {
+			if i.Name() == s.instance {
+				position = count
+			}
+			count++
+		}
+	}
+	return position, count
+}
+
+// seekMember sends a request to a registered upstream, or refuses it at once:
+// nothing here becomes free that a wait could be for.
+func (s *State) seekMember(now dhclock.Millis, g *group, r *request, out *dheffect.List) {
+	m := g.Choose(now, s.wish(r))
+	if m == nil {
+		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, retrySoon), out)
+		return
+	}
+	s.sendTo(now, g, r, m, out)
+}
+
+func (s *State) wish(r *request) dhsteer.Wish {
+	w := dhsteer.Wish{Random: r.random, Tried: r.triedMembers}
+	if r.route.Affinity() {
+		w.Object = r.object
+	}
+	organisation, _ := s.view.Catalog().Organisation(r.organisation)
+	w.Homes = [2][]string{r.route.Homes(), organisation.Homes()}
+	return w
+}
+
+// sendTo starts an attempt at a registered upstream, unless the caller's key
+// was withdrawn meanwhile.
+func (s *State) sendTo(now dhclock.Millis, g *group, r *request, m *dhsteer.Member, out *dheffect.List) {
+	if refusal, ok := s.allowed(now, r); !ok {
+		s.refuse(now, r, refusal, out)
+		return
+	}
+	r.phase, r.group, r.member = runs, g, m
+	r.attempts++
+	if r.attempts == 1 {
+		g.retries.earn()
+	}
+	g.Take(now, m)
+	out.Add(dheffect.NewForward(dheffect.ForwardOptions{
+		Request: r.id, Service: g.Service(), Upstream: m.Name(), Address: m.Address(), Organisation: r.organisation,
+		Timeout: r.timeout(now), Claimed: r.claimed, Fresh: !r.route.Idempotent(), Registered: true,
+	}))
+}
+
+// sendAgain sends a request to another registered upstream if its route, the
+// deadline and the budget allow, else refuses it. The route is looked up again:
+// it may have changed since the request came.
+func (s *State) sendAgain(now dhclock.Millis, r *request, f dheffect.Refusal, out *dheffect.List) {
+	route, found := s.view.Catalog().RouteFor(r.host, r.path)
+	if !found || !serves(route, r.service) || r.attempts >= route.MaxAttempts() || r.timeout(now) <= 0 {
+		s.refuse(now, r, f, out)
+		return
+	}
+	r.route = route
+	m := r.group.Choose(now, s.wish(r))
+	if m == nil || !r.group.retries.take() {
+		s.refuse(now, r, f, out)
+		return
+	}
+	s.sendTo(now, r.group, r, m, out)
+}
+
+// serves tells whether a service is one of a route's.
+func serves(r dhcatalog.Route, service string) bool {
+	if len(r.Split()) == 0 {
+		return r.Service() == service
+	}
+	return slices.ContainsFunc(r.Split(), func(w dhcatalog.Weighted) bool { return w.Service() == service })
+}
--- a/core/dhtraffic/pools.go
+++ b/core/dhtraffic/pools.go
@@ -41,6 +41,7 @@
 	if s.view.Catalog().Version() != old {
 		s.setLimits(e.At())
 		s.setLinks(e.At())
+		s.setGroups(e.At())
 	}
 }
 
@@ -57,6 +58,9 @@
 	for _, name := range sortedPools(s.pools) {
 		list = append(list, s.pools[name].Status(now))
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.groups)) {
+		list = append(list, s.groups[name].Status(now))
+	}
 	out.Add(dheffect.NewPoolsReply(dheffect.PoolsReplyOptions{Pools: list}))
 }
 
--- a/core/dhtraffic/slot.go
+++ b/core/dhtraffic/slot.go
@@ -22,7 +22,11 @@
 		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseTimeout, false, 0), out)
 		return
 	}
-	p := s.poolOf(r.route.Service())
+	if g, found := s.groups[r.service]; found {
+		s.seekMember(now, g, r, out)
+		return
+	}
+	p := s.poolOf(r.service)
 	r.pool = p
 	if r.passed {
 		s.seekRemoteSlot(now, p, r, out)
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -21,6 +21,17 @@
 	// Stream is a random number, new at each start.
 	Stream uint64
 	Now    dhclock.Millis
+	// Retries bounds what is sent out again to registered upstreams.
+	Retries RetryBudget
+}
+
+// RetryBudget bounds, for each service, what all instances together send out
+// again in some span: a part of the requests and a reserve beyond it.
+type RetryBudget struct {
+	// PerMille is the part, in thousandths of the requests.
+	PerMille int
+	// Reserve is how many more, over all instances.
+	Reserve int
 }
 
 // State is the traffic state of one instance.
@@ -32,6 +43,9 @@
 	tenants  map[string]*tenant
 	limited  []string // names of the tenants, sorted
 	pools    map[string]*pool
+	groups   map[string]*group // of services with registered upstreams
+	splits   map[string]*split // by route
+	retries  RetryBudget
 	requests map[uint64]*request
 	burn     *dhburn.Recorder
 	reported dhclock.Millis
@@ -48,6 +62,9 @@
 		view:     dhview.New(dhview.Options{Catalog: dhcatalog.New(), Applied: o.Now}),
 		tenants:  map[string]*tenant{},
 		pools:    map[string]*pool{},
+		groups:   map[string]*group{},
+		splits:   map[string]*split{},
+		retries:  o.Retries,
 		requests: map[uint64]*request{},
 		burn:     dhburn.New(),
 	}
@@ -77,6 +94,11 @@
 	waitUntil    dhclock.Millis
 	phase        phase
 	route        dhcatalog.Route
+	service      string
+	host         string
+	path         string
+	object       uint64
+	random       uint64
 	organisation string
 	key          dhcatalog.KeyHash
 	weight       int
@@ -90,6 +112,9 @@
 	pool         *pool
 	upstream     *dhsteer.Upstream
 	tried        []*dhsteer.Upstream
+	group        *group
+	member       *dhsteer.Member
+	triedMembers []*dhsteer.Member
 	peer         *peer // the instance that the request was passed to
 	triedPeers   []*peer
 	attempts     int
--- a/io/dhask/asker.go
+++ b/io/dhask/asker.go
@@ -6,6 +6,7 @@
 	"context"
 	"sync"
 
+	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
@@ -105,6 +106,24 @@
 	return resultOf(e), err
 }
 
+// CheckIn registers an upstream's word about itself. The result comes once the
+// word binds as far as it must.
+func (a *Asker) CheckIn(ctx context.Context, u dhcatalog.Upstream) (dhmessage.Result, error) {
+	e, err := a.ask(ctx, func(at dhclock.Millis, ticket uint64) dhevent.Event {
+		return dhevent.NewUpstreamChecked(at, dhevent.UpstreamCheckedOptions{Ticket: ticket, Upstream: u})
+	})
+	return resultOf(e), err
+}
+
+// CheckOut takes a registered upstream's last word. The lifetime is 0 if it
+// didn't say when it started.
+func (a *Asker) CheckOut(ctx context.Context, name string, lifetime int64) (dhmessage.Result, error) {
+	e, err := a.ask(ctx, func(at dhclock.Millis, ticket uint64) dhevent.Event {
+		return dhevent.NewUpstreamCheckedOut(at, dhevent.UpstreamCheckedOutOptions{Ticket: ticket, Name: name, Lifetime: lifetime})
+	})
+	return resultOf(e), err
+}
+
 func resultOf(e dheffect.Effect) dhmessage.Result {
 	if r, ok := e.(*dheffect.Reply); ok {
 		return r.Result()
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -16,12 +16,18 @@
 
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/io/dhnet"
 )
 
 // Sizes and times of attempts.
 const (
-	// dialTimeout bounds the time to connect to an upstream.
-	dialTimeout = 1 * time.Second
+	// dialTimeout bounds the time to connect to an upstream: a first packet that
+	// is lost is sent again only after a second, which is too late for most.
+	dialTimeout = 500 * time.Millisecond
+	// silentConnection is for how long sent bytes may stay unacknowledged before
+	// a connection counts as dead: a few round trips between far regions, and one
+	// resend.
+	silentConnection = 1 * time.Second
 	// idleConnections is how long an unused connection is kept. Upstreams keep
 	// theirs for longer, so that a kept connection is seldom found closed.
 	idleConnections = 4 * time.Second
@@ -39,7 +45,7 @@
 }
 
 func newClients(maxConnections int, passed *tls.Config) clients {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: dhnet.GiveUpAfter(silentConnection)}
 	kept := &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxConnsPerHost:        maxConnections,
@@ -108,7 +114,7 @@
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
 	})
 	number := s.options.Instance + "-" + strconv.FormatUint(attemptNumber.Add(1), 36)
-	request, err := in.outgoing(traced, t, number)
+	request, err := s.outgoing(traced, in, t, number)
 	if err != nil {
 		return a.fail(dhevent.EndNotSent, err)
 	}
@@ -123,7 +129,8 @@
 		}
 		return a.fail(s.blame(ctx, a, dhevent.EndBroken), err)
 	}
-	if err := checkAnswer(a.response, t, number); err != nil {
+	field, value := s.options.Dialect.expected(in, number)
+	if err := s.checkAnswer(a.response, t, field, value); err != nil {
 		return a.fail(endOf(err), err)
 	}
 	if err := a.holdBody(holdBytes); err != nil {
@@ -164,23 +171,29 @@
 }
 
 // outgoing returns the request for an upstream or another instance.
-func (in *inbound) outgoing(ctx context.Context, t target, number string) (*http.Request, error) {
-	u := *in.url
-	u.Scheme, u.Host = "http", t.address
+func (s *Server) outgoing(ctx context.Context, in *inbound, t target, number string) (*http.Request, error) {
+	dialect := s.options.Dialect.options
+	scheme := "http"
 	if t.secure {
-		u.Scheme = "https"
+		scheme = "https"
 	}
-	u.Path = t.path + u.Path
-	if u.RawPath != "" {
-		u.RawPath = t.path + u.RawPath
-	}
-	u.User = nil
-	r, err := http.NewRequestWithContext(ctx, in.method, u.String(), nil)
+	r, err := http.NewRequestWithContext(ctx, in.method, scheme+"://"+t.address, nil)
 	if err != nil {
 		return nil, err
 	}
-	r.Body = onceBody{bytes.NewReader(in.body)}
-	r.ContentLength = int64(len(in.body))
+	r.URL.Path, r.URL.RawPath = t.path+in.url.Path, in.url.RawPath
+	if r.URL.RawPath != "" {
+		r.URL.RawPath = t.path + r.URL.RawPath
+	}
+	r.URL.RawQuery, r.URL.ForceQuery = in.url.RawQuery, in.url.ForceQuery
+	if t.path == "" {
+		r.URL.Opaque = in.target
+	}
+	r.Body, r.ContentLength = onceBody{bytes.NewReader(in.body)}, int64(len(in.body))
+	if len(in.body) == 0 && !t.fresh {
+		// Nothing can be sent twice that would do harm.
+		r.Body = http.NoBody
+	}
 	r.Header = in.header.Clone()
 	removeHopHeaders(r.Header)
 	for name, values := range t.extra {
@@ -190,10 +203,12 @@
 		r.Header.Set("User-Agent", "")
 	}
 	r.Host = in.host
-	r.Header.Set(HeaderRequest, in.id)
-	r.Header.Set(HeaderAttempt, number)
-	r.Header.Set(HeaderTimeout, strconv.FormatInt(t.timeout.Milliseconds(), 10))
-	if host, _, err := net.SplitHostPort(in.remote); err == nil && !t.passed {
+	r.Header.Set(dialect.Request, in.id)
+	if dialect.Attempt != "" {
+		r.Header.Set(dialect.Attempt, number)
+	}
+	r.Header.Set(dialect.Timeout, strconv.FormatInt(t.timeout.Milliseconds(), 10))
+	if host, _, err := net.SplitHostPort(in.remote); err == nil && dialect.Forwarded && !t.passed {
 		r.Header.Add("X-Forwarded-For", host)
 	}
 	return r, nil
@@ -204,35 +219,48 @@
 	errCrossed   = errors.New("the answer belongs to another attempt")
 	errUnbounded = errors.New("the answer's end can't be told from a broken connection")
 	errNotRun    = errors.New("the other side did not run it")
+	errMisplaced = errors.New("another upstream answers at the address")
 	errMaybe     = errors.New("the other instance could not tell whether it ran")
 )
 
 // checkAnswer refuses answers that can't be trusted, and finds refusals of the
 // other side.
-func checkAnswer(r *http.Response, t target, number string) error {
-	echo := r.Header.Get(HeaderAttempt)
-	if echo != number && (echo != "" || t.echoes) {
+func (s *Server) checkAnswer(r *http.Response, t target, field, value string) error {
+	dialect := s.options.Dialect.options
+	echo := r.Header.Get(field)
+	if echo != value && (echo != "" || t.echoes) {
 		return fmt.Errorf("%w: it repeats %q", errCrossed, echo)
 	}
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.ProtoMajor == 1 && r.Request.Method != http.MethodHead {
+	unbounded := r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.ProtoMajor == 1 && r.Request.Method != http.MethodHead
+	if unbounded && !dialect.OpenEnded {
 		return errUnbounded
 	}
 	run := r.Header.Get(HeaderRun)
 	switch {
-	case run == RunNot && (t.passed || r.StatusCode == http.StatusServiceUnavailable):
+	case t.passed && run == RunNot:
 		return errNotRun
-	case run == RunMaybe && t.passed:
+	case t.passed && run == RunMaybe:
 		return errMaybe
+	case t.passed:
+		return nil
+	case dialect.Misplaced(r.StatusCode, r.Header):
+		return errMisplaced
+	case dialect.NotRun(r.StatusCode, r.Header):
+		return errNotRun
 	default:
 		return nil
 	}
 }
 
 func endOf(err error) dhevent.AttemptEnd {
-	if errors.Is(err, errNotRun) {
+	switch {
+	case errors.Is(err, errNotRun):
 		return dhevent.EndRefused
+	case errors.Is(err, errMisplaced):
+		return dhevent.EndMisplaced
+	default:
+		return dhevent.EndBroken
 	}
-	return dhevent.EndBroken
 }
 
 // holdBody reads the start of the body, so that a small answer is given on
--- a/io/dhentry/lookup.go
+++ b/io/dhentry/lookup.go
@@ -17,14 +17,14 @@
 // lookUp answers which entry instances a client should use. Without an address
 // parameter the connection's own address counts.
 func (s *Server) lookUp(w http.ResponseWriter, r *http.Request) {
-	id := requestID(r.Header.Get(HeaderRequest))
+	id := s.requestID(r)
 	text := r.URL.Query().Get("address")
 	if text == "" {
 		text, _, _ = net.SplitHostPort(r.RemoteAddr)
 	}
 	address, err := netip.ParseAddr(text)
 	if err != nil {
-		writeRefusal(w, id, dheffect.NewRefusal(dheffect.RefuseMalformed, false, 0))
+		s.writeRefusal(w, id, dheffect.NewRefusal(dheffect.RefuseMalformed, false, 0))
 		return
 	}
 	bits, six := dhwire.AddressBits(address)
@@ -33,7 +33,7 @@
 	})
 	answer := replies[0].(*dheffect.LookUpReply).Answer()
 	if len(answer.Targets()) == 0 {
-		writeRefusal(w, id, dheffect.NewRefusal(dheffect.RefuseNoUpstream, false, dhclock.Second))
+		s.writeRefusal(w, id, dheffect.NewRefusal(dheffect.RefuseNoUpstream, false, dhclock.Second))
 		return
 	}
 	writeLookUp(w, id, &answer)
--- a/io/dhentry/refusal.go
+++ b/io/dhentry/refusal.go
@@ -3,9 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strconv"
 
-	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 )
 
@@ -26,6 +24,9 @@
 	// HeaderOrganisation carries the organisation to upstreams, and of a
 	// request that is passed on.
 	HeaderOrganisation = "Dogwoodhitch-Organisation"
+	// HeaderObject names the object that a request is about, for routes with
+	// affinity.
+	HeaderObject = "Dogwoodhitch-Object"
 	// HeaderIdempotency carries the caller's idempotency key.
 	HeaderIdempotency = "Idempotency-Key"
 	// HeaderReplayed marks a recorded answer.
@@ -75,7 +76,7 @@
 }
 
 // writeRefusal tells a caller why its request was refused.
-func writeRefusal(w http.ResponseWriter, request string, f dheffect.Refusal) {
+func (s *Server) writeRefusal(w http.ResponseWriter, request string, f dheffect.Refusal) {
 	a := advices[f.Kind()]
 	run := RunNot
 	if f.MayHaveRun() {
@@ -85,9 +86,9 @@
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderRefusal, string(f.Kind()))
 	h.Set(HeaderRun, run)
-	h.Set(HeaderRequest, request)
+	h.Set(s.options.Dialect.options.Request, request)
 	if f.RetryAfter() > 0 {
-		h.Set("Retry-After", strconv.FormatInt(int64((f.RetryAfter()+dhclock.Second-1)/dhclock.Second), 10))
+		h.Set("Retry-After", s.options.Dialect.options.RetryAfter(f.RetryAfter()))
 	}
 	body, _ := json.Marshal(struct {
 		Kind         string `json:"kind"`
--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,6 +15,7 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhsteer"
 	"dogwoodhitch/io/dhwire"
 )
 
@@ -41,27 +43,35 @@
 	patience    dhclock.Millis
 	idempotency string
 	digest      dhcatalog.KeyHash
+	object      uint64
 	remote      string
 	host        string
+	// target is the request's target as it came; "" if it is written anew.
+	target string
 }
 
 // readRequest reads a request within the bounds, and takes the caller's key
 // out of it wherever it stands. It returns the kind of refusal for a request
 // that is out of bounds.
-func readRequest(w http.ResponseWriter, r *http.Request, maxBody int64) (*inbound, dheffect.RefusalKind) {
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request) (*inbound, dheffect.RefusalKind) {
+	dialect := s.options.Dialect.options
 	in := &inbound{method: r.Method, header: r.Header.Clone(), remote: r.RemoteAddr, host: r.Host}
-	in.id = requestID(r.Header.Get(HeaderRequest))
+	in.id = s.requestID(r)
+	in.object = dhsteer.HashObject(r.Header.Get(dialect.Object))
 	copied := *r.URL
 	in.url = &copied
-	if kind := in.readDeadline(); kind != "" {
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); dialect.Verbatim && strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
+		in.target = path
+	}
+	if kind := in.readDeadline(dialect.Timeout); kind != "" {
 		return in, kind
 	}
 	in.idempotency = r.Header.Get(HeaderIdempotency)
 	if len(in.idempotency) > maxIdempotencyKey {
 		return in, dheffect.RefuseMalformed
 	}
-	in.takeKey()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	in.takeKey(dialect.Key)
+	body, err := readBody(http.MaxBytesReader(w, r.Body, s.options.MaxBody), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -76,32 +86,73 @@
 	return in, ""
 }
 
+// readBody reads a body into one piece of memory of its own length.
+func readBody(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > maxExactBody {
+		return io.ReadAll(body)
+	}
+	raw := make([]byte, length)
+	_, err := io.ReadFull(body, raw)
+	return raw, err
+}
+
+// maxExactBody bounds the memory that is set aside for a body before it has
+// come, in bytes.
+const maxExactBody = 1 << 20
+
+// hostName returns the host name that the caller asks for, without a port and
+// in lower case.
+func (in *inbound) hostName() string {
+	name := in.host
+	if host, _, err := net.SplitHostPort(name); err == nil {
+		name = host
+	}
+	return strings.ToLower(name)
+}
+
 // requestID returns a caller's identifier if it is usable, else a new one.
-func requestID(given string) string {
+func (s *Server) requestID(r *http.Request) string {
+	given := r.Header.Get(s.options.Dialect.options.Request)
+	if s.options.Dialect.options.Verbatim && given != "" {
+		return given
+	}
 	if given != "" && len(given) <= maxRequestID && dhcatalog.ValidName(given) {
 		return given
 	}
+	return randomID()
+}
+
+func randomID() string {
 	var raw [8]byte
 	_, _ = rand.Read(raw[:])
 	return hex.EncodeToString(raw[:])
 }
 
-func (in *inbound) readDeadline() dheffect.RefusalKind {
-	text := in.header.Get(HeaderTimeout)
+func (in *inbound) readDeadline(field string) dheffect.RefusalKind {
+	text := in.header.Get(field)
 	if text == "" {
 		return ""
 	}
-	ms, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || ms < 1 || ms > maxTimeoutMs {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms >= 0) || ms > maxTimeoutMs {
 		return dheffect.RefuseMalformed
 	}
+	ms = max(ms, 1)
 	in.patience = dhclock.Millis(ms)
 	return ""
 }
 
-// takeKey finds the caller's key and removes it, with every header field and
-// query parameter that holds it.
-func (in *inbound) takeKey() {
+// takeKey finds the caller's key and removes it: from the one field that may
+// carry it, or if none is named with every header field and query parameter
+// that holds it.
+func (in *inbound) takeKey(field string) {
+	if field != "" {
+		if key := in.header.Get(field); key != "" {
+			in.key = dhwire.HashSecret(key)
+		}
+		in.header.Del(field)
+		return
+	}
 	query := in.url.Query()
 	key := strings.TrimSpace(strings.TrimPrefix(in.header.Get("Authorization"), "Bearer "))
 	for _, other := range []string{in.header.Get(keyHeader), query.Get(keyParameter)} {
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -46,6 +47,9 @@
 	MaxConnections int
 	// TLS is how to connect to other instances; nil for plain connections.
 	TLS *tls.Config
+	// Dialect is how callers and upstreams are spoken to; nil for the standard
+	// one.
+	Dialect *Dialect
 }
 
 // Server serves callers.
@@ -58,7 +62,12 @@
 }
 
 // New returns a server.
-func New(o Options) *Server { return &Server{options: o, clients: newClients(o.MaxConnections, o.TLS)} }
+func New(o Options) *Server {
+	if o.Dialect == nil {
+		o.Dialect = StandardDialect()
+	}
+	return &Server{options: o, clients: newClients(o.MaxConnections, o.TLS)}
+}
 
 // Close closes the connections that are kept.
 func (s *Server) Close() { s.clients.close() }
@@ -70,15 +79,21 @@
 // Leave makes new requests end with a refusal that says that they did not run.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Callers returns the handler for callers.
+// Callers returns the handler for callers. Requests don't pass the standard
+// library's multiplexer, which redirects paths that it would write otherwise.
 func (s *Server) Callers() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+dhcatalog.ReservedPrefix+"v1/lookup", s.lookUp)
-	mux.HandleFunc(dhcatalog.ReservedPrefix, func(w http.ResponseWriter, _ *http.Request) {
-		writeRefusal(w, requestID(""), dheffect.NewRefusal(dheffect.RefuseNoRoute, false, 0))
+	reserved := http.NewServeMux()
+	reserved.HandleFunc("GET "+dhcatalog.ReservedPrefix+"v1/lookup", s.lookUp)
+	reserved.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		s.writeRefusal(w, randomID(), dheffect.NewRefusal(dheffect.RefuseNoRoute, false, 0))
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, dhcatalog.ReservedPrefix) {
+			reserved.ServeHTTP(w, r)
+			return
+		}
+		s.serve(w, r, "", false)
 	})
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, "", false) })
-	return mux
 }
 
 // Passed returns the path and the handler for requests of other instances.
@@ -120,23 +135,23 @@
 		w.Header().Set("Connection", "close")
 	}
 	if !s.hold(r) {
-		writeRefusal(w, requestID(r.Header.Get(HeaderRequest)), dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, dhclock.Second))
+		s.writeRefusal(w, s.requestID(r), dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, dhclock.Second))
 		return
 	}
 	defer s.held.Add(-s.bodySize(r))
-	in, kind := readRequest(w, r, s.options.MaxBody)
+	in, kind := s.readRequest(w, r)
 	if kind != "" {
-		writeRefusal(w, in.id, dheffect.NewRefusal(kind, false, 0))
+		s.writeRefusal(w, in.id, dheffect.NewRefusal(kind, false, 0))
 		return
 	}
 	if s.leaving.Load() {
-		writeRefusal(w, in.id, dheffect.NewRefusal(dheffect.RefuseLeaving, false, dhclock.Second))
+		s.writeRefusal(w, in.id, dheffect.NewRefusal(dheffect.RefuseLeaving, false, dhclock.Second))
 		return
 	}
-	in.header.Del(HeaderOrganisation)
+	in.header.Del(s.options.Dialect.options.Organisation)
 	waiter := s.options.Shard.Arrive(func(at dhclock.Millis, request uint64) dhevent.Event {
 		return dhevent.NewRequestArrived(at, dhevent.RequestArrivedOptions{
-			Request: request, Path: in.url.Path, KeyHash: in.key, Passed: passed, Organisation: organisation,
+			Request: request, Host: in.hostName(), Path: in.url.Path, Object: in.object, Random: rand.Uint64(), KeyHash: in.key, Passed: passed, Organisation: organisation,
 			Patience: in.patience, IdempotencyKey: in.idempotency, Digest: in.digest,
 			Size: len(in.body),
 		})
@@ -211,18 +226,22 @@
 	switch e := d.Effect().(type) {
 	case *dheffect.Refuse:
 		x.refusal = e.Refusal().Kind()
-		writeRefusal(x.writer, x.in.id, e.Refusal())
+		x.server.writeRefusal(x.writer, x.in.id, e.Refusal())
 		return true
 	case *dheffect.Replay:
 		x.replay(e.Answer())
 		return true
 	case *dheffect.Forward:
 		extra := http.Header{}
+		dialect := x.server.options.Dialect.options
 		if e.Organisation() != "" {
-			extra.Set(HeaderOrganisation, e.Organisation())
+			extra.Set(dialect.Organisation, e.Organisation())
+		}
+		if e.Registered() && dialect.Upstream != "" {
+			extra.Set(dialect.Upstream, e.Upstream())
 		}
 		return x.attempt(ctx, d, target{
-			address: e.Address(), timeout: e.Timeout(), fresh: e.Fresh(), echoes: e.Echoes(), extra: extra,
+			address: e.Address(), timeout: e.Timeout(), fresh: e.Fresh(), echoes: e.Echoes() || e.Registered(), extra: extra,
 		}, e.Claimed())
 	case *dheffect.Pass:
 		extra := http.Header{}
@@ -296,7 +315,7 @@
 	for name, values := range a.response.Header {
 		h[name] = values
 	}
-	h.Set(HeaderRequest, x.in.id)
+	h.Set(x.server.options.Dialect.options.Request, x.in.id)
 	if x.passed {
 		// The instance that passed the request on checks its own attempt.
 		h.Set(HeaderAttempt, x.in.header.Get(HeaderAttempt))
@@ -349,7 +368,7 @@
 	for _, f := range answer.Header() {
 		h.Add(f.Name(), f.Value())
 	}
-	h.Set(HeaderRequest, x.in.id)
+	h.Set(x.server.options.Dialect.options.Request, x.in.id)
 	h.Set(HeaderReplayed, "true")
 	h.Set("Content-Length", strconv.Itoa(len(answer.Body())))
 	x.status = answer.Status()
--- a/io/dhjournal/types.go
+++ b/io/dhjournal/types.go
@@ -16,7 +16,7 @@
 	// Events.
 	&dhevent.Ticked{}, &dhevent.Settled{}, &dhevent.MessageReceived{}, &dhevent.LogSynced{},
 	&dhevent.ProposalWanted{}, &dhevent.CurrentWanted{}, &dhevent.StatusWanted{}, &dhevent.HistoryWanted{},
-	&dhevent.ClaimWanted{}, &dhevent.GrantsWanted{}, &dhevent.LeaveStarted{}, &dhevent.TrafficTicked{},
+	&dhevent.ClaimWanted{}, &dhevent.GrantsWanted{}, &dhevent.LeaveStarted{}, &dhevent.UpstreamChecked{}, &dhevent.UpstreamCheckedOut{}, &dhevent.TrafficTicked{},
 	&dhevent.ViewPublished{}, &dhevent.GrantsArrived{}, &dhevent.IntakeArrived{}, &dhevent.IntakeAsked{},
 	&dhevent.ClaimAnswered{}, &dhevent.UpstreamAnnounced{}, &dhevent.UpstreamLeft{}, &dhevent.RequestArrived{},
 	&dhevent.AttemptEnded{}, &dhevent.RequestAbandoned{}, &dhevent.LookUpAsked{}, &dhevent.PoolsAsked{}, &dhevent.BurnAsked{},
@@ -29,12 +29,14 @@
 	&dhmessage.VoteAsk{}, &dhmessage.VoteAnswer{}, &dhmessage.Append{}, &dhmessage.AppendAnswer{}, &dhmessage.Install{},
 	&dhmessage.Poll{}, &dhmessage.Update{}, &dhmessage.GrantAsk{}, &dhmessage.GrantGive{}, &dhmessage.Propose{},
 	&dhmessage.Proposed{}, &dhmessage.Redirect{}, &dhmessage.IntakeAsk{}, &dhmessage.IntakeGive{},
+	&dhmessage.Join{}, &dhmessage.Heard{},
 	// Commands.
 	dhmessage.Noop{}, dhmessage.Change{}, dhmessage.Members{}, dhmessage.Claim{}, dhmessage.Outcome{},
-	dhmessage.Resolve{}, dhmessage.MemberEdit{},
+	dhmessage.Resolve{}, dhmessage.MemberEdit{}, dhmessage.Declare{}, dhmessage.Edit{},
 	// Objects.
 	dhcatalog.Zone{}, dhcatalog.Instance{}, dhcatalog.Organisation{}, dhcatalog.Key{}, dhcatalog.Service{},
 	dhcatalog.Route{}, dhcatalog.Limit{}, dhcatalog.Objective{}, dhcatalog.Site{}, dhcatalog.Drain{}, dhcatalog.Link{},
+	dhcatalog.Upstream{}, dhcatalog.Evacuation{}, dhcatalog.Declaration{},
 	// Errors.
 	dhcatalog.ConflictError{}, dhcatalog.InvalidError{}, dhcatalog.ReusedError{},
 	dhconsensus.MembersError{}, dhmessage.RefusedError{},
--- a/io/dhprocess/options.go
+++ b/io/dhprocess/options.go
@@ -3,9 +3,15 @@
 package dhprocess
 
 import (
+	"net/http"
+
+	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhcontrol"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhtraffic"
 	"dogwoodhitch/io/dhdisk"
+	"dogwoodhitch/io/dhentry"
 	"dogwoodhitch/io/dhjournal"
 	"dogwoodhitch/io/dhlogs"
 	"dogwoodhitch/io/dhsettings"
@@ -52,6 +58,26 @@
 	TLS *dhtls.Identity
 	// Journal records events; nil for none.
 	Journal *dhjournal.Journal
+	// Dialect is how callers and upstreams are spoken to; nil for the standard
+	// one.
+	Dialect *dhentry.Dialect
+	// Introduce is this entry instance as it runs, which the leader adds to the
+	// configuration; nil where operators declare instances.
+	Introduce *dhcatalog.Instance
+	// Managed lets control processes look after members, zones and instances by
+	// themselves; nil where operators do.
+	Managed *dhcontrol.ManagedOptions
+	// Retries bounds what is sent out again to registered upstreams.
+	Retries dhtraffic.RetryBudget
+	// Surfaces returns further listeners, such as those of another front end.
+	Surfaces func(p *Process) []Surface
+}
+
+// Surface is a listener with what it serves.
+type Surface struct {
+	Name    string
+	Address string
+	Handler http.Handler
 }
 
 // FromSettings returns the options that settings give.
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -53,6 +53,7 @@
 	failed  chan error
 	servers []*http.Server
 	bound   Addresses
+	leaving atomic.Bool
 }
 
 // New returns a process that doesn't run yet.
@@ -152,7 +153,10 @@
 
 // makeLoop makes control state and the loop that owns it.
 func (p *Process) makeLoop(self dhmessage.Peer, stream uint64) {
-	o := dhcontrol.Options{Self: self, Zone: p.options.Zone, Stream: stream, Now: p.options.Clock.Now()}
+	o := dhcontrol.Options{
+		Self: self, Zone: p.options.Zone, Stream: stream, Now: p.options.Clock.Now(),
+		Introduce: p.options.Introduce, Managed: p.options.Managed,
+	}
 	for _, v := range p.options.Voters {
 		o.Voters = append(o.Voters, v.Name())
 	}
@@ -176,7 +180,10 @@
 }
 
 func (p *Process) consensus(self dhmessage.Peer, random uint64) *dhconsensus.Options {
-	o := &dhconsensus.Options{Self: self, Founders: p.options.Founders, Now: p.options.Clock.Now(), Random: random}
+	o := &dhconsensus.Options{
+		Self: self, Founders: p.options.Founders, Now: p.options.Clock.Now(), Random: random,
+		Managed: p.options.Managed != nil,
+	}
 	if f := p.options.Folder; f != nil {
 		s := f.State()
 		o.Founders, o.Term, o.Vote = s.Founders(), s.Term(), s.Vote()
@@ -190,6 +197,7 @@
 	seams := dhshard.Seams{Clock: p.options.Clock, Deliver: p.deliver}
 	o := dhtraffic.Options{
 		Instance: p.options.Name, Zone: p.options.Zone, Stream: stream, Now: p.options.Clock.Now(),
+		Retries: p.options.Retries,
 	}
 	if j := p.options.Journal; j != nil {
 		seams.Record = j.Traffic(o)
@@ -198,7 +206,7 @@
 	p.entry = dhentry.New(dhentry.Options{
 		Instance: p.options.Name, Shard: p.shard, Clock: p.options.Clock, Secret: p.options.Secrets.Peers,
 		Log: p.options.Logs.Layer("entry"), MaxBody: p.options.MaxBody, MaxHeld: p.options.MaxHeld,
-		Hold: p.options.Hold, MaxConnections: p.options.MaxConnections, TLS: p.clientTLS(),
+		Hold: p.options.Hold, MaxConnections: p.options.MaxConnections, TLS: p.clientTLS(), Dialect: p.options.Dialect,
 	})
 }
 
@@ -278,16 +286,24 @@
 	return p.loop.Offer(dhevent.NewMessageReceived(p.options.Clock.Now(), dhevent.MessageReceivedOptions{From: from, Message: m}))
 }
 
-// ready tells why the process can't serve, or nil.
+// ready tells why the process can't serve, or nil. An instance whose
+// configuration may be out of date still serves the organisations that accept
+// that.
 func (p *Process) ready() error {
+	if p.leaving.Load() {
+		return errLeaving
+	}
 	v := p.View()
-	if !v.Fresh(p.options.Clock.Now(), 0) {
+	if !v.Fresh(p.options.Clock.Now(), v.Catalog().LongestGrace()) {
 		return errNotFresh
 	}
 	return nil
 }
 
-var errNotFresh = errors.New("the configuration isn't confirmed as current: check that a majority of voters runs and can be reached")
+var (
+	errLeaving  = errors.New("the process is about to stop: use another one")
+	errNotFresh = errors.New("the configuration isn't confirmed as current: check that a majority of voters runs and can be reached")
+)
 
 func randomNumber() uint64 {
 	var raw [8]byte
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -62,6 +62,9 @@
 				dhannounce.New(dhannounce.Options{Shard: p.shard, Secret: p.options.Secrets.Upstreams}).Mux()),
 		)
 	}
+	for _, x := range p.surfaces() {
+		err = errors.Join(err, open(x.Name, x.Address, new(string), x.Handler))
+	}
 	if err != nil {
 		for _, l := range list {
 			l.Close()
@@ -71,6 +74,13 @@
 	return list, nil
 }
 
+func (p *Process) surfaces() []Surface {
+	if p.options.Surfaces == nil {
+		return nil
+	}
+	return p.options.Surfaces(p)
+}
+
 func (p *Process) peerMux() http.Handler {
 	mux := http.NewServeMux()
 	receiver := dhpeer.NewReceiver(dhpeer.ReceiverOptions{
@@ -151,6 +161,7 @@
 // leave lets look-ups stop naming this instance, then refuses new requests,
 // and waits for those that run.
 func (p *Process) leave() {
+	p.leaving.Store(true)
 	if p.entry == nil {
 		return
 	}
--- a/io/dhtime/clock.go
+++ b/io/dhtime/clock.go
@@ -1,9 +1,12 @@
-// Package dhtime reads the instance's monotonic clock.
+// Package dhtime reads the clock that counts from the instance's boot.
 package dhtime
 
 import (
+	"fmt"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dogwoodhitch/core/dhclock"
 )
 
@@ -13,14 +16,22 @@
 // New returns a clock that gives what a function returns.
 func New(now func() dhclock.Millis) Clock { return Clock{now: now} }
 
-// System returns the process's monotonic clock. It starts at one day, so that
-// readings before the start are positive too, and goes on while the process
-// is stopped.
+// System returns the instance's clock. It goes on while the process is stopped
+// and while the whole instance is suspended, so that leases run out then too.
+// Changes of the time of day don't move it.
 func System() Clock {
-	start := time.Now().Add(-24 * time.Hour)
-	return New(func() dhclock.Millis { return dhclock.Millis(time.Since(start).Milliseconds()) })
+	return New(func() dhclock.Millis {
+		var t unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+			panic(fmt.Sprintf("read CLOCK_BOOTTIME: %v; run on Linux 2.6.39 or later", err))
+		}
+		return dhclock.Millis(time.Duration(t.Nano()).Milliseconds()) + startOffset
+	})
 }
 
+// startOffset keeps readings that go back a while from the start positive.
+const startOffset = 24 * 3600 * dhclock.Second
+
 // Now returns the present reading.
 func (c Clock) Now() dhclock.Millis { return c.now() }
 
--- a/io/dhwire/catalog.go
+++ b/io/dhwire/catalog.go
@@ -40,12 +40,11 @@
 	case dhcatalog.Zone:
 		return &dhproto.Object{Object: &dhproto.Object_Zone{Zone: &dhproto.Zone{Name: o.Name(), Region: o.Region()}}}
 	case dhcatalog.Instance:
-		return &dhproto.Object{Object: &dhproto.Object_Instance{Instance: &dhproto.Instance{
-			Name: o.Name(), Zone: o.Zone(), CallerAddress: o.CallerAddress(), PeerAddress: o.PeerAddress(),
-		}}}
+		return &dhproto.Object{Object: &dhproto.Object_Instance{Instance: instanceToWire(o)}}
 	case dhcatalog.Organisation:
 		return &dhproto.Object{Object: &dhproto.Object_Organisation{Organisation: &dhproto.Organisation{
 			Name: o.Name(), StaleGraceMs: int32(o.StaleGrace()), Weight: int32(o.Weight()),
+			Rank: int32(o.Rank()), Homes: o.Homes(),
 		}}}
 	case dhcatalog.Key:
 		hash := o.Hash()
@@ -55,6 +54,7 @@
 	case dhcatalog.Service:
 		return &dhproto.Object{Object: &dhproto.Object_Service{Service: &dhproto.Service{
 			Name: o.Name(), SpillPercent: int32(o.SpillPercent()), ColdStartMs: int32(o.ColdStart()),
+			ColdRateMilli: int32(o.ColdRate()), MaxConnections: int32(o.MaxConnections()), HealthPath: o.HealthPath(),
 		}}}
 	case dhcatalog.Route:
 		return &dhproto.Object{Object: &dhproto.Object_Route{Route: routeToWire(o)}}
@@ -79,17 +79,80 @@
 		return &dhproto.Object{Object: &dhproto.Object_Link{Link: &dhproto.Link{
 			Name: o.Name(), Region: o.Regions()[0], OtherRegion: o.Regions()[1], KilobytesPerSecond: int32(o.Kilobytes()),
 		}}}
+	case dhcatalog.Upstream:
+		return &dhproto.Object{Object: &dhproto.Object_Upstream{Upstream: &dhproto.Upstream{
+			Name: o.Name(), Service: o.Service(), Address: o.Address(), Zone: o.Zone(), Slots: int32(o.Slots()),
+			State: int32(o.State()), Lifetime: o.Lifetime(), ColdMs: int32(o.Cold()), ColdWord: o.ColdWord(),
+		}}}
+	case dhcatalog.Evacuation:
+		return &dhproto.Object{Object: &dhproto.Object_Evacuation{Evacuation: &dhproto.Evacuation{Zone: o.Zone()}}}
+	case dhcatalog.Declaration:
+		return &dhproto.Object{Object: &dhproto.Object_Declaration{Declaration: &dhproto.Declaration{
+			Number: o.Number(), Text: o.Text(),
+		}}}
 	default:
 		return &dhproto.Object{}
 	}
 }
 
+func instanceToWire(o dhcatalog.Instance) *dhproto.Instance {
+	return &dhproto.Instance{Name: o.Name(), Zone: o.Zone(), CallerAddress: o.CallerAddress(), PeerAddress: o.PeerAddress()}
+}
+
+func instanceFromWire(m *dhproto.Instance) dhcatalog.Instance {
+	return dhcatalog.NewInstance(dhcatalog.InstanceOptions{
+		Name: m.GetName(), Zone: m.GetZone(), CallerAddress: m.GetCallerAddress(), PeerAddress: m.GetPeerAddress(),
+	})
+}
+
 func routeToWire(o dhcatalog.Route) *dhproto.Route {
-	return &dhproto.Route{
+	m := &dhproto.Route{
 		Name: o.Name(), PathPrefix: o.PathPrefix(), Service: o.Service(), Open: o.Open(),
 		Idempotent: o.Idempotent(), ClaimRequired: o.ClaimRequired(), TimeoutMs: int32(o.Timeout()),
-		QueueWaitMs: int32(o.QueueWait()), Priority: int32(o.Priority()), RetentionMs: int32(o.Retention()),
+		QueueWaitMs: int32(o.ConfiguredQueueWait()), Priority: int32(o.Priority()), RetentionMs: int32(o.Retention()),
+		Host: o.Host(), ObjectiveMs: int32(o.Objective()), MaxAttempts: int32(o.ConfiguredAttempts()),
+		Affinity: o.Affinity(), Homes: o.Homes(),
+	}
+	for _, w := range o.Split() {
+		m.Split = append(m.Split, &dhproto.Weighted{Service: w.Service(), Weight: int32(w.Weight())})
 	}
+	return m
+}
+
+func objectsToWire(list []dhcatalog.Object) []*dhproto.Object {
+	out := make([]*dhproto.Object, 0, len(list))
+	for _, o := range list {
+		out = append(out, ObjectToWire(o))
+	}
+	return out
+}
+
+func objectsFromWire(list []*dhproto.Object) ([]dhcatalog.Object, error) {
+	out := make([]dhcatalog.Object, 0, len(list))
+	for _, w := range list {
+		o, err := ObjectFromWire(w)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, o)
+	}
+	return out, nil
+}
+
+func refsToWire(list []dhcatalog.Ref) []*dhproto.Ref {
+	out := make([]*dhproto.Ref, 0, len(list))
+	for _, r := range list {
+		out = append(out, &dhproto.Ref{Kind: string(r.Kind()), Name: r.Name()})
+	}
+	return out
+}
+
+func refsFromWire(list []*dhproto.Ref) []dhcatalog.Ref {
+	out := make([]dhcatalog.Ref, 0, len(list))
+	for _, r := range list {
+		out = append(out, dhcatalog.NewRef(dhcatalog.Kind(r.GetKind()), r.GetName()))
+	}
+	return out
 }
 
 // ObjectFromWire returns the object of a message, or a FormatError.
@@ -98,21 +161,19 @@
 	case *dhproto.Object_Zone:
 		return dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: o.Zone.GetName(), Region: o.Zone.GetRegion()}), nil
 	case *dhproto.Object_Instance:
-		return dhcatalog.NewInstance(dhcatalog.InstanceOptions{
-			Name: o.Instance.GetName(), Zone: o.Instance.GetZone(),
-			CallerAddress: o.Instance.GetCallerAddress(), PeerAddress: o.Instance.GetPeerAddress(),
-		}), nil
+		return instanceFromWire(o.Instance), nil
 	case *dhproto.Object_Organisation:
 		return dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{
 			Name: o.Organisation.GetName(), StaleGrace: dhclock.Millis(o.Organisation.GetStaleGraceMs()),
-			Weight: int(o.Organisation.GetWeight()),
+			Weight: int(o.Organisation.GetWeight()), Rank: int(o.Organisation.GetRank()), Homes: o.Organisation.GetHomes(),
 		}), nil
 	case *dhproto.Object_Key:
 		return keyFromWire(o.Key)
 	case *dhproto.Object_Service:
 		return dhcatalog.NewService(dhcatalog.ServiceOptions{
 			Name: o.Service.GetName(), SpillPercent: int(o.Service.GetSpillPercent()),
-			ColdStart: dhclock.Millis(o.Service.GetColdStartMs()),
+			ColdStart: dhclock.Millis(o.Service.GetColdStartMs()), ColdRate: int64(o.Service.GetColdRateMilli()),
+			MaxConnections: int(o.Service.GetMaxConnections()), HealthPath: o.Service.GetHealthPath(),
 		}), nil
 	case *dhproto.Object_Route:
 		return routeFromWire(o.Route), nil
@@ -141,18 +202,35 @@
 			Name: o.Link.GetName(), Regions: [2]string{o.Link.GetRegion(), o.Link.GetOtherRegion()},
 			Kilobytes: int64(o.Link.GetKilobytesPerSecond()),
 		}), nil
+	case *dhproto.Object_Upstream:
+		return dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{
+			Name: o.Upstream.GetName(), Service: o.Upstream.GetService(), Address: o.Upstream.GetAddress(),
+			Zone: o.Upstream.GetZone(), Slots: int(o.Upstream.GetSlots()),
+			State: dhcatalog.UpstreamState(o.Upstream.GetState()), Lifetime: o.Upstream.GetLifetime(),
+			Cold: dhclock.Millis(o.Upstream.GetColdMs()), ColdWord: o.Upstream.GetColdWord(),
+		}), nil
+	case *dhproto.Object_Evacuation:
+		return dhcatalog.NewEvacuation(o.Evacuation.GetZone()), nil
+	case *dhproto.Object_Declaration:
+		return dhcatalog.NewDeclaration(o.Declaration.GetNumber(), o.Declaration.GetText()), nil
 	default:
 		return nil, FormatError{"object", "no kind", "name one kind, such as {\"zone\": {…}}"}
 	}
 }
 
 func routeFromWire(m *dhproto.Route) dhcatalog.Route {
-	return dhcatalog.NewRoute(dhcatalog.RouteOptions{
+	o := dhcatalog.RouteOptions{
 		Name: m.GetName(), PathPrefix: m.GetPathPrefix(), Service: m.GetService(), Open: m.GetOpen(),
 		Idempotent: m.GetIdempotent(), ClaimRequired: m.GetClaimRequired(),
 		Timeout: dhclock.Millis(m.GetTimeoutMs()), QueueWait: dhclock.Millis(m.GetQueueWaitMs()),
 		Priority: int(m.GetPriority()), Retention: dhclock.Millis(m.GetRetentionMs()),
-	})
+		Host: m.GetHost(), Objective: dhclock.Millis(m.GetObjectiveMs()), MaxAttempts: int(m.GetMaxAttempts()),
+		Affinity: m.GetAffinity(), Homes: m.GetHomes(),
+	}
+	for _, w := range m.GetSplit() {
+		o.Split = append(o.Split, dhcatalog.NewWeighted(w.GetService(), int(w.GetWeight())))
+	}
+	return dhcatalog.NewRoute(o)
 }
 
 func keyFromWire(m *dhproto.Key) (dhcatalog.Object, error) {
@@ -211,12 +289,8 @@
 
 // ChangeSetToWire returns the message of a change set.
 func ChangeSetToWire(c dhcatalog.ChangeSet) *dhproto.ChangeSet {
-	m := &dhproto.ChangeSet{Id: c.ID(), Base: uint32(c.Base()), Author: c.Author()}
-	for _, o := range c.Puts() {
-		m.Puts = append(m.Puts, ObjectToWire(o))
-	}
-	for _, r := range c.Deletes() {
-		m.Deletes = append(m.Deletes, &dhproto.Ref{Kind: string(r.Kind()), Name: r.Name()})
+	m := &dhproto.ChangeSet{
+		Id: c.ID(), Base: uint32(c.Base()), Author: c.Author(), Puts: objectsToWire(c.Puts()), Deletes: refsToWire(c.Deletes()),
 	}
 	for _, b := range c.Blocks() {
 		m.Blocks = append(m.Blocks, &dhproto.BlockChange{Block: BlockToWire(b.Block()), Site: b.Site()})
@@ -226,16 +300,12 @@
 
 // ChangeSetFromWire returns the change set of a message, or a FormatError.
 func ChangeSetFromWire(m *dhproto.ChangeSet) (dhcatalog.ChangeSet, error) {
-	o := dhcatalog.ChangeSetOptions{ID: m.GetId(), Base: uint64(m.GetBase()), Author: m.GetAuthor()}
-	for _, w := range m.GetPuts() {
-		x, err := ObjectFromWire(w)
-		if err != nil {
-			return dhcatalog.ChangeSet{}, err
-		}
-		o.Puts = append(o.Puts, x)
+	puts, err := objectsFromWire(m.GetPuts())
+	if err != nil {
+		return dhcatalog.ChangeSet{}, err
 	}
-	for _, r := range m.GetDeletes() {
-		o.Deletes = append(o.Deletes, dhcatalog.NewRef(dhcatalog.Kind(r.GetKind()), r.GetName()))
+	o := dhcatalog.ChangeSetOptions{
+		ID: m.GetId(), Base: uint64(m.GetBase()), Author: m.GetAuthor(), Puts: puts, Deletes: refsFromWire(m.GetDeletes()),
 	}
 	for _, w := range m.GetBlocks() {
 		b, err := BlockFromWire(w.GetBlock())
@@ -295,13 +365,9 @@
 	if m == nil {
 		return nil, nil
 	}
-	var objects []dhcatalog.Object
-	for _, w := range m.GetObjects() {
-		o, err := ObjectFromWire(w)
-		if err != nil {
-			return nil, err
-		}
-		objects = append(objects, o)
+	objects, err := objectsFromWire(m.GetObjects())
+	if err != nil {
+		return nil, err
 	}
 	t := m.GetBlocks()
 	if len(t.GetBits()) != len(t.GetStarts()) || len(t.GetSites()) != len(t.GetStarts()) || len(t.GetFamilies()) != len(t.GetStarts()) {
--- a/io/dhwire/log.go
+++ b/io/dhwire/log.go
@@ -79,6 +79,14 @@
 		return &dhproto.Command{Command: &dhproto.Command_MemberEdit{MemberEdit: &dhproto.MemberEdit{
 			Action: int32(c.Action()), Name: c.Name(), Address: c.Address(), Folder: c.Folder(),
 		}}}
+	case dhmessage.Declare:
+		return &dhproto.Command{Command: &dhproto.Command_Declare{Declare: &dhproto.Declare{
+			Number: c.Declaration().Number(), Text: c.Declaration().Text(), Objects: objectsToWire(c.Objects()),
+		}}}
+	case dhmessage.Edit:
+		return &dhproto.Command{Command: &dhproto.Command_Edit{Edit: &dhproto.Edit{
+			Author: c.Author(), Puts: objectsToWire(c.Puts()), Deletes: refsToWire(c.Deletes()),
+		}}}
 	default:
 		return &dhproto.Command{Command: &dhproto.Command_Noop{Noop: &dhproto.Noop{}}}
 	}
@@ -104,6 +112,12 @@
 			dhmessage.ClaimState(c.Outcome.GetState()), answerFromWire(c.Outcome.GetAnswer())), nil
 	case *dhproto.Command_Resolve:
 		return dhmessage.NewResolve(claimKeyFromWire(c.Resolve.GetKey()), c.Resolve.GetRan()), nil
+	case *dhproto.Command_Declare:
+		objects, err := objectsFromWire(c.Declare.GetObjects())
+		return dhmessage.NewDeclare(dhcatalog.NewDeclaration(c.Declare.GetNumber(), c.Declare.GetText()), objects), err
+	case *dhproto.Command_Edit:
+		puts, err := objectsFromWire(c.Edit.GetPuts())
+		return dhmessage.NewEdit(c.Edit.GetAuthor(), puts, refsFromWire(c.Edit.GetDeletes())), err
 	case *dhproto.Command_MemberEdit:
 		e := c.MemberEdit
 		return dhmessage.NewMemberEdit(dhmessage.MemberAction(e.GetAction()), e.GetName(), e.GetAddress(), e.GetFolder()), nil
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -62,6 +62,10 @@
 		return &dhproto.Message{Message: &dhproto.Message_IntakeGive{IntakeGive: &dhproto.IntakeGive{
 			Service: m.Service(), SentMs: m.Sent().Milliseconds(), LifeMs: m.Life().Milliseconds(), Slots: int32(m.Slots()),
 		}}}
+	case *dhmessage.Join:
+		return &dhproto.Message{Message: &dhproto.Message_Join{Join: &dhproto.Join{Address: m.Address(), Region: m.Region()}}}
+	case *dhmessage.Heard:
+		return &dhproto.Message{Message: &dhproto.Message_Heard{Heard: &dhproto.Heard{Upstreams: m.Upstreams()}}}
 	default:
 		return &dhproto.Message{}
 	}
@@ -81,7 +85,11 @@
 func pollToWire(m *dhmessage.Poll) *dhproto.Poll {
 	w := &dhproto.Poll{Version: m.Version(), SentMs: m.Sent().Milliseconds()}
 	for _, a := range m.Acks() {
-		w.Acks = append(w.Acks, &dhproto.Ack{Instance: a.Instance(), Version: a.Version(), Leaving: a.Leaving()})
+		ack := &dhproto.Ack{Instance: a.Instance(), Version: a.Version(), Leaving: a.Leaving()}
+		if i, introduced := a.Introduction(); introduced {
+			ack.Introduction = instanceToWire(i)
+		}
+		w.Acks = append(w.Acks, ack)
 	}
 	return w
 }
@@ -164,6 +172,10 @@
 		return dhmessage.NewProposed(dhmessage.ProposedOptions{
 			Ticket: m.Proposed.GetTicket(), Result: resultFromWire(m.Proposed.GetResult()),
 		}), nil
+	case *dhproto.Message_Join:
+		return dhmessage.NewJoin(m.Join.GetAddress(), m.Join.GetRegion()), nil
+	case *dhproto.Message_Heard:
+		return dhmessage.NewHeard(m.Heard.GetUpstreams()), nil
 	case *dhproto.Message_Redirect:
 		return dhmessage.NewRedirect(dhmessage.RedirectOptions{
 			Ticket: m.Redirect.GetTicket(), Leader: m.Redirect.GetLeader(),
@@ -200,7 +212,11 @@
 func pollFromWire(w *dhproto.Poll) dhmessage.Message {
 	o := dhmessage.PollOptions{Version: w.GetVersion(), Sent: dhclock.Millis(w.GetSentMs())}
 	for _, a := range w.GetAcks() {
-		o.Acks = append(o.Acks, dhmessage.NewAck(a.GetInstance(), a.GetVersion(), a.GetLeaving()))
+		ack := dhmessage.NewAck(a.GetInstance(), a.GetVersion(), a.GetLeaving())
+		if a.GetIntroduction() != nil {
+			ack = ack.Introduce(instanceFromWire(a.GetIntroduction()))
+		}
+		o.Acks = append(o.Acks, ack)
 	}
 	return dhmessage.NewPoll(o)
 }
