--- a/core/dhcatalog/declaration.go
+++ b/core/dhcatalog/declaration.go
@@ -43,17 +43,20 @@
 
 // Replace returns the change set that leaves exactly the given objects of the
 // kinds that a declaration holds: those that differ are put, and those that
-// are missing are deleted. Objects of other kinds stay.
+// are missing are deleted. Objects of other kinds stay. An object that stands
+// twice is put twice, so that the check of the change set finds it.
 func (c *Catalog) Replace(head ChangeSetOptions, objects []Object) ChangeSet {
-	wanted := make(map[Ref]bool, len(objects))
+	wanted := make(map[Ref]int, len(objects))
 	for _, o := range objects {
-		wanted[o.Ref()] = true
-		if old, found := c.objects[o.Ref()]; !found || !same(old, o) {
+		wanted[o.Ref()]++
+	}
+	for _, o := range objects {
+		if old, found := c.objects[o.Ref()]; !found || wanted[o.Ref()] > 1 || !same(old, o) {
 			head.Puts = append(head.Puts, o)
 		}
 	}
 	for _, r := range sortedRefs(c.objects) {
-		if declaredKinds[r.kind] && !wanted[r] {
+		if declaredKinds[r.kind] && wanted[r] == 0 {
 			head.Deletes = append(head.Deletes, r)
 		}
 	}
