Let a limit say which part instances give out by themselves

Cause: at tens of milliseconds from the leader most requests of a small organisation came to an instance that held no token, and waited less than the round trip; after a lost leader nothing but the floors was served for 2 s. Ruled out: longer waits for a token (110 ms round trips exceed the Regie's objectives).

--- a/core/dhcatalog/limit.go
+++ b/core/dhcatalog/limit.go
@@ -17,6 +17,11 @@
 	Rate int64
 	// Burst is the number of requests that may come at once.
 	Burst int64
+	// FloorPercent is the part of the limit that instances give out without
+	// asking the owner, in percent; 0 for the default. A larger part serves more
+	// while the owner can't be reached, a smaller one follows demand that stands
+	// at few instances.
+	FloorPercent int
 }
 
 // Limit bounds an organisation's requests over all instances together.
@@ -40,11 +45,16 @@
 // Burst returns how many requests may come at once over the whole fleet.
 func (l Limit) Burst() int64 { return l.options.Burst }
 
+// FloorPercent returns the part that instances give out by themselves; 0 for
+// the default.
+func (l Limit) FloorPercent() int { return l.options.FloorPercent }
+
 func (l Limit) references() []Ref { return []Ref{NewRef(KindOrganisation, l.options.Organisation)} }
 
 func (l Limit) check(p *problems) {
 	p.requireRange(l.Ref(), "rate", l.options.Rate, 1, MaxRate)
 	p.requireRange(l.Ref(), "burst", l.options.Burst, 1, MaxBurst)
+	p.requireRange(l.Ref(), "floorPercent", int64(l.options.FloorPercent), 0, 100)
 }
 
 // ObjectiveOptions are the fields of an Objective.
--- a/core/dhgrant/split.go
+++ b/core/dhgrant/split.go
@@ -5,8 +5,9 @@
 	"dogwoodhitch/core/dhmessage"
 )
 
-// FloorPercent is the part of every limit that is split into fixed floors, one
-// an instance, so that an instance without an owner serves at least that.
+// FloorPercent is the part of a limit that is split into fixed floors, one an
+// instance, so that an instance without an owner serves at least that. A limit
+// may say otherwise.
 const FloorPercent = 10
 
 // Share is a part of a limit.
@@ -32,7 +33,11 @@
 		return whole, Share{}
 	}
 	parts := dhmessage.Tokens(100 * instances)
-	floor = Share{rate: whole.rate * FloorPercent / parts, limit: whole.limit * FloorPercent / parts}
+	percent := dhmessage.Tokens(FloorPercent)
+	if l.FloorPercent() > 0 {
+		percent = dhmessage.Tokens(l.FloorPercent())
+	}
+	floor = Share{rate: whole.rate / parts * percent, limit: whole.limit / parts * percent}
 	if floor.limit < dhmessage.Token {
 		return whole, Share{}
 	}
--- a/io/dhwire/catalog.go
+++ b/io/dhwire/catalog.go
@@ -61,6 +61,7 @@
 	case dhcatalog.Limit:
 		return &dhproto.Object{Object: &dhproto.Object_Limit{Limit: &dhproto.Limit{
 			Name: o.Name(), Organisation: o.Organisation(), Rate: int32(o.Rate()), Burst: int32(o.Burst()),
+			FloorPercent: int32(o.FloorPercent()),
 		}}}
 	case dhcatalog.Objective:
 		return &dhproto.Object{Object: &dhproto.Object_Objective{Objective: &dhproto.Objective{
@@ -181,6 +182,7 @@
 		return dhcatalog.NewLimit(dhcatalog.LimitOptions{
 			Name: o.Limit.GetName(), Organisation: o.Limit.GetOrganisation(),
 			Rate: int64(o.Limit.GetRate()), Burst: int64(o.Limit.GetBurst()),
+			FloorPercent: int(o.Limit.GetFloorPercent()),
 		}), nil
 	case *dhproto.Object_Objective:
 		return dhcatalog.NewObjective(dhcatalog.ObjectiveOptions{
