Move objects from busy upstreams and regions, by the load that they report

Upstreams report their load; busy ones give away some of their objects, chosen by hash, so that instances that see the same loads move the same ones.

--- a/cmd/dogwoodhitch/cluster_test.go
+++ b/cmd/dogwoodhitch/cluster_test.go
@@ -229,7 +229,7 @@
 	c.t.Helper()
 	p.log = &logBuffer{}
 	p.command = exec.Command(program, p.role, "--settings", p.folder+".jsonc")
-	p.command.Stderr = p.log
+	p.command.Stdout, p.command.Stderr = p.log, p.log
 	if err := p.command.Start(); err != nil {
 		c.t.Fatal(err)
 	}
--- a/core/dheffect/traffic.go
+++ b/core/dheffect/traffic.go
@@ -173,52 +173,6 @@
 
 func (*Replay) effect() {}
 
-// AccountOptions are the fields of an Account.
-type AccountOptions struct {
-	// Route is the route's name, or "".
-	Route string
-	// Organisation is the organisation, or "".
-	Organisation string
-	// Kind is the reason of a refusal, or "" for an answer.
-	Kind RefusalKind
-	// Status is the answer's status code, or 0.
-	Status int
-	// Latency is the time since the request arrived.
-	Latency dhclock.Millis
-	// WithinRate is whether the organisation was within its rate when the request came.
-	WithinRate bool
-}
-
-// Account counts a request that ended.
-type Account struct {
-	options AccountOptions
-}
-
-// NewAccount returns an Account.
-func NewAccount(o AccountOptions) *Account {
-	return &Account{options: o}
-}
-
-// Route returns the route's name, or "".
-func (e *Account) Route() string { return e.options.Route }
-
-// Organisation returns the organisation, or "".
-func (e *Account) Organisation() string { return e.options.Organisation }
-
-// Kind returns the reason of a refusal, or "" for an answer.
-func (e *Account) Kind() RefusalKind { return e.options.Kind }
-
-// Status returns the answer's status code, or 0.
-func (e *Account) Status() int { return e.options.Status }
-
-// Latency returns the time since the request arrived.
-func (e *Account) Latency() dhclock.Millis { return e.options.Latency }
-
-// WithinRate returns whether the organisation was within its rate when the request came.
-func (e *Account) WithinRate() bool { return e.options.WithinRate }
-
-func (*Account) effect() {}
-
 // LookUpReplyOptions are the fields of a LookUpReply.
 type LookUpReplyOptions struct {
 	// Answer is the instances to use.
--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -197,6 +197,8 @@
 type RequestArrivedOptions struct {
 	// Request is the request's number at this instance.
 	Request uint64
+	// Label is the request's identifier as the caller knows it.
+	Label string
 	// Host is the host name that the caller asks for, in lower case, or "".
 	Host string
 	// Path is the path.
@@ -235,6 +237,9 @@
 // Request returns the request's number at this instance.
 func (e *RequestArrived) Request() uint64 { return e.options.Request }
 
+// Label returns the request's identifier as the caller knows it.
+func (e *RequestArrived) Label() string { return e.options.Label }
+
 // Host returns the host name that the caller asks for, or "".
 func (e *RequestArrived) Host() string { return e.options.Host }
 
@@ -284,6 +289,8 @@
 	Delivered bool
 	// Answer is the whole answer, for a claimed request.
 	Answer *dhmessage.Answer
+	// Load is what the upstream said of its load; nil if it said nothing.
+	Load *dhsteer.Load
 }
 
 // AttemptEnded says how an attempt at an upstream or another instance ended.
@@ -318,6 +325,9 @@
 // Answer returns the whole answer, for a claimed request.
 func (e *AttemptEnded) Answer() *dhmessage.Answer { return e.options.Answer }
 
+// Load returns what the upstream said of its load, or nil.
+func (e *AttemptEnded) Load() *dhsteer.Load { return e.options.Load }
+
 // RequestAbandonedOptions are the fields of a RequestAbandoned.
 type RequestAbandonedOptions struct {
 	// Request is the request's number.
@@ -386,6 +396,15 @@
 // AttemptEnd is how an attempt ended.
 type AttemptEnd int
 
+// String returns the end's name.
+func (e AttemptEnd) String() string {
+	names := [...]string{"answered", "notSent", "refused", "broken", "timedOut", "misplaced", "callerGone"}
+	if e < 0 || int(e) >= len(names) {
+		return "unknown"
+	}
+	return names[e]
+}
+
 // The ends of an attempt.
 const (
 	// EndAnswered means that a whole answer came.
--- a/core/dhsteer/affinity.go
+++ b/core/dhsteer/affinity.go
@@ -63,7 +63,7 @@
 // regionFor returns the index of the region that serves an object, or -1.
 func (g *Group) regionFor(w *Wish) int {
 	best, bestScore := -1, math.Inf(-1)
-	keep := w.Object == 0 || mix(w.Object^localSalt)%shareScale < g.localShare
+	keep := w.Object == 0 || float64(mix(w.Object^localSalt)%shareScale) < g.localShare
 	for i := range g.regions {
 		r := &g.regions[i]
 		if !w.allows(r.name) || len(r.members) == 0 {
@@ -93,17 +93,38 @@
 	if w.Object == 0 {
 		return r.leastBusy(now, w)
 	}
-	var best *Member
-	bestScore := math.Inf(-1)
+	best, next := r.ranked(now, w)
+	if best == nil || next == nil || best.moved == 0 {
+		return best
+	}
+	if float64(mix(w.Object^best.seed^localSalt)%shareScale) < best.moved*shareScale {
+		return next
+	}
+	return best
+}
+
+// ranked returns the member with the highest score for an object, and the one
+// that takes the object if the first gives it away: the highest of those that
+// aren't busy.
+func (r *region) ranked(now dhclock.Millis, w *Wish) (best, next *Member) {
+	bestScore, nextScore := math.Inf(-1), math.Inf(-1)
 	for _, m := range r.members {
 		if !m.usable(now) || slices.Contains(w.Tried, m) {
 			continue
 		}
-		if score := weighted(mix(w.Object^m.seed), float64(m.record.Slots())); score > bestScore {
+		score := weighted(mix(w.Object^m.seed), float64(m.record.Slots()))
+		if score > bestScore {
+			if best != nil && best.takes(now) && bestScore > nextScore {
+				next, nextScore = best, bestScore
+			}
 			best, bestScore = m, score
+			continue
+		}
+		if score > nextScore && m.takes(now) {
+			next, nextScore = m, score
 		}
 	}
-	return best
+	return best, next
 }
 
 // leastBusy returns the less busy of two members chosen at random.
--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -20,7 +20,10 @@
 	local   string   // region of this instance
 	// localShare is the part of the objects that the local region serves, of
 	// shareScale.
-	localShare uint64
+	localShare float64
+	// planned is localShare as the slots and the fleet alone tell.
+	planned  float64
+	balanced dhclock.Millis
 }
 
 // region is the members of one region that may get work.
@@ -79,7 +82,7 @@
 		if !found || m.record.Lifetime() != r.record.Lifetime() || m.Address() != r.record.Address() {
 			m = &Member{seed: hashText(name)}
 		}
-		m.take(now, r, l)
+		m.renew(now, r, l)
 		kept[name] = m
 	}
 	for name, m := range g.members {
@@ -91,8 +94,8 @@
 	g.arrange(l)
 }
 
-// take updates a member from its record.
-func (m *Member) take(now dhclock.Millis, r Registration, l Layout) {
+// renew updates a member from its record.
+func (m *Member) renew(now dhclock.Millis, r Registration, l Layout) {
 	known := m.record.Name() != ""
 	away := r.evacuated || r.record.State() != dhcatalog.UpstreamReady
 	if !known || r.record.ColdWord() != m.record.ColdWord() {
@@ -149,16 +152,20 @@
 	for _, n := range entries {
 		demand += n
 	}
-	g.localShare = shareScale
+	planned := float64(shareScale)
 	for i := range g.regions {
 		r := &g.regions[i]
 		carries := float64(r.slots) * headroomPercent / 100 / float64(max(1, slots))
 		wanted := float64(entries[r.name]) / float64(max(1, demand))
 		r.spare = max(0, carries-wanted)
 		if r.name == g.local && wanted > carries {
-			g.localShare = uint64(shareScale * carries / wanted)
+			planned = shareScale * carries / wanted
 		}
 	}
+	if planned != g.planned {
+		// The fleet has changed; what was learnt of the loads counts no more.
+		g.planned, g.localShare = planned, planned
+	}
 }
 
 // Members returns the members, sorted by name.
@@ -174,9 +181,12 @@
 	m.noteSend(now)
 }
 
-// Finish ends a request at a member.
-func (g *Group) Finish(now dhclock.Millis, m *Member, v Verdict, latency dhclock.Millis) {
+// Finish ends a request at a member. The load is what it reported, or nil.
+func (g *Group) Finish(now dhclock.Millis, m *Member, v Verdict, latency dhclock.Millis, l *Load) {
 	m.running--
+	if l != nil {
+		m.reports.take(now, *l)
+	}
 	switch v {
 	case Answered:
 		m.succeed(latency)
--- a/core/dhsteer/member.go
+++ b/core/dhsteer/member.go
@@ -18,6 +18,7 @@
 // Member is one registered upstream as this instance sees it.
 type Member struct {
 	health
+	reports
 	record  dhcatalog.Upstream
 	region  string
 	seed    uint64
--- a/core/dhtraffic/arrive.go
+++ b/core/dhtraffic/arrive.go
@@ -19,7 +19,7 @@
 	now := e.At()
 	r := &request{
 		id: e.Request(), arrived: now, weight: 1, passed: e.Passed(), size: e.Size(),
-		host: e.Host(), path: e.Path(), object: e.Object(), random: e.Random(),
+		label: e.Label(), host: e.Host(), path: e.Path(), object: e.Object(), random: e.Random(),
 	}
 	route, found := s.view.Catalog().RouteFor(e.Host(), e.Path())
 	if !found {
@@ -121,7 +121,7 @@
 	if r.claimed || r.phase == waitsForClaim {
 		s.settleClaim(e.At(), r, dhmessage.ClaimReleased, nil, out)
 	}
-	delete(s.requests, r.id)
+	s.end(e.At(), r, dheffect.CallerGone, 0, out)
 }
 
 func (s *State) stopWaiting(r *request) {
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -35,7 +35,7 @@
 		if r.claimed {
 			s.settleClaim(now, r, dhmessage.ClaimUnclear, nil, out)
 		}
-		delete(s.requests, r.id)
+		s.end(now, r, dheffect.CallerGone, 0, out)
 	}
 	if p != nil {
 		s.dispatch(now, p, out)
@@ -51,8 +51,9 @@
 
 // release gives back the slot of an attempt and judges the other side.
 func (s *State) release(now dhclock.Millis, p *pool, r *request, e *dhevent.AttemptEnded) {
+	r.noteEnded(e)
 	if r.member != nil {
-		r.group.Finish(now, r.member, verdict(e), e.Latency())
+		r.group.Finish(now, r.member, verdict(e), e.Latency(), e.Load())
 		if e.End() != dhevent.EndAnswered {
 			r.triedMembers = append(r.triedMembers, r.member)
 		}
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -175,6 +175,7 @@
 	if r.attempts == 1 {
 		g.retries.earn()
 	}
+	r.noteSent(now, m.Name())
 	g.Take(now, m)
 	out.Add(dheffect.NewForward(dheffect.ForwardOptions{
 		Request: r.id, Service: g.Service(), Upstream: m.Name(), Address: m.Address(), Organisation: r.organisation,
--- a/core/dhtraffic/pass.go
+++ b/core/dhtraffic/pass.go
@@ -96,6 +96,7 @@
 	r.peer = g
 	r.attempts++
 	g.running++
+	r.noteSent(now, g.instance.Name())
 	s.chargeLink(now, g, r.size)
 	p.passUntil = now + keepAsking
 	p.earnRetry(now)
--- a/core/dhtraffic/pools.go
+++ b/core/dhtraffic/pools.go
@@ -32,6 +32,9 @@
 	s.tickTenants(now, out)
 	s.tickClaims(now, out)
 	s.tickPools(now, out)
+	for _, g := range s.groups {
+		g.Balance(now)
+	}
 }
 
 // Published takes a new view.
--- a/core/dhtraffic/slot.go
+++ b/core/dhtraffic/slot.go
@@ -104,6 +104,7 @@
 	r.attempts++
 	p.earnRetry(now)
 	p.Take(u, r.passed)
+	r.noteSent(now, u.Name())
 	out.Add(dheffect.NewForward(dheffect.ForwardOptions{
 		Request: r.id, Service: p.Service(), Upstream: u.Name(), Address: u.Address(), Organisation: r.organisation,
 		Timeout: r.timeout(now), Claimed: r.claimed, Fresh: !r.route.Idempotent(), Echoes: u.Echoes(),
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -8,6 +8,7 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/core/dhsteer"
 	"dogwoodhitch/core/dhview"
@@ -118,6 +119,21 @@
 	peer         *peer // the instance that the request was passed to
 	triedPeers   []*peer
 	attempts     int
+	label        string
+	sent         []dheffect.Attempt
+	mayHaveRun   bool
+}
+
+// noteSent remembers where a request is sent.
+func (r *request) noteSent(now dhclock.Millis, to string) {
+	r.sent = append(r.sent, dheffect.NewAttempt(to, now.Since(r.arrived)))
+}
+
+// noteEnded remembers how the last attempt ended.
+func (r *request) noteEnded(e *dhevent.AttemptEnded) {
+	if n := len(r.sent); n > 0 {
+		r.sent[n-1] = r.sent[n-1].Ended(e.End(), e.Latency())
+	}
 }
 
 func (r *request) timeout(now dhclock.Millis) dhclock.Millis { return r.deadline - now }
@@ -175,9 +191,13 @@
 	if !r.passed && counts(kind, within) {
 		s.burn.Add(now, r.route.Name(), r.organisation, s.bad(r.route.Name(), kind, status, latency))
 	}
+	age, _ := s.view.Age(now)
 	out.Add(dheffect.NewAccount(dheffect.AccountOptions{
-		Route: r.route.Name(), Organisation: r.organisation, Kind: kind,
-		Status: status, Latency: latency, WithinRate: within,
+		Label: r.label, Route: r.route.Name(), Service: r.service, Organisation: r.organisation,
+		Object: r.object, Kind: kind,
+		MayHaveRun: r.mayHaveRun, Status: status, Latency: latency, Deadline: r.deadline - r.arrived,
+		WithinRate: within, Late: r.route.Objective() > 0 && latency > r.route.Objective(),
+		Version: s.view.Catalog().Version(), Age: age, Attempts: r.sent,
 	}))
 }
 
@@ -188,7 +208,7 @@
 	case dheffect.RefuseOverLimit:
 		return within
 	case dheffect.RefuseClaimMissing, dheffect.RefuseClaimReused, dheffect.RefuseClaimOpen,
-		dheffect.RefuseClaimRan, dheffect.RefuseMalformed, dheffect.RefuseTooLarge:
+		dheffect.RefuseClaimRan, dheffect.RefuseMalformed, dheffect.RefuseTooLarge, dheffect.CallerGone:
 		return false
 	default:
 		return true
@@ -215,6 +235,7 @@
 	if r.claimed && !f.MayHaveRun() {
 		s.settleClaim(now, r, dhmessage.ClaimReleased, nil, out)
 	}
+	r.mayHaveRun = f.MayHaveRun()
 	out.Add(dheffect.NewRefuse(dheffect.RefuseOptions{Request: r.id, Refusal: f}))
 	s.end(now, r, f.Kind(), 0, out)
 }
--- a/io/dhcommand/serve.go
+++ b/io/dhcommand/serve.go
@@ -64,8 +64,10 @@
 	if s.Role() != role {
 		return dhfault.New(dhfault.KindSettings, fmt.Sprintf("the settings are of role %q", s.Role()), "run 'dogwoodhitch "+string(s.Role())+"'")
 	}
+	output := dhlogs.NewWriter(c.Root().Writer)
+	defer output.Close()
 	logs, err := dhlogs.New(dhlogs.Options{
-		Level: s.LogLevel(), Layers: s.LogLayers(), Output: c.Root().ErrWriter, Process: s.Name(),
+		Level: s.LogLevel(), Layers: s.LogLayers(), Output: output, Process: s.Name(),
 	})
 	if err != nil {
 		return dhfault.Wrap(dhfault.KindSettings, err)
--- a/io/dhentry/dialect.go
+++ b/io/dhentry/dialect.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhsteer"
 )
 
 // DialectOptions are the fields of a Dialect.
@@ -36,6 +37,9 @@
 	NotRun func(status int, h http.Header) bool
 	// Misplaced tells whether an answer says that another upstream was meant.
 	Misplaced func(status int, h http.Header) bool
+	// Load reads what an upstream says of its load in an answer, or nil; the
+	// function may be nil.
+	Load func(h http.Header) *dhsteer.Load
 	// RetryAfter writes when a caller should come back.
 	RetryAfter func(span dhclock.Millis) string
 }
@@ -73,3 +77,11 @@
 	}
 	return d.options.Attempt, number
 }
+
+// load returns what an answer says of the upstream's load, or nil.
+func (d *Dialect) load(r *http.Response) *dhsteer.Load {
+	if d.options.Load == nil || r == nil {
+		return nil
+	}
+	return d.options.Load(r.Header)
+}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -21,6 +21,7 @@
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhlogs"
 	"dogwoodhitch/io/dhpeer"
 	"dogwoodhitch/io/dhshard"
 	"dogwoodhitch/io/dhtime"
@@ -36,6 +37,8 @@
 	Clock    dhtime.Clock
 	Secret   string
 	Log      *logrus.Entry
+	// Decisions writes lines on single requests, as far as their bound allows.
+	Decisions *dhlogs.Limiter
 	// MaxBody bounds the body of a request, in bytes.
 	MaxBody int64
 	// MaxHeld bounds the bodies of all requests together, in bytes.
@@ -151,30 +154,16 @@
 	in.header.Del(s.options.Dialect.options.Organisation)
 	waiter := s.options.Shard.Arrive(func(at dhclock.Millis, request uint64) dhevent.Event {
 		return dhevent.NewRequestArrived(at, dhevent.RequestArrivedOptions{
-			Request: request, Host: in.hostName(), Path: in.url.Path, Object: in.object, Random: rand.Uint64(), KeyHash: in.key, Passed: passed, Organisation: organisation,
+			Request: request, Label: in.id, Host: in.hostName(), Path: in.url.Path, Object: in.object, Random: rand.Uint64(), KeyHash: in.key, Passed: passed, Organisation: organisation,
 			Patience: in.patience, IdempotencyKey: in.idempotency, Digest: in.digest,
 			Size: len(in.body),
 		})
 	})
 	defer s.options.Shard.Forget(waiter)
 	x := &exchange{server: s, in: in, waiter: waiter, writer: w, passed: passed}
-	defer x.log(s.options.Clock.Now())
 	x.run(r.Context())
 }
 
-// log writes a line for a request that ended, where the entry layer is at the
-// level debug.
-func (x *exchange) log(arrived dhclock.Millis) {
-	s := x.server
-	if !s.options.Log.Logger.IsLevelEnabled(logrus.DebugLevel) {
-		return
-	}
-	s.options.Log.WithFields(logrus.Fields{
-		"request": x.in.id, "method": x.in.method, "path": x.in.url.Path, "passed": x.passed,
-		"status": x.status, "refusal": x.refusal, "ms": s.options.Clock.Now().Since(arrived).Milliseconds(),
-	}).Debug("request ended")
-}
-
 // exchange is one caller's request and what it gets.
 type exchange struct {
 	server *Server
@@ -182,9 +171,6 @@
 	waiter *dhshard.Waiter
 	writer http.ResponseWriter
 	passed bool
-	// status and refusal are what the caller got.
-	status  int
-	refusal dheffect.RefusalKind
 }
 
 // run carries out decisions until the request has ended.
@@ -225,7 +211,6 @@
 func (x *exchange) carryOut(ctx context.Context, d dhshard.Decision) bool {
 	switch e := d.Effect().(type) {
 	case *dheffect.Refuse:
-		x.refusal = e.Refusal().Kind()
 		x.server.writeRefusal(x.writer, x.in.id, e.Refusal())
 		return true
 	case *dheffect.Replay:
@@ -270,10 +255,13 @@
 	}
 	a := s.try(ctx, x.in, t, s.options.Hold)
 	if a.end != dhevent.EndAnswered {
-		s.options.Log.WithError(a.reason).WithFields(logrus.Fields{
-			"request": x.in.id, "upstream": t.address,
-		}).Debug("attempt failed")
-		x.ended(dhevent.AttemptEndedOptions{End: a.end}, d.At())
+		s.options.Decisions.Write("attempt "+a.end.String(), func() (logrus.Fields, string) {
+			return logrus.Fields{
+				"request": x.in.id, "upstream": t.address, "end": a.end.String(), "reason": a.reason.Error(),
+				"timeoutMs": t.timeout.Milliseconds(), "ms": s.options.Clock.Now().Since(d.At()).Milliseconds(),
+			}, "attempt failed"
+		})
+		x.ended(dhevent.AttemptEndedOptions{End: a.end, Load: s.options.Dialect.load(a.response)}, d.At())
 		return a.end == dhevent.EndCallerGone
 	}
 	defer a.close()
@@ -283,7 +271,7 @@
 
 // answer gives an answer to the caller and tells the reducer how it went.
 func (x *exchange) answer(a *attempt, d dhshard.Decision, claimed bool) {
-	o := dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: a.response.StatusCode, Delivered: true, Size: len(a.hold)}
+	o := dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: a.response.StatusCode, Delivered: true, Size: len(a.hold), Load: x.server.options.Dialect.load(a.response)}
 	if a.whole {
 		if claimed {
 			o.Answer = keep(a)
@@ -325,8 +313,7 @@
 	if a.whole && a.response.Request.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.hold)))
 	}
-	x.status = a.response.StatusCode
-	x.writer.WriteHeader(x.status)
+	x.writer.WriteHeader(a.response.StatusCode)
 }
 
 // stream gives on an answer that is too large to be held.
@@ -371,7 +358,6 @@
 	h.Set(x.server.options.Dialect.options.Request, x.in.id)
 	h.Set(HeaderReplayed, "true")
 	h.Set("Content-Length", strconv.Itoa(len(answer.Body())))
-	x.status = answer.Status()
-	x.writer.WriteHeader(x.status)
+	x.writer.WriteHeader(answer.Status())
 	_, _ = x.writer.Write(answer.Body())
 }
--- /dev/null
+++ b/io/dhlogs/limiter.go
@@ -0,0 +1,87 @@
+package dhlogs
+
+import (
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/io/dhtime"
+)
+
+// Bounds of the lines of one kind: each kind has a share of its own, so that a
+// flood of one doesn't hide the others.
+const (
+	// limiterRate is how many lines of one kind are written in a second.
+	limiterRate = 20
+	// limiterBurst is how many may be written at once.
+	limiterBurst = 40
+	// limiterKinds bounds the kinds.
+	limiterKinds = 64
+)
+
+// Limiter writes lines of which there may be too many. What is left out is
+// counted and told with the next line of the kind.
+type Limiter struct {
+	log   *logrus.Entry
+	clock dhtime.Clock
+	mutex sync.Mutex
+	kinds map[string]*allowance
+}
+
+// allowance is what one kind may still write, in thousandths of a line.
+type allowance struct {
+	level   int64
+	filled  dhclock.Millis
+	leftOut int64
+}
+
+// lineUnit is one line.
+const lineUnit = 1000
+
+// NewLimiter returns a limiter that writes to a logger.
+func NewLimiter(log *logrus.Entry, clock dhtime.Clock) *Limiter {
+	return &Limiter{log: log, clock: clock, kinds: map[string]*allowance{}}
+}
+
+// Write writes a line of a kind if there is room for it. The line is made only
+// then. A nil limiter writes nothing.
+func (l *Limiter) Write(kind string, line func() (logrus.Fields, string)) {
+	if l == nil {
+		return
+	}
+	leftOut, ok := l.allow(kind)
+	if !ok {
+		return
+	}
+	fields, text := line()
+	fields["kind"] = kind
+	if leftOut > 0 {
+		fields["leftOut"] = leftOut
+	}
+	l.log.WithFields(fields).Info(text)
+}
+
+// allow takes a line's room, and returns how many were left out before it.
+func (l *Limiter) allow(kind string) (leftOut int64, ok bool) {
+	now := l.clock.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	a, found := l.kinds[kind]
+	if !found {
+		if len(l.kinds) >= limiterKinds {
+			return 0, false
+		}
+		a = &allowance{level: limiterBurst * lineUnit, filled: now}
+		l.kinds[kind] = a
+	}
+	a.level = min(limiterBurst*lineUnit, a.level+limiterRate*int64(now.Since(a.filled)))
+	a.filled = now
+	if a.level < lineUnit {
+		a.leftOut++
+		return 0, false
+	}
+	a.level -= lineUnit
+	leftOut, a.leftOut = a.leftOut, 0
+	return leftOut, true
+}
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -24,6 +24,7 @@
 	"dogwoodhitch/core/dhview"
 	"dogwoodhitch/io/dhask"
 	"dogwoodhitch/io/dhentry"
+	"dogwoodhitch/io/dhlogs"
 	"dogwoodhitch/io/dhloop"
 	"dogwoodhitch/io/dhmetrics"
 	"dogwoodhitch/io/dhpeer"
@@ -52,8 +53,10 @@
 	group   sync.WaitGroup
 	failed  chan error
 	servers []*http.Server
-	bound   Addresses
-	leaving atomic.Bool
+	// decisions writes lines on single requests.
+	decisions *dhlogs.Limiter
+	bound     Addresses
+	leaving   atomic.Bool
 }
 
 // New returns a process that doesn't run yet.
@@ -62,6 +65,7 @@
 		options: o, log: o.Logs.Layer("process"), metrics: dhmetrics.New(),
 		feed: make(chan dhevent.Event, feedSize), failed: make(chan error, 1),
 	}
+	p.decisions = dhlogs.NewLimiter(o.Logs.Layer("decisions"), o.Clock)
 	p.work, p.endWork = context.WithCancel(context.Background())
 	fixed := map[string]string{}
 	for _, v := range o.Voters {
@@ -205,7 +209,7 @@
 	p.shard = dhshard.New(dhreducer.NewTraffic(o), seams)
 	p.entry = dhentry.New(dhentry.Options{
 		Instance: p.options.Name, Shard: p.shard, Clock: p.options.Clock, Secret: p.options.Secrets.Peers,
-		Log: p.options.Logs.Layer("entry"), MaxBody: p.options.MaxBody, MaxHeld: p.options.MaxHeld,
+		Log: p.options.Logs.Layer("entry"), Decisions: p.decisions, MaxBody: p.options.MaxBody, MaxHeld: p.options.MaxHeld,
 		Hold: p.options.Hold, MaxConnections: p.options.MaxConnections, TLS: p.clientTLS(), Dialect: p.options.Dialect,
 	})
 }
@@ -225,7 +229,7 @@
 	case *dheffect.ToControl:
 		p.toControl(e.Event())
 	case *dheffect.Account:
-		p.metrics.Account(e)
+		p.account(e)
 	case *dheffect.Log:
 		p.options.Logs.Layer(e.Layer()).WithFields(logrus.Fields{"peer": e.Peer(), "number": e.Number()}).Info(e.Text())
 	}
