Use limits again at once after restarts, when they are old

Cause: after power loss all instances refused 3 s as over the limit. A restarted instance let its floor hold only a freshness lease after it got the configuration, and a new leader waited that long after any change set, of which registrations make many. What matters is how long ago limits, or the instances that share them, changed; the leader knows that in log time and the spread carries its age. Processes without a confirmed configuration poll at 100 ms. Ruled out: the election (1.1 s) and the spread (0.7 s), which come before.

--- a/core/dhcatalog/change.go
+++ b/core/dhcatalog/change.go
@@ -1,5 +1,7 @@
 package dhcatalog
 
+import "slices"
+
 // ChangeSetOptions are the fields of a ChangeSet.
 type ChangeSetOptions struct {
 	// ID is chosen by the operator and identifies resends.
@@ -39,6 +41,19 @@
 // Blocks returns the client blocks to assign or remove.
 func (c ChangeSet) Blocks() []BlockChange { return c.options.Blocks }
 
+// TouchesLimits tells whether the change set alters limits, or the instances
+// that share them.
+func (c ChangeSet) TouchesLimits() bool {
+	for _, o := range c.options.Puts {
+		if sharesLimits(o.Ref()) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(c.options.Deletes, sharesLimits)
+}
+
+func sharesLimits(r Ref) bool { return r.kind == KindLimit || r.kind == KindInstance }
+
 // Digest returns the hash of the content.
 func (c ChangeSet) Digest() KeyHash { return c.options.Digest }
 
--- a/core/dhcontrol/limits.go
+++ b/core/dhcontrol/limits.go
@@ -106,11 +106,10 @@
 // the predecessor's grants, and after floors of an earlier version that some
 // instance may still use. Before the first version there was no limit.
 func (v *voter) grantFrom(now dhclock.Millis) dhclock.Millis {
-	recent := v.ledger.Recent()
 	switch {
 	case v.ledger.Catalog().Version() == 0:
 		return now
-	case len(recent) > 0 && v.node.LogNow().Since(recent[len(recent)-1].At()) < dhview.FreshnessLease:
+	case v.ledger.Limited() > 0 && v.node.LogNow().Since(v.ledger.Limited()) < dhview.FreshnessLease:
 		return now + max(dhgrant.OwnerLife, dhview.FreshnessLease)
 	default:
 		return now + dhgrant.OwnerLife
--- a/core/dhcontrol/status.go
+++ b/core/dhcontrol/status.go
@@ -45,6 +45,7 @@
 	}
 	v.leadership.looked = s.now
 	s.spread.SetDrains(s.now, s.drainAges())
+	s.spread.SetLimited(s.now - v.node.LogNow().Since(v.ledger.Limited()))
 	s.spread.SetInForce(max(s.spread.LeastAck(), v.leadership.lapsed(s.now, dhview.FreshnessLease)))
 }
 
--- a/core/dhledger/change.go
+++ b/core/dhledger/change.go
@@ -18,7 +18,15 @@
 func (l *Ledger) accept(next *dhcatalog.Catalog, s dhcatalog.ChangeSet) {
 	undo := l.catalog.Undo(s)
 	l.catalog = next
-	l.remember(dhmessage.NewAccepted(next.Version(), l.at, s, undo))
+	a := dhmessage.NewAccepted(next.Version(), l.at, s, undo)
+	l.noteLimits(a)
+	l.remember(a)
+}
+
+func (l *Ledger) noteLimits(a dhmessage.Accepted) {
+	if a.Set().TouchesLimits() {
+		l.limited = a.At()
+	}
 }
 
 // Preview tells what a change set would lead to now, without committing it.
--- a/core/dhledger/ledger.go
+++ b/core/dhledger/ledger.go
@@ -37,6 +37,8 @@
 	claims  map[dhmessage.ClaimKey]dhmessage.ClaimRecord
 	expiry  expiryQueue
 	answers int // bytes of recorded answers
+	// limited is the log time of the last change of what limits are split by.
+	limited dhclock.Millis
 }
 
 // New returns the state that a snapshot holds.
@@ -55,6 +57,7 @@
 	}
 	for _, a := range l.recent {
 		l.byID[a.Set().ID()] = a
+		l.noteLimits(a)
 	}
 	for _, c := range s.Claims() {
 		l.keep(c)
@@ -72,6 +75,10 @@
 // must not change the slice.
 func (l *Ledger) Recent() []dhmessage.Accepted { return l.recent }
 
+// Limited returns the log time at which limits, or the instances that share
+// them, last changed.
+func (l *Ledger) Limited() dhclock.Millis { return l.limited }
+
 // ClaimCount returns how many claims are kept.
 func (l *Ledger) ClaimCount() int { return len(l.claims) }
 
--- a/core/dhmessage/spread.go
+++ b/core/dhmessage/spread.go
@@ -94,6 +94,9 @@
 	Drains []DrainAge
 	// Voters is the members of the consensus group.
 	Voters []Voter
+	// LimitsAge is how long ago limits, or the instances that share them, last
+	// changed.
+	LimitsAge dhclock.Millis
 }
 
 // Update answers a Poll, or comes unasked when the version rises.
@@ -139,6 +142,10 @@
 // Voters returns the members of the consensus group.
 func (m *Update) Voters() []Voter { return m.options.Voters }
 
+// LimitsAge returns how long ago limits, or the instances that share them, last
+// changed.
+func (m *Update) LimitsAge() dhclock.Millis { return m.options.LimitsAge }
+
 func (*Update) message() {}
 
 // DrainAge says how long ago a drain started.
--- a/core/dhspread/children.go
+++ b/core/dhspread/children.go
@@ -36,7 +36,7 @@
 	o := dhmessage.UpdateOptions{
 		Sent: sent, Version: s.catalog.Version(), Confirmed: s.ever, Age: now.Since(s.confirmed),
 		Away: s.away, Leader: s.leader, InForce: s.inForce, Drains: s.drainAges(now),
-		Voters: s.members,
+		Voters: s.members, LimitsAge: now.Since(s.limited),
 	}
 	if c.version < s.catalog.Version() {
 		var kept bool
--- a/core/dhspread/parent.go
+++ b/core/dhspread/parent.go
@@ -97,8 +97,12 @@
 	}
 }
 
-// interval returns the time between two polls.
+// interval returns the time between two polls. A process that can't serve yet
+// asks more often.
 func (s *State) interval() dhclock.Millis {
+	if !s.ever {
+		return eagerInterval
+	}
 	beyond := max(0, len(s.catalog.InstancesIn(s.zone))-smallZone)
 	return min(pollMost, pollInterval+dhclock.Millis(beyond)*pollSpread)
 }
@@ -170,6 +174,7 @@
 	}
 	s.Confirm(m.Sent() - m.Age())
 	s.SetInForce(m.InForce())
+	s.SetLimited(now - m.LimitsAge())
 	s.setDrains(now, m.Drains())
 	if !s.voter && len(m.Voters()) > 0 {
 		s.SetMembers(m.Voters())
--- a/core/dhspread/state.go
+++ b/core/dhspread/state.go
@@ -28,6 +28,9 @@
 	pollInterval dhclock.Millis = 400
 	pollSpread   dhclock.Millis = 25
 	pollMost     dhclock.Millis = 800
+	// eagerInterval is the time between two polls of a process whose
+	// configuration was never confirmed.
+	eagerInterval dhclock.Millis = 100
 	// ackLife is for how long an acknowledgement is passed on.
 	ackLife dhclock.Millis = 1800
 	// ackInterval is the least time between two polls that pass on news of
@@ -85,6 +88,8 @@
 	inForce   uint64
 	members   []dhmessage.Voter
 	drains    map[string]dhclock.Millis
+	// limited is when limits, or the instances that share them, last changed.
+	limited dhclock.Millis
 
 	parent   parent
 	children map[string]*child
@@ -113,7 +118,7 @@
 func New(o Options) *State {
 	return &State{
 		self: o.Self, zone: o.Zone, voters: o.Voters, voter: o.Voter, introduce: o.Introduce,
-		catalog: dhcatalog.New(), applied: o.Now,
+		catalog: dhcatalog.New(), applied: o.Now, limited: o.Now,
 		children: map[string]*child{}, reports: map[string]*report{},
 		parent: parent{since: o.Now, first: o.Now}, dirty: true,
 	}
@@ -171,6 +176,13 @@
 	s.dirty, s.grown = true, true
 }
 
+// SetLimited notes when limits, or the instances that share them, last changed.
+func (s *State) SetLimited(at dhclock.Millis) {
+	if d := at - s.limited; d < -driftAllowed || d > driftAllowed {
+		s.limited, s.dirty = at, true
+	}
+}
+
 // SetInForce notes the newest version that is in force everywhere.
 func (s *State) SetInForce(version uint64) {
 	if version > s.inForce {
@@ -226,6 +238,7 @@
 func (s *State) apply(now dhclock.Millis, full *dhcatalog.Catalog, sets []dhcatalog.ChangeSet) {
 	if full != nil && full.Version() > s.catalog.Version() {
 		s.catalog, s.applied, s.history = full, now, nil
+		s.limited = now
 		s.dirty, s.grown = true, true
 	}
 	for _, c := range sets {
@@ -238,6 +251,9 @@
 		}
 		undo := s.catalog.Undo(c)
 		s.catalog, s.applied = next, now
+		if c.TouchesLimits() {
+			s.limited = now
+		}
 		s.history = append(s.history, dhmessage.NewAccepted(next.Version(), 0, c, undo))
 		s.dirty, s.grown = true, true
 	}
@@ -264,7 +280,7 @@
 	s.dirty = false
 	out.Add(dheffect.NewPublish(dheffect.PublishOptions{View: dhview.New(dhview.Options{
 		Catalog: s.catalog, Confirmed: s.confirmed, Ever: s.ever, Applied: s.applied,
-		Away: s.away, Leader: s.leader, InForce: s.inForce, DrainStarts: s.drains, Voters: s.members,
+		Away: s.away, Leader: s.leader, InForce: s.inForce, DrainStarts: s.drains, Voters: s.members, Limited: s.limited,
 	})}))
 }
 
--- a/core/dhtraffic/pools.go
+++ b/core/dhtraffic/pools.go
@@ -39,10 +39,13 @@
 
 // Published takes a new view.
 func (s *State) Published(e *dhevent.ViewPublished) {
-	old := s.view.Catalog().Version()
+	old := s.view
 	s.view = e.View()
-	if s.view.Catalog().Version() != old {
+	changed := s.view.Catalog().Version() != old.Catalog().Version()
+	if changed || s.view.Limited() != old.Limited() {
 		s.setLimits(e.At())
+	}
+	if changed {
 		s.setLinks(e.At())
 		s.setGroups(e.At())
 	}
--- a/core/dhtraffic/token.go
+++ b/core/dhtraffic/token.go
@@ -144,7 +144,7 @@
 // once no instance can still use the version before.
 func (s *State) setLimits(now dhclock.Millis) {
 	c := s.view.Catalog()
-	from := now + dhview.FreshnessLease
+	from := max(now, s.view.Limited()+dhview.FreshnessLease)
 	instances := c.InstanceCount()
 	kept := map[string]bool{}
 	for _, o := range c.List(dhcatalog.KindLimit) {
--- a/core/dhview/view.go
+++ b/core/dhview/view.go
@@ -29,6 +29,8 @@
 	InForce uint64
 	// DrainStarts holds when each drain started, on this instance's clock.
 	DrainStarts map[string]dhclock.Millis
+	// Limited is when limits, or the instances that share them, last changed.
+	Limited dhclock.Millis
 }
 
 // View is what one process knows of the system at one time.
@@ -83,6 +85,10 @@
 	return ever && age <= FreshnessLease+grace
 }
 
+// Limited returns when limits, or the instances that share them, last changed,
+// on this instance's clock.
+func (v *View) Limited() dhclock.Millis { return v.options.Limited }
+
 // InForce returns the newest version known to be in force on every instance.
 func (v *View) InForce() uint64 { return v.options.InForce }
 
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -98,6 +98,7 @@
 	w := &dhproto.Update{
 		SentMs: m.Sent().Milliseconds(), Version: m.Version(), Confirmed: m.Confirmed(), AgeMs: m.Age().Milliseconds(),
 		Full: catalogToWire(m.Full()), Leader: m.Leader(), InForce: m.InForce(), Voters: VotersToWire(m.Voters()),
+		LimitsAgeMs: m.LimitsAge().Milliseconds(),
 	}
 	for _, c := range m.Changes() {
 		w.Changes = append(w.Changes, ChangeSetToWire(c))
@@ -229,7 +230,7 @@
 	o := dhmessage.UpdateOptions{
 		Sent: dhclock.Millis(w.GetSentMs()), Version: w.GetVersion(), Confirmed: w.GetConfirmed(),
 		Age: dhclock.Millis(w.GetAgeMs()), Full: full, Leader: w.GetLeader(), InForce: w.GetInForce(),
-		Voters: VotersFromWire(w.GetVoters()),
+		Voters: VotersFromWire(w.GetVoters()), LimitsAge: dhclock.Millis(w.GetLimitsAgeMs()),
 	}
 	for _, x := range w.GetChanges() {
 		c, err := ChangeSetFromWire(x)
