--- a/core/dhsteer/affinity.go
+++ b/core/dhsteer/affinity.go
@@ -17,6 +17,12 @@
 	// list allows all.
 	Homes [2][]string
 	Tried []*Member
+	// Objective is the latency of a good answer; 0 if none is known.
+	Objective dhclock.Millis
+	// Priority orders requests where not all can be served; 0 goes first.
+	Priority int
+	// calm leaves only members that aren't busy.
+	calm bool
 }
 
 func (w *Wish) allows(region string) bool {
@@ -32,28 +38,32 @@
 // to the member with the highest weighted hash of both (rendezvous hashing), so
 // that each object is cached at one upstream and only the objects of a member
 // that comes or goes move. The region is chosen first: the local one for the
-// objects that it can serve, another one by hash for the rest.
+// objects that it can serve, another one by hash for the rest. A request that
+// a busy member doesn't admit goes to one that isn't busy, or nowhere.
 func (g *Group) Choose(now dhclock.Millis, w Wish) *Member {
 	home := g.regionFor(&w)
 	if home >= 0 {
 		if m := g.regions[home].choose(now, &w); m != nil {
-			return m
-		}
-	}
-	for i := range g.regions {
-		// Nobody there can take it: any region will do, the local one first.
-		if g.regions[i].name == g.local && i != home && w.allows(g.local) {
-			if m := g.regions[i].choose(now, &w); m != nil {
+			if m.admits(now, &w) {
 				return m
 			}
+			w.calm = true
 		}
 	}
 	var best *Member
 	for i := range g.regions {
-		if i == home || g.regions[i].name == g.local || !w.allows(g.regions[i].name) {
+		r := &g.regions[i]
+		if (i == home && !w.calm) || !w.allows(r.name) {
+			continue
+		}
+		m := r.choose(now, &w)
+		if m == nil {
 			continue
 		}
-		if m := g.regions[i].choose(now, &w); m != nil && (best == nil || m.load() < best.load()) {
+		if r.name == g.local {
+			return m
+		}
+		if best == nil || m.load() < best.load() {
 			best = m
 		}
 	}
@@ -109,7 +119,7 @@
 func (r *region) ranked(now dhclock.Millis, w *Wish) (best, next *Member) {
 	bestScore, nextScore := math.Inf(-1), math.Inf(-1)
 	for _, m := range r.members {
-		if !m.usable(now) || slices.Contains(w.Tried, m) {
+		if !m.open(now, w) {
 			continue
 		}
 		score := weighted(mix(w.Object^m.seed), float64(m.record.Slots()))
@@ -127,6 +137,11 @@
 	return best, next
 }
 
+// open tells whether a member may be chosen for a request.
+func (m *Member) open(now dhclock.Millis, w *Wish) bool {
+	return m.usable(now) && !slices.Contains(w.Tried, m) && (!w.calm || m.takes(now))
+}
+
 // leastBusy returns the less busy of two members chosen at random.
 func (r *region) leastBusy(now dhclock.Millis, w *Wish) *Member {
 	var best *Member
@@ -134,7 +149,7 @@
 	for range len(r.members) {
 		m := r.members[random%uint64(len(r.members))]
 		random = mix(random)
-		if !m.usable(now) || slices.Contains(w.Tried, m) {
+		if !m.open(now, w) {
 			continue
 		}
 		if best == nil {
@@ -150,7 +165,7 @@
 		return best
 	}
 	for _, m := range r.members {
-		if m.usable(now) && !slices.Contains(w.Tried, m) && (best == nil || m.load() < best.load()) {
+		if m.open(now, w) && (best == nil || m.load() < best.load()) {
 			best = m
 		}
 	}
--- a/core/dhsteer/balance.go
+++ b/core/dhsteer/balance.go
@@ -129,3 +129,33 @@
 		g.localShare = min(shareScale, g.localShare+regionBack*shareScale)
 	}
 }
+
+// Constants of admission at a busy member, in shares of its slots.
+const (
+	// admitAll is up to where every request is admitted, and admitLeast from where
+	// on only leastAdmitted of them are.
+	admitAll      = 1.0
+	admitLeast    = 2.0
+	leastAdmitted = 0.05
+	// admitPriority is by how much the bounds are lower for each step of priority.
+	admitPriority = 0.1
+	// lateShare is the part of the objective up to which a latency is no sign of
+	// overload.
+	lateShare = 0.8
+)
+
+// admits tells whether a busy member gets a request. Beyond its slots requests
+// queue up there until none is answered in time. So, once answers are late and
+// more is asked for than the slots, a part of the requests is turned away at
+// once, the less urgent ones first.
+func (m *Member) admits(now dhclock.Millis, w *Wish) bool {
+	if w.Objective == 0 || !m.known(now) || m.latency < int64(float64(w.Objective)*lateShare*latencyScale) {
+		return true
+	}
+	excess := m.busy - admitAll + admitPriority*float64(w.Priority)
+	if excess <= 0 {
+		return true
+	}
+	part := max(leastAdmitted, 1-excess/(admitLeast-admitAll))
+	return float64(mix(w.Random^localSalt)%shareScale) < part*shareScale
+}
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -147,18 +147,19 @@
 func (s *State) seekMember(now dhclock.Millis, g *group, r *request, out *dheffect.List) {
 	m := g.Choose(now, s.wish(r))
 	if m == nil {
-		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, retrySoon), out)
+		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, retryLater), out)
 		return
 	}
 	s.sendTo(now, g, r, m, out)
 }
 
 func (s *State) wish(r *request) dhsteer.Wish {
-	w := dhsteer.Wish{Random: r.random, Tried: r.triedMembers}
+	w := dhsteer.Wish{Random: r.random, Tried: r.triedMembers, Objective: r.route.Objective()}
 	if r.route.Affinity() {
 		w.Object = r.object
 	}
 	organisation, _ := s.view.Catalog().Organisation(r.organisation)
+	w.Priority = organisation.Priority(r.route)
 	w.Homes = [2][]string{r.route.Homes(), organisation.Homes()}
 	return w
 }
