Refuse what a busy upstream doesn't admit instead of sending it elsewhere

Cause: in another region the object isn't cached; the work there is three times as long and its bytes are dear.

--- a/core/dhsteer/affinity.go
+++ b/core/dhsteer/affinity.go
@@ -21,8 +21,6 @@
 	Objective dhclock.Millis
 	// Priority orders requests where not all can be served; 0 goes first.
 	Priority int
-	// calm leaves only members that aren't busy.
-	calm bool
 }
 
 func (w *Wish) allows(region string) bool {
@@ -39,21 +37,22 @@
 // that each object is cached at one upstream and only the objects of a member
 // that comes or goes move. The region is chosen first: the local one for the
 // objects that it can serve, another one by hash for the rest. A request that
-// a busy member doesn't admit goes to one that isn't busy, or nowhere.
+// a busy member doesn't admit goes nowhere: elsewhere its object isn't cached,
+// and would take the room of others.
 func (g *Group) Choose(now dhclock.Millis, w Wish) *Member {
 	home := g.regionFor(&w)
 	if home >= 0 {
 		if m := g.regions[home].choose(now, &w); m != nil {
-			if m.admits(now, &w) {
-				return m
+			if !m.admits(now, &w) {
+				return nil
 			}
-			w.calm = true
+			return m
 		}
 	}
 	var best *Member
 	for i := range g.regions {
 		r := &g.regions[i]
-		if (i == home && !w.calm) || !w.allows(r.name) {
+		if i == home || !w.allows(r.name) {
 			continue
 		}
 		m := r.choose(now, &w)
@@ -139,7 +138,7 @@
 
 // open tells whether a member may be chosen for a request.
 func (m *Member) open(now dhclock.Millis, w *Wish) bool {
-	return m.usable(now) && !slices.Contains(w.Tried, m) && (!w.calm || m.takes(now))
+	return m.usable(now) && !slices.Contains(w.Tried, m)
 }
 
 // leastBusy returns the less busy of two members chosen at random.
