Search the fleet that looks after itself; let a wiped process find the leader

The search (cuts, freezes, kills of all, up to two lost disks) found a control process that was wiped and stayed alone: as no member it kept the leader of an old term, and forgot what a redirect told it. A process without a vote forgets a leader that it doesn't hear, and a redirected Join goes on to the leader. Red before: TestFleetUnderFaults 'c3 has declaration 0, acknowledged is 7'.

--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -172,7 +172,12 @@
 		n.tickLeader(out)
 		return
 	}
-	if n.now.Since(n.heard) < n.timeout || !n.isVoter(n.self) {
+	if n.now.Since(n.heard) < n.timeout {
+		return
+	}
+	if !n.isVoter(n.self) {
+		// It can't seek votes; who leads now is for others to tell.
+		n.leader = ""
 		return
 	}
 	n.startVote(true, out)
--- a/core/dhcontrol/fleet.go
+++ b/core/dhcontrol/fleet.go
@@ -125,7 +125,14 @@
 		}
 		to = others[f.turn%len(others)]
 	}
-	out.Add(dheffect.NewSend(dheffect.SendOptions{To: to, Message: dhmessage.NewJoin(f.options.Address, f.options.Region)}))
+	s.joinAt(to, out)
+}
+
+// joinAt asks a process to be a member.
+func (s *State) joinAt(to string, out *dheffect.List) {
+	out.Add(dheffect.NewSend(dheffect.SendOptions{
+		To: to, Message: dhmessage.NewJoin(s.fleet.options.Address, s.fleet.options.Region),
+	}))
 }
 
 // manageMembers makes at most one change of members.
--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -122,6 +122,9 @@
 		return
 	}
 	s.spread.SetLeader(m.Leader())
+	if s.fleet != nil && m.Ticket() == 0 && m.Leader() != s.self.Name() {
+		s.joinAt(m.Leader(), out)
+	}
 	if _, found := s.proposals.open[m.Ticket()]; found {
 		s.proposals.send(m.Ticket(), s.now, m.Leader(), out)
 	}
--- /dev/null
+++ b/core/dhreducer/fleet_test.go
@@ -0,0 +1,318 @@
+package dhreducer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhcontrol"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// manage gives a machine the options of a fleet that looks after itself.
+func (n *network) manage(m *machine, o *dhcontrol.Options) {
+	if m.disk == nil {
+		i := dhcatalog.NewInstance(dhcatalog.InstanceOptions{
+			Name: m.name, Zone: m.zone, CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:81",
+		})
+		o.Introduce = &i
+		return
+	}
+	managed := *n.managed
+	managed.Address, managed.Region = m.name+":1", m.zone
+	o.Managed = &managed
+	o.Consensus.Managed = true
+}
+
+// withManaged returns a fleet of control processes of which the first three are
+// the seeds, and entry instances. It has just started.
+func withManaged(t fataler, controls int, entries ...string) *network {
+	n := withNetwork(t, 3)
+	n.managed = &dhcontrol.ManagedOptions{Votes: 5, Zones: []dhcatalog.Zone{
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "b1", Region: "b"}),
+	}}
+	for i := 3; i < controls; i++ {
+		name := fmt.Sprintf("c%d", i+1)
+		n.machines = append(n.machines, &machine{name: name, offset: dhclock.Millis(i * 7919), disk: &disk{folder: name + "-folder"}})
+	}
+	for i, name := range entries {
+		n.machines = append(n.machines, &machine{name: name, zone: name[:2], offset: dhclock.Millis(500_000 + i*104_729)})
+	}
+	for i, m := range n.machines {
+		if m.disk != nil {
+			m.zone = string(rune('a' + i%3))
+		}
+		n.start(m)
+	}
+	return n
+}
+
+// votes returns the names and folders that have a vote, as the leader sees it.
+func (n *network) votes() []string {
+	var list []string
+	if l := n.leader(); l != nil {
+		for _, v := range n.status(l).Voters() {
+			if !v.Learner() {
+				list = append(list, v.Name()+"@"+v.Folder())
+			}
+		}
+	}
+	return list
+}
+
+func (n *network) declared(m *machine) uint64 {
+	d, _ := m.view.Catalog().Declaration()
+	return d.Number()
+}
+
+func declaration(number uint64) dhmessage.Command {
+	return dhmessage.NewDeclare(dhcatalog.NewDeclaration(number, fmt.Sprint(number)), []dhcatalog.Object{
+		dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: fmt.Sprint("o", number)}),
+	})
+}
+
+// TestFleetFoundsItself starts six control processes and two entries, of which
+// each knows three seeds.
+func TestFleetFoundsItself(t *testing.T) {
+	n := withManaged(t, 6, "a1-1", "b1-1")
+	n.run(4000)
+	if v := n.votes(); len(v) != 5 {
+		t.Errorf("the votes are %v", v)
+	}
+	if l := n.leader(); l == nil || len(n.status(l).Voters()) != 6 {
+		t.Error("not every control process is a member")
+	}
+	for _, m := range n.machines {
+		c := m.view.Catalog()
+		if c.InstanceCount() != 2 || c.RegionOf("b1") != "b" {
+			t.Errorf("%s knows %d instances, and b1 in %q", m.name, c.InstanceCount(), c.RegionOf("b1"))
+		}
+	}
+}
+
+// TestTwoDisksLostAfterAnAcknowledgement wipes every pair of control processes
+// right after a declaration was acknowledged, two seconds after the start.
+func TestTwoDisksLostAfterAnAcknowledgement(t *testing.T) {
+	for first := range 6 {
+		for second := range first {
+			n := withManaged(t, 6, "a1-1")
+			n.run(2500)
+			ticket := n.propose(n.find("c1"), declaration(7))
+			for range 100 {
+				if _, answered := n.replies[ticket]; answered {
+					break
+				}
+				n.run(20)
+			}
+			if r := n.replies[ticket]; r.Err() != nil || r.Version() == 0 {
+				t.Fatalf("not acknowledged: %v", r.Err())
+			}
+			n.wipe(n.machines[first])
+			n.wipe(n.machines[second])
+			n.run(12_000)
+			for _, m := range n.machines {
+				if n.declared(m) != 7 {
+					t.Errorf("c%d and c%d wiped: %s has %d", first+1, second+1, m.name, n.declared(m))
+				}
+			}
+			for _, lost := range []int{first, second} {
+				old := fmt.Sprintf("c%d@c%d-folder", lost+1, lost+1)
+				if v := n.votes(); len(v) != 5 || slices.Contains(v, old) {
+					t.Errorf("c%d and c%d wiped: the votes are %v", first+1, second+1, v)
+				}
+			}
+		}
+	}
+}
+
+// TestVoteOfASilentVoterMoves stops a voter for good.
+func TestVoteOfASilentVoterMoves(t *testing.T) {
+	n := withManaged(t, 6)
+	n.run(4000)
+	gone := n.find("c2")
+	if gone == n.leader() {
+		gone = n.find("c3")
+	}
+	n.stop(gone)
+	n.run(15_000)
+	v := n.votes()
+	if len(v) != 5 || slices.Contains(v, gone.name+"@"+gone.disk.folder) {
+		t.Errorf("the votes are %v without %s", v, gone.name)
+	}
+}
+
+// TestBlankProcessNeverFounds starts a fleet whose seeds are all blank: nobody
+// may lead it.
+func TestBlankProcessNeverFounds(t *testing.T) {
+	n := withManaged(t, 4)
+	n.run(3000)
+	for _, m := range n.machines {
+		n.wipe(m)
+	}
+	n.run(10_000)
+	if l := n.leader(); l != nil {
+		t.Errorf("%s leads a group of blank folders", l.name)
+	}
+}
+
+// checked is a word of an upstream and the ticket of its answer.
+func (n *network) checkIn(m *machine, u dhcatalog.UpstreamOptions) uint64 {
+	n.ticket++
+	n.take(m, dhevent.NewUpstreamChecked(n.clock(m), dhevent.UpstreamCheckedOptions{
+		Ticket: n.ticket, Upstream: dhcatalog.NewUpstream(u),
+	}))
+	return n.ticket
+}
+
+func upstreamWord(name string, state dhcatalog.UpstreamState) dhcatalog.UpstreamOptions {
+	return dhcatalog.UpstreamOptions{Name: name, Service: "s", Address: "10.0.1.1:80", Zone: "a1", Slots: 4, Lifetime: 1, State: state}
+}
+
+// TestSilentUpstreamIsForgotten checks in for a while at a process that doesn't
+// lead, and then no more. What is checked in stays registered.
+func TestSilentUpstreamIsForgotten(t *testing.T) {
+	n := withManaged(t, 4, "a1-1")
+	n.run(3000)
+	follower := n.find("c1")
+	if follower == n.leader() {
+		follower = n.find("c2")
+	}
+	entry := n.find("a1-1")
+	for range 20 {
+		n.checkIn(follower, upstreamWord("u", dhcatalog.UpstreamReady))
+		n.run(1500)
+		if len(entry.view.Catalog().UpstreamsOf("s")) != 1 {
+			t.Fatal("an upstream that checks in isn't registered")
+		}
+	}
+	n.run(12_000)
+	if len(entry.view.Catalog().UpstreamsOf("s")) != 0 {
+		t.Error("a silent upstream stays registered")
+	}
+}
+
+// fleetSearch is a search over faults. It remembers what was acknowledged.
+type fleetSearch struct {
+	*network
+	number      uint64
+	declares    map[uint64]uint64 // number by ticket
+	drains      map[uint64]string // upstream by ticket
+	acked       uint64
+	drained     map[string]bool
+	wiped       int
+	lastWipe    dhclock.Millis
+	upstreamNum int
+}
+
+// note takes the answers that came.
+func (f *fleetSearch) note() {
+	for ticket, number := range f.declares {
+		if r, found := f.replies[ticket]; found && !r.Unsure() && r.Err() == nil {
+			f.acked = max(f.acked, number)
+		}
+	}
+	for ticket, name := range f.drains {
+		if r, found := f.replies[ticket]; found && !r.Unsure() && r.Err() == nil {
+			f.drained[name] = true
+		}
+	}
+}
+
+// describe tells who is a member and how far each process is.
+func (n *network) describe() string {
+	text := ""
+	for _, m := range n.machines[:6] {
+		s := n.status(m)
+		text += fmt.Sprintf("%s@%s leads %v term %d commit %d;", m.name, m.disk.folder, s.Leads(), s.Term(), s.Commit())
+		if s.Leads() {
+			for _, v := range s.Voters() {
+				text += fmt.Sprintf(" [%s@%s learner %v lag %d silent %d answers %s]", v.Name(), v.Folder(), v.Learner(), v.Lag(), v.Silent(), v.Answers())
+			}
+		}
+	}
+	return text
+}
+
+// check lets the fleet recover, and looks for all that was acknowledged.
+func (f *fleetSearch) check(t *rapid.T) {
+	f.note()
+	f.heal()
+	f.run(8000)
+	for _, m := range f.machines {
+		if m.view == nil || f.declared(m) < f.acked {
+			t.Fatalf("%s has declaration %d, acknowledged is %d; %s", m.name, f.declared(m), f.acked, f.describe())
+		}
+		for name := range f.drained {
+			u, found := m.view.Catalog().Get(dhcatalog.NewRef(dhcatalog.KindUpstream, name)).(dhcatalog.Upstream)
+			if found && u.State() == dhcatalog.UpstreamReady {
+				t.Fatalf("%s: upstream %s is ready after its draining was acknowledged", m.name, name)
+			}
+		}
+	}
+	if v := f.votes(); len(v) != 5 {
+		t.Fatalf("the votes are %v", v)
+	}
+}
+
+// TestFleetUnderFaults searches for a lost acknowledgement under cuts, freezes,
+// kills of all and up to two lost disks at a time.
+func TestFleetUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleetSearch{
+			network: withManaged(t, 6, "a1-1", "b1-1"), declares: map[uint64]uint64{}, drains: map[uint64]string{}, drained: map[string]bool{},
+		}
+		f.run(4000)
+		actions := f.actions()
+		running := func(t *rapid.T) *machine {
+			m := rapid.SampledFrom(f.machines[:6]).Draw(t, "control")
+			if m.state == nil || m.frozen {
+				t.Skip("it doesn't run")
+			}
+			return m
+		}
+		actions["declare"] = func(t *rapid.T) {
+			f.number += uint64(rapid.IntRange(1, 3).Draw(t, "step"))
+			f.declares[f.propose(running(t), declaration(f.number))] = f.number
+		}
+		actions["drain"] = func(t *rapid.T) {
+			m := running(t)
+			f.upstreamNum++
+			name := fmt.Sprint("u", f.upstreamNum)
+			f.checkIn(m, upstreamWord(name, dhcatalog.UpstreamReady))
+			f.run(200)
+			if m.state == nil || m.frozen {
+				return
+			}
+			f.drains[f.checkIn(m, upstreamWord(name, dhcatalog.UpstreamDraining))] = name
+		}
+		actions["wipe"] = func(t *rapid.T) {
+			if f.wiped >= 2 {
+				// The fleet has had time to repair itself.
+				f.note()
+				f.heal()
+				f.run(8000)
+				f.wiped = 0
+			}
+			f.note()
+			f.wiped++
+			f.network.wipe(rapid.SampledFrom(f.machines[:6]).Draw(t, "control"))
+		}
+		actions["killAll"] = func(*rapid.T) {
+			for _, m := range f.machines {
+				f.stop(m)
+			}
+			for _, m := range f.machines {
+				f.start(m)
+			}
+		}
+		actions["note"] = func(*rapid.T) { f.note() }
+		t.Repeat(actions)
+		f.check(t)
+	})
+}
--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -90,6 +90,8 @@
 	// lose, repeat and late are how many packets in a hundred are lost,
 	// delivered twice, or held until the next step, while run delivers.
 	lose, repeat, late uint64
+	// managed lets the fleet look after itself; the voters are its seeds.
+	managed *dhcontrol.ManagedOptions
 	// crash tells whether a machine dies before it carries out its effects.
 	crash func(m *machine) bool
 }
@@ -138,6 +140,9 @@
 			Snapshot: m.disk.snapshot, Entries: slices.Clone(m.disk.entries), Now: n.clock(m), Random: n.next(),
 		}
 	}
+	if n.managed != nil {
+		n.manage(m, &o)
+	}
 	m.state, m.version, m.frozen = NewControl(o), 0, false
 }
 
