Let a region give nearly all of its objects away

Where an organisation's home is a region with two upstreams of 18, what others ask there must make room.

--- a/core/dhsteer/balance.go
+++ b/core/dhsteer/balance.go
@@ -42,7 +42,7 @@
 	// keep shifts between regions small.
 	regionStep  = 0.04
 	regionBack  = 0.02
-	regionLeast = 0.10
+	regionLeast = 0.02
 )
 
 // reports smooths what one upstream says of its load.
