--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -140,7 +140,7 @@
 
 // headroomPercent is how much of the demand of its fair share a region is
 // thought to carry: caches make requests cheaper than slots alone tell.
-const headroomPercent = 140
+const headroomPercent = 110
 
 // shareScale is the fixed-point scale of localShare.
 const shareScale = 1 << 16
