Leave a parent whose proof of being current grows old

Cause: while front-quimper-1, the relay of its zone, was cut off from the voters, front-quimper-2 went on polling it: it answered, with a proof that aged. Only silence let an instance try another parent. Ruled out: the voters (the acknowledged version was on all of them) and the news that the relay is away, which comes through the relay itself.

--- a/core/dhspread/parent.go
+++ b/core/dhspread/parent.go
@@ -85,6 +85,12 @@
 		p.since, p.waits = now, false
 		s.Hurry()
 	}
+	if s.ever && now.Since(s.confirmed) > staleProof && now.Since(p.since) > staleProof {
+		// The parent answers, but it has lost its own parent.
+		p.choice++
+		p.since, p.waits = now, false
+		s.Hurry()
+	}
 	if p.choice > 0 && now.Since(p.since) > returnInterval {
 		p.choice, p.since, p.waits = 0, now, false
 	}
--- a/core/dhspread/spread_test.go
+++ b/core/dhspread/spread_test.go
@@ -146,3 +146,44 @@
 func instance(name string) dhcatalog.Object {
 	return dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: name, Zone: "z", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"})
 }
+
+// TestCutOffRelayIsLeft lets a zone's relay answer every poll although it has
+// lost the voters itself: its instance must learn of a change from a voter
+// within the freshness lease.
+func TestCutOffRelayIsLeft(t *testing.T) {
+	c := dhcatalog.New()
+	c, err := c.Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: []dhcatalog.Object{
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "z", Region: "r"}), instance("i1"), instance("i2"),
+	}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(Options{Self: "i2", Zone: "z", Voters: []string{"c1"}, Now: 1})
+	var out dheffect.List
+	s.Updated(1, "c1", dhmessage.NewUpdate(dhmessage.UpdateOptions{Sent: 1, Version: 1, Confirmed: true, Full: c}), &out)
+	cut := dhclock.Millis(1000)
+	asked := dhclock.Millis(0)
+	for now := dhclock.Millis(1); now < 20_000; now += 20 {
+		out.Reset()
+		s.Tick(now, &out)
+		for _, e := range out.Items() {
+			send := e.(*dheffect.Send)
+			poll := send.Message().(*dhmessage.Poll)
+			age := dhclock.Millis(0)
+			if send.To() == "i1" {
+				age = max(0, now-cut)
+			} else if asked == 0 && now > cut {
+				asked = now
+			}
+			s.Updated(now, send.To(), dhmessage.NewUpdate(dhmessage.UpdateOptions{
+				Sent: poll.Sent(), Version: 1, Confirmed: true, Age: age,
+			}), &out)
+		}
+		if confirmed, _ := s.Confirmed(); now > cut && now-confirmed > 2200 {
+			t.Fatalf("%d ms after the cut the proof is %d ms old", now-cut, now-confirmed)
+		}
+	}
+	if asked == 0 {
+		t.Error("no voter was asked")
+	}
+}
--- a/core/dhspread/state.go
+++ b/core/dhspread/state.go
@@ -38,6 +38,9 @@
 	ackInterval dhclock.Millis = 60
 	// parentTimeout is the silence after which another parent is tried.
 	parentTimeout dhclock.Millis = 900
+	// staleProof is how old the proof of being current may grow before another
+	// parent is tried, although the present one answers.
+	staleProof dhclock.Millis = 1200
 	// returnInterval is after how long a better parent is tried again.
 	returnInterval dhclock.Millis = 10_000
 	// childLife is for how long a child that doesn't poll counts as one.
