--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -15,6 +15,7 @@
 	"dogwoodhitch/core/dhledger"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/core/dhspread"
+	"dogwoodhitch/core/dhview"
 )
 
 // Options are what control state starts from.
@@ -51,6 +52,9 @@
 	reads     []read
 	registry  registry
 	fleet     *fleet // nil where operators look after members
+	// inTouch is whether the configuration was certainly current a freshness
+	// lease ago or later.
+	inTouch bool
 }
 
 // voter is what only a voter has.
@@ -146,6 +150,7 @@
 		s.voter.tickLimits(s.now)
 	}
 	s.followLeadership()
+	s.noteTouch(out)
 	s.tickRegistry(out)
 	s.tickFleet(out)
 	s.spread.Tick(s.now, out)
@@ -153,6 +158,23 @@
 	s.answerReads(out)
 }
 
+// noteTouch logs when the voters are lost or regained.
+func (s *State) noteTouch(out *dheffect.List) {
+	confirmed, ever := s.spread.Confirmed()
+	inTouch := ever && s.now.Since(confirmed) <= dhview.FreshnessLease
+	if inTouch == s.inTouch {
+		return
+	}
+	s.inTouch = inTouch
+	text := "lost a majority of the voters: the configuration may be out of date"
+	if inTouch {
+		text = "in touch with a majority of the voters"
+	}
+	out.Add(dheffect.NewLog(dheffect.LogOptions{
+		Layer: "spread", Text: text, Peer: s.leader(), Number: s.spread.Catalog().Version(),
+	}))
+}
+
 // settle ends a batch: what was appended is sent, and a changed view is
 // published.
 func (s *State) settle(out *dheffect.List) {
--- /dev/null
+++ b/io/dhcommand/explain.go
@@ -0,0 +1,138 @@
+package dhcommand
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwoodhitch/io/dhfault"
+)
+
+// maxLogLine bounds a line of a log that is read, in bytes.
+const maxLogLine = 1 << 20
+
+// logLine is one line of a process's log, with the fields that lines on
+// requests have.
+type logLine struct {
+	Time         string `json:"time"`
+	Process      string `json:"process"`
+	Text         string `json:"msg"`
+	Request      string `json:"request"`
+	Route        string `json:"route"`
+	Service      string `json:"service"`
+	Organisation string `json:"organisation"`
+	Status       int    `json:"status"`
+	Refusal      string `json:"refusal"`
+	MayHaveRun   bool   `json:"mayHaveRun"`
+	WithinRate   bool   `json:"withinRate"`
+	Late         bool   `json:"late"`
+	Ms           int64  `json:"ms"`
+	DeadlineMs   int64  `json:"deadlineMs"`
+	Version      uint64 `json:"version"`
+	AgeMs        int64  `json:"ageMs"`
+	Upstream     string `json:"upstream"`
+	End          string `json:"end"`
+	Reason       string `json:"reason"`
+	Attempts     []struct {
+		To     string `json:"to"`
+		SentMs int64  `json:"sentMs"`
+		End    string `json:"end"`
+		Ms     int64  `json:"ms"`
+	} `json:"attempts"`
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "gather what logs tell about one request",
+		ArgsUsage: "REQUEST-ID FILE...",
+		Description: "Reads logs of any number of processes and prints the lines on a request in the order of their times,\n" +
+			"with the versions and ages that decided. Text before the first { of a line is passed over.\n\n" +
+			"Example:\n   dogwoodhitch explain 9c41d07be2a35f68 entry-1.log entry-2.log",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() < 2 {
+				return cli.Exit("name a request and at least one file; see --help", ExitUsage)
+			}
+			var lines []logLine
+			for _, path := range c.Args().Tail() {
+				found, err := linesOn(c.Args().First(), path)
+				if err != nil {
+					return dhfault.New(dhfault.KindSettings, err.Error(), "give files with logs of processes")
+				}
+				lines = append(lines, found...)
+			}
+			if len(lines) == 0 {
+				return dhfault.New(dhfault.KindNotFound, "no line tells of request "+c.Args().First(),
+					"look at leftOut in lines of its kind: answered requests are sampled under load")
+			}
+			explain(c.Root().Writer, lines)
+			return nil
+		},
+	}
+}
+
+// linesOn returns the lines of a file that tell of a request.
+func linesOn(request, path string) ([]logLine, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	var list []logLine
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLogLine)
+	for scanner.Scan() {
+		raw := scanner.Bytes()
+		start := bytes.IndexByte(raw, '{')
+		if start < 0 || !bytes.Contains(raw, []byte(request)) {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(raw[start:], &l) == nil && l.Request == request {
+			list = append(list, l)
+		}
+	}
+	return list, scanner.Err()
+}
+
+// explain prints lines in the order of their times.
+func explain(w io.Writer, lines []logLine) {
+	slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.Time, b.Time) })
+	for _, l := range lines {
+		fmt.Fprintf(w, "%s %s: %s\n", l.Time, l.Process, l.Text)
+		if l.Upstream != "" {
+			fmt.Fprintf(w, "    at %s: %s after %d ms: %s\n", l.Upstream, l.End, l.Ms, l.Reason)
+			continue
+		}
+		fmt.Fprintf(w, "    route %s, service %s, organisation %s, version %d confirmed %d ms before\n",
+			l.Route, l.Service, l.Organisation, l.Version, l.AgeMs)
+		for _, a := range l.Attempts {
+			fmt.Fprintf(w, "    sent to %s after %d ms: %s after %d ms\n", a.To, a.SentMs, a.End, a.Ms)
+		}
+		fmt.Fprintf(w, "    %s after %d of %d ms\n", outcomeOf(l), l.Ms, l.DeadlineMs)
+	}
+}
+
+// outcomeOf tells how a request ended.
+func outcomeOf(l logLine) string {
+	switch {
+	case l.Refusal != "" && l.MayHaveRun:
+		return "refused: " + l.Refusal + ", may have run"
+	case l.Refusal != "" && l.WithinRate:
+		return "refused: " + l.Refusal + ", did not run, within its rate"
+	case l.Refusal != "":
+		return "refused: " + l.Refusal + ", did not run, beyond its rate"
+	case l.Late:
+		return fmt.Sprintf("answered late with %d", l.Status)
+	default:
+		return fmt.Sprintf("answered with %d", l.Status)
+	}
+}
--- a/io/dhcommand/main.go
+++ b/io/dhcommand/main.go
@@ -105,7 +105,7 @@
 		Commands: []*cli.Command{
 			quickstartCommand(), entryCommand(), controlCommand(), foundCommand(), checkCommand(),
 			applyCommand(), getCommand(), historyCommand(), diffCommand(), rollbackCommand(), statusCommand(), lookupCommand(), poolsCommand(),
-			drainCommand(), burnCommand(), claimCommand(), voterCommand(), inspectCommand(), replayCommand(), docsCommand(),
+			drainCommand(), burnCommand(), claimCommand(), voterCommand(), inspectCommand(), explainCommand(), replayCommand(), docsCommand(),
 		},
 	}
 }
--- a/io/dhlogs/logs.go
+++ b/io/dhlogs/logs.go
@@ -8,6 +8,10 @@
 	"github.com/sirupsen/logrus"
 )
 
+// timeFormat writes times in milliseconds, so that lines of several processes
+// can be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Options are how logs are written.
 type Options struct {
 	// Level is the level of layers without one of their own.
@@ -46,7 +50,7 @@
 func (l *Logs) Layer(name string) *logrus.Entry {
 	logger := logrus.New()
 	logger.SetOutput(l.options.Output)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	logger.SetLevel(l.level)
 	if level, found := l.layers[name]; found {
 		logger.SetLevel(level)
