Ask again soon after a refused pre-vote

Cause: after a restart of all, the first candidate asks voters that are younger than the election timeout and refuse; it then waited for a whole new timeout. A pre-vote commits nobody to anything, so it is repeated after 150 to 250 ms. Ruled out: the start of processes (0.3 s apart) and the disks.

--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -22,6 +22,11 @@
 	ElectionTimeout dhclock.Millis = 400
 	// ElectionSpread is the range of the random part of the timeout.
 	ElectionSpread dhclock.Millis = 300
+	// preVoteRetry and preVoteSpread are how long a refused pre-vote waits for the
+	// next one, and the range of the random part. It commits nobody to anything,
+	// and after a restart of all the first one comes before the others may agree.
+	preVoteRetry  dhclock.Millis = 150
+	preVoteSpread dhclock.Millis = 100
 	// installRetry is the time after which an unanswered snapshot is resent.
 	installRetry dhclock.Millis = 10_000
 )
@@ -159,9 +164,12 @@
 	return count/2 + 1
 }
 
-func (n *Node) resetTimeout() {
+func (n *Node) resetTimeout() { n.timeout = ElectionTimeout + n.randomSpan(ElectionSpread) }
+
+// randomSpan returns a span below a bound.
+func (n *Node) randomSpan(bound dhclock.Millis) dhclock.Millis {
 	n.random = n.random*6364136223846793005 + 1442695040888963407
-	n.timeout = ElectionTimeout + dhclock.Millis((n.random>>33)%uint64(ElectionSpread))
+	return dhclock.Millis((n.random >> 33) % uint64(bound))
 }
 
 // Tick lets time pass: heartbeats are sent and elections are started.
--- a/core/dhconsensus/vote.go
+++ b/core/dhconsensus/vote.go
@@ -14,7 +14,9 @@
 	n.heard = n.now
 	n.resetTimeout()
 	term := n.term + 1
-	if !pre {
+	if pre {
+		n.timeout = preVoteRetry + n.randomSpan(preVoteSpread)
+	} else {
 		n.term = term
 		n.vote = n.self.String()
 		n.persist(nil, out)
