Give objects of a busy region only to a calmer one

Cause: under overload everywhere each region moved 4 % of its objects a second into others, where they aren't cached, and the bytes between regions grew. Red before: TestBusyRegionsDontSwapObjects.

--- a/core/dhsteer/balance.go
+++ b/core/dhsteer/balance.go
@@ -1,6 +1,10 @@
 package dhsteer
 
-import "dogwoodhitch/core/dhclock"
+import (
+	"math"
+
+	"dogwoodhitch/core/dhclock"
+)
 
 // Load is what an upstream says of itself in an answer.
 type Load struct {
@@ -99,9 +103,21 @@
 		r := &g.regions[i]
 		r.balance(now)
 		if r.name == g.local {
-			g.adjustShare(r.busy(now))
+			g.adjustShare(r.busy(now), g.calmest(now))
+		}
+	}
+}
+
+// calmest returns the load of the region with the least, of those that aren't
+// the local one. One that tells nothing counts as idle until it does.
+func (g *Group) calmest(now dhclock.Millis) float64 {
+	least := math.Inf(1)
+	for i := range g.regions {
+		if r := &g.regions[i]; r.name != g.local {
+			least = min(least, r.busy(now))
 		}
 	}
+	return least
 }
 
 func (r *region) balance(now dhclock.Millis) {
@@ -135,14 +151,15 @@
 }
 
 // adjustShare moves objects out of the local region while it is too busy and
-// back once it isn't.
-func (g *Group) adjustShare(busy float64) {
+// another one isn't, and back once it has room or the others have less. Regions
+// that are all busy would only swap objects.
+func (g *Group) adjustShare(busy, calmest float64) {
 	switch {
 	case len(g.regions) < 2:
 		g.localShare = shareScale
-	case busy > busyHigh:
+	case busy > busyHigh && calmest < busyTake:
 		g.localShare = max(regionLeast*shareScale, g.localShare-regionStep*shareScale)
-	case busy < busyLow:
+	case busy < busyLow || calmest > busy:
 		g.localShare = min(shareScale, g.localShare+regionBack*shareScale)
 	}
 }
--- a/core/dhsteer/group_test.go
+++ b/core/dhsteer/group_test.go
@@ -304,3 +304,29 @@
 		})
 	}
 }
+
+// TestBusyRegionsDontSwapObjects reports the local region as overloaded, once
+// while the others are too, and once while they are idle.
+func TestBusyRegionsDontSwapObjects(t *testing.T) {
+	stays := func(others int) float64 {
+		g := groupOf(evenFleet(9))
+		for now := dhclock.Millis(1000); now < 8000; now += 250 {
+			for _, m := range g.Members() {
+				l := NewLoad(others, 0, 4)
+				if m.Region() == "a" {
+					l = NewLoad(6, 0, 4)
+				}
+				g.Take(now, m)
+				g.Finish(now, m, Answered, 10, &l)
+			}
+			g.Balance(now)
+		}
+		return g.localShare / shareScale
+	}
+	if share := stays(6); share < 1 {
+		t.Errorf("%.2f of the objects stay although all regions are busy", share)
+	}
+	if share := stays(1); share > 0.9 || share < 0.6 {
+		t.Errorf("%.2f of the objects stay although other regions are idle", share)
+	}
+}
