--- a/io/dhcommand/docs_test.go
+++ b/io/dhcommand/docs_test.go
@@ -36,7 +36,7 @@
 // TestPagesNameRealTests looks for every test and benchmark that a page names.
 func TestPagesNameRealTests(t *testing.T) {
 	var sources bytes.Buffer
-	for _, pattern := range []string{"core/*/*_test.go", "io/*/*_test.go", "cmd/*/*_test.go"} {
+	for _, pattern := range []string{"core/*/*_test.go", "io/*/*_test.go", "cmd/*/*_test.go", "platform/*_test.go"} {
 		names, _ := filepath.Glob(filepath.Join(root, pattern))
 		for _, n := range names {
 			raw, err := os.ReadFile(n)
