--- a/core/dhcontrol/fleet.go
+++ b/core/dhcontrol/fleet.go
@@ -14,7 +14,7 @@
 // Time constants of a fleet that looks after itself, in milliseconds.
 const (
 	// joinInterval is the time between two Join messages of a control process.
-	joinInterval = 500 * dhclock.Millis(1)
+	joinInterval dhclock.Millis = 500
 	// joinLife is for how long a control process counts as running after a Join.
 	joinLife = 3 * dhclock.Second
 	// voterLife is the silence after which a voter's vote goes to a learner.
@@ -25,12 +25,16 @@
 	// Until then its share of the limits' floors stays set aside.
 	instanceLife = 30 * dhclock.Second
 	// fleetInterval is the time between two looks at the fleet.
-	fleetInterval = 100 * dhclock.Millis(1)
+	fleetInterval dhclock.Millis = 100
 	// editInterval is the least time between two changes that the leader makes to
 	// zones and instances, so that each is applied before the next look.
-	editInterval = 500 * dhclock.Millis(1)
+	editInterval dhclock.Millis = 500
 )
 
+// joinElsewhere lets one Join in so many go to another process than the leader
+// that is known, which may be gone.
+const joinElsewhere = 4
+
 // fleetAuthor is named as the author of changes to zones and instances.
 const fleetAuthor = "fleet"
 
@@ -117,8 +121,7 @@
 	f.sent = s.now
 	to := s.leader()
 	names := s.spread.VoterNames()
-	if f.turn++; to == "" || to == s.self.Name() || f.turn%4 == 0 {
-		// The leader that was known may be gone.
+	if f.turn++; to == "" || to == s.self.Name() || f.turn%joinElsewhere == 0 {
 		others := slices.DeleteFunc(slices.Concat(names, s.proposals.voters), func(n string) bool { return n == s.self.Name() })
 		if len(others) == 0 {
 			return
--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -22,13 +22,13 @@
 	// heardInterval is the time between two Heard messages to the leader.
 	heardInterval = 1 * dhclock.Second
 	// registerRetry is the least time between two proposals for one upstream.
-	registerRetry = 500 * dhclock.Millis(1)
+	registerRetry dhclock.Millis = 500
 	// coldSlack is by how much two words on the end of a cold start may differ
 	// and mean the same one. Words travel and wait.
-	coldSlack = 700 * dhclock.Millis(1)
+	coldSlack dhclock.Millis = 700
 	// bindPatience is how long an upstream that leaves waits for its word to be
 	// bound.
-	bindPatience = 900 * dhclock.Millis(1)
+	bindPatience dhclock.Millis = 900
 )
 
 // registryAuthor is named as the author of changes to upstreams.
@@ -141,7 +141,7 @@
 
 // freshEnough is how old the proof may be that the configuration here is
 // current when an unknown upstream leaves, in milliseconds.
-const freshEnough = 500 * dhclock.Millis(1)
+const freshEnough dhclock.Millis = 500
 
 // settleCold returns an upstream's word with the cold start that is registered,
 // unless it tells of another one. Every instance counts a registered cold start
