--- a/core/dhcatalog/service.go
+++ b/core/dhcatalog/service.go
@@ -57,8 +57,11 @@
 	p.requireRange(s.Ref(), "maxConnections", int64(s.options.MaxConnections), 0, maxServiceConnections)
 }
 
+// ColdRateUnit is one request a second in the unit of ColdRate.
+const ColdRateUnit = 1000
+
 // Bounds of a service's fields.
 const (
-	maxColdRate           = 1000 * MaxRate
+	maxColdRate           = ColdRateUnit * MaxRate
 	maxServiceConnections = 1_000_000
 )
--- a/core/dhcatalog/upstream.go
+++ b/core/dhcatalog/upstream.go
@@ -91,9 +91,6 @@
 // ColdWord returns the number of the word that Cold comes from.
 func (u Upstream) ColdWord() int64 { return u.options.ColdWord }
 
-// Same tells whether two records say the same.
-func (u Upstream) Same(v Upstream) bool { return u.options == v.options }
-
 // With returns the upstream in another state.
 func (u Upstream) With(s UpstreamState) Upstream {
 	u.options.State = s
@@ -113,7 +110,7 @@
 	if u.options.Lifetime != old.options.Lifetime {
 		return u.options.Lifetime > old.options.Lifetime
 	}
-	return u.options.State >= old.options.State && !u.Same(old)
+	return u.options.State >= old.options.State && u != old
 }
 
 // references is empty: upstreams may register before their service is
--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -59,12 +59,12 @@
 	}
 	if version := v.ledger.Catalog().Version(); version != before {
 		v.leadership.accept(version, s.now, v.ledger.Catalog())
-		if e.Term() < v.term && v.ledger.Limited() == e.At() {
-			// A predecessor may have accepted it, and granted under it.
-			v.leadership.grantFrom = max(v.leadership.grantFrom, s.now+max(dhgrant.OwnerLife, dhview.FreshnessLease))
-		}
 		if v.ledger.Limited() == e.At() {
 			s.spread.SetLimited(s.now)
+			if e.Term() < v.term {
+				// A predecessor may have accepted it, and granted under it.
+				v.leadership.grantFrom = max(v.leadership.grantFrom, s.now+max(dhgrant.OwnerLife, dhview.FreshnessLease))
+			}
 		}
 		s.takeCatalog()
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "ledger", Text: "accepted a change set", Number: version}))
--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -1,6 +1,7 @@
 package dhcontrol
 
 import (
+	"maps"
 	"slices"
 
 	"dogwoodhitch/core/dhcatalog"
@@ -111,10 +112,6 @@
 	return dhmessage.NewResult(dhmessage.ResultOptions{Version: s.spread.Catalog().Version()})
 }
 
-func (s *State) reply(ticket uint64, r dhmessage.Result, out *dheffect.List) {
-	out.Add(dheffect.NewReply(dheffect.ReplyOptions{Ticket: ticket, Result: r}))
-}
-
 // bind answers an upstream's word once a majority has stored it.
 func (s *State) bind(ticket uint64, u dhcatalog.Upstream, out *dheffect.List) {
 	s.propose(dhevent.NewProposalWanted(s.now, dhevent.ProposalWantedOptions{
@@ -166,10 +163,7 @@
 		return
 	}
 	s.registry.told = s.now
-	names := make([]string, 0, len(s.registry.news))
-	for name := range s.registry.news {
-		names = append(names, name)
-	}
+	names := slices.Sorted(maps.Keys(s.registry.news))
 	clear(s.registry.news)
 	s.registry.forget(s.now)
 	if v.node.Leads() {
@@ -177,7 +171,6 @@
 		return
 	}
 	if len(names) > 0 && s.leader() != "" {
-		slices.Sort(names)
 		out.Add(dheffect.NewSend(dheffect.SendOptions{To: s.leader(), Message: dhmessage.NewHeard(names)}))
 	}
 }
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -102,7 +102,6 @@
 
 		compactEntries: cmp.Or(o.CompactEntries, defaultCompactEntries),
 	}
-	s.spread.SetMembers(members)
 	s.takeCatalog()
 	return s
 }
@@ -258,9 +257,14 @@
 
 func (s *State) replyRead(r read, unsure bool, out *dheffect.List) {
 	s.spread.Settle(s.now, out)
-	out.Add(dheffect.NewReply(dheffect.ReplyOptions{Ticket: r.ticket, Result: dhmessage.NewResult(dhmessage.ResultOptions{
+	s.reply(r.ticket, dhmessage.NewResult(dhmessage.ResultOptions{
 		Version: s.spread.Catalog().Version(), Unsure: unsure,
-	})}))
+	}), out)
+}
+
+// reply answers a local component.
+func (s *State) reply(ticket uint64, r dhmessage.Result, out *dheffect.List) {
+	out.Add(dheffect.NewReply(dheffect.ReplyOptions{Ticket: ticket, Result: r}))
 }
 
 // claimReply tells what a voter knows of a claim.
--- a/core/dhlookup/near.go
+++ b/core/dhlookup/near.go
@@ -5,7 +5,7 @@
 	"dogwoodhitch/core/dhview"
 )
 
-// Near returns the instances that a client in a zone should use: those of its
+// Near returns the instances that a client in a region should use: those of its
 // region that are neither gone nor leaving, or if there are none those of all
 // regions. At most so many are named.
 func Near(v *dhview.View, region string, most int) []dhcatalog.Instance {
--- a/core/dhspread/parent.go
+++ b/core/dhspread/parent.go
@@ -34,7 +34,7 @@
 	for _, c := range []byte(s.self) {
 		start = start*31 + int(c)
 	}
-	voters := s.voterNames()
+	voters := s.VoterNames()
 	for i := range voters {
 		list = append(list, voters[(start+i)%len(voters)])
 	}
--- a/core/dhspread/state.go
+++ b/core/dhspread/state.go
@@ -202,11 +202,7 @@
 
 // VoterNames returns the members of the consensus group, or before they are
 // known the voters of the settings.
-func (s *State) VoterNames() []string { return s.voterNames() }
-
-// voterNames returns the voters to poll: the members, or before they are known
-// those of the settings.
-func (s *State) voterNames() []string {
+func (s *State) VoterNames() []string {
 	if len(s.members) == 0 {
 		return s.voters
 	}
--- a/core/dhsteer/affinity.go
+++ b/core/dhsteer/affinity.go
@@ -75,7 +75,7 @@
 	keep := w.Object == 0 || float64(mix(w.Object^localSalt)%shareScale) < g.localShare
 	for i := range g.regions {
 		r := &g.regions[i]
-		if !w.allows(r.name) || len(r.members) == 0 {
+		if !w.allows(r.name) {
 			continue
 		}
 		if r.name == g.local {
--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -117,8 +117,7 @@
 func (g *Group) arrange(l Layout) {
 	g.local = l.Local
 	byRegion := map[string]*region{}
-	for _, name := range slices.Sorted(maps.Keys(g.members)) {
-		m := g.members[name]
+	for _, m := range g.Members() {
 		if m.away {
 			continue
 		}
--- a/core/dhsteer/member.go
+++ b/core/dhsteer/member.go
@@ -41,9 +41,6 @@
 // Region returns the region in which the upstream runs.
 func (m *Member) Region() string { return m.region }
 
-// Running returns how many requests of this instance run there.
-func (m *Member) Running() int { return m.running }
-
 // Cold tells whether the upstream still warms up.
 func (m *Member) Cold(now dhclock.Millis) bool { return now < m.coldUntil }
 
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -131,7 +131,7 @@
 		s.sendAgain(now, r, f, out)
 		return
 	}
-	if r.attempts >= maxAttempts || r.timeout(now) <= 0 || !r.pool.budget.take() {
+	if r.attempts >= r.route.MaxAttempts() || r.timeout(now) <= 0 || !r.pool.budget.take() {
 		s.refuse(now, r, f, out)
 		return
 	}
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -13,54 +13,14 @@
 // of the budget for sending requests out again.
 type group struct {
 	*dhsteer.Group
-	retries retryShare
-}
-
-// retryShare is this instance's part of a service's retry budget, in
-// thousandths of a retry. Each instance earns with its own requests, and the
-// reserve is split, so that all parts together keep to the budget.
-type retryShare struct {
-	level int
-	most  int
-	earns int
-}
-
-// retryUnit is one retry.
-const retryUnit = 1000
-
-// Parts of the retry budget that are used, in percent: instances may differ for
-// a moment in what they know of the fleet.
-const (
-	retryEarnPercent    = 75
-	retryReservePercent = 70
-)
-
-func (b *retryShare) earn() { b.level = min(b.most, b.level+b.earns) }
-
-func (b *retryShare) take() bool {
-	if b.level < retryUnit {
-		return false
-	}
-	b.level -= retryUnit
-	return true
-}
-
-// set takes the budget and the number of instances that share it.
-func (b *retryShare) set(budget RetryBudget, instances int) {
-	first := b.most == 0
-	b.earns = budget.PerMille * retryEarnPercent / 100
-	b.most = max(retryUnit, budget.Reserve*retryUnit*retryReservePercent/100/max(1, instances))
-	b.level = min(b.level, b.most)
-	if first {
-		b.level = b.most / 2
-	}
+	retries budget
 }
 
 // setGroups takes the registered upstreams of a new version.
 func (s *State) setGroups(now dhclock.Millis) {
 	c := s.view.Catalog()
 	l := s.layout()
-	instances := c.InstanceCount()
+	position, instances := s.place()
 	kept := map[string]bool{}
 	for _, name := range c.RegisteredServices() {
 		kept[name] = true
@@ -71,7 +31,7 @@
 		}
 		service, _ := c.Service(name)
 		l.ColdStart = service.ColdStart()
-		l.ColdShare = s.coldShares(service)
+		l.ColdShare = coldShares(service, position, instances)
 		var list []dhsteer.Registration
 		for _, u := range c.UpstreamsOf(name) {
 			if u.State() != dhcatalog.UpstreamGone {
@@ -79,7 +39,7 @@
 			}
 		}
 		g.Update(now, list, l)
-		g.retries.set(s.retries, instances)
+		g.retries.share(s.retries, instances)
 	}
 	for name, g := range s.groups {
 		if !kept[name] {
@@ -108,12 +68,11 @@
 // coldShares splits the rate that a cold upstream bears over the instances: each
 // gets the whole part, and the rest goes to as many of them, other ones for
 // each upstream.
-func (s *State) coldShares(service dhcatalog.Service) func(upstream string) int {
+func coldShares(service dhcatalog.Service, position, count int) func(upstream string) int {
 	if service.ColdRate() == 0 {
 		return func(string) int { return -1 }
 	}
-	position, count := s.place()
-	total := int(service.ColdRate() * coldBurstPercent / 100 / retryUnit)
+	total := int(service.ColdRate() * coldBurstPercent / 100 / dhcatalog.ColdRateUnit)
 	return func(upstream string) int {
 		if position < 0 {
 			return 0
--- a/core/dhtraffic/slot.go
+++ b/core/dhtraffic/slot.go
@@ -12,9 +12,6 @@
 // it may be passed to another, in milliseconds.
 const farPatience dhclock.Millis = 50
 
-// maxAttempts bounds how often one request is sent out.
-const maxAttempts = 3
-
 // seekSlot sends a request to an upstream here, or passes it to another
 // instance, or lets it wait, or refuses it.
 func (s *State) seekSlot(now dhclock.Millis, r *request, out *dheffect.List) {
@@ -150,27 +147,3 @@
 		}
 	}
 }
-
-// budget keeps retries to a tenth of the requests, so that they can't
-// multiply a failure, but for a reserve of one retry a slot: when a whole zone
-// fails, everything that runs fails at once. It counts in tenths of a retry.
-type budget struct{ tenths int }
-
-// Bounds of a retry budget, in tenths of a retry.
-const (
-	budgetLeast = 100 // of the reserve
-	budgetRetry = 10
-)
-
-// earn adds a tenth of a retry, up to the reserve for so many slots.
-func (b *budget) earn(slots int) {
-	b.tenths = min(max(budgetLeast, slots*budgetRetry), b.tenths+1)
-}
-
-func (b *budget) take() bool {
-	if b.tenths < budgetRetry {
-		return false
-	}
-	b.tenths -= budgetRetry
-	return true
-}
--- a/core/dhtraffic/split.go
+++ b/core/dhtraffic/split.go
@@ -1,6 +1,10 @@
 package dhtraffic
 
-import "dogwoodhitch/core/dhcatalog"
+import (
+	"slices"
+
+	"dogwoodhitch/core/dhcatalog"
+)
 
 // split deals a route's requests out to services in proportion to their
 // weights, evenly over time (smooth weighted round robin).
@@ -16,25 +20,13 @@
 		return r.Service()
 	}
 	x, found := s.splits[r.Name()]
-	if !found || !sameWeights(x.weights, weights) {
+	if !found || !slices.Equal(x.weights, weights) {
 		x = &split{weights: weights, credits: make([]int, len(weights))}
 		s.splits[r.Name()] = x
 	}
 	return x.next()
 }
 
-func sameWeights(a, b []dhcatalog.Weighted) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func (x *split) next() string {
 	total, best := 0, 0
 	for i, w := range x.weights {
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -156,10 +156,11 @@
 func (p *pool) earnRetry(now dhclock.Millis) {
 	all, _ := p.Slots(now)
 	if all > p.reserve {
-		p.budget.tenths += (all - p.reserve) * budgetRetry
+		p.budget.level += (all - p.reserve) * retryUnit
 		p.reserve = all
 	}
-	p.budget.earn(p.reserve)
+	p.budget.most = max(poolReserve, p.reserve*retryUnit)
+	p.budget.earn()
 }
 
 // poolOf returns the pool of a service that the catalog holds.
@@ -170,7 +171,7 @@
 			Pool:   dhsteer.NewPool(service),
 			peers:  map[string]*peer{},
 			intake: intake{reserved: map[string]reservation{}},
-			budget: budget{tenths: budgetLeast},
+			budget: newPoolBudget(),
 		}
 		s.pools[service] = p
 	}
@@ -195,7 +196,7 @@
 	out.Add(dheffect.NewAccount(dheffect.AccountOptions{
 		Label: r.label, Route: r.route.Name(), Service: r.service, Organisation: r.organisation,
 		Object: r.object, Kind: kind,
-		MayHaveRun: r.mayHaveRun, Status: status, Latency: latency, Deadline: r.deadline - r.arrived,
+		MayHaveRun: r.mayHaveRun, Status: status, Latency: latency, Deadline: max(0, r.deadline-r.arrived),
 		WithinRate: within, Late: r.route.Objective() > 0 && latency > r.route.Objective(),
 		Version: s.view.Catalog().Version(), Age: age, Attempts: r.sent,
 	}))
