Don't repeat changes that are under way to a child

Cause: each poll of a child that lags was answered with all changes that it lacks. Voters were sent changes too, which they have from the log. Change: what is under way is sent again after 300 ms at first, then after twice as long each time, up to 4 s; only later changes are sent meanwhile. A poll says whether the sender has the changes from the log. TestChangesUnderWayAreNotRepeated: within 10 s 100 copies before, 6 after.

--- a/core/dhmessage/spread.go
+++ b/core/dhmessage/spread.go
@@ -47,6 +47,9 @@
 	Sent dhclock.Millis
 	// Acks is the versions of the sender and of those that poll it.
 	Acks []Ack
+	// Replica is whether the sender has the changes from the replicated log, so
+	// that it asks for the proof alone.
+	Replica bool
 }
 
 // Poll asks for newer configuration and for proof that the sender's is current.
@@ -68,6 +71,9 @@
 // Acks returns the versions of the sender and of those that poll it.
 func (m *Poll) Acks() []Ack { return m.options.Acks }
 
+// Replica tells whether the sender has the changes from the replicated log.
+func (m *Poll) Replica() bool { return m.options.Replica }
+
 func (*Poll) message() {}
 
 // UpdateOptions are the fields of an Update.
--- a/core/dhspread/children.go
+++ b/core/dhspread/children.go
@@ -10,6 +10,63 @@
 	"dogwoodhitch/core/dhmessage"
 )
 
+// child is a process that polls this one.
+type child struct {
+	// version is what the child has, by its last poll.
+	version uint64
+	heard   dhclock.Millis
+	// replica is a child that has the changes from the replicated log.
+	replica bool
+	// sent is the version that the child has once all that is under way to it
+	// has arrived, and since when the oldest of that is under way.
+	sent  uint64
+	since dhclock.Millis
+	// patience is for how long what is under way isn't sent again.
+	patience dhclock.Millis
+}
+
+// Time constants of sending again what a child still lacks, in milliseconds.
+const (
+	// firstResend is the time after which changes are sent again; it doubles
+	// each time, so that a parent or a path that is overloaded isn't loaded more.
+	firstResend dhclock.Millis = 300
+	// lastResend bounds the time between two resends.
+	lastResend dhclock.Millis = 4000
+	// fullRetry is the time after which a whole configuration is sent again. It
+	// may be large and slow.
+	fullRetry dhclock.Millis = 10_000
+)
+
+// polled notes what a child has. One that has less than before has started
+// again, and what was under way to it is lost.
+func (c *child) polled(now dhclock.Millis, m *dhmessage.Poll) {
+	if m.Version() < c.version || m.Version() >= c.sent {
+		c.sent, c.patience = m.Version(), 0
+	}
+	c.version, c.heard, c.replica = m.Version(), now, m.Replica()
+}
+
+// lacks returns the version after which changes are to be sent: that of the
+// child, or the one that is under way to it.
+func (c *child) lacks(now dhclock.Millis) uint64 {
+	if c.sent > c.version && now.Since(c.since) < c.patience {
+		return c.sent
+	}
+	return c.version
+}
+
+// send notes that a child was sent what follows a version, up to another one.
+func (c *child) send(now dhclock.Millis, from, to uint64, full bool) {
+	if from == c.version {
+		c.since = now
+		c.patience = min(lastResend, max(firstResend, 2*c.patience))
+	}
+	if full {
+		c.patience = fullRetry
+	}
+	c.sent = to
+}
+
 // Polled answers a child.
 func (s *State) Polled(now dhclock.Millis, from string, m *dhmessage.Poll, out *dheffect.List) {
 	c, found := s.children[from]
@@ -17,7 +74,7 @@
 		c = &child{}
 		s.children[from] = c
 	}
-	c.version, c.heard = m.Version(), now
+	c.polled(now, m)
 	for _, a := range m.Acks() {
 		if old, found := s.reports[a.Instance()]; !found || old.ack != a {
 			s.ackNews = true
@@ -27,10 +84,6 @@
 	out.Add(dheffect.NewSend(dheffect.SendOptions{To: from, Message: s.update(now, c, m.Sent())}))
 }
 
-// fullRetry is the time after which a whole configuration is sent again to a
-// child that still lacks it, in milliseconds. It may be large and slow.
-const fullRetry dhclock.Millis = 10_000
-
 // update returns what a child needs. Sent is 0 for one that didn't ask.
 func (s *State) update(now dhclock.Millis, c *child, sent dhclock.Millis) *dhmessage.Update {
 	o := dhmessage.UpdateOptions{
@@ -38,12 +91,12 @@
 		Away: s.away, Leader: s.leader, InForce: s.inForce, Drains: s.drainAges(now),
 		Voters: s.members, LimitsAge: now.Since(s.limited),
 	}
-	if c.version < s.catalog.Version() {
+	if from := c.lacks(now); !c.replica && from < s.catalog.Version() {
 		var kept bool
-		o.Changes, kept = s.sets(c.version)
-		if !kept && (!c.everFull || now.Since(c.full) >= fullRetry) {
-			o.Full, c.full, c.everFull = s.catalog, now, true
+		if o.Changes, kept = s.sets(from); !kept {
+			o.Full = s.catalog
 		}
+		c.send(now, from, s.catalog.Version(), !kept)
 	}
 	return dhmessage.NewUpdate(o)
 }
@@ -64,9 +117,8 @@
 			delete(s.children, name)
 			continue
 		}
-		if c.version < s.catalog.Version() {
+		if !c.replica && c.lacks(now) < s.catalog.Version() {
 			out.Add(dheffect.NewSend(dheffect.SendOptions{To: name, Message: s.update(now, c, 0)}))
-			c.version = s.catalog.Version()
 		}
 	}
 }
--- a/core/dhspread/parent.go
+++ b/core/dhspread/parent.go
@@ -127,7 +127,7 @@
 	out.Add(dheffect.NewSend(dheffect.SendOptions{
 		To: list[p.choice%len(list)],
 		Message: dhmessage.NewPoll(dhmessage.PollOptions{
-			Version: s.catalog.Version(), Sent: now, Acks: s.acks(now),
+			Version: s.catalog.Version(), Sent: now, Acks: s.acks(now), Replica: s.voter,
 		}),
 	}))
 }
--- a/core/dhspread/spread_test.go
+++ b/core/dhspread/spread_test.go
@@ -187,3 +187,51 @@
 		t.Error("no voter was asked")
 	}
 }
+
+// TestChangesUnderWayAreNotRepeated polls a slow parent again and again: what
+// is under way isn't sent twice at once, and ever more rarely if it doesn't
+// arrive; changes that came meanwhile are sent alone.
+func TestChangesUnderWayAreNotRepeated(t *testing.T) {
+	s := withLeader(20, 20)
+	lengths := func(from, to, step dhclock.Millis, version uint64) (whole, partial int) {
+		for now := from; now < to; now += step {
+			switch n := len(ask(s, now, "i", version).Changes()); {
+			case n >= 20:
+				whole++
+			case n > 0:
+				partial++
+			}
+		}
+		return whole, partial
+	}
+	if whole, partial := lengths(10, 10+10_000, eagerInterval, 0); whole != 6 || partial != 0 {
+		t.Errorf("in 10 s the changes were sent %d times whole and %d times in part", whole, partial)
+	}
+	c, a := change(s.Catalog())
+	s.SetCatalog(10_100, c, append(s.History(), a))
+	if whole, partial := lengths(10_100, 10_300, eagerInterval, 0); whole != 0 || partial != 1 {
+		t.Errorf("after one more change: %d times whole and %d times in part", whole, partial)
+	}
+	if n := len(ask(s, 10_400, "i", 15).Changes()); n != 0 {
+		t.Errorf("%d changes were sent again to a child that gets them", n)
+	}
+	if n := len(ask(s, 10_500, "i", 0).Changes()); n != 21 {
+		t.Errorf("a child that has started again got %d changes", n)
+	}
+}
+
+// TestReplicaGetsNoChanges polls as a voter, which has the changes from the
+// log.
+func TestReplicaGetsNoChanges(t *testing.T) {
+	s := withLeader(20, 20)
+	var out dheffect.List
+	s.Polled(10, "c2", dhmessage.NewPoll(dhmessage.PollOptions{Version: 3, Sent: 10, Replica: true}), &out)
+	c, a := change(s.Catalog())
+	s.SetCatalog(20, c, append(s.History(), a))
+	s.Settle(20, &out)
+	for _, x := range out.Items() {
+		if send, ok := x.(*dheffect.Send); ok && len(send.Message().(*dhmessage.Update).Changes()) > 0 {
+			t.Error("changes were sent to a replica")
+		}
+	}
+}
--- a/core/dhspread/state.go
+++ b/core/dhspread/state.go
@@ -102,15 +102,6 @@
 	grown    bool
 }
 
-// child is a process that polls this one.
-type child struct {
-	version uint64
-	heard   dhclock.Millis
-	// full is when the child was last sent a whole configuration, if ever.
-	full     dhclock.Millis
-	everFull bool
-}
-
 // report is what an instance last acknowledged, directly or through others.
 type report struct {
 	ack   dhmessage.Ack
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -83,7 +83,7 @@
 }
 
 func pollToWire(m *dhmessage.Poll) *dhproto.Poll {
-	w := &dhproto.Poll{Version: m.Version(), SentMs: m.Sent().Milliseconds()}
+	w := &dhproto.Poll{Version: m.Version(), SentMs: m.Sent().Milliseconds(), Replica: m.Replica()}
 	for _, a := range m.Acks() {
 		ack := &dhproto.Ack{Instance: a.Instance(), Version: a.Version(), Leaving: a.Leaving()}
 		if i, introduced := a.Introduction(); introduced {
@@ -211,7 +211,7 @@
 }
 
 func pollFromWire(w *dhproto.Poll) dhmessage.Message {
-	o := dhmessage.PollOptions{Version: w.GetVersion(), Sent: dhclock.Millis(w.GetSentMs())}
+	o := dhmessage.PollOptions{Version: w.GetVersion(), Sent: dhclock.Millis(w.GetSentMs()), Replica: w.GetReplica()}
 	for _, a := range w.GetAcks() {
 		ack := dhmessage.NewAck(a.GetInstance(), a.GetVersion(), a.GetLeaving())
 		if a.GetIntroduction() != nil {
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -98,7 +98,7 @@
 		dhmessage.NewAppend(dhmessage.AppendOptions{Term: 1, PreviousIndex: 2, PreviousTerm: 3, Entries: entries, Commit: 4, Round: 5}),
 		dhmessage.NewAppendAnswer(dhmessage.AppendAnswerOptions{Term: 1, Accepted: true, Match: 2, Round: 3}),
 		dhmessage.NewInstall(dhmessage.InstallOptions{Term: 1, Snapshot: snapshot, Round: 2}),
-		dhmessage.NewPoll(dhmessage.PollOptions{Version: 1, Sent: 2, Acks: []dhmessage.Ack{dhmessage.NewAck("i", 1, true)}}),
+		dhmessage.NewPoll(dhmessage.PollOptions{Version: 1, Sent: 2, Acks: []dhmessage.Ack{dhmessage.NewAck("i", 1, true)}, Replica: true}),
 		dhmessage.NewUpdate(dhmessage.UpdateOptions{
 			Sent: 1, Version: 2, Confirmed: true, Age: 3, Full: c, Changes: []dhcatalog.ChangeSet{set},
 			Away: []dhmessage.Away{dhmessage.NewAway("i", true)}, Leader: "c", InForce: 4,
