Let registrations of upstreams share changes

Cause: each of 400 upstreams that registers at a start or after a restart made an entry of the log and a version of its own, which every process applies and acknowledges. Change: a process proposes records at most every 100 ms; those that come meanwhile share one change. A single one still goes at once. TestManyRegistrationsShareChanges: 300 changes for 300 registrations before, at most 40 after.

--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -24,6 +24,10 @@
 	heardInterval = 1 * dhclock.Second
 	// registerRetry is the least time between two proposals for one upstream.
 	registerRetry dhclock.Millis = 500
+	// registerInterval is the least time between two proposals of records. Those
+	// that come meanwhile share one, since each change of the configuration costs
+	// every process the same, whatever it holds.
+	registerInterval dhclock.Millis = 100
 	// coldSlack is by how much two words on the end of a cold start may differ
 	// and mean the same one. Words travel and wait.
 	coldSlack dhclock.Millis = 700
@@ -43,8 +47,11 @@
 	news     map[string]bool // heard from since the last Heard message
 	told     dhclock.Millis
 	proposed map[string]dhclock.Millis
-	cold     map[string]coldSpell
-	gone     map[string]dhclock.Millis // when a gone record was first seen
+	// waiting are records to be proposed, and registered is when others last were.
+	waiting    map[string]dhcatalog.Upstream
+	registered dhclock.Millis
+	cold       map[string]coldSpell
+	gone       map[string]dhclock.Millis // when a gone record was first seen
 }
 
 // coldSpell is a cold start as it was last registered.
@@ -56,7 +63,8 @@
 func newRegistry() registry {
 	return registry{
 		heard: map[string]dhclock.Millis{}, news: map[string]bool{}, proposed: map[string]dhclock.Millis{},
-		cold: map[string]coldSpell{}, gone: map[string]dhclock.Millis{},
+		waiting: map[string]dhcatalog.Upstream{},
+		cold:    map[string]coldSpell{}, gone: map[string]dhclock.Millis{},
 	}
 }
 
@@ -95,17 +103,35 @@
 	}
 }
 
-func registration(u dhcatalog.Upstream) dhmessage.Command {
-	return dhmessage.NewEdit(registryAuthor, []dhcatalog.Object{u}, nil)
+func registration(list ...dhcatalog.Object) dhmessage.Command {
+	return dhmessage.NewEdit(registryAuthor, list, nil)
 }
 
-// register proposes an upstream's record, unless it was proposed just now.
+// register lets an upstream's record be proposed, unless it was proposed just
+// now.
 func (s *State) register(u dhcatalog.Upstream, out *dheffect.List) {
 	if at, found := s.registry.proposed[u.Name()]; found && s.now.Since(at) < registerRetry {
 		return
 	}
 	s.registry.proposed[u.Name()] = s.now
-	s.wish(registration(u), out)
+	s.registry.waiting[u.Name()] = u
+	s.proposeRecords(out)
+}
+
+// proposeRecords proposes the records that wait, unless others were proposed
+// just now.
+func (s *State) proposeRecords(out *dheffect.List) {
+	r := &s.registry
+	if len(r.waiting) == 0 || s.now.Since(r.registered) < registerInterval {
+		return
+	}
+	var list []dhcatalog.Object
+	for _, name := range slices.Sorted(maps.Keys(r.waiting)) {
+		list = append(list, r.waiting[name])
+	}
+	clear(r.waiting)
+	r.registered = s.now
+	s.wish(registration(list...), out)
 }
 
 func (s *State) acknowledged() dhmessage.Result {
@@ -155,9 +181,11 @@
 	return u.WithCold(old.Cold(), old.ColdWord())
 }
 
-// tickRegistry tells the leader who was heard from. The leader removes records
+// tickRegistry proposes records that wait and tells the leader who was heard
+// from. The leader removes records
 // of upstreams that are silent and of those that left long ago.
 func (s *State) tickRegistry(out *dheffect.List) {
+	s.proposeRecords(out)
 	v := s.voter
 	if v == nil || s.now.Since(s.registry.told) < heardInterval {
 		return
--- a/core/dhreducer/fleet_test.go
+++ b/core/dhreducer/fleet_test.go
@@ -174,6 +174,37 @@
 	return dhcatalog.UpstreamOptions{Name: name, Service: "s", Address: "10.0.1.1:80", Zone: "a1", Slots: 4, Lifetime: 1, State: state}
 }
 
+// TestManyRegistrationsShareChanges registers a large fleet at once. The log
+// and every instance would otherwise have a version for each upstream.
+func TestManyRegistrationsShareChanges(t *testing.T) {
+	const upstreams, mostChanges = 300, 40
+	n := withManaged(t, 3, "a1-1")
+	n.run(5000)
+	follower := n.machines[1]
+	before := n.status(n.leader()).Version()
+	for i := range upstreams {
+		word := upstreamWord(fmt.Sprint("u", i), dhcatalog.UpstreamReady)
+		word.Address = fmt.Sprint("10.0.1.1:", 1000+i)
+		n.checkIn(follower, word)
+		if i%20 == 0 {
+			n.run(10)
+		}
+	}
+	n.run(1000)
+	if got := n.status(n.leader()).Version() - before; got > mostChanges {
+		t.Errorf("%d registrations made %d changes, at most %d expected", upstreams, got, mostChanges)
+	}
+	known := 0
+	for i := range upstreams {
+		if n.find("a1-1").view.Catalog().Get(dhcatalog.NewRef(dhcatalog.KindUpstream, fmt.Sprint("u", i))) != nil {
+			known++
+		}
+	}
+	if known != upstreams {
+		t.Errorf("the entry instance knows %d of %d upstreams", known, upstreams)
+	}
+}
+
 // TestSilentUpstreamIsForgotten checks in for a while at a process that doesn't
 // lead, and then no more. What is checked in stays registered.
 func TestSilentUpstreamIsForgotten(t *testing.T) {
