Send again what overtook a whole configuration

Cause: a child that starts gets the whole configuration by a call of its own, and the changes after it by faster ones. It drops changes that arrive before what they follow; the parent took them for under way and waited up to 10 s.

--- a/core/dhspread/children.go
+++ b/core/dhspread/children.go
@@ -38,10 +38,15 @@
 )
 
 // polled notes what a child has. One that has less than before has started
-// again, and what was under way to it is lost.
+// again, and what was under way to it is lost. One that has a part of what was
+// under way has perhaps lost the rest: messages overtake each other, and changes
+// are of no use before those that they follow.
 func (c *child) polled(now dhclock.Millis, m *dhmessage.Poll) {
-	if m.Version() < c.version || m.Version() >= c.sent {
+	switch {
+	case m.Version() < c.version || m.Version() >= c.sent:
 		c.sent, c.patience = m.Version(), 0
+	case m.Version() > c.version:
+		c.since, c.patience = now, firstResend
 	}
 	c.version, c.heard, c.replica = m.Version(), now, m.Replica()
 }
--- a/core/dhspread/spread_test.go
+++ b/core/dhspread/spread_test.go
@@ -235,3 +235,21 @@
 		}
 	}
 }
+
+// TestRestIsSentAfterAWholeConfiguration lets changes overtake the whole
+// configuration that they follow, so that the child can't use them.
+func TestRestIsSentAfterAWholeConfiguration(t *testing.T) {
+	s := withLeader(20, 5)
+	if ask(s, 10, "i", 0).Full() == nil {
+		t.Fatal("no whole configuration")
+	}
+	c, a := change(s.Catalog())
+	s.SetCatalog(20, c, append(s.History(), a))
+	if n := len(ask(s, 110, "i", 0).Changes()); n != 1 {
+		t.Fatalf("%d changes were sent after the whole configuration", n)
+	}
+	ask(s, 200, "i", 20)
+	if n := len(ask(s, 200+firstResend, "i", 20).Changes()); n != 1 {
+		t.Errorf("%d changes were sent to a child that lacks one", n)
+	}
+}
