Wait for the far owner's answer before refusing over the limit

Cause: a request waited for a token as long as for a slot, a tenth of the route's objective (80 to 120 ms on the Régie). Second: an owner gives whole tokens, and said that it was short whenever a fraction was missing, which counted the organisation as over its rate. Ruled out: rates and floors (the region of the leader refused 1 %), lost votes. Change: a request waits up to 350 ms for the owner's answer, unless the owner says that the rate is used up; after that it may wait for a slot as before. What is given up: a request that is refused for want of an answer is refused later, by 250 ms at most.

--- a/core/dhcontrol/limits.go
+++ b/core/dhcontrol/limits.go
@@ -76,7 +76,8 @@
 		return dhmessage.Give{}, false
 	}
 	amount, through := w.Give(now, holder, m.Stream(), a.Want())
-	return dhmessage.NewGive(a.Organisation(), amount, through, amount < a.Want()), true
+	// Only whole tokens are given, so less than one missing is no shortage.
+	return dhmessage.NewGive(a.Organisation(), amount, through, a.Want()-amount >= dhmessage.Token), true
 }
 
 // tickLimits follows leadership and the configuration.
--- a/core/dhtraffic/token.go
+++ b/core/dhtraffic/token.go
@@ -17,6 +17,11 @@
 // however low its rate is.
 const minTokenQueue = 16
 
+// grantPatience is for how long a request waits for the owner's answer, if its
+// route has it wait less for a slot, in milliseconds: the owner may be in
+// another region, and its answer be lost once (see dhgrant's askTimeout).
+const grantPatience dhclock.Millis = 350
+
 // reportInterval is the longest time after which used tokens are reported to
 // the owner, in milliseconds.
 const reportInterval dhclock.Millis = 100
@@ -46,7 +51,7 @@
 		s.admitted(now, r, out)
 		return
 	}
-	if len(t.waiting) >= t.queueBound(r.route.QueueWait()) || r.waitUntil <= now {
+	if len(t.waiting) >= t.queueBound(r.route.QueueWait()) || t.waitUntil(now, r) <= now {
 		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseOverLimit, false, t.retryAfter()), out)
 		return
 	}
@@ -55,6 +60,15 @@
 	s.askFor(now, []string{r.organisation}, out)
 }
 
+// waitUntil is until when a request waits for a token: until the owner has
+// surely answered, and no longer than for a slot if it says that there is none.
+func (t *tenant) waitUntil(now dhclock.Millis, r *request) dhclock.Millis {
+	if t.holder.Exhausted(now) {
+		return r.waitUntil
+	}
+	return max(r.waitUntil, min(r.deadline, r.arrived+grantPatience))
+}
+
 // queueBound is how many requests can get a token within the time that they
 // may wait; more would wait in vain.
 func (t *tenant) queueBound(wait dhclock.Millis) int {
@@ -79,7 +93,7 @@
 func (s *State) spendWaiting(now dhclock.Millis, t *tenant, out *dheffect.List) {
 	for len(t.waiting) > 0 {
 		r := t.waiting[0]
-		if r.waitUntil <= now {
+		if t.waitUntil(now, r) <= now {
 			t.waiting = t.waiting[1:]
 			s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseOverLimit, false, t.retryAfter()), out)
 			continue
@@ -88,6 +102,7 @@
 			return
 		}
 		t.waiting = t.waiting[1:]
+		r.waitUntil = min(r.deadline, now+r.route.QueueWait())
 		s.admitted(now, r, out)
 	}
 }
--- /dev/null
+++ b/core/dhtraffic/token_test.go
@@ -0,0 +1,82 @@
+package dhtraffic
+
+import (
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// withLimit returns the state of one of many instances, whose floor holds no
+// token, so that each request needs one of the owner.
+func withLimit(t *testing.T) *State {
+	t.Helper()
+	return withState(t, 1<<40,
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
+		dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "a1-1", Zone: "a1", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}),
+		dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "o"}),
+		dhcatalog.NewKey(dhcatalog.KeyOptions{Name: "o", Organisation: "o", Hash: dhcatalog.KeyHash{1}}),
+		dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "o", Organisation: "o", Rate: 5, Burst: 5}),
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Idempotent: true, Timeout: 1000, Objective: 1000}),
+		dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{Name: "u", Service: "s", Address: "10.0.0.3:1", Zone: "a1", Slots: 4, Lifetime: 1}),
+	)
+}
+
+// outcomeOf returns how an effect list ends a request's wait: "" if it goes on.
+func outcomeOf(list []dheffect.Effect) string {
+	for _, e := range list {
+		switch e := e.(type) {
+		case *dheffect.Refuse:
+			return string(e.Refusal().Kind())
+		case *dheffect.Forward:
+			return "forwarded"
+		}
+	}
+	return ""
+}
+
+// TestTokenOfAFarOwner asks an owner that is 140 ms away, which is more than a
+// request may wait for a slot.
+func TestTokenOfAFarOwner(t *testing.T) {
+	cases := []struct {
+		name string
+		// answer is after how long the owner answers; -1 for never.
+		answer dhclock.Millis
+		give   dhmessage.Give
+		want   string
+		at     dhclock.Millis
+	}{
+		{"a token comes", 140, dhmessage.NewGive("o", dhmessage.Token, dhmessage.Token, false), "forwarded", 140},
+		{"the owner has none", 140, dhmessage.NewGive("o", 0, 0, true), string(dheffect.RefuseOverLimit), 140},
+		{"no answer", -1, dhmessage.Give{}, string(dheffect.RefuseOverLimit), grantPatience},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := withLimit(t)
+			const start = 10 * dhclock.Second
+			for now := start; now <= start+1000; now += 10 {
+				var out dheffect.List
+				if now == start {
+					s.Arrive(dhevent.NewRequestArrived(now, dhevent.RequestArrivedOptions{Request: 1, Path: "/x", KeyHash: dhcatalog.KeyHash{1}}), &out)
+				}
+				if c.answer >= 0 && now == start+c.answer {
+					s.Grants(dhevent.NewGrantsArrived(now, dhevent.GrantsArrivedOptions{
+						Owner: 1, Sent: start, Life: 600, Gives: []dhmessage.Give{c.give},
+					}), &out)
+				}
+				s.Tick(now, &out)
+				if got := outcomeOf(out.Items()); got != "" {
+					if got != c.want || now != start+c.at {
+						t.Errorf("%s after %d ms, want %s after %d ms", got, now-start, c.want, c.at)
+					}
+					return
+				}
+			}
+			t.Error("the request waits for ever")
+		})
+	}
+}
