--- a/core/dhtraffic/token.go
+++ b/core/dhtraffic/token.go
@@ -18,9 +18,9 @@
 const minTokenQueue = 16
 
 // grantPatience is for how long a request waits for the owner's answer, if its
-// route has it wait less for a slot, in milliseconds: the owner may be in
-// another region, and its answer be lost once (see dhgrant's askTimeout).
-const grantPatience dhclock.Millis = 350
+// route has it wait less for a slot, in milliseconds: the answer of an owner in
+// another region takes 110 ms on the Régie's links, and half of that again.
+const grantPatience dhclock.Millis = 200
 
 // reportInterval is the longest time after which used tokens are reported to
 // the owner, in milliseconds.
