Let the words of one edit count in order

Found on reading the change again: since registrations share changes, an edit holds several upstreams, but each was judged against the catalog before the edit alone. A late word and the newcomer at the same address, within 100 ms, were both put, and both upstreams then stood as ready at one address. Change: an edit is a draft on top of the catalog; each word is judged against what those before it have led to, as if it had come by itself.

--- a/core/dhledger/declare.go
+++ b/core/dhledger/declare.go
@@ -49,26 +49,19 @@
 	}
 }
 
-// applyEdit puts and deletes single objects at whatever version there is.
+// applyEdit puts and deletes single objects at whatever version there is. What
+// stands later in an edit counts after what stands before it.
 func (l *Ledger) applyEdit(e dhmessage.Edit) dhmessage.Result {
-	o := dhcatalog.ChangeSetOptions{
-		ID: idEdit + strconv.FormatUint(l.index, 10), Base: l.catalog.Version(), Author: e.Author(),
-	}
-	seen := map[dhcatalog.Ref]bool{}
+	d := draft{catalog: l.catalog, changed: map[dhcatalog.Ref]dhcatalog.Object{}}
 	for _, x := range e.Puts() {
-		if u, ok := x.(dhcatalog.Upstream); ok && !l.registers(u, seen, &o) || seen[x.Ref()] {
-			continue
-		}
-		seen[x.Ref()] = true
-		o.Puts = append(o.Puts, x)
-	}
-	for _, r := range e.Deletes() {
-		if l.catalog.Get(r) != nil && !seen[r] {
-			seen[r] = true
-			o.Deletes = append(o.Deletes, r)
+		if u, ok := x.(dhcatalog.Upstream); !ok || d.registers(u) {
+			d.put(x)
 		}
 	}
-	set := dhcatalog.NewChangeSet(o)
+	set := dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+		ID: idEdit + strconv.FormatUint(l.index, 10), Base: l.catalog.Version(), Author: e.Author(),
+		Puts: d.puts(), Deletes: d.deletes(e.Deletes()),
+	})
 	if set.Empty() {
 		return dhmessage.NewResult(dhmessage.ResultOptions{Version: l.catalog.Version()})
 	}
@@ -79,31 +72,3 @@
 	l.accept(next, set)
 	return dhmessage.NewResult(dhmessage.ResultOptions{Version: next.Version()})
 }
-
-// registers tells whether an upstream's word is newer than the record that is
-// kept. An upstream that starts at the address of an older lifetime under
-// another name takes its place; an older lifetime that says it is ready is late.
-func (l *Ledger) registers(u dhcatalog.Upstream, seen map[dhcatalog.Ref]bool, o *dhcatalog.ChangeSetOptions) bool {
-	if old, found := l.catalog.Get(u.Ref()).(dhcatalog.Upstream); found && !u.Supersedes(old) {
-		return false
-	}
-	var displaced []dhcatalog.Ref
-	for _, v := range l.catalog.UpstreamsAt(u.Address()) {
-		switch {
-		case v.Name() == u.Name():
-		case v.Lifetime() > u.Lifetime():
-			if u.State() == dhcatalog.UpstreamReady {
-				return false
-			}
-		case v.State() != dhcatalog.UpstreamGone:
-			displaced = append(displaced, v.Ref())
-		}
-	}
-	for _, r := range displaced {
-		if !seen[r] {
-			seen[r] = true
-			o.Puts = append(o.Puts, l.catalog.Get(r).(dhcatalog.Upstream).With(dhcatalog.UpstreamGone))
-		}
-	}
-	return true
-}
--- a/core/dhledger/declare_test.go
+++ b/core/dhledger/declare_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -125,6 +126,32 @@
 	})
 }
 
+// TestWordsOfOneEditCountInOrder puts the words of several upstreams into edits
+// of several words each: they lead to the same records as one by one.
+func TestWordsOfOneEditCountInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		together, alone := newApplier(), newApplier()
+		for range rapid.IntRange(1, 5).Draw(t, "edits") {
+			var puts []dhcatalog.Object
+			for range rapid.IntRange(1, 6).Draw(t, "words") {
+				name := rapid.SampledFrom([]string{"u", "v", "w"}).Draw(t, "name")
+				address := rapid.SampledFrom([]string{"10.0.0.1:80", "10.0.0.2:80"}).Draw(t, "address")
+				lifetime := rapid.Int64Range(1, 4).Draw(t, "lifetime")
+				w := word(name, address, lifetime, dhcatalog.UpstreamState(rapid.IntRange(0, 2).Draw(t, "state")))
+				puts = append(puts, w.Puts()...)
+				alone.do(w)
+			}
+			if r := together.do(dhmessage.NewEdit("test", puts, nil)); r.Err() != nil {
+				t.Fatal(r.Err())
+			}
+			got, want := together.Catalog().List(dhcatalog.KindUpstream), alone.Catalog().List(dhcatalog.KindUpstream)
+			if !slices.Equal(got, want) {
+				t.Fatalf("together\n%+v\nand one by one\n%+v", got, want)
+			}
+		}
+	})
+}
+
 // TestEditsOfWhatIsThere deletes an evacuation twice and puts one twice.
 func TestEditsOfWhatIsThere(t *testing.T) {
 	a := newApplier()
