Derive what a change set touches once

touchesOnly worked out again what touched had; both checks now get the same answer. reindexed no longer takes nil for 'everything': newIndex says so. Upstreams are replaced with the library's functions in place of loops, and which of them changed is worked out once for both lists.

--- a/core/dhcatalog/catalog.go
+++ b/core/dhcatalog/catalog.go
@@ -28,7 +28,7 @@
 		blocks6:     &blockTable[uint64]{},
 		siteNumbers: map[string]uint16{},
 	}
-	c.index = c.reindexed(&index{}, nil)
+	c.index = newIndex(c)
 	return c
 }
 
@@ -100,8 +100,9 @@
 	if err := p.err(); err != nil {
 		return nil, err
 	}
-	next.index = next.reindexed(c.index, touched(s))
-	next.checkUnique(s, p)
+	changes := touched(s)
+	next.index = next.reindexed(c.index, changes)
+	next.checkUnique(changes, p)
 	if err := p.err(); err != nil {
 		return nil, err
 	}
--- a/core/dhcatalog/change.go
+++ b/core/dhcatalog/change.go
@@ -54,14 +54,6 @@
 
 func sharesLimits(r Ref) bool { return r.kind == KindLimit || r.kind == KindInstance }
 
-// touchesOnly tells whether the change set alters objects of one kind and
-// nothing else.
-func (c ChangeSet) touchesOnly(kind Kind) bool {
-	other := func(r Ref) bool { return r.kind != kind }
-	return len(c.options.Blocks) == 0 && !slices.ContainsFunc(c.options.Deletes, other) &&
-		!slices.ContainsFunc(c.options.Puts, func(o Object) bool { return other(o.Ref()) })
-}
-
 // Digest returns the hash of the content.
 func (c ChangeSet) Digest() KeyHash { return c.options.Digest }
 
--- a/core/dhcatalog/index.go
+++ b/core/dhcatalog/index.go
@@ -24,10 +24,10 @@
 	hasDefault  bool
 }
 
-// checkUnique refuses objects that exclude each other. Upstreams exclude
-// nothing.
-func (c *Catalog) checkUnique(s ChangeSet, p *problems) {
-	if s.touchesOnly(KindUpstream) {
+// checkUnique refuses objects that exclude each other, given what has changed by
+// kind. Upstreams exclude nothing.
+func (c *Catalog) checkUnique(changes map[Kind][]string, p *problems) {
+	if _, upstreams := changes[KindUpstream]; upstreams && len(changes) == 1 {
 		return
 	}
 	hashes := map[KeyHash]string{}
--- a/core/dhcatalog/reindex.go
+++ b/core/dhcatalog/reindex.go
@@ -1,12 +1,11 @@
 package dhcatalog
 
 import (
-	"maps"
 	"slices"
 	"strings"
 )
 
-// touched returns what a change set alters, by kind.
+// touched returns the names of what a change set alters, by kind.
 func touched(s ChangeSet) map[Kind][]string {
 	list := map[Kind][]string{}
 	for _, o := range s.Puts() {
@@ -19,27 +18,33 @@
 	return list
 }
 
+// newIndex returns the index of a catalog without objects.
+func newIndex(c *Catalog) *index {
+	x := &index{}
+	for _, kind := range Kinds() {
+		x.rebuild(kind, nil, c)
+	}
+	return x
+}
+
 // reindexed returns the index of a catalog, given that of the version before
-// and what has changed since. What hasn't changed is shared with that version.
-// Without changes all of it is built.
+// and the names of what has changed since. Kinds without changes share theirs
+// with that version.
 func (c *Catalog) reindexed(old *index, changes map[Kind][]string) *index {
 	next := *old
-	x := &next
-	for _, kind := range Kinds() {
-		names, changed := changes[kind]
-		switch {
-		case changes != nil && !changed:
-		case kind == KindUpstream:
-			x.replaceUpstreams(c, names)
-		default:
-			x.rebuild(kind, c)
-		}
+	for kind, names := range changes {
+		next.rebuild(kind, names, c)
 	}
-	return x
+	return &next
 }
 
-// rebuild builds the part of the index for one kind.
-func (x *index) rebuild(kind Kind, c *Catalog) {
+// rebuild builds the part of the index for one kind, of which some objects have
+// changed.
+func (x *index) rebuild(kind Kind, names []string, c *Catalog) {
+	if kind == KindUpstream {
+		x.replaceUpstreams(c, names)
+		return
+	}
 	list := c.List(kind)
 	switch kind {
 	case KindKey:
@@ -101,46 +106,37 @@
 // replaceUpstreams brings some upstreams up to date. In a large fleet they
 // change far more often than anything else.
 func (x *index) replaceUpstreams(c *Catalog, names []string) {
-	x.upstreams = replaceIn(x.upstreams, c, names, Upstream.Service)
-	x.addresses = replaceIn(x.addresses, c, names, Upstream.Address)
-}
-
-// replaceIn returns lists of upstreams by some key, each sorted by name, after
-// the named upstreams have changed.
-func replaceIn(old map[string][]Upstream, c *Catalog, names []string, key func(Upstream) string) map[string][]Upstream {
 	changed := make(map[string]bool, len(names))
+	var current []Upstream
 	for _, name := range names {
 		changed[name] = true
+		if u, found := c.objects[NewRef(KindUpstream, name)].(Upstream); found {
+			current = append(current, u)
+		}
 	}
+	x.upstreams = replaceIn(x.upstreams, changed, current, Upstream.Service)
+	x.addresses = replaceIn(x.addresses, changed, current, Upstream.Address)
+}
+
+// replaceIn returns lists of upstreams by some key, each sorted by name, with
+// those that have changed replaced by their current records.
+func replaceIn(old map[string][]Upstream, changed map[string]bool, current []Upstream, key func(Upstream) string) map[string][]Upstream {
+	isChanged := func(u Upstream) bool { return changed[u.Name()] }
 	next := make(map[string][]Upstream, len(old)+1)
 	for k, list := range old {
-		kept := list
-		if slices.ContainsFunc(list, func(u Upstream) bool { return changed[u.Name()] }) {
-			kept = make([]Upstream, 0, len(list))
-			for _, u := range list {
-				if !changed[u.Name()] {
-					kept = append(kept, u)
-				}
-			}
+		if slices.ContainsFunc(list, isChanged) {
+			list = slices.DeleteFunc(slices.Clone(list), isChanged)
 		}
-		if len(kept) > 0 {
-			next[k] = kept
+		if len(list) > 0 {
+			next[k] = list
 		}
 	}
-	grown := map[string]bool{}
-	for name := range changed {
-		u, found := c.objects[NewRef(KindUpstream, name)].(Upstream)
-		if !found {
-			continue
-		}
-		k := key(u)
-		if !grown[k] {
-			grown[k] = true
-			next[k] = slices.Clip(next[k])
-		}
-		next[k] = append(next[k], u)
+	came := map[string][]Upstream{}
+	for _, u := range current {
+		came[key(u)] = append(came[key(u)], u)
 	}
-	for k := range maps.Keys(grown) {
+	for k, list := range came {
+		next[k] = slices.Concat(next[k], list)
 		slices.SortFunc(next[k], func(a, b Upstream) int { return strings.Compare(a.Name(), b.Name()) })
 	}
 	return next
