Start waits and find lagging children in one place each

The wait for a slot was set by the same expression in three places, and whether a child lacks something was worked out by its parent twice. No change of behaviour; unit tests and linter pass.

--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -182,8 +182,8 @@
 }
 
 // tickRegistry proposes records that wait and tells the leader who was heard
-// from. The leader removes records
-// of upstreams that are silent and of those that left long ago.
+// from. The leader removes records of upstreams that are silent and of those
+// that left long ago.
 func (s *State) tickRegistry(out *dheffect.List) {
 	s.proposeRecords(out)
 	v := s.voter
--- a/core/dhspread/children.go
+++ b/core/dhspread/children.go
@@ -51,13 +51,14 @@
 	c.version, c.heard, c.replica = m.Version(), now, m.Replica()
 }
 
-// lacks returns the version after which changes are to be sent: that of the
-// child, or the one that is under way to it.
-func (c *child) lacks(now dhclock.Millis) uint64 {
+// lacks returns the version after which changes are to be sent, that of the
+// child or the one that is under way to it; false if there is nothing to send.
+func (c *child) lacks(now dhclock.Millis, current uint64) (uint64, bool) {
+	from := c.version
 	if c.sent > c.version && now.Since(c.since) < c.patience {
-		return c.sent
+		from = c.sent
 	}
-	return c.version
+	return from, !c.replica && from < current
 }
 
 // send notes that a child was sent what follows a version, up to another one.
@@ -96,7 +97,7 @@
 		Away: s.away, Leader: s.leader, InForce: s.inForce, Drains: s.drainAges(now),
 		Voters: s.members, LimitsAge: now.Since(s.limited),
 	}
-	if from := c.lacks(now); !c.replica && from < s.catalog.Version() {
+	if from, behind := c.lacks(now, s.catalog.Version()); behind {
 		var kept bool
 		if o.Changes, kept = s.sets(from); !kept {
 			o.Full = s.catalog
@@ -122,7 +123,7 @@
 			delete(s.children, name)
 			continue
 		}
-		if !c.replica && c.lacks(now) < s.catalog.Version() {
+		if _, behind := c.lacks(now, s.catalog.Version()); behind {
 			out.Add(dheffect.NewSend(dheffect.SendOptions{To: name, Message: s.update(now, c, 0)}))
 		}
 	}
--- a/core/dhtraffic/arrive.go
+++ b/core/dhtraffic/arrive.go
@@ -32,7 +32,7 @@
 	if e.Patience() > 0 {
 		r.deadline = min(r.deadline, now+e.Patience())
 	}
-	r.waitUntil = min(r.deadline, now+route.QueueWait())
+	r.startWait(now)
 	s.requests[r.id] = r
 	if r.passed {
 		r.organisation = e.Organisation()
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -150,6 +150,6 @@
 	// Nobody can take it now. It waits like a request that has just come; what
 	// was tried may be tried again by then.
 	r.tried, r.triedPeers = nil, nil
-	r.waitUntil = min(r.deadline, now+r.route.QueueWait())
+	r.startWait(now)
 	s.waitForSlot(now, r.pool, r, out)
 }
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -124,6 +124,11 @@
 	mayHaveRun   bool
 }
 
+// startWait lets a request wait for as long as its route says, from now on.
+func (r *request) startWait(now dhclock.Millis) {
+	r.waitUntil = min(r.deadline, now+r.route.QueueWait())
+}
+
 // noteSent remembers where a request is sent.
 func (r *request) noteSent(now dhclock.Millis, to string) {
 	r.sent = append(r.sent, dheffect.NewAttempt(to, now.Since(r.arrived)))
--- a/core/dhtraffic/token.go
+++ b/core/dhtraffic/token.go
@@ -102,7 +102,7 @@
 			return
 		}
 		t.waiting = t.waiting[1:]
-		r.waitUntil = min(r.deadline, now+r.route.QueueWait())
+		r.startWait(now)
 		s.admitted(now, r, out)
 	}
 }
