Count a new upstream's silence from when its record is first seen

Cause: the leader hears once a second from the other processes who checked in, and looks for silent upstreams once a second. A record that was registered in between was removed, and its upstream got no requests until its next check-in; one that left meanwhile got no record of its leave, so that a late check-in brought it back. Change: a record of which nothing was heard counts from when it is first seen. TestNewUpstreamStays: red before, green after. Given up: after an election an upstream that really is silent, and that nobody was heard for, goes 8 s later than before.

--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -235,11 +235,18 @@
 	s.wish(dhmessage.NewEdit(registryAuthor, nil, deletes), out)
 }
 
+// expired tells whether a record isn't needed any more. One that nobody was heard
+// for counts from when it is first seen: the word that an upstream was heard may
+// come after its record.
 func (r *registry) expired(now dhclock.Millis, u dhcatalog.Upstream) bool {
 	if u.State() != dhcatalog.UpstreamGone {
 		delete(r.gone, u.Name())
 		at, heard := r.heard[u.Name()]
-		return !heard || now.Since(at) > upstreamLife
+		if !heard {
+			r.heard[u.Name()] = now
+			return false
+		}
+		return now.Since(at) > upstreamLife
 	}
 	since, seen := r.gone[u.Name()]
 	if !seen {
--- a/core/dhreducer/fleet_test.go
+++ b/core/dhreducer/fleet_test.go
@@ -228,6 +228,37 @@
 	}
 }
 
+// TestNewUpstreamStays checks in once at a process that doesn't lead, at any time
+// between two looks of the leader: what is registered isn't taken for silent
+// before the leader has heard of it.
+func TestNewUpstreamStays(t *testing.T) {
+	n := withManaged(t, 4, "a1-1")
+	n.run(12_000)
+	follower := n.find("c1")
+	if follower == n.leader() {
+		follower = n.find("c2")
+	}
+	entry := n.find("a1-1")
+	for i := range 20 {
+		name := fmt.Sprint("u", i)
+		word := upstreamWord(name, dhcatalog.UpstreamReady)
+		word.Address = fmt.Sprint("10.0.1.1:", 1000+i)
+		n.checkIn(follower, word)
+		registered := false
+		for range 23 {
+			n.run(50)
+			found := entry.view.Catalog().Get(dhcatalog.NewRef(dhcatalog.KindUpstream, name)) != nil
+			if registered && !found {
+				t.Fatalf("%s was removed within a second of its registration", name)
+			}
+			registered = found
+		}
+		if !registered {
+			t.Errorf("%s isn't registered", name)
+		}
+	}
+}
+
 // fleetSearch is a search over faults. It remembers what was acknowledged.
 type fleetSearch struct {
 	*network
