Show the limits that upstreams report in logs and metrics

Change: The dialect decodes an upstream's limit; the event of an ended attempt and the member carry it. A log line tells when an upstream begins and ceases to report a limit, 'request ended' gives the limit known at each attempt, dogwoodhitch_limited_attempts_total counts such attempts, and the status shows the state limited. Nothing decides by it yet.

--- a/core/dheffect/record.go
+++ b/core/dheffect/record.go
@@ -3,6 +3,7 @@
 import (
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhsteer"
 )
 
 // CallerGone is the refusal kind of a request whose caller disconnected.
@@ -15,12 +16,13 @@
 	sentAfter dhclock.Millis `journal:"sent"`
 	end       dhevent.AttemptEnd
 	latency   dhclock.Millis
+	limit     *dhsteer.RateLimit
 }
 
 // NewAttempt returns an attempt at a target, sent the given time after the
-// request was received.
-func NewAttempt(target string, sentAfter dhclock.Millis) Attempt {
-	return Attempt{target: target, sentAfter: sentAfter}
+// request was received. The limit is the one that the target had reported, or nil.
+func NewAttempt(target string, sentAfter dhclock.Millis, limit *dhsteer.RateLimit) Attempt {
+	return Attempt{target: target, sentAfter: sentAfter, limit: limit}
 }
 
 // WithEnd returns the attempt with its end and latency.
@@ -42,6 +44,10 @@
 // Latency returns how long the attempt took, in milliseconds.
 func (a Attempt) Latency() dhclock.Millis { return a.latency }
 
+// Limit returns the request rate that the target, an upstream, had reported as its
+// limit, or nil.
+func (a Attempt) Limit() *dhsteer.RateLimit { return a.limit }
+
 // RecordRequestOptions are the fields of a RecordRequest.
 type RecordRequestOptions struct {
 	// CallerRequestID is the request ID that the caller sent, or one generated
--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -307,6 +307,9 @@
 	Response *dhmessage.Response `journal:"Answer"`
 	// ReportedLoad is the load that the upstream reported, or nil.
 	ReportedLoad *dhsteer.LoadReport `journal:"Load"`
+	// ReportedLimit is the request rate that the upstream reported as its limit, or
+	// nil.
+	ReportedLimit *dhsteer.RateLimit `journal:"Limit"`
 }
 
 // AttemptEnded reports how an attempt at an upstream or another instance ended.
@@ -345,6 +348,10 @@
 // ReportedLoad returns the load that the upstream reported, or nil.
 func (e *AttemptEnded) ReportedLoad() *dhsteer.LoadReport { return e.options.ReportedLoad }
 
+// ReportedLimit returns the request rate that the upstream reported as its limit,
+// or nil.
+func (e *AttemptEnded) ReportedLimit() *dhsteer.RateLimit { return e.options.ReportedLimit }
+
 // RequestCancelledOptions are the fields of a RequestCancelled.
 type RequestCancelledOptions struct {
 	// RequestID is the number of the request at this instance.
--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -189,13 +189,22 @@
 	m.recordSent(now)
 }
 
-// Release counts the end of a request at a member and records its outcome. The
-// load report is nil if the upstream sent none.
-func (g *Group) Release(now dhclock.Millis, m *Member, o AttemptOutcome, latency dhclock.Millis, l *LoadReport) {
+// Response is what a response reports about the upstream that sent it.
+type Response struct {
+	// Load is the upstream's load; nil if it reported none.
+	Load *LoadReport
+	// Limit is the request rate that the upstream accepts; nil if it reported none.
+	Limit *RateLimit
+}
+
+// Release counts the end of a request at a member and records its outcome and what
+// the response reported.
+func (g *Group) Release(now dhclock.Millis, m *Member, o AttemptOutcome, latency dhclock.Millis, r Response) {
 	m.running--
-	if l != nil {
-		m.recordLoad(now, *l)
+	if r.Load != nil {
+		m.recordLoad(now, *r.Load)
 	}
+	m.recordLimit(o, r.Limit)
 	switch o {
 	case Answered:
 		m.recordSuccess(latency)
@@ -206,7 +215,7 @@
 	case Unreachable:
 		m.eject(now)
 	case Shed:
-		m.recordRefusal(now, l)
+		m.recordRefusal(now, r.Load)
 	case Misplaced:
 		m.misplaced = true
 	case Neutral:
--- a/core/dhsteer/group_test.go
+++ b/core/dhsteer/group_test.go
@@ -182,7 +182,7 @@
 	g := newTestGroup([]Registration{warmRegistration("u", "a", 4)})
 	m := g.Select(5, Criteria{Object: 1})
 	g.Acquire(5, m)
-	g.Release(6, m, Misplaced, 1, nil)
+	g.Release(6, m, Misplaced, 1, Response{})
 	g.Update(7, []Registration{warmRegistration("u", "a", 4)}, threeRegionTopology())
 	if g.Select(8, Criteria{Object: 1}) != nil {
 		t.Error("the member was selected although another upstream has its address")
@@ -210,7 +210,7 @@
 	for now := dhclock.Millis(1); now < 3000; now += 7 {
 		if m := g.Select(now, Criteria{Object: 1}); m != nil {
 			g.Acquire(now, m)
-			g.Release(now, m, Answered, 1, nil)
+			g.Release(now, m, Answered, 1, Response{})
 			sent = append(sent, now)
 		}
 	}
@@ -244,7 +244,7 @@
 					l = NewLoadReport(busy, 0, 4)
 				}
 				g.Acquire(now, m)
-				g.Release(now, m, Answered, 10, &l)
+				g.Release(now, m, Answered, 10, Response{Load: &l})
 			}
 			g.Balance(now)
 		}
@@ -282,7 +282,7 @@
 	l := NewLoadReport(4, 2, 4)
 	for now := dhclock.Millis(10); now < 1000; now += 50 {
 		g.Acquire(now, m)
-		g.Release(now, m, Answered, 600, &l)
+		g.Release(now, m, Answered, 600, Response{Load: &l})
 	}
 	admitted := func(priority int, objective dhclock.Millis) int {
 		count := 0
@@ -328,7 +328,7 @@
 					l = NewLoadReport(6, 0, 4)
 				}
 				g.Acquire(now, m)
-				g.Release(now, m, Answered, 10, &l)
+				g.Release(now, m, Answered, 10, Response{Load: &l})
 			}
 			g.Balance(now)
 		}
--- a/core/dhsteer/member.go
+++ b/core/dhsteer/member.go
@@ -33,6 +33,7 @@
 	coldUntil     dhclock.Millis
 	coldRate      int // requests per coldWindow while cold; negative for no limit
 	coldSendTimes []dhclock.Millis
+	limit         *RateLimit // reported by the last response; nil for none
 }
 
 // Name returns the upstream's name.
@@ -97,6 +98,8 @@
 		return "ejected"
 	case m.Cold(now):
 		return "warming"
+	case m.limit != nil:
+		return "limited"
 	default:
 		return "ok"
 	}
--- a/core/dhsteer/status.go
+++ b/core/dhsteer/status.go
@@ -47,7 +47,7 @@
 // Latency returns the smoothed latency in milliseconds.
 func (s UpstreamStatus) Latency() float64 { return s.latency }
 
-// State returns ok, warming, ejected, leaving or lost.
+// State returns ok, warming, limited, ejected, leaving or lost.
 func (s UpstreamStatus) State() string { return s.state }
 
 // Status returns the pool's state.
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -24,7 +24,7 @@
 	}
 	now := e.At()
 	p := r.pool
-	s.finishAttempt(now, p, r, e)
+	s.finishAttempt(now, p, r, e, out)
 	switch e.End() {
 	case dhevent.EndAnswered:
 		s.handleResponse(now, r, e, out)
@@ -56,10 +56,12 @@
 // pool or group, which ejects outliers. An upstream whose attempt got no
 // complete response, and a peer in any case, is excluded from the request's next
 // attempts.
-func (s *State) finishAttempt(now dhclock.Millis, p *pool, r *request, e *dhevent.AttemptEnded) {
+func (s *State) finishAttempt(now dhclock.Millis, p *pool, r *request, e *dhevent.AttemptEnded, out *dheffect.List) {
 	r.recordEnded(e)
 	if r.member != nil {
-		r.group.Release(now, r.member, attemptOutcome(e), e.Latency(), e.ReportedLoad())
+		limit := r.member.Limit()
+		r.group.Release(now, r.member, attemptOutcome(e), e.Latency(), dhsteer.Response{Load: e.ReportedLoad(), Limit: e.ReportedLimit()})
+		logLimitChange(limit, r.member, out)
 		if e.End() != dhevent.EndAnswered {
 			r.triedMembers = append(r.triedMembers, r.member)
 		}
@@ -80,6 +82,20 @@
 	r.upstream = nil
 }
 
+// logLimitChange logs that a registered upstream has begun or ceased to report a
+// limit.
+func logLimitChange(before *dhsteer.RateLimit, m *dhsteer.Member, out *dheffect.List) {
+	after := m.Limit()
+	switch {
+	case before == nil && after != nil:
+		out.Add(dheffect.NewLog(dheffect.LogOptions{
+			Layer: "upstreams", Text: "reports a limit, in requests per 1000 s", Peer: m.Name(), Number: after.PerThousandSeconds(),
+		}))
+	case before != nil && after == nil:
+		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "reports no limit any more", Peer: m.Name()}))
+	}
+}
+
 // attemptOutcome returns the outcome of an attempt for outlier ejection. A status
 // of 502, 503 or 504 counts as a failure of the upstream.
 func attemptOutcome(e *dhevent.AttemptEnded) dhsteer.AttemptOutcome {
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -143,7 +143,7 @@
 	if r.attempts == 1 {
 		g.retryBucket.credit()
 	}
-	r.recordSent(now, m.Name())
+	r.recordSent(now, m.Name(), m.Limit())
 	g.Acquire(now, m)
 	out.Add(dheffect.NewForwardToUpstream(dheffect.ForwardToUpstreamOptions{
 		RequestID: r.id, Service: g.Service(), Upstream: m.Name(), Address: m.Address(), Organisation: r.organisation,
--- a/core/dhtraffic/peer.go
+++ b/core/dhtraffic/peer.go
@@ -103,7 +103,7 @@
 	r.peer = to
 	r.attempts++
 	to.running++
-	r.recordSent(now, to.instance.Name())
+	r.recordSent(now, to.instance.Name(), nil)
 	s.chargeLink(now, to, r.bodyBytes)
 	p.reserveUntil = now + reservationKeepAlive
 	p.creditRetries(now)
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -132,9 +132,10 @@
 	r.queueDeadline = min(r.deadline, now+r.route.QueueWait())
 }
 
-// recordSent adds an attempt at an upstream or peer to the records.
-func (r *request) recordSent(now dhclock.Millis, to string) {
-	r.attemptRecords = append(r.attemptRecords, dheffect.NewAttempt(to, now.Since(r.receivedAt)))
+// recordSent adds an attempt at an upstream or peer to the records, with the limit
+// that the upstream had reported, or nil.
+func (r *request) recordSent(now dhclock.Millis, to string, limit *dhsteer.RateLimit) {
+	r.attemptRecords = append(r.attemptRecords, dheffect.NewAttempt(to, now.Since(r.receivedAt), limit))
 }
 
 // recordEnded completes the record of the last attempt.
--- a/io/dhentry/dialect.go
+++ b/io/dhentry/dialect.go
@@ -44,6 +44,9 @@
 	// DecodeLoad returns the load that an upstream reports in a response, or nil.
 	// The function may be nil.
 	DecodeLoad func(h http.Header) *dhsteer.LoadReport
+	// DecodeLimit returns the request rate that an upstream reports in a response as
+	// its limit, or nil. The function may be nil.
+	DecodeLimit func(h http.Header) *dhsteer.RateLimit
 	// FormatRetryAfter returns the value of the Retry-After header field.
 	FormatRetryAfter func(delay dhclock.Millis) string
 }
@@ -90,3 +93,12 @@
 	}
 	return d.options.DecodeLoad(r.Header)
 }
+
+// reportedLimit returns the limit that the upstream reports in a response, or nil
+// if it reports none or there is no response.
+func (d *Dialect) reportedLimit(r *http.Response) *dhsteer.RateLimit {
+	if d.options.DecodeLimit == nil || r == nil {
+		return nil
+	}
+	return d.options.DecodeLimit(r.Header)
+}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -265,7 +265,9 @@
 				"timeoutMs": t.timeout.Milliseconds(), "ms": s.options.Clock.Now().Since(d.At()).Milliseconds(),
 			}, "attempt failed"
 		})
-		x.postAttemptEnded(dhevent.AttemptEndedOptions{End: a.end, ReportedLoad: s.options.Dialect.reportedLoad(a.response)}, d.At())
+		x.postAttemptEnded(dhevent.AttemptEndedOptions{
+			End: a.end, ReportedLoad: s.options.Dialect.reportedLoad(a.response), ReportedLimit: s.options.Dialect.reportedLimit(a.response),
+		}, d.At())
 		return a.end == dhevent.EndCallerGone
 	}
 	defer a.close()
@@ -276,7 +278,10 @@
 // writeResponse forwards a response to the caller and reports the end of the
 // attempt to the reducer.
 func (x *exchange) writeResponse(a *attempt, d dhtrafficstate.Decision, claimed bool) {
-	o := dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: a.response.StatusCode, ResponseStarted: true, BodyBytes: len(a.bodyPrefix), ReportedLoad: x.server.options.Dialect.reportedLoad(a.response)}
+	o := dhevent.AttemptEndedOptions{
+		End: dhevent.EndAnswered, Status: a.response.StatusCode, ResponseStarted: true, BodyBytes: len(a.bodyPrefix),
+		ReportedLoad: x.server.options.Dialect.reportedLoad(a.response), ReportedLimit: x.server.options.Dialect.reportedLimit(a.response),
+	}
 	if a.complete {
 		if claimed {
 			o.Response = responseToRecord(a)
--- a/io/dhmetrics/metrics.go
+++ b/io/dhmetrics/metrics.go
@@ -64,7 +64,8 @@
 }
 
 // RecordRequest counts a request that ended, by its refusal kind if it was
-// refused, and records its latency.
+// refused, and its attempts at upstreams that report a limit, and records its
+// latency.
 func (m *Metrics) RecordRequest(e *dheffect.RecordRequest) {
 	end := string(e.RefusalKind())
 	if end == "" {
@@ -74,6 +75,11 @@
 	if e.RefusalKind() == dheffect.RefuseOverLimit && e.WithinRate() {
 		m.AddToCounter(1, "dogwoodhitch_refused_within_rate_total", "organisation", e.Organisation())
 	}
+	for _, a := range e.Attempts() {
+		if a.Limit() != nil {
+			m.AddToCounter(1, "dogwoodhitch_limited_attempts_total", "service", e.Service(), "upstream", a.Target())
+		}
+	}
 	name := labelledName("dogwoodhitch_latency_ms", "route", e.Route())
 	metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(sampleSize, decayAlpha)).Update(e.Latency().Milliseconds())
 }
--- a/io/dhprocess/requestlog.go
+++ b/io/dhprocess/requestlog.go
@@ -17,9 +17,13 @@
 	p.decisionLog.Write(requestLogKind(e), func() (logrus.Fields, string) {
 		attempts := make([]map[string]any, 0, len(e.Attempts()))
 		for _, a := range e.Attempts() {
-			attempts = append(attempts, map[string]any{
+			fields := map[string]any{
 				"to": a.Target(), "sentMs": a.SentAfter().Milliseconds(), "end": a.End().String(), "ms": a.Latency().Milliseconds(),
-			})
+			}
+			if l := a.Limit(); l != nil {
+				fields["limitPer1000s"] = l.PerThousandSeconds()
+			}
+			attempts = append(attempts, fields)
 		}
 		return logrus.Fields{
 			"request": e.CallerRequestID(), "route": e.Route(), "service": e.Service(), "organisation": e.Organisation(),
