Divide the limit that an upstream reports among the instances

What callers saw: an upstream in need that had named 2.9 requests a second got 53 in 4 s; the answers of such upstreams are those that come late or not at all once it can't bear them. Cause: no instance observed the limit; each went on with its usual rate. Evidence: with the limits in the logs, the rates at limited upstreams didn't fall, and no attempt there was a retry. Change: Each instance has a fixed fraction of a limit, by the planned flow between regions, which all instances compute from the same records. A limited member keeps the objects that fit; what exceeds the limit goes to members without one; unused limit takes further objects. The allowance is the token bucket of dhgrant. Why it works: the fractions add up to one whatever is cut off or restarted, and nothing has to be exchanged.

--- a/core/dhgrant/split.go
+++ b/core/dhgrant/split.go
@@ -16,6 +16,9 @@
 	burst dhmessage.Tokens
 }
 
+// NewShare returns a share of a rate per second and a burst.
+func NewShare(rate, burst dhmessage.Tokens) Share { return Share{rate: rate, burst: burst} }
+
 // Rate returns the tokens per second.
 func (s Share) Rate() dhmessage.Tokens { return s.rate }
 
--- a/core/dhsteer/affinity.go
+++ b/core/dhsteer/affinity.go
@@ -103,10 +103,17 @@
 const hashSalt = 0x9e3779b97f4a7c15
 
 func (r *region) selectMember(now dhclock.Millis, c *Criteria) *Member {
+	r.requests++
 	if c.Object == 0 {
 		return r.leastLoadedOfTwo(now, c)
 	}
-	best, next := r.topRanked(now, c)
+	best, next := r.topRanked(now, c, anyMember)
+	if best != nil && !best.limitAllows(now) {
+		// Another limited member would get objects that it hasn't cached.
+		if best, next = r.topRanked(now, c, unlimitedMember); best == nil {
+			best, next = r.topRanked(now, c, allowedMember)
+		}
+	}
 	if best == nil || next == nil || best.offloadShare == 0 {
 		return best
 	}
@@ -116,16 +123,37 @@
 	return best
 }
 
+// memberFilter selects members by the limits that they report.
+type memberFilter int
+
+const (
+	anyMember memberFilter = iota
+	unlimitedMember
+	allowedMember // has no limit, or room within it
+)
+
+func (f memberFilter) accepts(now dhclock.Millis, m *Member) bool {
+	switch f {
+	case unlimitedMember:
+		return m.limit == nil
+	case allowedMember:
+		return m.limitAllows(now)
+	default:
+		return true
+	}
+}
+
 // topRanked returns the member with the highest score for an object, and the
 // member that gets the object if the first one offloads it: the one with the
-// highest score among the others that accept offloaded objects.
-func (r *region) topRanked(now dhclock.Millis, c *Criteria) (best, next *Member) {
+// highest score among the others that accept offloaded objects. Both are among the
+// members that the filter accepts.
+func (r *region) topRanked(now dhclock.Millis, c *Criteria, f memberFilter) (best, next *Member) {
 	bestScore, nextScore := math.Inf(-1), math.Inf(-1)
 	for _, m := range r.members {
-		if !m.eligible(now, c) {
+		if !m.eligible(now, c) || !f.accepts(now, m) {
 			continue
 		}
-		score := r.score(mixBits(c.Object^m.seed), m)
+		score := r.score(now, mixBits(c.Object^m.seed), m)
 		if score > bestScore {
 			if best != nil && best.acceptsOffload(now) && bestScore > nextScore {
 				next, nextScore = best, bestScore
@@ -141,16 +169,25 @@
 }
 
 // score returns the member's rank for an object. If all members have the same
-// number of slots, the hash alone decides.
-func (r *region) score(hash uint64, m *Member) float64 {
-	if r.equalSlots {
+// weight, the hash alone decides, with the same order.
+func (r *region) score(now dhclock.Millis, hash uint64, m *Member) float64 {
+	if r.equalWeights {
 		return float64(hash >> 11)
 	}
-	return weightedScore(hash, float64(m.record.Slots()))
+	return weightedScore(hash, m.weight(now))
+}
+
+// weight returns the member's weight for objects: its slots, reduced to what its
+// limit allows. While the limit isn't used, the member gets objects beyond that.
+func (m *Member) weight(now dhclock.Millis) float64 {
+	if m.hasUnusedLimit(now) {
+		return float64(m.record.Slots())
+	}
+	return float64(m.record.Slots()) * m.keptShare
 }
 
-// eligible reports whether a member can serve a request and was not tried
-// before.
+// eligible reports whether a member can serve a request, apart from its limit, and
+// was not tried before.
 func (m *Member) eligible(now dhclock.Millis, c *Criteria) bool {
 	return m.usable(now) && !slices.Contains(c.Tried, m)
 }
@@ -164,7 +201,7 @@
 	for range len(r.members) {
 		m := r.members[random%uint64(len(r.members))]
 		random = mixBits(random)
-		if !m.eligible(now, c) {
+		if !m.eligible(now, c) || !m.limitAllows(now) {
 			continue
 		}
 		if best == nil {
@@ -180,7 +217,7 @@
 		return best
 	}
 	for _, m := range r.members {
-		if m.eligible(now, c) && (best == nil || m.load() < best.load()) {
+		if m.eligible(now, c) && m.limitAllows(now) && (best == nil || m.load() < best.load()) {
 			best = m
 		}
 	}
--- a/core/dhsteer/balance.go
+++ b/core/dhsteer/balance.go
@@ -101,9 +101,9 @@
 }
 
 // acceptsOffload reports whether the member gets objects that busier members
-// offload.
-func (r *loadStats) acceptsOffload(now dhclock.Millis) bool {
-	return r.hasRecentReport(now) && r.utilisation < acceptUtilisation
+// offload. One that reports a limit doesn't.
+func (m *Member) acceptsOffload(now dhclock.Millis) bool {
+	return m.hasRecentReport(now) && m.utilisation < acceptUtilisation && m.limit == nil
 }
 
 // Balance adjusts the share of objects that busy members offload to other
@@ -111,12 +111,15 @@
 // selected by hash, so that instances that see the same loads move the same
 // objects.
 func (g *Group) Balance(now dhclock.Millis) {
-	if now.Since(g.lastBalanced) < balanceInterval {
+	interval := now.Since(g.lastBalanced)
+	if interval < balanceInterval {
 		return
 	}
 	g.lastBalanced = now
 	for i := range g.regions {
 		r := &g.regions[i]
+		r.updateRate(interval)
+		r.updateKeptShares()
 		r.balance(now)
 		if r.name == g.local {
 			g.adjustLocalShare(r.utilisation(now), g.leastLoaded(now))
--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -7,6 +7,7 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
 )
 
 // Group holds the registered upstreams of one service. Every instance sends to
@@ -37,6 +38,16 @@
 	// spareShare is the region's weight for objects of other regions: its share of
 	// the slots beyond its share of the demand.
 	spareShare float64
+	// plannedShare is the share of the objects of the region's own requests that the
+	// plan keeps in the region.
+	plannedShare float64
+	// rate is the moving average of the requests that this instance sends to the
+	// region, per second, and requests their number since the last update.
+	rate     float64
+	requests int
+	// equalWeights is set if all members have the same number of slots and none has a
+	// limit.
+	equalWeights bool
 }
 
 // Registration is one upstream's record with the region and evacuation state of
@@ -66,6 +77,8 @@
 	// ColdRate returns how many requests per second this instance may send to a
 	// cold upstream; negative means no limit.
 	ColdRate func(upstream string) int
+	// Instance is the name of this instance.
+	Instance string
 }
 
 // NewGroup returns a group without members.
@@ -84,7 +97,7 @@
 		name := r.record.Name()
 		m, found := g.members[name]
 		if !found || m.record.Incarnation() != r.record.Incarnation() || m.Address() != r.record.Address() {
-			m = &Member{seed: hashText(name)}
+			m = &Member{seed: hashText(name), limitState: limitState{keptShare: 1}}
 		}
 		m.update(now, r, t)
 		kept[name] = m
@@ -95,7 +108,7 @@
 		}
 	}
 	g.members = kept
-	g.rebuildRegions(t)
+	g.rebuildRegions(now, t)
 }
 
 // update applies a registration to a member. A cold start begins if its caches
@@ -114,11 +127,12 @@
 	m.unavailable = unavailable
 	m.record, m.region = r.record, r.region
 	m.coldRate = t.ColdRate(r.record.Name())
+	m.initialLevel = dhmessage.Tokens(mixBits(m.seed^hashText(t.Instance)) % uint64(dhmessage.Token))
 }
 
 // rebuildRegions groups the available members by region and plans the local
 // region's share of objects.
-func (g *Group) rebuildRegions(t Topology) {
+func (g *Group) rebuildRegions(now dhclock.Millis, t Topology) {
 	g.local = t.LocalRegion
 	byRegion := map[string]*region{}
 	for _, m := range g.Members() {
@@ -134,11 +148,20 @@
 		r.members = append(r.members, m)
 		r.slots += m.record.Slots()
 	}
+	for _, previous := range g.regions {
+		if r, found := byRegion[previous.name]; found {
+			r.rate, r.requests = previous.rate, previous.requests
+		}
+	}
 	g.regions = g.regions[:0]
 	for _, name := range slices.Sorted(maps.Keys(byRegion)) {
 		g.regions = append(g.regions, *byRegion[name])
 	}
 	g.planLocalShare(t.EntryInstances)
+	g.setLimitFractions(now, t)
+	for i := range g.regions {
+		g.regions[i].updateKeptShares()
+	}
 }
 
 // regionCapacityPercent is the demand that a region is assumed to serve, in
@@ -165,8 +188,12 @@
 		capacity := float64(r.slots) * regionCapacityPercent / 100 / float64(max(1, slots))
 		needed := float64(entries[r.name]) / float64(max(1, demand))
 		r.spareShare = max(0, capacity-needed)
-		if r.name == g.local && needed > capacity {
-			planned = shareScale * capacity / needed
+		r.plannedShare = 1
+		if needed > capacity {
+			r.plannedShare = capacity / needed
+		}
+		if r.name == g.local {
+			planned = shareScale * r.plannedShare
 		}
 	}
 	if planned != g.plannedShare {
@@ -187,6 +214,7 @@
 func (g *Group) Acquire(now dhclock.Millis, m *Member) {
 	m.running++
 	m.recordSent(now)
+	m.spendLimit(now)
 }
 
 // Response is what a response reports about the upstream that sent it.
@@ -204,7 +232,7 @@
 	if r.Load != nil {
 		m.recordLoad(now, *r.Load)
 	}
-	m.recordLimit(o, r.Limit)
+	m.recordLimit(now, o, r.Limit)
 	switch o {
 	case Answered:
 		m.recordSuccess(latency)
--- a/core/dhsteer/group_test.go
+++ b/core/dhsteer/group_test.go
@@ -8,6 +8,7 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
 )
 
 // threeRegionTopology has three regions with three entry instances each; a is
@@ -341,3 +342,61 @@
 		t.Errorf("with the other regions idle, a share of %.2f of the objects stays local, want 0.6 to 0.9", share)
 	}
 }
+
+// TestLimitMovesOnlyTheMembersOwnObjects has one of six upstreams report a limit of
+// half of its usual rate. The objects of the others must not move, since each move is
+// a cache miss, and it must go on to get a part of its own ones and no others.
+func TestLimitMovesOnlyTheMembersOwnObjects(t *testing.T) {
+	const objects, perSecond = 600, 60
+	g := NewGroup("s")
+	var list []Registration
+	for i := range 6 {
+		list = append(list, warmRegistration(fmt.Sprint("u", i), "a", 100))
+	}
+	g.Update(1, list, Topology{LocalRegion: "a", EntryInstances: map[string]int{"a": 1}, ColdRate: func(string) int { return -1 }})
+	before := assignments(g, objects)
+	limit := NewRateLimit(perSecond / 6 / 2 * dhmessage.Token)
+	kept := 0
+	for request := range 30 * perSecond {
+		now := dhclock.Millis(1000 + request*1000/perSecond)
+		g.Balance(now)
+		i := request * 7 % objects
+		m := g.Select(now, Criteria{Object: uint64(i + 1)})
+		g.Acquire(now, m)
+		response := Response{}
+		if m.Name() == "u0" {
+			response.Limit = &limit
+			kept++
+		}
+		g.Release(now, m, Answered, 10, response)
+		if m.Name() != before[i] && before[i] != "u0" {
+			t.Fatalf("object %d of %s was sent to %s", i, before[i], m.Name())
+		}
+	}
+	if allowed := 30 * perSecond / 6 / 2; kept < allowed/2 || kept > allowed*3/2 {
+		t.Errorf("the limited upstream got %d requests, its limit allows %d", kept, allowed)
+	}
+}
+
+// TestLimitFractionsAddUpToOne adds up the fractions that all instances compute for
+// each upstream, in regions with more demand than slots and with more slots than
+// demand.
+func TestLimitFractionsAddUpToOne(t *testing.T) {
+	entries := map[string]int{"a": 5, "b": 2, "c": 1, "none": 2}
+	list := []Registration{
+		warmRegistration("u1", "a", 2), warmRegistration("u2", "b", 9), warmRegistration("u3", "b", 1), warmRegistration("u4", "c", 4),
+	}
+	sums := map[string]float64{}
+	for region, n := range entries {
+		g := NewGroup("s")
+		g.Update(1, list, Topology{LocalRegion: region, EntryInstances: entries, ColdRate: func(string) int { return -1 }})
+		for _, m := range g.Members() {
+			sums[m.Name()] += float64(n) * m.limitFraction
+		}
+	}
+	for name, sum := range sums {
+		if sum < 0.999 || sum > 1.001 {
+			t.Errorf("the fractions of %s add up to %g, want 1", name, sum)
+		}
+	}
+}
--- a/core/dhsteer/member.go
+++ b/core/dhsteer/member.go
@@ -20,6 +20,7 @@
 type Member struct {
 	health
 	loadStats
+	limitState
 	record  dhcatalog.Upstream
 	region  string
 	seed    uint64
@@ -33,7 +34,6 @@
 	coldUntil     dhclock.Millis
 	coldRate      int // requests per coldWindow while cold; negative for no limit
 	coldSendTimes []dhclock.Millis
-	limit         *RateLimit // reported by the last response; nil for none
 }
 
 // Name returns the upstream's name.
@@ -48,7 +48,8 @@
 // Cold reports whether the upstream is in its cold start, while its caches fill.
 func (m *Member) Cold(now dhclock.Millis) bool { return now < m.coldUntil }
 
-// usable reports whether one more request may go to the member now.
+// usable reports whether one more request may go to the member now, apart from the
+// limit that it reports.
 func (m *Member) usable(now dhclock.Millis) bool {
 	if m.unavailable || m.misplaced || now < m.ejectedUntil || now < m.backoffUntil {
 		return false
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -23,6 +23,7 @@
 	c := s.view.Catalog()
 	topology := s.topology()
 	position, instances := s.instancePosition()
+	topology.Instance = s.instance
 	registered := map[string]bool{}
 	for _, name := range c.RegisteredServices() {
 		registered[name] = true
