Show in the log when an instance can't connect to any upstream

Change: The event of an ended attempt tells whether a new connection succeeded. An instance that fails to connect to three upstreams, with no later connection that succeeded, logs it, and logs when connections succeed again. Nothing decides by it yet. Ruled out in between: dating a success by the end of its attempt, which showed connections made before the cut as new.

--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -310,6 +310,9 @@
 	// ReportedLimit is the request rate that the upstream reported as its limit, or
 	// nil.
 	ReportedLimit *dhsteer.RateLimit `journal:"Limit"`
+	// Connected is whether the upstream accepted the attempt's new connection; nil if
+	// the attempt used a pooled one, or ended before that was known.
+	Connected *bool
 }
 
 // AttemptEnded reports how an attempt at an upstream or another instance ended.
@@ -352,6 +355,10 @@
 // or nil.
 func (e *AttemptEnded) ReportedLimit() *dhsteer.RateLimit { return e.options.ReportedLimit }
 
+// Connected returns whether the upstream accepted the attempt's new connection; nil
+// if the attempt used a pooled one, or ended before that was known.
+func (e *AttemptEnded) Connected() *bool { return e.options.Connected }
+
 // RequestCancelledOptions are the fields of a RequestCancelled.
 type RequestCancelledOptions struct {
 	// RequestID is the number of the request at this instance.
--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -210,6 +210,9 @@
 	return list
 }
 
+// Size returns the number of members.
+func (g *Group) Size() int { return len(g.members) }
+
 // Acquire counts the start of a request at a member.
 func (g *Group) Acquire(now dhclock.Millis, m *Member) {
 	m.running++
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -62,6 +62,7 @@
 		limit := r.member.Limit()
 		r.group.Release(now, r.member, attemptOutcome(e), e.Latency(), dhsteer.Response{Load: e.ReportedLoad(), Limit: e.ReportedLimit()})
 		logLimitChange(limit, r.member, out)
+		s.recordConnect(r.member, e, out)
 		if e.End() != dhevent.EndAnswered {
 			r.triedMembers = append(r.triedMembers, r.member)
 		}
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -53,6 +53,7 @@
 	burn                 *dhburn.Recorder
 	lastTokenReport      dhclock.Millis
 	links                linkBudgets
+	reach                reach
 	claimRetries         []*request // requests whose claim is due again at claimRetryAt
 }
 
@@ -70,6 +71,7 @@
 		splits:         map[string]*split{},
 		clusterRetries: o.Retries,
 		requests:       map[uint64]*request{},
+		reach:          reach{unreachable: map[*dhsteer.Member]dhclock.Millis{}},
 		burn:           dhburn.New(),
 	}
 }
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -103,6 +103,7 @@
 	bodyPrefix []byte // first bytes of the response body, see readBodyPrefix
 	complete   bool   // bodyPrefix is the complete body
 	err        error  // why the attempt failed; nil if end is EndAnswered
+	connected  *bool  // whether a new connection succeeded; nil if none was tried to its end
 }
 
 // attemptCounter is the number of the latest attempt of this process.
@@ -116,7 +117,12 @@
 	a.context, a.cancel = context.WithTimeout(ctx, time.Duration(t.timeout)*time.Millisecond)
 	connected := false
 	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(i httptrace.GotConnInfo) {
+			connected = true
+			if !i.Reused {
+				a.connected = new(true)
+			}
+		},
 	})
 	attemptID := s.options.Instance + "-" + strconv.FormatUint(attemptCounter.Add(1), 36)
 	request, err := s.newOutboundRequest(tracedCtx, in, t, attemptID)
@@ -130,6 +136,9 @@
 	a.response, err = client.Do(request) //nolint:bodyclose // closed by attempt.close
 	if err != nil {
 		if !connected {
+			if isDialFailure(a.context, err) {
+				a.connected = new(false)
+			}
 			return a.fail(s.classifyFailure(ctx, a, dhevent.EndNotSent), err)
 		}
 		return a.fail(s.classifyFailure(ctx, a, dhevent.EndBroken), err)
@@ -145,6 +154,13 @@
 	return a
 }
 
+// isDialFailure reports whether an attempt got no connection because it was refused
+// or the dialer gave up, rather than because the attempt ended.
+func isDialFailure(ctx context.Context, err error) bool {
+	var dialErr *net.OpError
+	return ctx.Err() == nil && errors.As(err, &dialErr) && dialErr.Op == "dial"
+}
+
 // classifyFailure returns the end of a failed attempt: EndNotSent if nothing was
 // sent, else EndCallerGone if the caller closed its connection, EndTimedOut if the
 // attempt's timeout expired, and the given end in all other cases.
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -267,6 +267,7 @@
 		})
 		x.postAttemptEnded(dhevent.AttemptEndedOptions{
 			End: a.end, ReportedLoad: s.options.Dialect.reportedLoad(a.response), ReportedLimit: s.options.Dialect.reportedLimit(a.response),
+			Connected: a.connected,
 		}, d.At())
 		return a.end == dhevent.EndCallerGone
 	}
@@ -281,6 +282,7 @@
 	o := dhevent.AttemptEndedOptions{
 		End: dhevent.EndAnswered, Status: a.response.StatusCode, ResponseStarted: true, BodyBytes: len(a.bodyPrefix),
 		ReportedLoad: x.server.options.Dialect.reportedLoad(a.response), ReportedLimit: x.server.options.Dialect.reportedLimit(a.response),
+		Connected: a.connected,
 	}
 	if a.complete {
 		if claimed {
