Forward requests to peers while an instance can reach no upstream

What callers saw: at instances that had lost their links to the upstreams, no request was served for the 12 s of the cut and every second one for 4 s after it, although other instances served 97 % of theirs. Evidence: no refused request has an attempt at a peer; 'can't connect to any upstream' shows that the instances could tell within a second; after the cut requests are refused without an attempt. Change: An instance that fails to connect to three upstreams, with no later success, is isolated: it forwards requests to peers and probes upstreams until one accepts a connection, which also ends the ejections. Attempts that reached no upstream cost neither retry budget nor the route's attempts. Why it works: failures are compared with later successes by their starts, so upstreams that die look different from links that fail; a peer refuses truly, and after any other end nothing is sent again. Ruled out: removing the instance from look-ups, because callers keep addresses for seconds and connections for longer.

--- a/core/dheffect/traffic.go
+++ b/core/dheffect/traffic.go
@@ -133,6 +133,36 @@
 
 func (*ForwardToPeer) effect() {}
 
+// ProbeUpstreamOptions are the fields of a ProbeUpstream.
+type ProbeUpstreamOptions struct {
+	// Service is the service that the upstream belongs to.
+	Service string
+	// Upstream is the upstream's name.
+	Upstream string
+	// Address is the upstream's IP address and port.
+	Address string
+}
+
+// ProbeUpstream opens a connection to a registered upstream, to find out whether this
+// instance can reach it, and closes it again.
+type ProbeUpstream struct {
+	options ProbeUpstreamOptions
+}
+
+// NewProbeUpstream returns a ProbeUpstream.
+func NewProbeUpstream(o ProbeUpstreamOptions) *ProbeUpstream { return &ProbeUpstream{options: o} }
+
+// Service returns the service that the upstream belongs to.
+func (e *ProbeUpstream) Service() string { return e.options.Service }
+
+// Upstream returns the upstream's name.
+func (e *ProbeUpstream) Upstream() string { return e.options.Upstream }
+
+// Address returns the upstream's IP address and port.
+func (e *ProbeUpstream) Address() string { return e.options.Address }
+
+func (*ProbeUpstream) effect() {}
+
 // RefuseOptions are the fields of a Refuse.
 type RefuseOptions struct {
 	// RequestID is the number of the request at this instance.
--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -359,6 +359,41 @@
 // if the attempt used a pooled one, or ended before that was known.
 func (e *AttemptEnded) Connected() *bool { return e.options.Connected }
 
+// UpstreamProbedOptions are the fields of an UpstreamProbed.
+type UpstreamProbedOptions struct {
+	// Service is the service that the upstream belongs to.
+	Service string
+	// Upstream is the upstream's name.
+	Upstream string
+	// Connected reports whether the upstream accepted the connection.
+	Connected bool
+	// Latency is how long that took, in milliseconds.
+	Latency dhclock.Millis
+}
+
+// UpstreamProbed reports whether a connection to a registered upstream succeeded.
+type UpstreamProbed struct {
+	stamp
+	options UpstreamProbedOptions
+}
+
+// NewUpstreamProbed returns an UpstreamProbed.
+func NewUpstreamProbed(at dhclock.Millis, o UpstreamProbedOptions) *UpstreamProbed {
+	return &UpstreamProbed{stamp: stamp{at: at}, options: o}
+}
+
+// Service returns the service that the upstream belongs to.
+func (e *UpstreamProbed) Service() string { return e.options.Service }
+
+// Upstream returns the upstream's name.
+func (e *UpstreamProbed) Upstream() string { return e.options.Upstream }
+
+// Connected reports whether the upstream accepted the connection.
+func (e *UpstreamProbed) Connected() bool { return e.options.Connected }
+
+// Latency returns how long that took, in milliseconds.
+func (e *UpstreamProbed) Latency() dhclock.Millis { return e.options.Latency }
+
 // RequestCancelledOptions are the fields of a RequestCancelled.
 type RequestCancelledOptions struct {
 	// RequestID is the number of the request at this instance.
--- a/core/dhreducer/reduce.go
+++ b/core/dhreducer/reduce.go
@@ -49,6 +49,8 @@
 		t.HandleRequest(e, out)
 	case *dhevent.AttemptEnded:
 		t.HandleAttemptEnd(e, out)
+	case *dhevent.UpstreamProbed:
+		t.HandleProbe(e, out)
 	case *dhevent.RequestCancelled:
 		t.HandleCancellation(e, out)
 	case *dhevent.LookUpRequested:
--- a/core/dhsteer/affinity.go
+++ b/core/dhsteer/affinity.go
@@ -25,7 +25,8 @@
 	Priority int
 }
 
-func (c *Criteria) allows(region string) bool {
+// Allows reports whether the homes allow an upstream, or a peer, in a region.
+func (c *Criteria) Allows(region string) bool {
 	for _, regions := range c.HomeRegions {
 		if len(regions) > 0 && !slices.Contains(regions, region) {
 			return false
@@ -54,7 +55,7 @@
 	var best *Member
 	for i := range g.regions {
 		r := &g.regions[i]
-		if i == preferred || !c.allows(r.name) {
+		if i == preferred || !c.Allows(r.name) {
 			continue
 		}
 		m := r.selectMember(now, &c)
@@ -77,7 +78,7 @@
 	local := c.Object == 0 || float64(mixBits(c.Object^hashSalt)%shareScale) < g.localShare
 	for i := range g.regions {
 		r := &g.regions[i]
-		if !c.allows(r.name) {
+		if !c.Allows(r.name) {
 			continue
 		}
 		if r.name == g.local {
--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -253,6 +253,16 @@
 	}
 }
 
+// Member returns the member with a name, or nil.
+func (g *Group) Member(name string) *Member { return g.members[name] }
+
+// ForgetFailures ends the ejections of all members.
+func (g *Group) ForgetFailures() {
+	for _, m := range g.members {
+		m.forgetFailures()
+	}
+}
+
 // Status describes the group in the form of a pool's status.
 func (g *Group) Status(now dhclock.Millis) PoolStatus {
 	s := PoolStatus{service: g.service}
--- a/core/dhsteer/group_test.go
+++ b/core/dhsteer/group_test.go
@@ -126,12 +126,12 @@
 		m := g.Select(10, c)
 		possible := false
 		for _, r := range []string{"a", "b", "c"} {
-			possible = possible || c.allows(r)
+			possible = possible || c.Allows(r)
 		}
 		if (m != nil) != possible {
 			t.Fatalf("home regions %v: got member %v", c.HomeRegions, m)
 		}
-		if m != nil && !c.allows(m.Region()) {
+		if m != nil && !c.Allows(m.Region()) {
 			t.Fatalf("home regions %v: got a member in region %s", c.HomeRegions, m.Region())
 		}
 	})
--- a/core/dhsteer/health.go
+++ b/core/dhsteer/health.go
@@ -38,6 +38,9 @@
 	return h.failures >= ejectAfterFailures
 }
 
+// forgetFailures ends an ejection and resets the failure count.
+func (h *health) forgetFailures() { h.failures, h.ejectionPeriod, h.ejectedUntil = 0, 0, 0 }
+
 // backOff excludes an upstream that refused a request from selection, for a time
 // that doubles with each consecutive refusal.
 func (h *health) backOff(now dhclock.Millis) {
--- /dev/null
+++ b/core/dhtraffic/around.go
@@ -0,0 +1,61 @@
+package dhtraffic
+
+import (
+	"slices"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhsteer"
+)
+
+// peerAround returns a peer to forward a request to while this instance is isolated,
+// or nil if it isn't or there is none. The peer is any one of the own region, so that
+// no single peer gets all requests, else one of another region. Only peers in the homes
+// of a request with homes get its body.
+func (s *State) peerAround(now dhclock.Millis, r *request) *peer {
+	if !s.reach.isolated || r.fromPeer {
+		return nil
+	}
+	criteria := s.criteria(r)
+	var best *peer
+	var bestRank uint64
+	for _, z := range s.view.Catalog().Zones() {
+		if !criteria.Allows(z.Region()) {
+			continue
+		}
+		for _, i := range s.view.Catalog().InstancesIn(z.Name()) {
+			candidate := &peer{instance: i, distance: s.distanceTo(i), region: z.Region()}
+			if !s.mayForwardAround(now, r, candidate) {
+				continue
+			}
+			rank := dhsteer.HashObject(i.Name()) ^ r.random
+			if best == nil || isCloserRegion(candidate, best) || !isCloserRegion(best, candidate) && rank < bestRank {
+				best, bestRank = candidate, rank
+			}
+		}
+	}
+	return best
+}
+
+// isCloserRegion reports whether only a is in the region of this instance.
+func isCloserRegion(a, b *peer) bool { return a.distance != otherRegion && b.distance == otherRegion }
+
+// mayForwardAround reports whether a peer may get a request while this instance is
+// isolated.
+func (s *State) mayForwardAround(now dhclock.Millis, r *request, to *peer) bool {
+	name := to.instance.Name()
+	if name == s.instance || s.view.IsUnavailable(name) || now < s.reach.avoidedPeers[name] {
+		return false
+	}
+	if slices.ContainsFunc(r.triedPeers, func(tried *peer) bool { return tried.instance.Name() == name }) {
+		return false
+	}
+	return to.distance != otherRegion || s.linkHasBudget(now, to)
+}
+
+// forwardAround forwards a request for a registered upstream to a peer, which selects
+// the upstream.
+func (s *State) forwardAround(now dhclock.Millis, g *group, r *request, to *peer, out *dheffect.List) {
+	r.group, r.forwarded = g, true
+	s.sendToPeer(now, r, to, out)
+}
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -111,6 +111,14 @@
 // once. Requests for registered upstreams don't queue: slots at them belong to no
 // single instance, so there is no release that a queue here could wait for.
 func (s *State) acquireMember(now dhclock.Millis, g *group, r *request, out *dheffect.List) {
+	if s.reach.isolated && r.fromPeer {
+		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseNoUpstream, false, shortRetryAfter), out)
+		return
+	}
+	if to := s.peerAround(now, r); to != nil {
+		s.forwardAround(now, g, r, to, out)
+		return
+	}
 	m := g.Select(now, s.criteria(r))
 	if m == nil {
 		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, longRetryAfter), out)
@@ -141,7 +149,7 @@
 	}
 	r.phase, r.group, r.member = running, g, m
 	r.attempts++
-	if r.attempts == 1 {
+	if r.attempts == 1 && r.unsentAttempts == 0 {
 		g.retryBucket.credit()
 	}
 	r.recordSent(now, m.Name(), m.Limit())
@@ -152,22 +160,35 @@
 	}))
 }
 
-// retryOnMember retries a request on another registered upstream, or refuses it
-// if the route's attempts, the deadline or the retry budget is exhausted. It
-// looks the route up again, because the route may have changed since the request
-// was received.
+// maxUnsentAttempts bounds the attempts of one request that reached no upstream.
+const maxUnsentAttempts = 6
+
+// retryOnMember retries a request on another registered upstream, or through a peer if
+// this instance is isolated. It refuses the request if the route's attempts, the
+// deadline or the retry budget is exhausted. Attempts that reached no upstream need no
+// budget. It looks the route up again, because the route may have changed since the
+// request was received.
 func (s *State) retryOnMember(now dhclock.Millis, r *request, refusal dheffect.Refusal, out *dheffect.List) {
 	route, found := s.view.Catalog().RouteFor(r.host, r.path)
-	if !found || !routesTo(route, r.service) || r.attempts >= route.MaxAttempts() || r.remaining(now) <= 0 {
+	if !found || !routesTo(route, r.service) || r.forwarded || r.attempts >= route.MaxAttempts() ||
+		r.unsentAttempts >= maxUnsentAttempts || r.remaining(now) <= 0 {
 		s.refuse(now, r, refusal, out)
 		return
 	}
 	r.route = route
-	m := r.group.Select(now, s.criteria(r))
-	if m == nil || !r.group.retryBucket.acquire() {
+	to := s.peerAround(now, r)
+	var m *dhsteer.Member
+	if to == nil {
+		m = r.group.Select(now, s.criteria(r))
+	}
+	if to == nil && m == nil || r.attempts > 0 && !r.group.retryBucket.acquire() {
 		s.refuse(now, r, refusal, out)
 		return
 	}
+	if to != nil {
+		s.forwardAround(now, r.group, r, to, out)
+		return
+	}
 	s.forwardToMember(now, r.group, r, m, out)
 }
 
--- a/core/dhtraffic/peer.go
+++ b/core/dhtraffic/peer.go
@@ -91,12 +91,20 @@
 	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.slots-b.running, a.slots-a.running)) < 0
 }
 
-// forwardToPeer starts an attempt at a peer, unless the caller's key has been
-// revoked in the meantime.
+// forwardToPeer starts an attempt at a peer with a reserved slot.
 func (s *State) forwardToPeer(now dhclock.Millis, p *pool, r *request, to *peer, out *dheffect.List) {
+	if s.sendToPeer(now, r, to, out) {
+		p.reserveUntil = now + reservationKeepAlive
+		p.creditRetries(now)
+	}
+}
+
+// sendToPeer starts an attempt at a peer, unless the caller's key has been revoked in
+// the meantime. It reports whether it has started one.
+func (s *State) sendToPeer(now dhclock.Millis, r *request, to *peer, out *dheffect.List) bool {
 	if refusal, ok := s.checkKey(now, r); !ok {
 		s.refuse(now, r, refusal, out)
-		return
+		return false
 	}
 	r.phase = running
 	r.waiter = nil
@@ -105,12 +113,11 @@
 	to.running++
 	r.recordSent(now, to.instance.Name(), nil)
 	s.chargeLink(now, to, r.bodyBytes)
-	p.reserveUntil = now + reservationKeepAlive
-	p.creditRetries(now)
 	out.Add(dheffect.NewForwardToPeer(dheffect.ForwardToPeerOptions{
 		RequestID: r.id, Instance: to.instance.Name(), Address: to.instance.PeerAddress(),
 		Organisation: r.organisation, Timeout: r.remaining(now), Claimed: r.claimGranted,
 	}))
+	return true
 }
 
 // forwardWaitingToPeers forwards waiting requests to peers with free reserved
--- a/core/dhtraffic/reach.go
+++ b/core/dhtraffic/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
@@ -9,19 +10,36 @@
 	"dogwoodhitch/core/dhsteer"
 )
 
-// isolationThreshold is how many registered upstreams must refuse or not answer a new
-// connection, with no success in between, before this instance counts as isolated.
-const isolationThreshold = 3
+// Parameters of finding out whether this instance can reach the registered upstreams,
+// in milliseconds unless noted.
+const (
+	// isolationThreshold is how many upstreams must refuse or not answer a new
+	// connection, with no success in between, before this instance counts as isolated.
+	isolationThreshold = 3
+	// probeInterval is the time between two probes of an isolated instance.
+	probeInterval dhclock.Millis = 250
+	// peerAvoidance is how long an isolated instance forwards nothing to a peer that
+	// it couldn't reach or that is isolated too.
+	peerAvoidance dhclock.Millis = 1000
+)
 
 // reach tracks whether this instance can open connections to registered upstreams.
-// If it can't reach any, its own links have failed rather than the upstreams.
+// If it can't reach any, its own links have failed rather than the upstreams. It is
+// isolated then, and forwards requests to peers.
 type reach struct {
 	// lastConnected is when the last connection that succeeded was started.
 	lastConnected dhclock.Millis
 	// unreachable holds, for each upstream to which a later connection has failed,
 	// when that one was started.
-	unreachable map[*dhsteer.Member]dhclock.Millis
-	isolated    bool
+	unreachable  map[*dhsteer.Member]dhclock.Millis
+	isolated     bool
+	lastProbe    dhclock.Millis
+	probes       int                       // how many were sent
+	avoidedPeers map[string]dhclock.Millis // by name: until when
+}
+
+func newReach() reach {
+	return reach{unreachable: map[*dhsteer.Member]dhclock.Millis{}, avoidedPeers: map[string]dhclock.Millis{}}
 }
 
 // recordConnect updates the reach with the result of a new connection to one of a
@@ -37,22 +55,85 @@
 	r.isolated = upstreams > 0 && len(r.unreachable) >= min(isolationThreshold, upstreams)
 }
 
-// recordConnect updates the reach with an attempt at a registered upstream, and logs a
-// change.
-func (s *State) recordConnect(m *dhsteer.Member, e *dhevent.AttemptEnded, out *dheffect.List) {
-	if e.Connected() == nil {
+// recordPeer records how an attempt through a peer ended.
+func (r *reach) recordPeer(now dhclock.Millis, peer string, end dhevent.AttemptEnd) {
+	if end == dhevent.EndNotSent || end == dhevent.EndBroken {
+		r.avoidedPeers[peer] = now + peerAvoidance
+	}
+}
+
+// HandleProbe records the result of a probe.
+func (s *State) HandleProbe(e *dhevent.UpstreamProbed, out *dheffect.List) {
+	g, found := s.groups[e.Service()]
+	if !found {
 		return
 	}
+	if m := g.Member(e.Upstream()); m != nil {
+		s.recordConnect(e.At(), e.Latency(), m, e.Connected(), out)
+	}
+}
+
+// recordConnect updates the reach with the result of a new connection to an upstream.
+// The first failure is followed by probes of two other upstreams, which show whether
+// it is that upstream's or this instance's. Once connections succeed again, failures
+// of the time between count no more.
+func (s *State) recordConnect(now, latency dhclock.Millis, m *dhsteer.Member, connected bool, out *dheffect.List) {
 	upstreams := 0
 	for _, g := range s.groups {
 		upstreams += g.Size()
 	}
-	before := s.reach.isolated
-	s.reach.recordConnect(e.At()-e.Latency(), m, *e.Connected(), upstreams)
+	isolated, suspected := s.reach.isolated, len(s.reach.unreachable) > 0
+	s.reach.recordConnect(now-latency, m, connected, upstreams)
 	switch {
-	case s.reach.isolated && !before:
+	case s.reach.isolated && !isolated:
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "can't connect to any upstream", Peer: m.Name(), Number: uint64(len(s.reach.unreachable))}))
-	case before && !s.reach.isolated:
+	case isolated && !s.reach.isolated:
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "connects to upstreams again", Peer: m.Name()}))
+		for _, g := range s.groups {
+			g.ForgetFailures()
+		}
+	case !suspected && len(s.reach.unreachable) > 0:
+		for range isolationThreshold - 1 {
+			s.probe(now, out)
+		}
+	}
+}
+
+// tickReach probes an upstream once per probeInterval while this instance is isolated.
+func (s *State) tickReach(now dhclock.Millis, out *dheffect.List) {
+	if s.reach.isolated && now.Since(s.reach.lastProbe) >= probeInterval {
+		s.probe(now, out)
+	}
+}
+
+// probe probes the next upstream in turn that isn't known to be unreachable; if all
+// are, any in turn.
+func (s *State) probe(now dhclock.Millis, out *dheffect.List) {
+	type candidate struct {
+		service string
+		member  *dhsteer.Member
+	}
+	var untried, all []candidate
+	for _, service := range slices.Sorted(maps.Keys(s.groups)) {
+		for _, m := range s.groups[service].Members() {
+			c := candidate{service, m}
+			all = append(all, c)
+			if _, failed := s.reach.unreachable[m]; !failed {
+				untried = append(untried, c)
+			}
+		}
+	}
+	if len(all) == 0 {
+		return
+	}
+	if len(untried) == 0 {
+		untried = all
 	}
+	turn := dhsteer.HashObject(s.instance) + uint64(s.reach.probes)
+	next := untried[turn%uint64(len(untried))]
+	s.reach.lastProbe = now
+	s.reach.probes++
+	out.Add(dheffect.NewProbeUpstream(dheffect.ProbeUpstreamOptions{
+		Service: next.service, Upstream: next.member.Name(), Address: next.member.Address(),
+	}))
 }
--- /dev/null
+++ b/core/dhtraffic/reach_test.go
@@ -0,0 +1,176 @@
+package dhtraffic
+
+import (
+	"fmt"
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+)
+
+// reachTest drives the instance a1-1, which has peers in its own and in another region
+// and six registered upstreams.
+type reachTest struct {
+	*State
+	request uint64
+}
+
+func newReachTest(t *testing.T) *reachTest {
+	t.Helper()
+	objects := []dhcatalog.Object{
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "b1", Region: "b"}),
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/any/", Service: "s", Open: true, Timeout: 3000, MaxAttempts: 2}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "h", PathPrefix: "/home/", Service: "s", Open: true, Timeout: 3000, MaxAttempts: 2, HomeRegions: []string{"b"}}),
+	}
+	for _, name := range []string{"a1-1", "a1-2", "a1-3", "b1-1"} {
+		objects = append(objects, dhcatalog.NewInstance(dhcatalog.InstanceOptions{
+			Name: name, Zone: name[:2], CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2",
+		}))
+	}
+	for i := range 6 {
+		objects = append(objects, dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{
+			Name: fmt.Sprint("u", i), Service: "s", Address: "10.0.1.1:1", Zone: []string{"a1", "b1"}[i%2], Slots: 100, Incarnation: 1,
+		}))
+	}
+	return &reachTest{State: newTestState(t, 1_000_000, objects...)}
+}
+
+// send sends a request and returns the first decision on it.
+func (s *reachTest) send(now dhclock.Millis, path string, fromPeer bool) dheffect.Effect {
+	s.request++
+	var out dheffect.List
+	s.HandleRequest(dhevent.NewRequestReceived(now, dhevent.RequestReceivedOptions{
+		RequestID: s.request, Path: path, FromPeer: fromPeer, Random: s.request * 0x9e3779b97f4a7c15,
+	}), &out)
+	return lastDecision(&out)
+}
+
+// end ends the attempt of the last request and returns the next decision on it.
+func (s *reachTest) end(now dhclock.Millis, o dhevent.AttemptEndedOptions) dheffect.Effect {
+	o.RequestID = s.request
+	var out dheffect.List
+	s.HandleAttemptEnd(dhevent.NewAttemptEnded(now, o), &out)
+	return lastDecision(&out)
+}
+
+func lastDecision(out *dheffect.List) dheffect.Effect {
+	var decision dheffect.Effect
+	for _, e := range out.Items() {
+		switch e.(type) {
+		case *dheffect.ForwardToUpstream, *dheffect.ForwardToPeer, *dheffect.Refuse:
+			decision = e
+		}
+	}
+	return decision
+}
+
+// isolate sends a request whose connections to upstreams all fail, until it is
+// forwarded to a peer.
+func (s *reachTest) isolate(t *testing.T, now dhclock.Millis) *dheffect.ForwardToPeer {
+	t.Helper()
+	decision := s.send(now, "/any/", false)
+	for range isolationThreshold {
+		if _, ok := decision.(*dheffect.ForwardToUpstream); !ok {
+			t.Fatalf("got decision %T before the connections failed, want a ForwardToUpstream", decision)
+		}
+		decision = s.end(now, dhevent.AttemptEndedOptions{End: dhevent.EndNotSent, Connected: new(false)})
+	}
+	forward, ok := decision.(*dheffect.ForwardToPeer)
+	if !ok {
+		t.Fatalf("got decision %T after %d failed connections, want a ForwardToPeer", decision, isolationThreshold)
+	}
+	return forward
+}
+
+// TestFailuresOfOwnLinksEjectNoUpstream guards against ejections that outlast a
+// partition: once a probe succeeds, the upstreams get requests again at once.
+func TestFailuresOfOwnLinksEjectNoUpstream(t *testing.T) {
+	s := newReachTest(t)
+	s.isolate(t, 1000)
+	var out dheffect.List
+	s.Tick(1000+probeInterval, &out)
+	var probe *dheffect.ProbeUpstream
+	for _, e := range out.Items() {
+		if p, ok := e.(*dheffect.ProbeUpstream); ok {
+			probe = p
+		}
+	}
+	if probe == nil {
+		t.Fatal("an isolated instance probes no upstream")
+	}
+	s.HandleProbe(dhevent.NewUpstreamProbed(1300, dhevent.UpstreamProbedOptions{
+		Service: probe.Service(), Upstream: probe.Upstream(), Connected: true, Latency: 1,
+	}), &out)
+	reached := map[string]bool{}
+	for range 200 {
+		forward, ok := s.send(1301, "/any/", false).(*dheffect.ForwardToUpstream)
+		if !ok {
+			t.Fatal("a request isn't sent to an upstream after a probe has succeeded")
+		}
+		reached[forward.Upstream()] = true
+		s.end(1301, dhevent.AttemptEndedOptions{Status: 200, Latency: 1})
+	}
+	if len(reached) != 3 {
+		t.Errorf("%d upstreams get requests after a probe has succeeded, want all 3 of the region", len(reached))
+	}
+}
+
+// TestDeadUpstreamIsNoIsolation has one upstream refuse connections while the others
+// accept them. The instance must not take that for a failure of its own links.
+func TestDeadUpstreamIsNoIsolation(t *testing.T) {
+	s := newReachTest(t)
+	for i := range 200 {
+		now := dhclock.Millis(1000 + 10*i)
+		decision := s.send(now, "/any/", false)
+		for decision != nil {
+			forward, ok := decision.(*dheffect.ForwardToUpstream)
+			if !ok {
+				t.Fatalf("got decision %T, want a ForwardToUpstream", decision)
+			}
+			o := dhevent.AttemptEndedOptions{Status: 200, Latency: 1, Connected: new(true)}
+			if forward.Upstream() == "u0" {
+				o = dhevent.AttemptEndedOptions{End: dhevent.EndNotSent, Latency: 1, Connected: new(false)}
+			}
+			decision = s.end(now+1, o)
+		}
+	}
+}
+
+// TestIsolatedPeersAreSkipped has the peer that gets a request report that it is
+// isolated too. The request goes to another peer, one of another region last, and is
+// refused as not run when none is left.
+func TestIsolatedPeersAreSkipped(t *testing.T) {
+	s := newReachTest(t)
+	tried := []string{s.isolate(t, 1000).Instance()}
+	decision := s.end(1001, dhevent.AttemptEndedOptions{End: dhevent.EndNotSent})
+	if forward, ok := decision.(*dheffect.ForwardToPeer); ok {
+		tried = append(tried, forward.Instance())
+	}
+	if len(tried) != 2 || tried[0] == tried[1] || tried[0] == "b1-1" || tried[1] == "b1-1" {
+		t.Fatalf("the request was forwarded to %v, want a1-2 and a1-3", tried)
+	}
+	if got := s.send(1002, "/any/", false); got.(*dheffect.ForwardToPeer).Instance() == tried[0] {
+		t.Errorf("the next request was forwarded to %s, which is isolated", tried[0])
+	}
+	refuse, ok := s.send(1003, "/any/", true).(*dheffect.Refuse)
+	if !ok || refuse.Refusal().Kind() != dheffect.RefuseNoUpstream || refuse.Refusal().MayHaveRun() {
+		t.Errorf("a request from a peer got %+v, want refusal noUpstream that didn't run", refuse)
+	}
+}
+
+// TestIsolatedInstanceKeepsHomes forwards requests of a route with a home in another
+// region: only peers there may get their bodies.
+func TestIsolatedInstanceKeepsHomes(t *testing.T) {
+	s := newReachTest(t)
+	s.isolate(t, 1000)
+	for i := range 20 {
+		forward, ok := s.send(dhclock.Millis(1001+i), "/home/", false).(*dheffect.ForwardToPeer)
+		if !ok || forward.Instance() != "b1-1" {
+			t.Fatalf("got %+v, want a forward to b1-1", forward)
+		}
+	}
+}
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -71,7 +71,7 @@
 		splits:         map[string]*split{},
 		clusterRetries: o.Retries,
 		requests:       map[uint64]*request{},
-		reach:          reach{unreachable: map[*dhsteer.Member]dhclock.Millis{}},
+		reach:          newReach(),
 		burn:           dhburn.New(),
 	}
 }
@@ -94,36 +94,40 @@
 
 // request is a request that waits or runs.
 type request struct {
-	id              uint64
-	receivedAt      dhclock.Millis
-	deadline        dhclock.Millis
-	queueDeadline   dhclock.Millis
-	phase           phase
-	route           dhcatalog.Route
-	service         string
-	host            string
-	path            string
-	object          uint64
-	random          uint64
-	organisation    string
-	key             dhcatalog.Hash
-	weight          int
-	bodyBytes       int  // bytes of the body
-	fromPeer        bool // forwarded by a peer
-	claimKey        *dhmessage.ClaimKey
-	digest          dhcatalog.Hash
-	claimGranted    bool // a claim that must be released or given an outcome
-	claimRetryAt    dhclock.Millis
-	waiter          *dhsteer.Waiter
-	pool            *pool
-	upstream        *dhsteer.Upstream
-	triedUpstreams  []*dhsteer.Upstream
-	group           *group
-	member          *dhsteer.Member
-	triedMembers    []*dhsteer.Member
-	peer            *peer // the instance that the request is forwarded to
-	triedPeers      []*peer
-	attempts        int
+	id             uint64
+	receivedAt     dhclock.Millis
+	deadline       dhclock.Millis
+	queueDeadline  dhclock.Millis
+	phase          phase
+	route          dhcatalog.Route
+	service        string
+	host           string
+	path           string
+	object         uint64
+	random         uint64
+	organisation   string
+	key            dhcatalog.Hash
+	weight         int
+	bodyBytes      int  // bytes of the body
+	fromPeer       bool // forwarded by a peer
+	claimKey       *dhmessage.ClaimKey
+	digest         dhcatalog.Hash
+	claimGranted   bool // a claim that must be released or given an outcome
+	claimRetryAt   dhclock.Millis
+	waiter         *dhsteer.Waiter
+	pool           *pool
+	upstream       *dhsteer.Upstream
+	triedUpstreams []*dhsteer.Upstream
+	group          *group
+	member         *dhsteer.Member
+	triedMembers   []*dhsteer.Member
+	peer           *peer // the instance that the request is forwarded to
+	triedPeers     []*peer
+	attempts       int // that may have reached an upstream
+	unsentAttempts int // that certainly did not
+	// forwarded reports whether a peer, which makes its own attempts, got the request
+	// on behalf of this instance while it was isolated.
+	forwarded       bool
 	callerRequestID string
 	attemptRecords  []dheffect.Attempt
 	mayHaveRun      bool
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/io/dhnet"
 )
@@ -45,6 +46,7 @@
 type clients struct {
 	pooled        *http.Client // reuses idle connections
 	newConnection *http.Client // opens a new connection for each attempt
+	dialer        *net.Dialer
 }
 
 func newClients(maxConnections int, peerTLS *tls.Config) clients {
@@ -64,6 +66,7 @@
 	return clients{
 		pooled:        &http.Client{Transport: pooled, CheckRedirect: noRedirect},
 		newConnection: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
+		dialer:        dialer,
 	}
 }
 
@@ -72,6 +75,21 @@
 	c.newConnection.CloseIdleConnections()
 }
 
+// Probe opens a connection to an upstream, closes it, and reports the result to the
+// reducer.
+func (s *Server) Probe(ctx context.Context, e *dheffect.ProbeUpstream) {
+	startedAt := s.options.Clock.Now()
+	connection, err := s.clients.dialer.DialContext(ctx, "tcp", e.Address())
+	if err == nil {
+		connection.Close()
+	}
+	s.options.TrafficState.Handle(func(at dhclock.Millis) dhevent.Event {
+		return dhevent.NewUpstreamProbed(at, dhevent.UpstreamProbedOptions{
+			Service: e.Service(), Upstream: e.Upstream(), Connected: err == nil, Latency: at.Since(startedAt),
+		})
+	})
+}
+
 // nonReplayableBody is a request body that net/http can't rewind. The transport
 // of net/http retries a request by itself only if the request has no body or has
 // a GetBody function. With this body it never does, not even for a request with
@@ -245,6 +263,7 @@
 	errNotRun         = errors.New("the upstream or peer refused the request without running it")
 	errMisplaced      = errors.New("another upstream answers at the address")
 	errMayHaveRun     = errors.New("the peer reports that the request may have run")
+	errPeerIsolated   = errors.New("the peer can't reach any upstream either")
 )
 
 // checkResponse returns an error if a response belongs to another attempt, if its
@@ -263,6 +282,8 @@
 	}
 	run := r.Header.Get(HeaderRun)
 	switch {
+	case t.toPeer && run == NotRun && r.Header.Get(HeaderRefusal) == string(dheffect.RefuseNoUpstream):
+		return errPeerIsolated
 	case t.toPeer && run == NotRun:
 		return errNotRun
 	case t.toPeer && run == MayHaveRun:
@@ -282,6 +303,8 @@
 	switch {
 	case errors.Is(err, errNotRun):
 		return dhevent.EndRefused
+	case errors.Is(err, errPeerIsolated):
+		return dhevent.EndNotSent
 	case errors.Is(err, errMisplaced):
 		return dhevent.EndMisplaced
 	default:
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -246,6 +246,8 @@
 		p.postToControl(e.Event())
 	case *dheffect.RecordRequest:
 		p.recordRequest(e)
+	case *dheffect.ProbeUpstream:
+		p.goroutines.Go(func() { p.entry.Probe(p.ctx, e) })
 	case *dheffect.Log:
 		p.options.Logs.Logger(e.Layer()).WithFields(logrus.Fields{"peer": e.Peer(), "number": e.Number()}).Info(e.Text())
 	}
