Forward requests between peers without changing their targets

What callers saw: a request that a peer should have served got status 307, or reached the upstream with another path, if its path wasn't in canonical form or had escaped characters. Cause: the peers' listener passed requests through http.ServeMux, which redirects such paths, and the forwarded path was encoded again from its decoded form. The field with the organisation also went on to the upstream. Evidence: platform TestRequestsAreForwardedUnchanged now runs through a peer too; before the change: /unsafe/a%2Fb//c/../d?q=%7e&x: got status 307, Location /pass/unsafe/a%252Fb/d. Change: PeerHandler takes the requests with the prefix itself and passes others on; a verbatim target stays verbatim behind the prefix; the organisation's field is removed. CallerHandler has bypassed the multiplexer for the same reason all along.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -226,8 +226,8 @@
 		r.URL.RawPath = t.pathPrefix + r.URL.RawPath
 	}
 	r.URL.RawQuery, r.URL.ForceQuery = in.url.RawQuery, in.url.ForceQuery
-	if t.pathPrefix == "" {
-		r.URL.Opaque = in.verbatimPath
+	if in.verbatimPath != "" {
+		r.URL.Opaque = t.pathPrefix + in.verbatimPath
 	}
 	r.Body, r.ContentLength = nonReplayableBody{bytes.NewReader(in.body)}, int64(len(in.body))
 	if len(in.body) == 0 && !t.newConnection {
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -99,16 +99,22 @@
 	})
 }
 
-// PeerHandler returns the path prefix and the handler for requests that peers
-// forward.
-func (s *Server) PeerHandler() (string, http.Handler) {
-	return peerPathPrefix + "/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// PeerHandler returns the handler for requests that peers forward. It passes all other
+// requests to next. Like the handler for callers it doesn't use http.ServeMux.
+func (s *Server) PeerHandler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, peerPathPrefix+"/") {
+			next.ServeHTTP(w, r)
+			return
+		}
 		if !dhpeer.SecretMatches(r.Header, s.options.PeerSecret) {
 			http.Error(w, "the shared secret is missing or wrong", http.StatusUnauthorized)
 			return
 		}
 		r.Header.Del("Dogwoodhitch-Secret")
 		organisation := r.Header.Get(HeaderOrganisation)
+		r.Header.Del(HeaderOrganisation)
+		r.RequestURI = strings.TrimPrefix(r.RequestURI, peerPathPrefix)
 		r.URL.Path = strings.TrimPrefix(r.URL.Path, peerPathPrefix)
 		r.URL.RawPath = strings.TrimPrefix(r.URL.RawPath, peerPathPrefix)
 		s.serve(w, r, organisation, true)
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -95,7 +95,7 @@
 	})
 	mux.Handle(receiver.Handler())
 	if p.entry != nil {
-		mux.Handle(p.entry.PeerHandler())
+		return p.entry.PeerHandler(mux)
 	}
 	return mux
 }
