--- a/io/dhdisk/log.go
+++ b/io/dhdisk/log.go
@@ -13,12 +13,12 @@
 )
 
 // openLog opens the last segment for appending and truncates it after its last
-// valid record. It starts a new segment if there is none or if the last one has
-// no complete header.
+// valid record. It starts a new segment if there is none, and replaces the last one
+// if that has no complete header.
 func (f *Folder) openLog(segments []numberedFile) error {
 	if len(segments) == 0 || segments[len(segments)-1].validSize == 0 {
 		if len(segments) > 0 {
-			f.lastSegment = segments[len(segments)-1].number
+			f.lastSegment = segments[len(segments)-1].number - 1
 		}
 		return f.startSegment(f.state.term, f.state.votedFor, nil)
 	}
