Send retries of a proposal to every voter in turn

Change: the alternation between leader and voters and the position among the voters are counted apart.

--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -19,7 +19,8 @@
 type proposals struct {
 	lastID      uint64
 	voters      []string
-	sendCount   int
+	retryCount  int // alternates retries between the leader and the voters
+	nextVoter   int // round-robin position
 	outstanding map[uint64]*proposal
 }
 
@@ -60,8 +61,8 @@
 	o := p.outstanding[id]
 	to := leader
 	if to == "" && len(p.voters) > 0 {
-		p.sendCount++
-		to = p.voters[p.sendCount%len(p.voters)]
+		p.nextVoter++
+		to = p.voters[p.nextVoter%len(p.voters)]
 	}
 	if to == "" {
 		return
@@ -86,10 +87,10 @@
 			continue
 		}
 		to := leader
-		if o.wasSent && p.sendCount%2 == 0 {
+		if o.wasSent && p.retryCount%2 == 0 {
 			to = ""
 		}
-		p.sendCount++
+		p.retryCount++
 		p.send(id, now, to, out)
 	}
 }
