Send a request without a body once on pooled connections

Cause: the transport of net/http resends a request without a body if its pooled connection fails and its method is safe or it has an idempotency key. Change: Attempts at registered upstreams get a new connection if the request must not be repeated and has no body. At peers such a request has a body that can't be rewound, which the transport sends as none for methods that lack one; with an idempotency key it gets a new connection.

--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -157,6 +157,8 @@
 	out.Add(dheffect.NewForwardToUpstream(dheffect.ForwardToUpstreamOptions{
 		RequestID: r.id, Service: g.Service(), Upstream: m.Name(), Address: m.Address(), Organisation: r.organisation,
 		Timeout: r.remaining(now), Claimed: r.claimGranted, Registered: true,
+		// The transport can resend a request without a body on a pooled connection.
+		NewConnection: !r.route.Idempotent() && r.bodyBytes == 0,
 	}))
 }
 
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -230,7 +230,7 @@
 		r.URL.Opaque = t.pathPrefix + in.verbatimPath
 	}
 	r.Body, r.ContentLength = nonReplayableBody{bytes.NewReader(in.body)}, int64(len(in.body))
-	if len(in.body) == 0 && !t.newConnection {
+	if len(in.body) == 0 && !t.newConnection && (!t.toPeer || !lacksBody(in.method)) {
 		// The transport may resend a request without a body if a pooled
 		// connection fails. That is harmless only for requests that may be
 		// repeated, so newConnection must be set for all others.
@@ -256,6 +256,12 @@
 	return r, nil
 }
 
+// lacksBody reports whether requests with a method usually have no body. The transport
+// sends an empty body for them in the same way as none, but doesn't resend it.
+func lacksBody(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions || method == http.MethodTrace
+}
+
 // Errors of responses that are not forwarded to the caller.
 var (
 	errWrongAttempt   = errors.New("the response belongs to another attempt")
--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -130,6 +130,14 @@
 	return hex.EncodeToString(raw[:])
 }
 
+// isReplayableByKey reports whether the transport of net/http could resend the request
+// on a pooled connection because of its idempotency key.
+func (in *inbound) isReplayableByKey() bool {
+	_, hasKey := in.header[HeaderIdempotencyKey]
+	_, hasExtensionKey := in.header["X-"+HeaderIdempotencyKey]
+	return len(in.body) == 0 && (hasKey || hasExtensionKey)
+}
+
 func (in *inbound) readTimeout(field string) dheffect.RefusalKind {
 	text := in.header.Get(field)
 	if text == "" {
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -243,7 +243,7 @@
 		dhpeer.SetSecret(extraHeader, x.server.options.PeerSecret)
 		extraHeader.Set(HeaderOrganisation, e.Organisation())
 		return x.runAttempt(ctx, d, target{
-			address: e.Address(), pathPrefix: peerPathPrefix, timeout: e.Timeout(), newConnection: e.Claimed(), toPeer: true,
+			address: e.Address(), pathPrefix: peerPathPrefix, timeout: e.Timeout(), newConnection: e.Claimed() || x.in.isReplayableByKey(), toPeer: true,
 			useTLS: x.server.options.PeerTLS != nil, extraHeader: extraHeader,
 		}, e.Claimed())
 	default:
