End a streamed response with its attempt also if the caller stops reading

Cause: a response beyond the buffer is streamed until the attempt's deadline, but the deadline bounded only the reads from the upstream. With a caller that doesn't read, the write blocked for as long as the caller kept its connection, and the request stayed open. Evidence: TestEndlessResponseToACallerThatStopsReading failed: the request is still open 500 ms after its timeout. Change: The deadline applies to the writes too, and is taken off again after the response. TestEndlessResponsesEndWithTheTimeout sends fifteen kinds of bytes without end (no line end, header fields, informational responses, a switched protocol, bodies with and without a length, chunks, trailers, after a response, refusals, responses to other attempts) for two methods: all ended with the route's timeout, closed the connection and looked incomplete before this change already; it passed at once. Result: both pass, with the race detector 10 times, 5 of them beside six busy processes.

--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -335,8 +336,20 @@
 }
 
 // streamBody forwards the body of a response that is too large to be buffered. It
-// returns the number of bytes beyond the buffered prefix.
+// returns the number of bytes beyond the buffered prefix. The attempt's deadline also
+// applies to writing, so that a caller that stops reading can't hold the request.
 func (x *exchange) streamBody(a *attempt) (int64, error) {
+	deadline, _ := a.context.Deadline()
+	controller := http.NewResponseController(x.writer)
+	if err := controller.SetWriteDeadline(deadline); err != nil {
+		return 0, err
+	}
+	size, err := x.copyBody(a)
+	return size, errors.Join(err, controller.SetWriteDeadline(time.Time{}))
+}
+
+// copyBody writes the buffered prefix of a response's body and the rest.
+func (x *exchange) copyBody(a *attempt) (int64, error) {
 	if _, err := x.writer.Write(a.bodyPrefix); err != nil {
 		return 0, err
 	}
