Name the fallback of isolated instances and split the check for further attempts

Cause: read as a newcomer, 'around' and 'forwarded' don't say that a peer stands in for the own links, 'reach' is vague, and retryOnMember had one condition of five parts.

--- a/core/dhsteer/balance.go
+++ b/core/dhsteer/balance.go
@@ -127,6 +127,18 @@
 	}
 }
 
+// rateSmoothing is the inverse of the weight of the last interval in the moving
+// average of a region's request rate.
+const rateSmoothing = 4
+
+// updateRate updates the rate of the requests that this instance sends to the region
+// after an interval.
+func (r *region) updateRate(interval dhclock.Millis) {
+	rate := float64(r.requests) * float64(dhclock.Second) / float64(max(1, interval))
+	r.rate += (rate - r.rate) / rateSmoothing
+	r.requests = 0
+}
+
 // leastLoaded returns the lowest utilisation of the regions other than the local
 // one. A region without load reports counts as idle.
 func (g *Group) leastLoaded(now dhclock.Millis) float64 {
--- a/core/dhsteer/limit.go
+++ b/core/dhsteer/limit.go
@@ -171,18 +171,6 @@
 // second.
 const minUsualRate = 0.001
 
-// rateSmoothing is the inverse of the weight of the last interval in the moving
-// average of a region's request rate.
-const rateSmoothing = 4
-
-// updateRate updates the rate of the requests that this instance sends to the region
-// after an interval.
-func (r *region) updateRate(interval dhclock.Millis) {
-	rate := float64(r.requests) * float64(dhclock.Second) / float64(max(1, interval))
-	r.rate += (rate - r.rate) / rateSmoothing
-	r.requests = 0
-}
-
 // plannedFlow returns the share of the requests of an instance in the origin region
 // that the plan sends to the target region.
 func (g *Group) plannedFlow(origin string, target *region) float64 {
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -61,7 +61,7 @@
 	if r.group != nil && e.End() == dhevent.EndNotSent {
 		r.attempts--
 		r.unsentAttempts++
-		r.forwarded = false
+		r.sentToFallback = false
 	}
 	if r.member != nil {
 		limit := r.member.Limit()
@@ -78,7 +78,7 @@
 	}
 	if r.peer != nil {
 		s.chargeLink(now, r.peer, e.BodyBytes())
-		s.reach.recordPeer(now, r.peer.instance.Name(), e.End())
+		s.reachability.recordPeer(now, r.peer.instance.Name(), e.End())
 		r.peer.releaseSlot(e.End())
 		r.triedPeers = append(r.triedPeers, r.peer)
 		r.peer = nil
--- a/core/dhtraffic/events.go
+++ b/core/dhtraffic/events.go
@@ -34,7 +34,7 @@
 	s.tickRateLimiters(now, out)
 	s.retryDueClaims(now, out)
 	s.tickPools(now, out)
-	s.tickReach(now, out)
+	s.tickReachability(now, out)
 	for _, g := range s.groups {
 		g.Balance(now)
 	}
--- a/core/dhtraffic/around.go
+++ b/core/dhtraffic/fallback.go
@@ -8,12 +8,12 @@
 	"dogwoodhitch/core/dhsteer"
 )
 
-// peerAround returns a peer to forward a request to while this instance is isolated,
-// or nil if it isn't or there is none. The peer is any one of the own region, so that
-// no single peer gets all requests, else one of another region. Only peers in the homes
-// of a request with homes get its body.
-func (s *State) peerAround(now dhclock.Millis, r *request) *peer {
-	if !s.reach.isolated || r.fromPeer {
+// fallbackPeer returns a peer to forward a request to while this instance is isolated,
+// or nil if it isn't or there is none. The peer is a random one of the own region, so
+// that no single peer gets all requests, else one of another region. Only peers in the
+// homes of a request with homes get its body.
+func (s *State) fallbackPeer(now dhclock.Millis, r *request) *peer {
+	if !s.reachability.isolated || r.fromPeer {
 		return nil
 	}
 	criteria := s.criteria(r)
@@ -25,7 +25,7 @@
 		}
 		for _, i := range s.view.Catalog().InstancesIn(z.Name()) {
 			candidate := &peer{instance: i, distance: s.distanceTo(i), region: z.Region()}
-			if !s.mayForwardAround(now, r, candidate) {
+			if !s.mayFallBackTo(now, r, candidate) {
 				continue
 			}
 			rank := dhsteer.HashObject(i.Name()) ^ r.random
@@ -40,11 +40,11 @@
 // isCloserRegion reports whether only a is in the region of this instance.
 func isCloserRegion(a, b *peer) bool { return a.distance != otherRegion && b.distance == otherRegion }
 
-// mayForwardAround reports whether a peer may get a request while this instance is
+// mayFallBackTo reports whether a peer may get a request while this instance is
 // isolated.
-func (s *State) mayForwardAround(now dhclock.Millis, r *request, to *peer) bool {
+func (s *State) mayFallBackTo(now dhclock.Millis, r *request, to *peer) bool {
 	name := to.instance.Name()
-	if name == s.instance || s.view.IsUnavailable(name) || now < s.reach.avoidedPeers[name] {
+	if name == s.instance || s.view.IsUnavailable(name) || now < s.reachability.avoidedPeers[name] {
 		return false
 	}
 	if slices.ContainsFunc(r.triedPeers, func(tried *peer) bool { return tried.instance.Name() == name }) {
@@ -53,9 +53,9 @@
 	return to.distance != otherRegion || s.linkHasBudget(now, to)
 }
 
-// forwardAround forwards a request for a registered upstream to a peer, which selects
-// the upstream.
-func (s *State) forwardAround(now dhclock.Millis, g *group, r *request, to *peer, out *dheffect.List) {
-	r.group, r.forwarded = g, true
+// forwardToFallbackPeer forwards a request for a registered upstream to a peer, which
+// selects the upstream.
+func (s *State) forwardToFallbackPeer(now dhclock.Millis, g *group, r *request, to *peer, out *dheffect.List) {
+	r.group, r.sentToFallback = g, true
 	s.sendToPeer(now, r, to, out)
 }
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -111,12 +111,12 @@
 // once. Requests for registered upstreams don't queue: slots at them belong to no
 // single instance, so there is no release that a queue here could wait for.
 func (s *State) acquireMember(now dhclock.Millis, g *group, r *request, out *dheffect.List) {
-	if s.reach.isolated && r.fromPeer {
+	if s.reachability.isolated && r.fromPeer {
 		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseNoUpstream, false, shortRetryAfter), out)
 		return
 	}
-	if to := s.peerAround(now, r); to != nil {
-		s.forwardAround(now, g, r, to, out)
+	if to := s.fallbackPeer(now, r); to != nil {
+		s.forwardToFallbackPeer(now, g, r, to, out)
 		return
 	}
 	m := g.Select(now, s.criteria(r))
@@ -172,13 +172,12 @@
 // request was received.
 func (s *State) retryOnMember(now dhclock.Millis, r *request, refusal dheffect.Refusal, out *dheffect.List) {
 	route, found := s.view.Catalog().RouteFor(r.host, r.path)
-	if !found || !routesTo(route, r.service) || r.forwarded || r.attempts >= route.MaxAttempts() ||
-		r.unsentAttempts >= maxUnsentAttempts || r.remaining(now) <= 0 {
+	if !found || !routesTo(route, r.service) || !r.hasAttemptsLeft(route) || r.remaining(now) <= 0 {
 		s.refuse(now, r, refusal, out)
 		return
 	}
 	r.route = route
-	to := s.peerAround(now, r)
+	to := s.fallbackPeer(now, r)
 	var m *dhsteer.Member
 	if to == nil {
 		m = r.group.Select(now, s.criteria(r))
@@ -188,12 +187,18 @@
 		return
 	}
 	if to != nil {
-		s.forwardAround(now, r.group, r, to, out)
+		s.forwardToFallbackPeer(now, r.group, r, to, out)
 		return
 	}
 	s.forwardToMember(now, r.group, r, m, out)
 }
 
+// hasAttemptsLeft reports whether a request may have another attempt. It may not after
+// a fallback peer got it, which has made attempts of its own.
+func (r *request) hasAttemptsLeft(route dhcatalog.Route) bool {
+	return !r.sentToFallback && r.attempts < route.MaxAttempts() && r.unsentAttempts < maxUnsentAttempts
+}
+
 // routesTo reports whether a route sends requests to a service.
 func routesTo(route dhcatalog.Route, service string) bool {
 	if len(route.Split()) == 0 {
--- a/core/dhtraffic/reach.go
+++ b/core/dhtraffic/reachability.go
@@ -23,10 +23,10 @@
 	peerAvoidance dhclock.Millis = 1000
 )
 
-// reach tracks whether this instance can open connections to registered upstreams.
+// reachability tracks whether this instance can open connections to registered upstreams.
 // If it can't reach any, its own links have failed rather than the upstreams. It is
 // isolated then, and forwards requests to peers.
-type reach struct {
+type reachability struct {
 	// lastConnected is when the last connection that succeeded was started.
 	lastConnected dhclock.Millis
 	// unreachable holds, for each upstream to which a later connection has failed,
@@ -38,14 +38,14 @@
 	avoidedPeers map[string]dhclock.Millis // by name: until when
 }
 
-func newReach() reach {
-	return reach{unreachable: map[*dhsteer.Member]dhclock.Millis{}, avoidedPeers: map[string]dhclock.Millis{}}
+func newReachability() reachability {
+	return reachability{unreachable: map[*dhsteer.Member]dhclock.Millis{}, avoidedPeers: map[string]dhclock.Millis{}}
 }
 
-// recordConnect updates the reach with the result of a new connection to one of a
+// recordConnect updates the reachability with the result of a new connection to one of a
 // number of upstreams. Results are compared by their starts, because a failure is
 // known later than a success.
-func (r *reach) recordConnect(startedAt dhclock.Millis, m *dhsteer.Member, connected bool, upstreams int) {
+func (r *reachability) recordConnect(startedAt dhclock.Millis, m *dhsteer.Member, connected bool, upstreams int) {
 	if connected {
 		r.lastConnected = max(r.lastConnected, startedAt)
 		maps.DeleteFunc(r.unreachable, func(_ *dhsteer.Member, failedAt dhclock.Millis) bool { return failedAt < startedAt })
@@ -56,7 +56,7 @@
 }
 
 // recordPeer records how an attempt through a peer ended.
-func (r *reach) recordPeer(now dhclock.Millis, peer string, end dhevent.AttemptEnd) {
+func (r *reachability) recordPeer(now dhclock.Millis, peer string, end dhevent.AttemptEnd) {
 	if end == dhevent.EndNotSent || end == dhevent.EndBroken {
 		r.avoidedPeers[peer] = now + peerAvoidance
 	}
@@ -73,7 +73,7 @@
 	}
 }
 
-// recordConnect updates the reach with the result of a new connection to an upstream.
+// recordConnect updates the reachability with the result of a new connection to an upstream.
 // The first failure is followed by probes of two other upstreams, which show whether
 // it is that upstream's or this instance's. Once connections succeed again, failures
 // of the time between count no more.
@@ -82,26 +82,26 @@
 	for _, g := range s.groups {
 		upstreams += g.Size()
 	}
-	isolated, suspected := s.reach.isolated, len(s.reach.unreachable) > 0
-	s.reach.recordConnect(now-latency, m, connected, upstreams)
+	isolated, suspected := s.reachability.isolated, len(s.reachability.unreachable) > 0
+	s.reachability.recordConnect(now-latency, m, connected, upstreams)
 	switch {
-	case s.reach.isolated && !isolated:
-		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "can't connect to any upstream", Peer: m.Name(), Number: uint64(len(s.reach.unreachable))}))
-	case isolated && !s.reach.isolated:
+	case s.reachability.isolated && !isolated:
+		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "can't connect to any upstream", Peer: m.Name(), Number: uint64(len(s.reachability.unreachable))}))
+	case isolated && !s.reachability.isolated:
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "connects to upstreams again", Peer: m.Name()}))
 		for _, g := range s.groups {
 			g.ForgetFailures()
 		}
-	case !suspected && len(s.reach.unreachable) > 0:
+	case !suspected && len(s.reachability.unreachable) > 0:
 		for range isolationThreshold - 1 {
 			s.probe(now, out)
 		}
 	}
 }
 
-// tickReach probes an upstream once per probeInterval while this instance is isolated.
-func (s *State) tickReach(now dhclock.Millis, out *dheffect.List) {
-	if s.reach.isolated && now.Since(s.reach.lastProbe) >= probeInterval {
+// tickReachability probes an upstream once per probeInterval while this instance is isolated.
+func (s *State) tickReachability(now dhclock.Millis, out *dheffect.List) {
+	if s.reachability.isolated && now.Since(s.reachability.lastProbe) >= probeInterval {
 		s.probe(now, out)
 	}
 }
@@ -118,7 +118,7 @@
 		for _, m := range s.groups[service].Members() {
 			c := candidate{service, m}
 			all = append(all, c)
-			if _, failed := s.reach.unreachable[m]; !failed {
+			if _, failed := s.reachability.unreachable[m]; !failed {
 				untried = append(untried, c)
 			}
 		}
@@ -129,10 +129,10 @@
 	if len(untried) == 0 {
 		untried = all
 	}
-	turn := dhsteer.HashObject(s.instance) + uint64(s.reach.probes)
+	turn := dhsteer.HashObject(s.instance) + uint64(s.reachability.probes)
 	next := untried[turn%uint64(len(untried))]
-	s.reach.lastProbe = now
-	s.reach.probes++
+	s.reachability.lastProbe = now
+	s.reachability.probes++
 	out.Add(dheffect.NewProbeUpstream(dheffect.ProbeUpstreamOptions{
 		Service: next.service, Upstream: next.member.Name(), Address: next.member.Address(),
 	}))
--- a/core/dhtraffic/reach_test.go
+++ b/core/dhtraffic/reachability_test.go
@@ -10,14 +10,14 @@
 	"dogwoodhitch/core/dhevent"
 )
 
-// reachTest drives the instance a1-1, which has peers in its own and in another region
+// reachabilityTest drives the instance a1-1, which has peers in its own and in another region
 // and six registered upstreams.
-type reachTest struct {
+type reachabilityTest struct {
 	*State
 	request uint64
 }
 
-func newReachTest(t *testing.T) *reachTest {
+func newReachabilityTest(t *testing.T) *reachabilityTest {
 	t.Helper()
 	objects := []dhcatalog.Object{
 		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
@@ -36,11 +36,11 @@
 			Name: fmt.Sprint("u", i), Service: "s", Address: "10.0.1.1:1", Zone: []string{"a1", "b1"}[i%2], Slots: 100, Incarnation: 1,
 		}))
 	}
-	return &reachTest{State: newTestState(t, 1_000_000, objects...)}
+	return &reachabilityTest{State: newTestState(t, 1_000_000, objects...)}
 }
 
 // send sends a request and returns the first decision on it.
-func (s *reachTest) send(now dhclock.Millis, path string, fromPeer bool) dheffect.Effect {
+func (s *reachabilityTest) send(now dhclock.Millis, path string, fromPeer bool) dheffect.Effect {
 	s.request++
 	var out dheffect.List
 	s.HandleRequest(dhevent.NewRequestReceived(now, dhevent.RequestReceivedOptions{
@@ -50,7 +50,7 @@
 }
 
 // end ends the attempt of the last request and returns the next decision on it.
-func (s *reachTest) end(now dhclock.Millis, o dhevent.AttemptEndedOptions) dheffect.Effect {
+func (s *reachabilityTest) end(now dhclock.Millis, o dhevent.AttemptEndedOptions) dheffect.Effect {
 	o.RequestID = s.request
 	var out dheffect.List
 	s.HandleAttemptEnd(dhevent.NewAttemptEnded(now, o), &out)
@@ -70,7 +70,7 @@
 
 // isolate sends a request whose connections to upstreams all fail, until it is
 // forwarded to a peer.
-func (s *reachTest) isolate(t *testing.T, now dhclock.Millis) *dheffect.ForwardToPeer {
+func (s *reachabilityTest) isolate(t *testing.T, now dhclock.Millis) *dheffect.ForwardToPeer {
 	t.Helper()
 	decision := s.send(now, "/any/", false)
 	for range isolationThreshold {
@@ -89,7 +89,7 @@
 // TestFailuresOfOwnLinksEjectNoUpstream guards against ejections that outlast a
 // partition: once a probe succeeds, the upstreams get requests again at once.
 func TestFailuresOfOwnLinksEjectNoUpstream(t *testing.T) {
-	s := newReachTest(t)
+	s := newReachabilityTest(t)
 	s.isolate(t, 1000)
 	var out dheffect.List
 	s.Tick(1000+probeInterval, &out)
@@ -122,7 +122,7 @@
 // TestDeadUpstreamIsNoIsolation has one upstream refuse connections while the others
 // accept them. The instance must not take that for a failure of its own links.
 func TestDeadUpstreamIsNoIsolation(t *testing.T) {
-	s := newReachTest(t)
+	s := newReachabilityTest(t)
 	for i := range 200 {
 		now := dhclock.Millis(1000 + 10*i)
 		decision := s.send(now, "/any/", false)
@@ -144,7 +144,7 @@
 // isolated too. The request goes to another peer, one of another region last, and is
 // refused as not run when none is left.
 func TestIsolatedPeersAreSkipped(t *testing.T) {
-	s := newReachTest(t)
+	s := newReachabilityTest(t)
 	tried := []string{s.isolate(t, 1000).Instance()}
 	decision := s.end(1001, dhevent.AttemptEndedOptions{End: dhevent.EndNotSent})
 	if forward, ok := decision.(*dheffect.ForwardToPeer); ok {
@@ -165,7 +165,7 @@
 // TestIsolatedInstanceKeepsHomes forwards requests of a route with a home in another
 // region: only peers there may get their bodies.
 func TestIsolatedInstanceKeepsHomes(t *testing.T) {
-	s := newReachTest(t)
+	s := newReachabilityTest(t)
 	s.isolate(t, 1000)
 	for i := range 20 {
 		forward, ok := s.send(dhclock.Millis(1001+i), "/home/", false).(*dheffect.ForwardToPeer)
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -53,7 +53,7 @@
 	burn                 *dhburn.Recorder
 	lastTokenReport      dhclock.Millis
 	links                linkBudgets
-	reach                reach
+	reachability         reachability
 	claimRetries         []*request // requests whose claim is due again at claimRetryAt
 }
 
@@ -71,7 +71,7 @@
 		splits:         map[string]*split{},
 		clusterRetries: o.Retries,
 		requests:       map[uint64]*request{},
-		reach:          newReach(),
+		reachability:   newReachability(),
 		burn:           dhburn.New(),
 	}
 }
@@ -125,9 +125,9 @@
 	triedPeers     []*peer
 	attempts       int // that may have reached an upstream
 	unsentAttempts int // that certainly did not
-	// forwarded reports whether a peer, which makes its own attempts, got the request
+	// sentToFallback reports whether a peer, which makes its own attempts, got the request
 	// on behalf of this instance while it was isolated.
-	forwarded       bool
+	sentToFallback  bool
 	callerRequestID string
 	attemptRecords  []dheffect.Attempt
 	mayHaveRun      bool
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -133,10 +133,10 @@
 func (s *Server) sendAttempt(ctx context.Context, in *inbound, t target, bufferBytes int) *attempt {
 	a := &attempt{}
 	a.context, a.cancel = context.WithTimeout(ctx, time.Duration(t.timeout)*time.Millisecond)
-	connected := false
+	gotConnection := false
 	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			connected = true
+			gotConnection = true
 			if !i.Reused {
 				a.connected = new(true)
 			}
@@ -153,7 +153,7 @@
 	}
 	a.response, err = client.Do(request) //nolint:bodyclose // closed by attempt.close
 	if err != nil {
-		if !connected {
+		if !gotConnection {
 			if isDialFailure(a.context, err) {
 				a.connected = new(false)
 			}
