Refuse a peer's request if the own configuration is older than the peer's

What callers saw: nothing yet; found by reading the forwarding of isolated instances. Cause: an isolated instance forwards a request to a peer, which looks up the route again in its own configuration. A peer that is cut off from the control processes may have an older one, so that the caller would see a change go back within one instance. Change: the forward carries the number of the declaration at the sender; a peer with a lower one refuses as not run, and the sender takes another peer. The fields between peers are read and removed in one place; a caller can't set them.

--- a/core/dheffect/traffic.go
+++ b/core/dheffect/traffic.go
@@ -95,6 +95,9 @@
 	// Claimed reports whether the complete response must be reported, because
 	// the request has a claim.
 	Claimed bool
+	// MinDeclaration is the number of the declaration that the peer must have at
+	// least; nil if it may have any.
+	MinDeclaration *uint64
 }
 
 // Registered reports whether the upstream is registered with the entire
@@ -131,6 +134,10 @@
 // request has a claim.
 func (e *ForwardToPeer) Claimed() bool { return e.options.Claimed }
 
+// MinDeclaration returns the number of the declaration that the peer must have at
+// least; nil if it may have any.
+func (e *ForwardToPeer) MinDeclaration() *uint64 { return e.options.MinDeclaration }
+
 func (*ForwardToPeer) effect() {}
 
 // ProbeUpstreamOptions are the fields of a ProbeUpstream.
--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -231,6 +231,9 @@
 	Digest dhcatalog.Hash
 	// BodyBytes is the size of the request's body, in bytes.
 	BodyBytes int `journal:"Size"`
+	// MinDeclaration is the number of the declaration that the instance which
+	// forwards the request has; nil if it sent none.
+	MinDeclaration *uint64
 }
 
 // RequestReceived is a caller's request, or one that another instance forwards.
@@ -288,6 +291,10 @@
 // BodyBytes returns the size of the request's body, in bytes.
 func (e *RequestReceived) BodyBytes() int { return e.options.BodyBytes }
 
+// MinDeclaration returns the number of the declaration that the instance which
+// forwards the request has; nil if it sent none.
+func (e *RequestReceived) MinDeclaration() *uint64 { return e.options.MinDeclaration }
+
 // AttemptEndedOptions are the fields of an AttemptEnded.
 type AttemptEndedOptions struct {
 	// RequestID is the number of the request at this instance.
--- a/core/dhtraffic/admission.go
+++ b/core/dhtraffic/admission.go
@@ -24,6 +24,10 @@
 		id: e.RequestID(), receivedAt: now, weight: 1, fromPeer: e.FromPeer(), bodyBytes: e.BodyBytes(),
 		callerRequestID: e.CallerRequestID(), host: e.Host(), path: e.Path(), object: e.ObjectHash(), random: e.Random(),
 	}
+	if e.MinDeclaration() != nil && s.declarationNumber() < *e.MinDeclaration() {
+		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseConfigurationStale, false, shortRetryAfter), out)
+		return
+	}
 	route, found := s.view.Catalog().RouteFor(e.Host(), e.Path())
 	if !found {
 		s.refuse(now, r, s.unknownRouteRefusal(now), out)
@@ -53,6 +57,12 @@
 	s.acquireToken(now, r, out)
 }
 
+// declarationNumber returns the number of the declaration in force here; 0 for none.
+func (s *State) declarationNumber() uint64 {
+	d, _ := s.view.Catalog().Declaration()
+	return d.Number()
+}
+
 // unknownRouteRefusal returns the refusal of a request that matches no route.
 // An instance with an expired freshness lease reports stale configuration
 // instead, because a newer version may have the route.
--- a/core/dhtraffic/fallback.go
+++ b/core/dhtraffic/fallback.go
@@ -54,8 +54,9 @@
 }
 
 // forwardToFallbackPeer forwards a request for a registered upstream to a peer, which
-// selects the upstream.
+// selects the upstream. A peer whose configuration is older than the one here must not
+// serve it, or the caller would see the configuration go back.
 func (s *State) forwardToFallbackPeer(now dhclock.Millis, g *group, r *request, to *peer, out *dheffect.List) {
 	r.group, r.sentToFallback = g, true
-	s.sendToPeer(now, r, to, out)
+	s.sendToPeer(now, r, to, new(s.declarationNumber()), out)
 }
--- a/core/dhtraffic/peer.go
+++ b/core/dhtraffic/peer.go
@@ -93,15 +93,16 @@
 
 // forwardToPeer starts an attempt at a peer with a reserved slot.
 func (s *State) forwardToPeer(now dhclock.Millis, p *pool, r *request, to *peer, out *dheffect.List) {
-	if s.sendToPeer(now, r, to, out) {
+	if s.sendToPeer(now, r, to, nil, out) {
 		p.reserveUntil = now + reservationKeepAlive
 		p.creditRetries(now)
 	}
 }
 
 // sendToPeer starts an attempt at a peer, unless the caller's key has been revoked in
-// the meantime. It reports whether it has started one.
-func (s *State) sendToPeer(now dhclock.Millis, r *request, to *peer, out *dheffect.List) bool {
+// the meantime. The peer refuses it with an older declaration than minDeclaration.
+// sendToPeer reports whether it has started an attempt.
+func (s *State) sendToPeer(now dhclock.Millis, r *request, to *peer, minDeclaration *uint64, out *dheffect.List) bool {
 	if refusal, ok := s.checkKey(now, r); !ok {
 		s.refuse(now, r, refusal, out)
 		return false
@@ -115,7 +116,7 @@
 	s.chargeLink(now, to, r.bodyBytes)
 	out.Add(dheffect.NewForwardToPeer(dheffect.ForwardToPeerOptions{
 		RequestID: r.id, Instance: to.instance.Name(), Address: to.instance.PeerAddress(),
-		Organisation: r.organisation, Timeout: r.remaining(now), Claimed: r.claimGranted,
+		Organisation: r.organisation, Timeout: r.remaining(now), Claimed: r.claimGranted, MinDeclaration: minDeclaration,
 	}))
 	return true
 }
--- a/core/dhtraffic/reachability_test.go
+++ b/core/dhtraffic/reachability_test.go
@@ -174,3 +174,22 @@
 		}
 	}
 }
+
+// TestPeerWithOlderDeclarationRefuses guards against a peer that serves a request of an
+// isolated instance by an older configuration than the caller has already seen.
+func TestPeerWithOlderDeclarationRefuses(t *testing.T) {
+	s := newReachabilityTest(t)
+	forward := s.isolate(t, 1000)
+	if forward.MinDeclaration() == nil {
+		t.Fatal("an isolated instance doesn't tell the peer its declaration")
+	}
+	var out dheffect.List
+	newer := *forward.MinDeclaration() + 1
+	newReachabilityTest(t).HandleRequest(dhevent.NewRequestReceived(1000, dhevent.RequestReceivedOptions{
+		RequestID: 1, Path: "/any/", FromPeer: true, MinDeclaration: &newer,
+	}), &out)
+	refuse, ok := lastDecision(&out).(*dheffect.Refuse)
+	if !ok || refuse.Refusal().Kind() != dheffect.RefuseConfigurationStale || refuse.Refusal().MayHaveRun() {
+		t.Errorf("got %+v, want refusal configurationStale that didn't run", refuse)
+	}
+}
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -269,7 +269,7 @@
 	errNotRun         = errors.New("the upstream or peer refused the request without running it")
 	errMisplaced      = errors.New("another upstream answers at the address")
 	errMayHaveRun     = errors.New("the peer reports that the request may have run")
-	errPeerIsolated   = errors.New("the peer can't reach any upstream either")
+	errPeerUnable     = errors.New("the peer can't reach any upstream either, or its configuration is older")
 )
 
 // checkResponse returns an error if a response belongs to another attempt, if its
@@ -288,8 +288,8 @@
 	}
 	run := r.Header.Get(HeaderRun)
 	switch {
-	case t.toPeer && run == NotRun && r.Header.Get(HeaderRefusal) == string(dheffect.RefuseNoUpstream):
-		return errPeerIsolated
+	case t.toPeer && run == NotRun && isUnable(dheffect.RefusalKind(r.Header.Get(HeaderRefusal))):
+		return errPeerUnable
 	case t.toPeer && run == NotRun:
 		return errNotRun
 	case t.toPeer && run == MayHaveRun:
@@ -305,11 +305,16 @@
 	}
 }
 
+// isUnable reports whether a peer refused a request before it sent it to any upstream.
+func isUnable(kind dheffect.RefusalKind) bool {
+	return kind == dheffect.RefuseNoUpstream || kind == dheffect.RefuseConfigurationStale
+}
+
 func attemptEndFor(err error) dhevent.AttemptEnd {
 	switch {
 	case errors.Is(err, errNotRun):
 		return dhevent.EndRefused
-	case errors.Is(err, errPeerIsolated):
+	case errors.Is(err, errPeerUnable):
 		return dhevent.EndNotSent
 	case errors.Is(err, errMisplaced):
 		return dhevent.EndMisplaced
--- a/io/dhentry/refusal.go
+++ b/io/dhentry/refusal.go
@@ -24,6 +24,9 @@
 	// HeaderOrganisation carries the organisation to upstreams, and to the peer
 	// that a request is forwarded to.
 	HeaderOrganisation = "Dogwoodhitch-Organisation"
+	// HeaderMinDeclaration carries, to the peer that a request is forwarded to, the
+	// number of the declaration that the peer must have at least.
+	HeaderMinDeclaration = "Dogwoodhitch-Min-Declaration"
 	// HeaderObject names the object that a request is about, for routes with
 	// affinity.
 	HeaderObject = "Dogwoodhitch-Object"
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -96,7 +97,7 @@
 			reserved.ServeHTTP(w, r)
 			return
 		}
-		s.serve(w, r, "", false)
+		s.serve(w, r, nil)
 	})
 }
 
@@ -113,12 +114,15 @@
 			return
 		}
 		r.Header.Del("Dogwoodhitch-Secret")
-		organisation := r.Header.Get(HeaderOrganisation)
-		r.Header.Del(HeaderOrganisation)
+		o, err := extractForwardedOptions(r.Header)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
 		r.RequestURI = strings.TrimPrefix(r.RequestURI, peerPathPrefix)
 		r.URL.Path = strings.TrimPrefix(r.URL.Path, peerPathPrefix)
 		r.URL.RawPath = strings.TrimPrefix(r.URL.RawPath, peerPathPrefix)
-		s.serve(w, r, organisation, true)
+		s.serve(w, r, o)
 	})
 }
 
@@ -142,9 +146,31 @@
 	return false
 }
 
-// serve handles one request until it has ended. The organisation is set only for
-// requests from peers, which have checked the caller's key.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request, organisation string, fromPeer bool) {
+// forwardedOptions are what a peer that forwards a request says about it.
+type forwardedOptions struct {
+	organisation   string  // whose key the peer has checked
+	minDeclaration *uint64 // number of the declaration that the peer has; nil if it sent none
+}
+
+// extractForwardedOptions removes the fields that a peer has added from a header and
+// returns their values.
+func extractForwardedOptions(h http.Header) (*forwardedOptions, error) {
+	o := &forwardedOptions{organisation: h.Get(HeaderOrganisation)}
+	if text := h.Get(HeaderMinDeclaration); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s must be the number of a declaration: %w", HeaderMinDeclaration, err)
+		}
+		o.minDeclaration = &n
+	}
+	h.Del(HeaderOrganisation)
+	h.Del(HeaderMinDeclaration)
+	return o, nil
+}
+
+// serve handles one request until it has ended. The options are set only for requests
+// from peers.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, forwarded *forwardedOptions) {
 	if s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -163,15 +189,19 @@
 		return
 	}
 	in.header.Del(s.options.Dialect.options.OrganisationHeader)
+	o := dhevent.RequestReceivedOptions{
+		CallerRequestID: in.id, Host: in.hostName(), Path: in.url.Path, ObjectHash: in.objectHash, Random: rand.Uint64(),
+		APIKeyHash: in.apiKeyHash, Timeout: in.timeout, IdempotencyKey: in.idempotencyKey, Digest: in.digest, BodyBytes: len(in.body),
+	}
+	if forwarded != nil {
+		o.FromPeer, o.Organisation, o.MinDeclaration = true, forwarded.organisation, forwarded.minDeclaration
+	}
 	waiter := s.options.TrafficState.StartRequest(func(at dhclock.Millis, requestID uint64) dhevent.Event {
-		return dhevent.NewRequestReceived(at, dhevent.RequestReceivedOptions{
-			RequestID: requestID, CallerRequestID: in.id, Host: in.hostName(), Path: in.url.Path, ObjectHash: in.objectHash, Random: rand.Uint64(), APIKeyHash: in.apiKeyHash, FromPeer: fromPeer, Organisation: organisation,
-			Timeout: in.timeout, IdempotencyKey: in.idempotencyKey, Digest: in.digest,
-			BodyBytes: len(in.body),
-		})
+		o.RequestID = requestID
+		return dhevent.NewRequestReceived(at, o)
 	})
 	defer s.options.TrafficState.RemoveWaiter(waiter)
-	x := &exchange{server: s, in: in, waiter: waiter, writer: w, fromPeer: fromPeer}
+	x := &exchange{server: s, in: in, waiter: waiter, writer: w, fromPeer: forwarded != nil}
 	x.run(r.Context())
 }
 
@@ -243,6 +273,10 @@
 		extraHeader := http.Header{}
 		dhpeer.SetSecret(extraHeader, x.server.options.PeerSecret)
 		extraHeader.Set(HeaderOrganisation, e.Organisation())
+		extraHeader[HeaderMinDeclaration] = nil // a caller's field must not reach the peer
+		if e.MinDeclaration() != nil {
+			extraHeader.Set(HeaderMinDeclaration, strconv.FormatUint(*e.MinDeclaration(), 10))
+		}
 		return x.runAttempt(ctx, d, target{
 			address: e.Address(), pathPrefix: peerPathPrefix, timeout: e.Timeout(), newConnection: e.Claimed() || x.in.isReplayableByKey(), toPeer: true,
 			useTLS: x.server.options.PeerTLS != nil, extraHeader: extraHeader,
