Count connections that time out only if no upstream has responded meanwhile

Entries forwarded to peers over the same links, and peers refused, being isolated too. Change: A failed connection is no evidence if an upstream has responded on any connection since its start. A refused one takes a few milliseconds, in which hardly any response arrives; on links that hang none does.

--- a/core/dhtraffic/reachability.go
+++ b/core/dhtraffic/reachability.go
@@ -29,6 +29,9 @@
 type reachability struct {
 	// lastConnected is when the last connection that succeeded was started.
 	lastConnected dhclock.Millis
+	// lastResponse is when the last response of an upstream arrived, on any
+	// connection.
+	lastResponse dhclock.Millis
 	// unreachable holds, for each upstream to which a later connection has failed,
 	// when that one was started.
 	unreachable  map[*dhsteer.Member]dhclock.Millis
@@ -44,17 +47,28 @@
 
 // recordConnect updates the reachability with the result of a new connection to one of a
 // number of upstreams. Results are compared by their starts, because a failure is
-// known later than a success.
+// known later than a success. A failure is no evidence either if some upstream has
+// responded since its start: on a congested link connections time out while responses
+// arrive.
 func (r *reachability) recordConnect(startedAt dhclock.Millis, m *dhsteer.Member, connected bool, upstreams int) {
 	if connected {
 		r.lastConnected = max(r.lastConnected, startedAt)
 		maps.DeleteFunc(r.unreachable, func(_ *dhsteer.Member, failedAt dhclock.Millis) bool { return failedAt < startedAt })
-	} else if startedAt >= r.lastConnected {
+	} else if startedAt >= max(r.lastConnected, r.lastResponse) {
 		r.unreachable[m] = startedAt
 	}
 	r.isolated = upstreams > 0 && len(r.unreachable) >= min(isolationThreshold, upstreams)
 }
 
+// recordResponse records that an attempt at an upstream has ended with a response.
+func (r *reachability) recordResponse(now dhclock.Millis, end dhevent.AttemptEnd) {
+	switch end {
+	case dhevent.EndAnswered, dhevent.EndRefused, dhevent.EndMisplaced:
+		r.lastResponse = now
+	case dhevent.EndNotSent, dhevent.EndBroken, dhevent.EndTimedOut, dhevent.EndCallerGone:
+	}
+}
+
 // recordPeer records how an attempt through a peer ended.
 func (r *reachability) recordPeer(now dhclock.Millis, peer string, end dhevent.AttemptEnd) {
 	if end == dhevent.EndNotSent || end == dhevent.EndBroken {
--- a/core/dhtraffic/reachability_test.go
+++ b/core/dhtraffic/reachability_test.go
@@ -193,3 +193,25 @@
 		t.Errorf("got %+v, want refusal configurationStale that didn't run", refuse)
 	}
 }
+
+// TestCongestedLinkIsNoIsolation has connections to several upstreams time out while
+// others respond on pooled connections, as on a congested link. Forwarding to peers
+// would only load the link more.
+func TestCongestedLinkIsNoIsolation(t *testing.T) {
+	s := newReachabilityTest(t)
+	for i := range 50 {
+		now := dhclock.Millis(1000 + 100*i)
+		s.send(now, "/any/", false)
+		s.end(now, dhevent.AttemptEndedOptions{Status: 200, Latency: 50})
+		decision := s.send(now, "/any/", false)
+		for decision != nil {
+			if forward, ok := decision.(*dheffect.ForwardToPeer); ok {
+				t.Fatalf("the request was forwarded to %s", forward.Instance())
+			}
+			if _, ok := decision.(*dheffect.Refuse); ok {
+				break
+			}
+			decision = s.end(now+90, dhevent.AttemptEndedOptions{End: dhevent.EndNotSent, Latency: 500, Connected: new(false)})
+		}
+	}
+}
