Count attempts that reached no upstream unless the instance is isolated

Change: such attempts are taken back only while the instance is isolated, which is what the fallback to peers needs. The tests reach isolation by several requests, and their retry budget is ample, so that they check what they did.

--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -58,11 +58,6 @@
 // attempts.
 func (s *State) finishAttempt(now dhclock.Millis, p *pool, r *request, e *dhevent.AttemptEnded, out *dheffect.List) {
 	r.recordEnded(e)
-	if r.group != nil && e.End() == dhevent.EndNotSent {
-		r.attempts--
-		r.unsentAttempts++
-		r.sentToFallback = false
-	}
 	if r.member != nil {
 		limit := r.member.Limit()
 		r.group.Release(now, r.member, attemptOutcome(e), e.Latency(), dhsteer.Response{Load: e.ReportedLoad(), Limit: e.ReportedLimit()})
@@ -71,6 +66,7 @@
 		if e.Connected() != nil {
 			s.recordConnect(now, e.Latency(), r.member, *e.Connected(), out)
 		}
+		s.uncountUnsent(r, e)
 		if e.End() != dhevent.EndAnswered {
 			r.triedMembers = append(r.triedMembers, r.member)
 		}
@@ -80,6 +76,7 @@
 	if r.peer != nil {
 		s.chargeLink(now, r.peer, e.BodyBytes())
 		s.reachability.recordPeer(now, r.peer.instance.Name(), e.End())
+		s.uncountUnsent(r, e)
 		r.peer.releaseSlot(e.End())
 		r.triedPeers = append(r.triedPeers, r.peer)
 		r.peer = nil
--- a/core/dhtraffic/fallback.go
+++ b/core/dhtraffic/fallback.go
@@ -5,6 +5,7 @@
 
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhsteer"
 )
 
@@ -60,3 +61,16 @@
 	r.group, r.sentToFallback = g, true
 	s.sendToPeer(now, r, to, new(s.declarationNumber()), out)
 }
+
+// uncountUnsent takes back an attempt that reached no upstream because this instance is
+// isolated, so that the request can go to a fallback peer or to the next one. Otherwise
+// such attempts count: waiting for one connection after another takes the caller's
+// time, and on a congested link it adds to the load.
+func (s *State) uncountUnsent(r *request, e *dhevent.AttemptEnded) {
+	if r.group == nil || e.End() != dhevent.EndNotSent || !s.reachability.isolated {
+		return
+	}
+	r.attempts--
+	r.unsentAttempts++
+	r.sentToFallback = false
+}
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -162,13 +162,13 @@
 	}))
 }
 
-// maxUnsentAttempts bounds the attempts of one request that reached no upstream.
+// maxUnsentAttempts bounds the attempts of one request that reached no upstream while
+// this instance was isolated.
 const maxUnsentAttempts = 6
 
 // retryOnMember retries a request on another registered upstream, or through a peer if
 // this instance is isolated. It refuses the request if the route's attempts, the
-// deadline or the retry budget is exhausted. Attempts that reached no upstream need no
-// budget. It looks the route up again, because the route may have changed since the
+// deadline or the retry budget is exhausted; see uncountUnsent. It looks the route up again, because the route may have changed since the
 // request was received.
 func (s *State) retryOnMember(now dhclock.Millis, r *request, refusal dheffect.Refusal, out *dheffect.List) {
 	route, found := s.view.Catalog().RouteFor(r.host, r.path)
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -124,7 +124,7 @@
 	peer           *peer // the instance that the request is forwarded to
 	triedPeers     []*peer
 	attempts       int // that may have reached an upstream
-	unsentAttempts int // that certainly did not
+	unsentAttempts int // that did not, while this instance was isolated
 	// sentToFallback reports whether a peer, which makes its own attempts, got the request
 	// on behalf of this instance while it was isolated.
 	sentToFallback  bool
