End isolation by time-outs when a response arrives, and probe less on suspicion

Each first failure also opened two connections more. Change: A response shows that links don't hang, so connections that timed out count no more once one arrives; refused ones still do. Probes after a first failure are at least 1 s apart. Result: TestResponseEndsIsolationByTimeouts is new.

--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -62,7 +62,7 @@
 		limit := r.member.Limit()
 		r.group.Release(now, r.member, attemptOutcome(e), e.Latency(), dhsteer.Response{Load: e.ReportedLoad(), Limit: e.ReportedLimit()})
 		logLimitChange(limit, r.member, out)
-		s.reachability.recordResponse(now, e.End())
+		s.recordResponse(now, r.member, e.End(), out)
 		if e.Connected() != nil {
 			s.recordConnect(now, e.Latency(), r.member, *e.Connected(), out)
 		}
--- a/core/dhtraffic/reachability.go
+++ b/core/dhtraffic/reachability.go
@@ -16,8 +16,14 @@
 	// isolationThreshold is how many upstreams must refuse or not answer a new
 	// connection, with no success in between, before this instance counts as isolated.
 	isolationThreshold = 3
+	// maxRefusalTime is the longest time in which a connection is refused: a round trip
+	// between distant regions. Later failures are time-outs.
+	maxRefusalTime dhclock.Millis = 250
 	// probeInterval is the time between two probes of an isolated instance.
 	probeInterval dhclock.Millis = 250
+	// suspicionInterval is the least time between probes after first failures, so that
+	// probes don't add to the load of a congested link.
+	suspicionInterval dhclock.Millis = 1000
 	// peerAvoidance is how long an isolated instance forwards nothing to a peer that
 	// it couldn't reach or that is isolated too.
 	peerAvoidance dhclock.Millis = 1000
@@ -32,17 +38,23 @@
 	// lastResponse is when the last response of an upstream arrived, on any
 	// connection.
 	lastResponse dhclock.Millis
-	// unreachable holds, for each upstream to which a later connection has failed,
-	// when that one was started.
-	unreachable  map[*dhsteer.Member]dhclock.Millis
+	// unreachable holds the last failed connection to each upstream to which a later
+	// one has not succeeded.
+	unreachable  map[*dhsteer.Member]failedConnection
 	isolated     bool
 	lastProbe    dhclock.Millis
 	probes       int                       // how many were sent
 	avoidedPeers map[string]dhclock.Millis // by name: until when
 }
 
+// failedConnection is a connection that was refused or timed out.
+type failedConnection struct {
+	startedAt dhclock.Millis
+	timedOut  bool
+}
+
 func newReachability() reachability {
-	return reachability{unreachable: map[*dhsteer.Member]dhclock.Millis{}, avoidedPeers: map[string]dhclock.Millis{}}
+	return reachability{unreachable: map[*dhsteer.Member]failedConnection{}, avoidedPeers: map[string]dhclock.Millis{}}
 }
 
 // recordConnect updates the reachability with the result of a new connection to one of a
@@ -50,21 +62,25 @@
 // known later than a success. A failure is no evidence either if some upstream has
 // responded since its start: on a congested link connections time out while responses
 // arrive.
-func (r *reachability) recordConnect(startedAt dhclock.Millis, m *dhsteer.Member, connected bool, upstreams int) {
+func (r *reachability) recordConnect(startedAt, latency dhclock.Millis, m *dhsteer.Member, connected bool, upstreams int) {
 	if connected {
 		r.lastConnected = max(r.lastConnected, startedAt)
-		maps.DeleteFunc(r.unreachable, func(_ *dhsteer.Member, failedAt dhclock.Millis) bool { return failedAt < startedAt })
+		maps.DeleteFunc(r.unreachable, func(_ *dhsteer.Member, f failedConnection) bool { return f.startedAt < startedAt })
 	} else if startedAt >= max(r.lastConnected, r.lastResponse) {
-		r.unreachable[m] = startedAt
+		r.unreachable[m] = failedConnection{startedAt: startedAt, timedOut: latency > maxRefusalTime}
 	}
 	r.isolated = upstreams > 0 && len(r.unreachable) >= min(isolationThreshold, upstreams)
 }
 
-// recordResponse records that an attempt at an upstream has ended with a response.
+// recordResponse records that an attempt at an upstream may have ended with a response.
+// No response arrives on links that hang, so connections that timed out are no evidence
+// any more. Refused ones are: connections may live on where new ones are refused.
 func (r *reachability) recordResponse(now dhclock.Millis, end dhevent.AttemptEnd) {
 	switch end {
 	case dhevent.EndAnswered, dhevent.EndRefused, dhevent.EndMisplaced:
 		r.lastResponse = now
+		maps.DeleteFunc(r.unreachable, func(_ *dhsteer.Member, f failedConnection) bool { return f.timedOut })
+		r.isolated = r.isolated && len(r.unreachable) >= isolationThreshold
 	case dhevent.EndNotSent, dhevent.EndBroken, dhevent.EndTimedOut, dhevent.EndCallerGone:
 	}
 }
@@ -87,29 +103,43 @@
 	}
 }
 
-// recordConnect updates the reachability with the result of a new connection to an upstream.
-// The first failure is followed by probes of two other upstreams, which show whether
-// it is that upstream's or this instance's. Once connections succeed again, failures
-// of the time between count no more.
+// recordConnect updates the reachability with the result of a new connection to an
+// upstream. The first failure is followed by probes of two other upstreams, which show
+// whether it is that upstream's or this instance's.
 func (s *State) recordConnect(now, latency dhclock.Millis, m *dhsteer.Member, connected bool, out *dheffect.List) {
 	upstreams := 0
 	for _, g := range s.groups {
 		upstreams += g.Size()
 	}
 	isolated, suspected := s.reachability.isolated, len(s.reachability.unreachable) > 0
-	s.reachability.recordConnect(now-latency, m, connected, upstreams)
+	s.reachability.recordConnect(now-latency, latency, m, connected, upstreams)
+	s.handleIsolationChange(isolated, m, out)
+	isSuspected := !suspected && len(s.reachability.unreachable) > 0
+	if isSuspected && !s.reachability.isolated && now.Since(s.reachability.lastProbe) >= suspicionInterval {
+		for range isolationThreshold - 1 {
+			s.probe(now, out)
+		}
+	}
+}
+
+// recordResponse updates the reachability with the end of an attempt at an upstream.
+func (s *State) recordResponse(now dhclock.Millis, m *dhsteer.Member, end dhevent.AttemptEnd, out *dheffect.List) {
+	isolated := s.reachability.isolated
+	s.reachability.recordResponse(now, end)
+	s.handleIsolationChange(isolated, m, out)
+}
+
+// handleIsolationChange logs a change of isolated, which the upstream has caused. Once
+// the instance is no longer isolated, the failures of the time between count no more.
+func (s *State) handleIsolationChange(before bool, m *dhsteer.Member, out *dheffect.List) {
 	switch {
-	case s.reachability.isolated && !isolated:
+	case s.reachability.isolated && !before:
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "can't connect to any upstream", Peer: m.Name(), Number: uint64(len(s.reachability.unreachable))}))
-	case isolated && !s.reachability.isolated:
+	case before && !s.reachability.isolated:
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "connects to upstreams again", Peer: m.Name()}))
 		for _, g := range s.groups {
 			g.ForgetFailures()
 		}
-	case !suspected && len(s.reachability.unreachable) > 0:
-		for range isolationThreshold - 1 {
-			s.probe(now, out)
-		}
 	}
 }
 
--- a/core/dhtraffic/reachability_test.go
+++ b/core/dhtraffic/reachability_test.go
@@ -221,3 +221,23 @@
 		}
 	}
 }
+
+// TestResponseEndsIsolationByTimeouts has connections time out until the instance is
+// isolated, and a response to an earlier request arrive: the links are slow, not cut.
+func TestResponseEndsIsolationByTimeouts(t *testing.T) {
+	s := newReachabilityTest(t)
+	s.send(1000, "/any/", false)
+	early := s.request
+	for i := 0; !s.reachability.isolated; i++ {
+		if i == 2*isolationThreshold {
+			t.Fatal("the instance isn't isolated after its connections timed out")
+		}
+		s.send(1000, "/any/", false)
+		s.end(1500, dhevent.AttemptEndedOptions{End: dhevent.EndNotSent, Latency: 500, Connected: new(false)})
+	}
+	var out dheffect.List
+	s.HandleAttemptEnd(dhevent.NewAttemptEnded(1600, dhevent.AttemptEndedOptions{RequestID: early, Status: 200, Latency: 600}), &out)
+	if _, ok := s.send(1601, "/any/", false).(*dheffect.ForwardToUpstream); !ok {
+		t.Error("the instance still forwards to peers after an upstream has responded")
+	}
+}
