Log crashes of upstreams and the content of requests

The logs could tell which attempts broke, but not that an upstream had crashed, nor that requests of several callers and instances are the same. An upstream counts as crashed if attempts at it broke and its address refuses a connection within a second: after a reset it accepts one, behind a partition it doesn't respond. The instance probes it once after the first broken attempt; an isolated instance doesn't.

--- a/core/dheffect/record.go
+++ b/core/dheffect/record.go
@@ -3,6 +3,7 @@
 import (
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/core/dhsteer"
 )
 
@@ -62,6 +63,9 @@
 	// ObjectHash is the hash of the object that the request was about, or 0 if
 	// unknown.
 	ObjectHash uint64 `journal:"Object"`
+	// Fingerprint identifies the request by its organisation and content; nil if the
+	// content is unknown.
+	Fingerprint *dhmessage.Fingerprint
 	// RefusalKind is the reason of a refusal, or "" if the caller got a
 	// response.
 	RefusalKind RefusalKind `journal:"Kind"`
@@ -119,6 +123,10 @@
 // unknown.
 func (e *RecordRequest) ObjectHash() uint64 { return e.options.ObjectHash }
 
+// Fingerprint identifies the request by its organisation and content; nil if the content
+// is unknown.
+func (e *RecordRequest) Fingerprint() *dhmessage.Fingerprint { return e.options.Fingerprint }
+
 // RefusalKind returns the reason of a refusal, or "" if the caller got a
 // response.
 func (e *RecordRequest) RefusalKind() RefusalKind { return e.options.RefusalKind }
--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -234,6 +234,9 @@
 	// MinDeclaration is the number of the declaration that the instance which
 	// forwards the request has; nil if it sent none.
 	MinDeclaration *uint64
+	// ContentHash is the hash of the request's method, host, target and body; nil if
+	// unknown.
+	ContentHash *dhcatalog.Hash
 }
 
 // RequestReceived is a caller's request, or one that another instance forwards.
@@ -254,6 +257,10 @@
 // here.
 func (e *RequestReceived) CallerRequestID() string { return e.options.CallerRequestID }
 
+// ContentHash returns the hash of the request's method, host, target and body; nil if
+// unknown.
+func (e *RequestReceived) ContentHash() *dhcatalog.Hash { return e.options.ContentHash }
+
 // Host returns the host name that the caller requests, in lower case, or "".
 func (e *RequestReceived) Host() string { return e.options.Host }
 
--- a/core/dhsteer/member.go
+++ b/core/dhsteer/member.go
@@ -42,6 +42,9 @@
 // Address returns the IP address and port that serve requests.
 func (m *Member) Address() string { return m.record.Address() }
 
+// Incarnation returns when the upstream's process started, as the upstream reports it.
+func (m *Member) Incarnation() int64 { return m.record.Incarnation() }
+
 // Region returns the region in which the upstream runs.
 func (m *Member) Region() string { return m.region }
 
--- a/core/dhtraffic/admission.go
+++ b/core/dhtraffic/admission.go
@@ -23,6 +23,7 @@
 	r := &request{
 		id: e.RequestID(), receivedAt: now, weight: 1, fromPeer: e.FromPeer(), bodyBytes: e.BodyBytes(),
 		callerRequestID: e.CallerRequestID(), host: e.Host(), path: e.Path(), object: e.ObjectHash(), random: e.Random(),
+		content: e.ContentHash(),
 	}
 	if e.MinDeclaration() != nil && s.declarationNumber() < *e.MinDeclaration() {
 		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseConfigurationStale, false, shortRetryAfter), out)
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -58,13 +58,16 @@
 // attempts.
 func (s *State) finishAttempt(now dhclock.Millis, p *pool, r *request, e *dhevent.AttemptEnded, out *dheffect.List) {
 	r.recordEnded(e)
+	if e.End() == dhevent.EndBroken {
+		s.recordBroken(now, r, out)
+	}
 	if r.member != nil {
 		limit := r.member.Limit()
 		r.group.Release(now, r.member, attemptOutcome(e), e.Latency(), dhsteer.Response{Load: e.ReportedLoad(), Limit: e.ReportedLimit()})
 		logLimitChange(limit, r.member, out)
 		s.recordResponse(now, r.member, e.End(), out)
 		if e.Connected() != nil {
-			s.recordConnect(now, e.Latency(), r.member, *e.Connected(), out)
+			s.recordConnect(now, e.Latency(), r.service, r.member, *e.Connected(), out)
 		}
 		s.uncountUnsent(r, e)
 		if e.End() != dhevent.EndAnswered {
--- a/core/dhtraffic/events.go
+++ b/core/dhtraffic/events.go
@@ -35,6 +35,7 @@
 	s.retryDueClaims(now, out)
 	s.tickPools(now, out)
 	s.tickReachability(now, out)
+	s.crashes.removeExpired(now)
 	for _, g := range s.groups {
 		g.Balance(now)
 	}
--- a/core/dhtraffic/reachability.go
+++ b/core/dhtraffic/reachability.go
@@ -94,19 +94,19 @@
 
 // HandleProbe records the result of a probe.
 func (s *State) HandleProbe(e *dhevent.UpstreamProbed, out *dheffect.List) {
-	g, found := s.groups[e.Service()]
-	if !found {
-		return
-	}
-	if m := g.Member(e.Upstream()); m != nil {
-		s.recordConnect(e.At(), e.Latency(), m, e.Connected(), out)
+	if g, found := s.groups[e.Service()]; found {
+		if m := g.Member(e.Upstream()); m != nil {
+			s.recordConnect(e.At(), e.Latency(), e.Service(), m, e.Connected(), out)
+			return
+		}
 	}
+	s.recordConnection(e.At(), e.Latency(), upstreamName{e.Service(), e.Upstream()}, e.Connected(), out)
 }
 
 // recordConnect updates the reachability with the result of a new connection to an
 // upstream. The first failure is followed by probes of two other upstreams, which show
 // whether it is that upstream's or this instance's.
-func (s *State) recordConnect(now, latency dhclock.Millis, m *dhsteer.Member, connected bool, out *dheffect.List) {
+func (s *State) recordConnect(now, latency dhclock.Millis, service string, m *dhsteer.Member, connected bool, out *dheffect.List) {
 	upstreams := 0
 	for _, g := range s.groups {
 		upstreams += g.Size()
@@ -114,6 +114,7 @@
 	isolated, suspected := s.reachability.isolated, len(s.reachability.unreachable) > 0
 	s.reachability.recordConnect(now-latency, latency, m, connected, upstreams)
 	s.handleIsolationChange(isolated, m, out)
+	s.recordConnection(now, latency, upstreamName{service, m.Name()}, connected, out)
 	isSuspected := !suspected && len(s.reachability.unreachable) > 0
 	if isSuspected && !s.reachability.isolated && now.Since(s.reachability.lastProbe) >= suspicionInterval {
 		for range isolationThreshold - 1 {
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -54,6 +54,7 @@
 	lastTokenReport      dhclock.Millis
 	links                linkBudgets
 	reachability         reachability
+	crashes              crashDetector
 	claimRetries         []*request // requests whose claim is due again at claimRetryAt
 }
 
@@ -72,6 +73,7 @@
 		clusterRetries: o.Retries,
 		requests:       map[uint64]*request{},
 		reachability:   newReachability(),
+		crashes:        newCrashDetector(),
 		burn:           dhburn.New(),
 	}
 }
@@ -105,6 +107,7 @@
 	path           string
 	object         uint64
 	random         uint64
+	content        *dhcatalog.Hash // of the method, host, target and body; nil if unknown
 	organisation   string
 	key            dhcatalog.Hash
 	weight         int
@@ -133,6 +136,15 @@
 	mayHaveRun      bool
 }
 
+// fingerprint identifies the request by its organisation and content; it is nil if the
+// content is unknown.
+func (r *request) fingerprint() *dhmessage.Fingerprint {
+	if r.content == nil {
+		return nil
+	}
+	return new(dhmessage.NewFingerprint(r.organisation, *r.content))
+}
+
 // setQueueDeadline starts the route's queue wait anew, within the deadline.
 func (r *request) setQueueDeadline(now dhclock.Millis) {
 	r.queueDeadline = min(r.deadline, now+r.route.QueueWait())
@@ -214,7 +226,7 @@
 	age, _ := s.view.Age(now)
 	out.Add(dheffect.NewRecordRequest(dheffect.RecordRequestOptions{
 		CallerRequestID: r.callerRequestID, Route: r.route.Name(), Service: r.service, Organisation: r.organisation,
-		ObjectHash: r.object, RefusalKind: kind,
+		ObjectHash: r.object, Fingerprint: r.fingerprint(), RefusalKind: kind,
 		MayHaveRun: r.mayHaveRun, Status: status, Latency: latency, Timeout: max(0, r.deadline-r.receivedAt),
 		WithinRate: withinRate, ObjectiveMissed: r.route.Objective() > 0 && latency > r.route.Objective(),
 		ConfigVersion: s.view.Catalog().Version(), ConfigAge: age, Attempts: r.attemptRecords,
--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -214,9 +214,20 @@
 // contentDigest hashes the method, URL, content type and body of a request with
 // an idempotency key, so that reuse of the key with other content is detected.
 func (in *inbound) contentDigest() dhcatalog.Hash {
+	return in.hashWithBody(in.method, in.url.Path, in.url.RawQuery, in.header.Get("Content-Type"))
+}
+
+// contentHash hashes what an upstream gets of a request apart from its header: the
+// method, host, target and body.
+func (in *inbound) contentHash() dhcatalog.Hash {
+	return in.hashWithBody(in.method, in.hostName(), in.url.Path, in.url.RawQuery)
+}
+
+// hashWithBody hashes texts followed by the request's body.
+func (in *inbound) hashWithBody(texts ...string) dhcatalog.Hash {
 	h := sha256.New()
-	for _, part := range []string{in.method, in.url.Path, in.url.RawQuery, in.header.Get("Content-Type")} {
-		_, _ = io.WriteString(h, part+"\x00")
+	for _, text := range texts {
+		_, _ = io.WriteString(h, text+"\x00")
 	}
 	_, _ = h.Write(in.body)
 	var d dhcatalog.Hash
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -191,7 +191,7 @@
 	in.header.Del(s.options.Dialect.options.OrganisationHeader)
 	o := dhevent.RequestReceivedOptions{
 		CallerRequestID: in.id, Host: in.hostName(), Path: in.url.Path, ObjectHash: in.objectHash, Random: rand.Uint64(),
-		APIKeyHash: in.apiKeyHash, Timeout: in.timeout, IdempotencyKey: in.idempotencyKey, Digest: in.digest, BodyBytes: len(in.body),
+		APIKeyHash: in.apiKeyHash, Timeout: in.timeout, IdempotencyKey: in.idempotencyKey, Digest: in.digest, BodyBytes: len(in.body), ContentHash: new(in.contentHash()),
 	}
 	if forwarded != nil {
 		o.FromPeer, o.Organisation, o.MinDeclaration = true, forwarded.organisation, forwarded.minDeclaration
--- a/io/dhprocess/requestlog.go
+++ b/io/dhprocess/requestlog.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhmessage"
 )
 
 // recordRequest counts a request that has ended and logs its outcome and its
@@ -27,7 +28,7 @@
 		}
 		return logrus.Fields{
 			"request": e.CallerRequestID(), "route": e.Route(), "service": e.Service(), "organisation": e.Organisation(),
-			"object": strconv.FormatUint(e.ObjectHash(), 36),
+			"object": strconv.FormatUint(e.ObjectHash(), 36), "content": contentText(e.Fingerprint()),
 			"status": e.Status(), "refusal": e.RefusalKind(), "mayHaveRun": e.MayHaveRun(), "withinRate": e.WithinRate(),
 			"ms": e.Latency().Milliseconds(), "deadlineMs": e.Timeout().Milliseconds(), "late": e.ObjectiveMissed(),
 			"version": e.ConfigVersion(), "ageMs": e.ConfigAge().Milliseconds(), "attempts": attempts,
@@ -35,6 +36,14 @@
 	})
 }
 
+// contentText returns the text that identifies a request's content in log lines, or "".
+func contentText(f *dhmessage.Fingerprint) string {
+	if f == nil {
+		return ""
+	}
+	return f.String()
+}
+
 // requestLogKind returns the kind of a request's end, by which the log lines are
 // limited.
 func requestLogKind(e *dheffect.RecordRequest) string {
