--- a/io/dhprocess/cluster_test.go
+++ b/io/dhprocess/cluster_test.go
@@ -15,6 +15,7 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhtraffic"
 	"dogwoodhitch/io/dhdisk"
 	"dogwoodhitch/io/dhlogs"
 	"dogwoodhitch/io/dhsettings"
@@ -113,16 +114,24 @@
 		zone := fmt.Sprintf("z%02d", z)
 		puts = append(puts, dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: zone, Region: fmt.Sprint("r", z%11)}))
 		for i := range perZone {
-			p := c.start(c.options(fmt.Sprintf("%s-%03d", zone, i), zone, dhsettings.RoleEntry))
-			c.entries = append(c.entries, p)
-			puts = append(puts, dhcatalog.NewInstance(dhcatalog.InstanceOptions{
-				Name: p.options.Name, Zone: zone, CallerAddress: "127.0.0.1:1", PeerAddress: p.BoundAddresses().Peers,
-			}))
+			puts = append(puts, c.startEntry(fmt.Sprintf("%s-%03d", zone, i), zone))
 		}
 	}
 	c.applyChange(puts...)
 }
 
+// startEntry starts an entry instance and returns its record.
+func (c *cluster) startEntry(name, zone string) dhcatalog.Object {
+	c.t.Helper()
+	o := c.options(name, zone, dhsettings.RoleEntry)
+	o.Listen.Callers, o.RetryBudget = "127.0.0.1:0", dhtraffic.RetryBudget{PerMille: 1000, Reserve: 1000}
+	p := c.start(o)
+	c.entries = append(c.entries, p)
+	return dhcatalog.NewInstance(dhcatalog.InstanceOptions{
+		Name: name, Zone: zone, CallerAddress: p.BoundAddresses().Callers, PeerAddress: p.BoundAddresses().Peers,
+	})
+}
+
 // applyChange proposes a change set that puts the objects, and waits until it is
 // accepted.
 func (c *cluster) applyChange(puts ...dhcatalog.Object) {
