Quarantine requests that crash the upstreams which run them

Cause: upstreams and links are judged by what becomes of requests, and requests by nothing. Each instance judges alone, and each arrival anew.

Change: a crash makes every request that was in flight a suspect. Three crashes that no other quarantined request explains, without an end of the request in between that was no crash, quarantine it. A quarantined request is refused as not run.

--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -137,6 +137,8 @@
 		s.handleUpstreamHeartbeat(e, out)
 	case *dhevent.UpstreamDeregistered:
 		s.handleUpstreamDeregistration(e, out)
+	case *dhevent.SuspectsReported:
+		s.distribution.RecordSuspects(s.now, e.Report())
 	case *dhevent.LeaveStarted:
 		s.distribution.StartLeaving()
 	}
--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -8,6 +8,7 @@
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhquarantine"
 )
 
 // child is a process that polls this one.
@@ -24,6 +25,7 @@
 	inFlightSince dhclock.Millis
 	// resendTimeout is the time for which updates in flight are not sent again.
 	resendTimeout dhclock.Millis
+	suspects      dhquarantine.Replication
 }
 
 // Time constants of resending changes that a child still lacks, in milliseconds.
@@ -87,6 +89,7 @@
 		s.children[from] = c
 	}
 	c.recordPoll(now, m)
+	s.receiveSuspects(now, &c.suspects, m.Suspects())
 	for _, a := range m.Acks() {
 		if old, found := s.ackRecords[a.Instance()]; !found || old.ack != a {
 			s.hasNewAcks = true
@@ -103,7 +106,7 @@
 	o := dhmessage.UpdateOptions{
 		PollSentAt: pollSentAt, Version: s.catalog.Version(), EverConfirmed: s.everConfirmed, Age: now.Since(s.confirmedAt),
 		Unavailable: s.unavailable, Leader: s.leader, InForce: s.inForce, DrainAges: s.drainAges(now),
-		Members: s.members, LimitsAge: now.Since(s.limitsChangedAt),
+		Members: s.members, LimitsAge: now.Since(s.limitsChangedAt), Suspects: c.suspects.NextReport(now, s.suspects),
 	}
 	if from, missing := c.missingSince(now, s.catalog.Version()); missing {
 		var retained bool
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -6,6 +6,7 @@
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhquarantine"
 )
 
 // parent is the process that this process polls.
@@ -16,6 +17,8 @@
 	awaitingResponse bool
 	lastPoll         dhclock.Millis
 	polled           bool // false makes the next poll due immediately
+	suspects         dhquarantine.Replication
+	suspectsSentTo   string // the candidate that suspects describes
 }
 
 // parentCandidates lists the processes to poll in order of preference. First
@@ -78,6 +81,7 @@
 // the current one doesn't respond or its confirmations are too old, and later
 // returns to the preferred parent.
 func (s *State) Tick(now dhclock.Millis, out *dheffect.List) {
+	s.tickSuspects(now, out)
 	if s.isLeader {
 		return
 	}
@@ -97,7 +101,7 @@
 		p.candidateIndex, p.selectedAt, p.awaitingResponse = 0, now, false
 	}
 	interval := s.currentPollInterval()
-	if s.hasNewAcks {
+	if s.hasNewAcks || p.suspects.HasUnsent(s.suspects) {
 		interval = ackInterval
 	}
 	if !p.polled || now.Since(p.lastPoll) >= interval {
@@ -126,10 +130,15 @@
 	if !p.awaitingResponse {
 		p.awaitingResponse, p.oldestUnanswered = true, now
 	}
+	to := candidates[p.candidateIndex%len(candidates)]
+	if to != p.suspectsSentTo {
+		p.suspects, p.suspectsSentTo = dhquarantine.Replication{}, to
+	}
 	out.Add(dheffect.NewSend(dheffect.SendOptions{
-		To: candidates[p.candidateIndex%len(candidates)],
+		To: to,
 		Message: dhmessage.NewPoll(dhmessage.PollOptions{
 			Version: s.catalog.Version(), SentAt: now, Acks: s.collectAcks(now), Replica: s.isVoter,
+			Suspects: p.suspects.NextReport(now, s.suspects),
 		}),
 	}))
 }
@@ -169,6 +178,9 @@
 	if s.isLeader {
 		return
 	}
+	if from == s.parent.suspectsSentTo {
+		s.receiveSuspects(now, &s.parent.suspects, m.Suspects())
+	}
 	if !s.isVoter {
 		s.applyUpdate(now, m.Full(), m.Changes())
 	}
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -18,6 +18,7 @@
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhledger"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhquarantine"
 	"dogwoodhitch/core/dhview"
 )
 
@@ -103,6 +104,13 @@
 	// changed.
 	limitsChangedAt dhclock.Millis
 
+	// suspects are the requests that may have crashed upstreams. suspectsChanged is
+	// set until the children and the view have the last change.
+	suspects        *dhquarantine.Set
+	suspectsChanged bool
+	lastSuspectPush dhclock.Millis
+	viewSuspects    *dhview.Suspects // as of the last change; nil for none
+
 	parent          parent
 	children        map[string]*child
 	ackRecords      map[string]*ackRecord
@@ -122,7 +130,7 @@
 func New(o Options) *State {
 	return &State{
 		self: o.Self, zone: o.Zone, configuredVoters: o.Voters, isVoter: o.IsVoter, advertised: o.Advertised,
-		catalog: dhcatalog.New(), appliedAt: o.Now, limitsChangedAt: o.Now,
+		catalog: dhcatalog.New(), appliedAt: o.Now, limitsChangedAt: o.Now, suspects: dhquarantine.NewSet(),
 		children: map[string]*child{}, ackRecords: map[string]*ackRecord{},
 		parent: parent{selectedAt: o.Now, oldestUnanswered: o.Now}, viewChanged: true,
 	}
@@ -286,6 +294,7 @@
 	out.Add(dheffect.NewPublish(dheffect.PublishOptions{View: dhview.New(dhview.Options{
 		Catalog: s.catalog, ConfirmedAt: s.confirmedAt, EverConfirmed: s.everConfirmed, AppliedAt: s.appliedAt,
 		Unavailable: s.unavailable, Leader: s.leader, InForce: s.inForce, DrainStarts: s.drainStarts, Members: s.members, LimitsChangedAt: s.limitsChangedAt,
+		Suspects: s.viewSuspects,
 	})}))
 }
 
--- a/core/dheffect/refusal.go
+++ b/core/dheffect/refusal.go
@@ -13,6 +13,7 @@
 	RefuseConfigurationStale    RefusalKind = "configurationStale"
 	RefuseOverLimit             RefusalKind = "overLimit"
 	RefuseNoCapacity            RefusalKind = "noCapacity"
+	RefuseQuarantined           RefusalKind = "quarantined"
 	RefuseNoUpstream            RefusalKind = "noUpstream"
 	RefuseTimeout               RefusalKind = "timeout"
 	RefuseUpstreamBroken        RefusalKind = "upstreamBroken"
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -309,3 +309,24 @@
 func NewLeaveStarted(at dhclock.Millis) *LeaveStarted {
 	return &LeaveStarted{stamp: stamp{at: at}}
 }
+
+// SuspectsReportedOptions are the fields of a SuspectsReported.
+type SuspectsReportedOptions struct {
+	// Report holds the suspects that have changed.
+	Report *dhmessage.SuspectReport
+}
+
+// SuspectsReported reports requests that were in flight at upstreams that crashed, and
+// those that ended without a crash since.
+type SuspectsReported struct {
+	stamp
+	options SuspectsReportedOptions
+}
+
+// NewSuspectsReported returns a SuspectsReported.
+func NewSuspectsReported(at dhclock.Millis, o SuspectsReportedOptions) *SuspectsReported {
+	return &SuspectsReported{stamp: stamp{at: at}, options: o}
+}
+
+// Report returns the suspects that have changed.
+func (e *SuspectsReported) Report() *dhmessage.SuspectReport { return e.options.Report }
--- a/core/dhmessage/distribution.go
+++ b/core/dhmessage/distribution.go
@@ -53,6 +53,8 @@
 	// Replica reports whether the sender receives changes through the
 	// replicated log and asks only for confirmation.
 	Replica bool
+	// Suspects reports requests that may have crashed upstreams; nil for none.
+	Suspects *SuspectReport
 }
 
 // Poll asks the parent for newer configuration, and to confirm that the
@@ -79,6 +81,9 @@
 // log and asks only for confirmation.
 func (m *Poll) Replica() bool { return m.options.Replica }
 
+// Suspects reports requests that may have crashed upstreams; nil for none.
+func (m *Poll) Suspects() *SuspectReport { return m.options.Suspects }
+
 func (*Poll) message() {}
 
 // UpdateOptions are the fields of an Update.
@@ -112,6 +117,8 @@
 	// LimitsAge is the time since limits, or the set of instances that share
 	// them, last changed, in milliseconds.
 	LimitsAge dhclock.Millis
+	// Suspects reports requests that may have crashed upstreams; nil for none.
+	Suspects *SuspectReport
 }
 
 // Update answers a Poll, or is sent unrequested when the version rises.
@@ -165,6 +172,9 @@
 // them, last changed, in milliseconds.
 func (m *Update) LimitsAge() dhclock.Millis { return m.options.LimitsAge }
 
+// Suspects reports requests that may have crashed upstreams; nil for none.
+func (m *Update) Suspects() *SuspectReport { return m.options.Suspects }
+
 func (*Update) message() {}
 
 // DrainAge reports how long ago a drain started.
--- /dev/null
+++ b/core/dhquarantine/set.go
@@ -0,0 +1,258 @@
+// Package dhquarantine finds the requests that crash the upstreams which run them. A crash
+// ends all requests that were in flight, so one crash convicts none of them: a request is
+// quarantined once it was in flight at several crashes that no other quarantined request
+// explains, and has not ended without a crash since.
+//
+// Each process holds a Set. The sets of all processes converge by merging, in any order.
+package dhquarantine
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhsteer"
+)
+
+// Bounds of the suspects, in milliseconds unless noted.
+const (
+	// minCrashes is the number of unexplained crashes that quarantines a request.
+	minCrashes = 3
+	// maxCrashes bounds the crashes that are kept of one suspect.
+	maxCrashes = 16
+	// minQuarantine is how long a request is quarantined after its last crash. It
+	// doubles with each crash beyond minCrashes, up to maxQuarantine. A request that
+	// has become harmless is acquitted after that.
+	minQuarantine = 600 * dhclock.Second
+	maxQuarantine = 24 * 3600 * dhclock.Second
+	// suspicionTTL is how long a suspect is kept after its last crash or the end of
+	// its quarantine.
+	suspicionTTL = 600 * dhclock.Second
+	// acquittalTTL is how long an acquittal is kept, so that it reaches all processes.
+	acquittalTTL = 60 * dhclock.Second
+	// maxSuspects bounds the suspects of one process.
+	maxSuspects = 512
+)
+
+// Set holds the suspects that one process knows.
+type Set struct {
+	suspects    map[dhmessage.Fingerprint]*suspect
+	changes     uint64 // number of changes so far
+	quarantined map[dhmessage.Fingerprint]bool
+	digest      uint64
+}
+
+// suspect is a request that was in flight at upstreams that crashed.
+type suspect struct {
+	request    dhmessage.Fingerprint
+	acquittals uint64
+	crashes    []uint64 // sorted
+	changedAt  dhclock.Millis
+	change     uint64 // value of Set.changes after the last change
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set { return &Set{suspects: map[dhmessage.Fingerprint]*suspect{}} }
+
+// Changes returns the number of changes so far.
+func (s *Set) Changes() uint64 { return s.changes }
+
+// Digest returns a hash of all suspects and their crashes; 0 if there are none. Sets with
+// the same digest need not be merged.
+func (s *Set) Digest() uint64 { return s.digest }
+
+// HashCrash identifies the crash of one process of an upstream.
+func HashCrash(service, upstream string, incarnation int64) uint64 {
+	return dhsteer.HashObject(service + "\x00" + upstream + "\x00" + strconv.FormatInt(incarnation, 10))
+}
+
+// RecordCrash records that a request was in flight at a crash, and reports whether the
+// request is quarantined by it.
+func (s *Set) RecordCrash(now dhclock.Millis, request dhmessage.Fingerprint, crash uint64) bool {
+	before := s.quarantined[request]
+	o := dhmessage.SuspectOptions{Fingerprint: request, Crashes: []uint64{crash}}
+	if x, found := s.suspects[request]; found {
+		o.Acquittals = x.acquittals
+	}
+	s.Merge(now, []dhmessage.Suspect{dhmessage.NewSuspect(o)})
+	return !before && s.quarantined[request]
+}
+
+// Acquit records that a request ended without a crash. It reports whether the request was
+// suspected.
+func (s *Set) Acquit(now dhclock.Millis, request dhmessage.Fingerprint) bool {
+	x, found := s.suspects[request]
+	if !found || len(x.crashes) == 0 {
+		return false
+	}
+	return s.Merge(now, []dhmessage.Suspect{dhmessage.NewSuspect(dhmessage.SuspectOptions{
+		Fingerprint: request, Acquittals: x.acquittals + 1,
+	})})
+}
+
+// Quarantine returns how long a request is still quarantined; 0 if it isn't.
+func (s *Set) Quarantine(now dhclock.Millis, request dhmessage.Fingerprint) dhclock.Millis {
+	if !s.quarantined[request] {
+		return 0
+	}
+	x := s.suspects[request]
+	return max(0, x.changedAt+x.quarantine()-now)
+}
+
+// quarantine returns how long the suspect is quarantined after its last crash.
+func (x *suspect) quarantine() dhclock.Millis {
+	return min(maxQuarantine, minQuarantine<<max(0, len(x.crashes)-minCrashes))
+}
+
+// Merge adds the suspects of another process and reports whether it has changed the set.
+// More acquittals replace earlier crashes; crashes since the same acquittal are united.
+func (s *Set) Merge(now dhclock.Millis, list []dhmessage.Suspect) bool {
+	before := s.changes
+	for _, other := range list {
+		s.merge(now, other)
+	}
+	if s.changes == before {
+		return false
+	}
+	s.evict()
+	s.update()
+	return true
+}
+
+func (s *Set) merge(now dhclock.Millis, other dhmessage.Suspect) {
+	request := other.Fingerprint()
+	x, found := s.suspects[request]
+	if !found {
+		x = &suspect{request: request}
+	}
+	incoming := &suspect{request: request, acquittals: other.Acquittals(), changedAt: now - other.Age()}
+	switch {
+	case found && other.Acquittals() < x.acquittals:
+		return
+	case found && other.Acquittals() == x.acquittals:
+		incoming.crashes = unite(x.crashes, other.Crashes())
+		incoming.changedAt = max(x.changedAt, incoming.changedAt)
+		if len(incoming.crashes) == len(x.crashes) {
+			x.changedAt = incoming.changedAt
+			return
+		}
+	default:
+		incoming.crashes = unite(nil, other.Crashes())
+	}
+	if incoming.expired(now) {
+		return
+	}
+	s.changes++
+	incoming.change = s.changes
+	s.suspects[request] = incoming
+}
+
+// unite returns the union of two lists of crashes, sorted.
+func unite(a, b []uint64) []uint64 {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return all[:min(len(all), maxCrashes)]
+}
+
+// expired reports whether the suspect need not be kept any more.
+func (x *suspect) expired(now dhclock.Millis) bool {
+	age := now.Since(x.changedAt)
+	switch {
+	case len(x.crashes) == 0:
+		return age > acquittalTTL
+	case len(x.crashes) < minCrashes:
+		return age > suspicionTTL
+	default:
+		return age > x.quarantine()+suspicionTTL
+	}
+}
+
+// RemoveExpired removes the suspects that need not be kept any more.
+func (s *Set) RemoveExpired(now dhclock.Millis) {
+	before := len(s.suspects)
+	maps.DeleteFunc(s.suspects, func(_ dhmessage.Fingerprint, x *suspect) bool { return x.expired(now) })
+	if len(s.suspects) != before {
+		s.update()
+	}
+}
+
+// evict removes the suspects with the fewest crashes, the oldest first, beyond maxSuspects.
+func (s *Set) evict() {
+	if len(s.suspects) <= maxSuspects {
+		return
+	}
+	list := s.sorted(func(a, b *suspect) int {
+		if n := len(b.crashes) - len(a.crashes); n != 0 {
+			return n
+		}
+		return int(b.changedAt - a.changedAt)
+	})
+	for _, x := range list[maxSuspects:] {
+		delete(s.suspects, x.request)
+	}
+}
+
+// sorted returns the suspects in an order, those that are equal in it by fingerprint.
+func (s *Set) sorted(compare func(a, b *suspect) int) []*suspect {
+	list := slices.SortedFunc(maps.Values(s.suspects), func(a, b *suspect) int {
+		return strings.Compare(a.key(), b.key())
+	})
+	slices.SortStableFunc(list, compare)
+	return list
+}
+
+// key returns a text that identifies the suspect's request.
+func (x *suspect) key() string {
+	content := x.request.Content()
+	return string(content[:]) + x.request.Organisation()
+}
+
+// update computes the digest and the quarantined requests. Suspects with more crashes come
+// first; the crashes at which a quarantined request was in flight count for no other
+// request.
+func (s *Set) update() {
+	s.digest, s.quarantined = 0, map[dhmessage.Fingerprint]bool{}
+	explained := map[uint64]bool{}
+	for _, x := range s.sorted(func(a, b *suspect) int { return len(b.crashes) - len(a.crashes) }) {
+		s.digest += x.hash()
+		unexplained := 0
+		for _, c := range x.crashes {
+			if !explained[c] {
+				unexplained++
+			}
+		}
+		if unexplained < minCrashes {
+			continue
+		}
+		s.quarantined[x.request] = true
+		for _, c := range x.crashes {
+			explained[c] = true
+		}
+	}
+}
+
+// hash returns a hash of the suspect, apart from times.
+func (x *suspect) hash() uint64 {
+	text := strconv.AppendUint([]byte(x.key()), x.acquittals, 10)
+	for _, c := range x.crashes {
+		text = strconv.AppendUint(append(text, ','), c, 10)
+	}
+	return dhsteer.HashObject(string(text))
+}
+
+// suspectsSince returns the suspects that have changed after a number of changes.
+func (s *Set) suspectsSince(now dhclock.Millis, change uint64) []dhmessage.Suspect {
+	var list []dhmessage.Suspect
+	for _, x := range s.sorted(func(*suspect, *suspect) int { return 0 }) {
+		if x.change > change && !x.expired(now) {
+			list = append(list, dhmessage.NewSuspect(dhmessage.SuspectOptions{
+				Fingerprint: x.request, Acquittals: x.acquittals, Crashes: x.crashes, Age: now.Since(x.changedAt),
+			}))
+		}
+	}
+	return list
+}
--- a/core/dhtraffic/admission.go
+++ b/core/dhtraffic/admission.go
@@ -51,6 +51,10 @@
 		s.refuse(now, r, refusal, out)
 		return
 	}
+	if remaining := s.quarantine(now, r); remaining > 0 {
+		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseQuarantined, false, remaining), out)
+		return
+	}
 	if refusal, ok := s.setClaimKey(r, e); !ok {
 		s.refuse(now, r, refusal, out)
 		return
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -27,6 +27,7 @@
 	s.finishAttempt(now, p, r, e, out)
 	switch e.End() {
 	case dhevent.EndAnswered:
+		s.acquit(now, r, e.Status(), out)
 		s.handleResponse(now, r, e, out)
 	case dhevent.EndNotSent, dhevent.EndRefused, dhevent.EndMisplaced:
 		s.retry(now, r, dheffect.NewRefusal(notRunRefusalKind(e.End()), false, shortRetryAfter), out)
@@ -170,7 +171,7 @@
 		s.retryOnMember(now, r, refusal, out)
 		return
 	}
-	if r.attempts >= r.route.MaxAttempts() || r.remaining(now) <= 0 || !r.pool.retryBucket.acquire() {
+	if r.attempts >= r.route.MaxAttempts() || r.remaining(now) <= 0 || s.quarantine(now, r) > 0 || !r.pool.retryBucket.acquire() {
 		s.refuse(now, r, refusal, out)
 		return
 	}
--- a/core/dhtraffic/crash.go
+++ b/core/dhtraffic/crash.go
@@ -6,6 +6,7 @@
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhquarantine"
 )
 
 // Parameters of finding out whether an upstream has crashed, in milliseconds.
@@ -148,9 +149,18 @@
 	if latency > maxRefusalTime || s.reachability.isolated {
 		return
 	}
-	if _, requests := s.crashes.takeCrashed(now, u); len(requests) > 0 {
-		out.Add(dheffect.NewLog(dheffect.LogOptions{
-			Layer: "upstreams", Text: "crashed: attempts broke and its address refuses connections; number of requests in flight", Peer: u.name, Number: uint64(len(requests)),
-		}))
+	process, requests := s.crashes.takeCrashed(now, u)
+	if len(requests) == 0 {
+		return
+	}
+	out.Add(dheffect.NewLog(dheffect.LogOptions{
+		Layer: "upstreams", Text: "crashed: attempts broke and its address refuses connections; number of requests in flight", Peer: u.name, Number: uint64(len(requests)),
+	}))
+	crash := dhquarantine.HashCrash(u.service, u.name, process.incarnation)
+	for _, r := range requests {
+		if s.suspects.RecordCrash(now, r, crash) {
+			out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "quarantines the request with this content", Peer: r.String()}))
+		}
 	}
+	s.reportSuspects(now, out)
 }
--- a/core/dhtraffic/events.go
+++ b/core/dhtraffic/events.go
@@ -36,6 +36,7 @@
 	s.tickPools(now, out)
 	s.tickReachability(now, out)
 	s.crashes.removeExpired(now)
+	s.tickSuspects(now, out)
 	for _, g := range s.groups {
 		g.Balance(now)
 	}
@@ -46,6 +47,9 @@
 func (s *State) HandleView(e *dhevent.ViewPublished) {
 	previous := s.view
 	s.view = e.View()
+	if s.view.Suspects() != previous.Suspects() {
+		s.mergeSuspects(e.At(), s.view.Suspects())
+	}
 	changed := s.view.Catalog().Version() != previous.Catalog().Version()
 	if changed || s.view.LimitsChangedAt() != previous.LimitsChangedAt() {
 		s.setLimits(e.At())
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -143,7 +143,7 @@
 // forwardToMember starts an attempt at a registered upstream, unless the
 // caller's key has been revoked in the meantime.
 func (s *State) forwardToMember(now dhclock.Millis, g *group, r *request, m *dhsteer.Member, out *dheffect.List) {
-	if refusal, ok := s.checkKey(now, r); !ok {
+	if refusal, ok := s.mayForward(now, r); !ok {
 		s.refuse(now, r, refusal, out)
 		return
 	}
@@ -172,7 +172,7 @@
 // request was received.
 func (s *State) retryOnMember(now dhclock.Millis, r *request, refusal dheffect.Refusal, out *dheffect.List) {
 	route, found := s.view.Catalog().RouteFor(r.host, r.path)
-	if !found || !routesTo(route, r.service) || !r.hasAttemptsLeft(route) || r.remaining(now) <= 0 {
+	if !found || !routesTo(route, r.service) || !r.hasAttemptsLeft(route) || r.remaining(now) <= 0 || s.quarantine(now, r) > 0 {
 		s.refuse(now, r, refusal, out)
 		return
 	}
--- a/core/dhtraffic/peer.go
+++ b/core/dhtraffic/peer.go
@@ -103,7 +103,7 @@
 // the meantime. The peer refuses it with an older declaration than minDeclaration.
 // sendToPeer reports whether it has started an attempt.
 func (s *State) sendToPeer(now dhclock.Millis, r *request, to *peer, minDeclaration *uint64, out *dheffect.List) bool {
-	if refusal, ok := s.checkKey(now, r); !ok {
+	if refusal, ok := s.mayForward(now, r); !ok {
 		s.refuse(now, r, refusal, out)
 		return false
 	}
--- a/core/dhtraffic/slot.go
+++ b/core/dhtraffic/slot.go
@@ -96,7 +96,7 @@
 // forwardToUpstream starts an attempt at an announced upstream, unless the
 // caller's key has been revoked while the request waited.
 func (s *State) forwardToUpstream(now dhclock.Millis, p *pool, r *request, u *dhsteer.Upstream, out *dheffect.List) {
-	if refusal, ok := s.checkKey(now, r); !ok {
+	if refusal, ok := s.mayForward(now, r); !ok {
 		s.refuse(now, r, refusal, out)
 		return
 	}
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -11,6 +11,7 @@
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhquarantine"
 	"dogwoodhitch/core/dhsteer"
 	"dogwoodhitch/core/dhview"
 )
@@ -55,6 +56,8 @@
 	links                linkBudgets
 	reachability         reachability
 	crashes              crashDetector
+	suspects             *dhquarantine.Set
+	suspectsReported     dhquarantine.Replication // to the control state
 	claimRetries         []*request // requests whose claim is due again at claimRetryAt
 }
 
@@ -74,6 +77,7 @@
 		requests:       map[uint64]*request{},
 		reachability:   newReachability(),
 		crashes:        newCrashDetector(),
+		suspects:       dhquarantine.NewSet(),
 		burn:           dhburn.New(),
 	}
 }
--- a/core/dhview/view.go
+++ b/core/dhview/view.go
@@ -35,8 +35,28 @@
 	// LimitsChangedAt is when rate limits, or the set of instances that share
 	// them, last changed.
 	LimitsChangedAt dhclock.Millis `journal:"Limited"`
+	// Suspects are the requests that may have crashed upstreams; nil for none.
+	Suspects *Suspects
 }
 
+// Suspects are all requests that are known to have been in flight at upstreams that
+// crashed.
+type Suspects struct {
+	report *dhmessage.SuspectReport
+	at     dhclock.Millis
+}
+
+// NewSuspects returns the suspects of a report that was made at a time.
+func NewSuspects(at dhclock.Millis, r *dhmessage.SuspectReport) *Suspects {
+	return &Suspects{report: r, at: at}
+}
+
+// Report returns the suspects with their ages at the time of the report.
+func (s *Suspects) Report() *dhmessage.SuspectReport { return s.report }
+
+// At returns when the report was made.
+func (s *Suspects) At() dhclock.Millis { return s.at }
+
 // View is one process's snapshot of the cluster.
 type View struct {
 	options     Options
@@ -95,6 +115,9 @@
 // them, last changed, on this instance's clock.
 func (v *View) LimitsChangedAt() dhclock.Millis { return v.options.LimitsChangedAt }
 
+// Suspects returns the requests that may have crashed upstreams; nil for none.
+func (v *View) Suspects() *Suspects { return v.options.Suspects }
+
 // InForce returns the newest version known to be in force on every declared
 // instance, except those that may not serve keyed routes until they have it.
 func (v *View) InForce() uint64 { return v.options.InForce }
--- a/io/dhentry/refusal.go
+++ b/io/dhentry/refusal.go
@@ -57,6 +57,7 @@
 	dheffect.RefuseConfigurationStale:    {http.StatusServiceUnavailable, "this instance's configuration may be out of date; use another instance of the look-up, or retry"},
 	dheffect.RefuseOverLimit:             {http.StatusTooManyRequests, "the organisation's rate limit is exceeded; slow down and retry"},
 	dheffect.RefuseNoCapacity:            {http.StatusServiceUnavailable, "no upstream had a free slot in time; retry later"},
+	dheffect.RefuseQuarantined:           {http.StatusServiceUnavailable, "upstreams that ran this request have crashed; have it examined before it is sent again"},
 	dheffect.RefuseNoUpstream:            {http.StatusServiceUnavailable, "no upstream of the service is known; retry later"},
 	dheffect.RefuseTimeout:               {http.StatusGatewayTimeout, "the request timed out; raise its timeout or retry later"},
 	dheffect.RefuseUpstreamBroken:        {http.StatusBadGateway, "the upstream sent no complete response; retry if the request is idempotent"},
--- a/io/dhjournal/types.go
+++ b/io/dhjournal/types.go
@@ -29,6 +29,7 @@
 	"*dhevent.ClaimWanted":        reflect.TypeFor[*dhevent.ClaimRequested](),
 	"*dhevent.GrantsWanted":       reflect.TypeFor[*dhevent.GrantsRequested](),
 	"*dhevent.LeaveStarted":       reflect.TypeFor[*dhevent.LeaveStarted](),
+	"*dhevent.SuspectsReported":   reflect.TypeFor[*dhevent.SuspectsReported](),
 	"*dhevent.UpstreamChecked":    reflect.TypeFor[*dhevent.UpstreamHeartbeatReceived](),
 	"*dhevent.UpstreamCheckedOut": reflect.TypeFor[*dhevent.UpstreamDeregistered](),
 	"*dhevent.TrafficTicked":      reflect.TypeFor[*dhevent.TrafficTicked](),
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -84,7 +84,7 @@
 }
 
 func pollToWire(m *dhmessage.Poll) *dhproto.Poll {
-	w := &dhproto.Poll{Version: m.Version(), SentMs: m.SentAt().Milliseconds(), Replica: m.Replica()}
+	w := &dhproto.Poll{Version: m.Version(), SentMs: m.SentAt().Milliseconds(), Replica: m.Replica(), Suspects: suspectReportToWire(m.Suspects())}
 	for _, a := range m.Acks() {
 		ack := &dhproto.Ack{Instance: a.Instance(), Version: a.Version(), Leaving: a.Leaving()}
 		if i, found := a.AdvertisedInstance(); found {
@@ -99,7 +99,7 @@
 	w := &dhproto.Update{
 		SentMs: m.PollSentAt().Milliseconds(), Version: m.Version(), Confirmed: m.EverConfirmed(), AgeMs: m.Age().Milliseconds(),
 		Full: catalogToWire(m.Full()), Leader: m.Leader(), InForce: m.InForce(), Voters: MembersToWire(m.Members()),
-		LimitsAgeMs: m.LimitsAge().Milliseconds(),
+		LimitsAgeMs: m.LimitsAge().Milliseconds(), Suspects: suspectReportToWire(m.Suspects()),
 	}
 	for _, c := range m.Changes() {
 		w.Changes = append(w.Changes, ChangeSetToWire(c))
@@ -161,7 +161,7 @@
 			Term: m.Install.GetTerm(), Snapshot: s, Round: m.Install.GetRound(),
 		}), err
 	case *dhproto.Message_Poll:
-		return pollFromWire(m.Poll), nil
+		return pollFromWire(m.Poll)
 	case *dhproto.Message_Update:
 		return updateFromWire(m.Update)
 	case *dhproto.Message_GrantAsk:
@@ -212,8 +212,12 @@
 	return dhmessage.NewAppendRequest(o), nil
 }
 
-func pollFromWire(w *dhproto.Poll) dhmessage.Message {
-	o := dhmessage.PollOptions{Version: w.GetVersion(), SentAt: dhclock.Millis(w.GetSentMs()), Replica: w.GetReplica()}
+func pollFromWire(w *dhproto.Poll) (dhmessage.Message, error) {
+	suspects, err := suspectReportFromWire(w.GetSuspects())
+	if err != nil {
+		return nil, err
+	}
+	o := dhmessage.PollOptions{Version: w.GetVersion(), SentAt: dhclock.Millis(w.GetSentMs()), Replica: w.GetReplica(), Suspects: suspects}
 	for _, a := range w.GetAcks() {
 		ack := dhmessage.NewAck(a.GetInstance(), a.GetVersion(), a.GetLeaving())
 		if a.GetIntroduction() != nil {
@@ -221,7 +225,7 @@
 		}
 		o.Acks = append(o.Acks, ack)
 	}
-	return dhmessage.NewPoll(o)
+	return dhmessage.NewPoll(o), nil
 }
 
 func updateFromWire(w *dhproto.Update) (dhmessage.Message, error) {
@@ -229,10 +233,15 @@
 	if err != nil {
 		return nil, err
 	}
+	suspects, err := suspectReportFromWire(w.GetSuspects())
+	if err != nil {
+		return nil, err
+	}
 	o := dhmessage.UpdateOptions{
 		PollSentAt: dhclock.Millis(w.GetSentMs()), Version: w.GetVersion(), EverConfirmed: w.GetConfirmed(),
 		Age: dhclock.Millis(w.GetAgeMs()), Full: full, Leader: w.GetLeader(), InForce: w.GetInForce(),
 		Members: MembersFromWire(w.GetVoters()), LimitsAge: dhclock.Millis(w.GetLimitsAgeMs()),
+		Suspects: suspects,
 	}
 	for _, x := range w.GetChanges() {
 		c, err := ChangeSetFromWire(x)
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -95,17 +95,20 @@
 		{Err: dhcatalog.NewInvalidError([]dhcatalog.Problem{dhcatalog.NewProblem(dhcatalog.NewRef("zone", "z"), "f", "1", "r")})},
 		{Err: dhmessage.NewRefusedError("kind", "text", "remedy")},
 	}
+	suspects := dhmessage.NewSuspectReport(dhmessage.SuspectReportOptions{Digest: 1, Suspects: []dhmessage.Suspect{
+		dhmessage.NewSuspect(dhmessage.SuspectOptions{Fingerprint: dhmessage.NewFingerprint("o", dhcatalog.Hash{1}), Acquittals: 2, Crashes: []uint64{3, 4}, Age: 5}),
+	}})
 	messages := []dhmessage.Message{
 		dhmessage.NewVoteRequest(dhmessage.VoteRequestOptions{Term: 1, LastIndex: 2, LastTerm: 3, PreVote: true}),
 		dhmessage.NewVoteResponse(dhmessage.VoteResponseOptions{Term: 1, Granted: true, PreVote: true}),
 		dhmessage.NewAppendRequest(dhmessage.AppendRequestOptions{Term: 1, PreviousIndex: 2, PreviousTerm: 3, Entries: entries, CommitIndex: 4, Round: 5}),
 		dhmessage.NewAppendResponse(dhmessage.AppendResponseOptions{Term: 1, Accepted: true, MatchIndex: 2, Round: 3}),
 		dhmessage.NewInstallSnapshot(dhmessage.InstallSnapshotOptions{Term: 1, Snapshot: snapshot, Round: 2}),
-		dhmessage.NewPoll(dhmessage.PollOptions{Version: 1, SentAt: 2, Acks: []dhmessage.Ack{dhmessage.NewAck("i", 1, true)}, Replica: true}),
+		dhmessage.NewPoll(dhmessage.PollOptions{Version: 1, SentAt: 2, Acks: []dhmessage.Ack{dhmessage.NewAck("i", 1, true)}, Replica: true, Suspects: suspects}),
 		dhmessage.NewUpdate(dhmessage.UpdateOptions{
 			PollSentAt: 1, Version: 2, EverConfirmed: true, Age: 3, Full: c, Changes: []dhcatalog.ChangeSet{set},
 			Unavailable: []dhmessage.UnavailableInstance{dhmessage.NewUnavailableInstance("i", true)}, Leader: "c", InForce: 4,
-			DrainAges: []dhmessage.DrainAge{dhmessage.NewDrainAge("d", 5)}, Members: voters,
+			DrainAges: []dhmessage.DrainAge{dhmessage.NewDrainAge("d", 5)}, Members: voters, Suspects: suspects,
 		}),
 		dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{StartID: 1, OwnerTerm: 2, SentAt: 3, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", 1, 2, 3)}}),
 		dhmessage.NewGrantResponse(dhmessage.GrantResponseOptions{StartID: 1, OwnerTerm: 2, RequestSentAt: 3, TTL: 4, Grants: []dhmessage.TokenGrant{dhmessage.NewTokenGrant("o", 1, 2, true)}}),
