Confirm isolation by a probe if upstreams refuse connections

Cause: three refused connections counted as the loss of the own links, although other upstreams responded. An isolated instance collects no evidence of crashes either, so TestRequestCrashesOneUpstreamAfterAnother failed for repeatable requests.

Change: if any upstream has ever responded, refused connections alone don't isolate; a probe of an upstream that isn't known to have crashed must fail. TestCrashedUpstreamsAreNoIsolation fails without that.

--- a/core/dhtraffic/reachability.go
+++ b/core/dhtraffic/reachability.go
@@ -40,8 +40,11 @@
 	lastResponse dhclock.Millis
 	// unreachable holds the last failed connection to each upstream to which a later
 	// one has not succeeded.
-	unreachable  map[*dhsteer.Member]failedConnection
-	isolated     bool
+	unreachable map[*dhsteer.Member]failedConnection
+	isolated    bool
+	// probeFailed is set if a probe has failed since the last connection that
+	// succeeded.
+	probeFailed  bool
 	lastProbe    dhclock.Millis
 	probes       int                       // how many were sent
 	avoidedPeers map[string]dhclock.Millis // by name: until when
@@ -61,15 +64,34 @@
 // number of upstreams. Results are compared by their starts, because a failure is
 // known later than a success. A failure is no evidence either if some upstream has
 // responded since its start: on a congested link connections time out while responses
-// arrive.
+// arrive. Upstreams that refuse connections may have crashed: if any upstream has ever
+// responded, a failed probe of another one must confirm the isolation.
 func (r *reachability) recordConnect(startedAt, latency dhclock.Millis, m *dhsteer.Member, connected bool, upstreams int) {
 	if connected {
+		r.probeFailed = false
 		r.lastConnected = max(r.lastConnected, startedAt)
 		maps.DeleteFunc(r.unreachable, func(_ *dhsteer.Member, f failedConnection) bool { return f.startedAt < startedAt })
 	} else if startedAt >= max(r.lastConnected, r.lastResponse) {
 		r.unreachable[m] = failedConnection{startedAt: startedAt, timedOut: latency > maxRefusalTime}
 	}
-	r.isolated = upstreams > 0 && len(r.unreachable) >= min(isolationThreshold, upstreams)
+	isConfirmed := r.probeFailed || r.lastResponse == 0 || !r.isRefused()
+	r.isolated = r.isSuspected(upstreams) && isConfirmed
+}
+
+// isRefused reports whether an upstream refused the last connection to it.
+func (r *reachability) isRefused() bool {
+	for _, f := range r.unreachable {
+		if !f.timedOut {
+			return true
+		}
+	}
+	return false
+}
+
+// isSuspected reports whether enough of a number of upstreams are unreachable for this
+// instance to be isolated.
+func (r *reachability) isSuspected(upstreams int) bool {
+	return upstreams > 0 && len(r.unreachable) >= min(isolationThreshold, upstreams)
 }
 
 // recordResponse records that an attempt at an upstream may have ended with a response.
@@ -96,6 +118,9 @@
 func (s *State) HandleProbe(e *dhevent.UpstreamProbed, out *dheffect.List) {
 	if g, found := s.groups[e.Service()]; found {
 		if m := g.Member(e.Upstream()); m != nil {
+			if !e.Connected() && !s.crashes.isSuspected(upstreamName{e.Service(), e.Upstream()}) {
+				s.reachability.probeFailed = true
+			}
 			s.recordConnect(e.At(), e.Latency(), e.Service(), m, e.Connected(), out)
 			return
 		}
@@ -115,8 +140,15 @@
 	s.reachability.recordConnect(now-latency, latency, m, connected, upstreams)
 	s.handleIsolationChange(isolated, m, out)
 	s.recordConnection(now, latency, upstreamName{service, m.Name()}, connected, out)
-	isSuspected := !suspected && len(s.reachability.unreachable) > 0
-	if isSuspected && !s.reachability.isolated && now.Since(s.reachability.lastProbe) >= suspicionInterval {
+	if s.reachability.isolated {
+		return
+	}
+	interval := probeInterval
+	if !s.reachability.isSuspected(upstreams) {
+		interval = suspicionInterval
+	}
+	hasFirstFailure := !suspected && len(s.reachability.unreachable) > 0
+	if (hasFirstFailure || s.reachability.isSuspected(upstreams)) && now.Since(s.reachability.lastProbe) >= interval {
 		for range isolationThreshold - 1 {
 			s.probe(now, out)
 		}
--- a/core/dhtraffic/reachability_test.go
+++ b/core/dhtraffic/reachability_test.go
@@ -241,3 +241,42 @@
 		t.Error("the instance still forwards to peers after an upstream has responded")
 	}
 }
+
+// countProbes counts the probes among the effects.
+func countProbes(out *dheffect.List) int {
+	probes := 0
+	for _, e := range out.Items() {
+		if _, ok := e.(*dheffect.ProbeUpstream); ok {
+			probes++
+		}
+	}
+	return probes
+}
+
+// TestCrashedUpstreamsAreNoIsolation lets three upstreams refuse connections while another
+// one responds. The instance must not take that for the loss of its own links until a
+// probe of an upstream that hasn't crashed fails too.
+func TestCrashedUpstreamsAreNoIsolation(t *testing.T) {
+	for _, isProbeAnswered := range []bool{true, false} {
+		s := newReachabilityTest(t)
+		s.send(1000, "/any/", false)
+		s.end(1001, dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: 200})
+		var out dheffect.List
+		members := s.groups["s"].Members()
+		for i := range isolationThreshold {
+			s.recordConnect(dhclock.Millis(1100+i), 1, "s", members[i], false, &out)
+		}
+		if s.reachability.isolated {
+			t.Fatal("isolated although an upstream responds and no probe has failed")
+		}
+		if countProbes(&out) == 0 {
+			t.Fatal("no probe was sent")
+		}
+		s.HandleProbe(dhevent.NewUpstreamProbed(1200, dhevent.UpstreamProbedOptions{
+			Service: "s", Upstream: members[isolationThreshold].Name(), Connected: isProbeAnswered, Latency: 2,
+		}), &out)
+		if s.reachability.isolated == isProbeAnswered {
+			t.Errorf("probe answered: %v; isolated: %v", isProbeAnswered, s.reachability.isolated)
+		}
+	}
+}
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -58,7 +58,7 @@
 	crashes              crashDetector
 	suspects             *dhquarantine.Set
 	suspectsReported     dhquarantine.Replication // to the control state
-	claimRetries         []*request // requests whose claim is due again at claimRetryAt
+	claimRetries         []*request               // requests whose claim is due again at claimRetryAt
 }
 
 // New returns a State with an empty catalog. It refuses all requests until
