Log the time for which an upstream wants no requests

The logs could tell that upstreams refused requests, but not that they had asked for a pause, nor for how long. An attempt that ends with status 503 has the time of its Retry-After field now, if that is a number of seconds, and each one is logged.

--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -324,6 +324,9 @@
 	// ReportedLimit is the request rate that the upstream reported as its limit, or
 	// nil.
 	ReportedLimit *dhsteer.RateLimit `journal:"Limit"`
+	// RetryAfter is how long the upstream wants no request from this instance, in
+	// milliseconds; nil if it didn't say so.
+	RetryAfter *dhclock.Millis
 	// Connected is whether the upstream accepted the attempt's new connection; nil if
 	// the attempt used a pooled one, or ended before that was known.
 	Connected *bool
@@ -369,6 +372,10 @@
 // or nil.
 func (e *AttemptEnded) ReportedLimit() *dhsteer.RateLimit { return e.options.ReportedLimit }
 
+// RetryAfter returns how long the upstream wants no request from this instance, in
+// milliseconds; nil if it didn't say so.
+func (e *AttemptEnded) RetryAfter() *dhclock.Millis { return e.options.RetryAfter }
+
 // Connected returns whether the upstream accepted the attempt's new connection; nil
 // if the attempt used a pooled one, or ended before that was known.
 func (e *AttemptEnded) Connected() *bool { return e.options.Connected }
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -66,6 +66,7 @@
 		limit := r.member.Limit()
 		r.group.Release(now, r.member, attemptOutcome(e), e.Latency(), dhsteer.Response{Load: e.ReportedLoad(), Limit: e.ReportedLimit()})
 		logLimitChange(limit, r.member, out)
+		logRetryAfter(r.member.Name(), e, out)
 		s.recordResponse(now, r.member, e.End(), out)
 		if e.Connected() != nil {
 			s.recordConnect(now, e.Latency(), r.service, r.member, *e.Connected(), out)
@@ -86,6 +87,7 @@
 		r.peer = nil
 		return
 	}
+	logRetryAfter(r.upstream.Name(), e, out)
 	p.Release(now, r.upstream, r.fromPeer, attemptOutcome(e), e.Latency())
 	if e.End() != dhevent.EndAnswered {
 		r.triedUpstreams = append(r.triedUpstreams, r.upstream)
@@ -107,6 +109,15 @@
 	}
 }
 
+// logRetryAfter logs that an upstream asks for no requests for a time.
+func logRetryAfter(upstream string, e *dhevent.AttemptEnded, out *dheffect.List) {
+	if e.RetryAfter() != nil {
+		out.Add(dheffect.NewLog(dheffect.LogOptions{
+			Layer: "upstreams", Text: "asks for no requests, in ms", Peer: upstream, Number: uint64(e.RetryAfter().Milliseconds()),
+		}))
+	}
+}
+
 // attemptOutcome returns the outcome of an attempt for outlier ejection. A status
 // of 502, 503 or 504 counts as a failure of the upstream.
 func attemptOutcome(e *dhevent.AttemptEnded) dhsteer.AttemptOutcome {
--- a/io/dhentry/dialect.go
+++ b/io/dhentry/dialect.go
@@ -1,8 +1,10 @@
 package dhentry
 
 import (
+	"math"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhsteer"
@@ -102,3 +104,20 @@
 	}
 	return d.options.DecodeLimit(r.Header)
 }
+
+// maxRetryAfter bounds the time for which an upstream can ask for no requests, in seconds.
+const maxRetryAfter = 3600
+
+// reportedRetryAfter returns how long an upstream that responded with status 503 wants no
+// request from this instance. It returns nil if there is no response, or no number of
+// seconds in its Retry-After field; a date is ignored because clocks differ.
+func reportedRetryAfter(r *http.Response) *dhclock.Millis {
+	if r == nil || r.StatusCode != http.StatusServiceUnavailable {
+		return nil
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(r.Header.Get("Retry-After")), 64)
+	if err != nil || !(seconds > 0) {
+		return nil
+	}
+	return new(dhclock.Millis(math.Ceil(min(seconds, maxRetryAfter) * float64(dhclock.Second))))
+}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -306,10 +306,14 @@
 				"timeoutMs": t.timeout.Milliseconds(), "ms": s.options.Clock.Now().Since(d.At()).Milliseconds(),
 			}, "attempt failed"
 		})
-		x.postAttemptEnded(dhevent.AttemptEndedOptions{
+		o := dhevent.AttemptEndedOptions{
 			End: a.end, ReportedLoad: s.options.Dialect.reportedLoad(a.response), ReportedLimit: s.options.Dialect.reportedLimit(a.response),
 			Connected: a.connected,
-		}, d.At())
+		}
+		if a.end == dhevent.EndRefused {
+			o.RetryAfter = reportedRetryAfter(a.response)
+		}
+		x.postAttemptEnded(o, d.At())
 		return a.end == dhevent.EndCallerGone
 	}
 	defer a.close()
@@ -323,7 +327,7 @@
 	o := dhevent.AttemptEndedOptions{
 		End: dhevent.EndAnswered, Status: a.response.StatusCode, ResponseStarted: true, BodyBytes: len(a.bodyPrefix),
 		ReportedLoad: x.server.options.Dialect.reportedLoad(a.response), ReportedLimit: x.server.options.Dialect.reportedLimit(a.response),
-		Connected: a.connected,
+		RetryAfter: reportedRetryAfter(a.response), Connected: a.connected,
 	}
 	if a.complete {
 		if claimed {
