Pause requests to an upstream for the time of its Retry-After

What callers saw: while upstreams shed load and asked for a pause, they still got 3 to 8 requests from one instance within it; those callers lost a retry and the upstream got no rest.

Cause: a refusal led to a backoff of at most 1 s, or counted as full load and left the upstream in the selection. What it asked for was dropped with the response.

Change: the end of an attempt carries the time, and no selection returns the upstream until it is over, neither for first attempts and retries nor for peers, queued requests and probes of ejected upstreams. Instances return at different times and with a slow start. If all upstreams are paused, callers are refused at once with the time that is left.

Three further tests fail without the random extension, the slow start, and the check before probes. Pool.Release has a further argument in older tests.

--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -226,6 +226,10 @@
 	Load *LoadReport
 	// Limit is the request rate that the upstream accepts; nil if it reported none.
 	Limit *RateLimit
+	// Pause is how long the upstream wants no requests from this instance; 0 if it
+	// asked for no pause. Random spreads its end.
+	Pause  dhclock.Millis
+	Random uint64
 }
 
 // Release counts the end of a request at a member and records its outcome and what
@@ -246,11 +250,32 @@
 	case Unreachable:
 		m.eject(now)
 	case Shed:
-		m.recordRefusal(now, r.Load)
+		if r.Pause == 0 {
+			m.recordRefusal(now, r.Load)
+		}
 	case Misplaced:
 		m.misplaced = true
 	case Neutral:
 	}
+	if r.Pause > 0 {
+		m.pause(now, r.Pause, r.Random)
+	}
+}
+
+// PausedUntil returns when the first pause ends if all members that a request may go to
+// are paused, else 0.
+func (g *Group) PausedUntil(now dhclock.Millis, c Criteria) dhclock.Millis {
+	first := dhclock.Millis(0)
+	for _, m := range g.members {
+		if !m.available() || !c.Allows(m.region) {
+			continue
+		}
+		if !m.Paused(now) {
+			return 0
+		}
+		first = earliest(first, m.pausedUntil)
+	}
+	return first
 }
 
 // Member returns the member with a name, or nil.
--- a/core/dhsteer/health.go
+++ b/core/dhsteer/health.go
@@ -11,6 +11,24 @@
 	ejectionPeriod dhclock.Millis // duration of the last ejection
 	backoffUntil   dhclock.Millis // end of the backoff after a refusal; 0 if none
 	backoffPeriod  dhclock.Millis // duration of the last backoff
+	pausedUntil    dhclock.Millis // end of the pause that the upstream asked for; 0 if none
+	slowStart      slowStart
+}
+
+// slowStart raises the number of requests that may run at an upstream from one to its
+// slots. The zero value has no effect.
+type slowStart struct {
+	from     dhclock.Millis
+	duration dhclock.Millis
+}
+
+// allowed returns how many of the slots may be used now.
+func (s slowStart) allowed(now dhclock.Millis, slots int) int {
+	since := now.Since(s.from)
+	if s.duration <= 0 || since >= s.duration {
+		return slots
+	}
+	return min(slots, 1+int(int64(slots)*int64(max(0, since))/int64(s.duration)))
 }
 
 // Ejected reports whether the upstream is excluded from selection after
@@ -38,6 +56,40 @@
 	return h.failures >= ejectAfterFailures
 }
 
+// pauseSpread is the inverse of the largest extension of a pause, as a share of the
+// pause; maxPauseExtension bounds it, in milliseconds.
+const (
+	pauseSpread                      = 4
+	maxPauseExtension dhclock.Millis = 1000
+)
+
+// SpreadPause extends a pause by a random time, so that those who wait for its end don't
+// all return at the same moment.
+func SpreadPause(pause dhclock.Millis, random uint64) dhclock.Millis {
+	return pause + dhclock.Millis(mixBits(random)%uint64(min(maxPauseExtension, pause/pauseSpread)+1))
+}
+
+// Paused reports whether the upstream asked for no requests before a later time.
+func (h *health) Paused(now dhclock.Millis) bool { return now < h.pausedUntil }
+
+// pause excludes the upstream from selection for the time that it asked for. A slow
+// start follows.
+func (h *health) pause(now, pause dhclock.Millis, random uint64) {
+	if end := now + SpreadPause(pause, random); end > h.pausedUntil {
+		h.pausedUntil = end
+		h.startSlowlyFrom(end)
+	}
+}
+
+// startSlowlyFrom lets a slow start begin when the upstream gets requests again.
+func (h *health) startSlowlyFrom(at dhclock.Millis) {
+	h.slowStart.from = at
+	h.slowStart.duration = max(h.slowStart.duration, minSlowStart)
+}
+
+// minSlowStart is the least duration of the slow start after an ejection or a pause.
+const minSlowStart dhclock.Millis = 1000
+
 // forgetFailures ends an ejection and resets the failure count.
 func (h *health) forgetFailures() { h.failures, h.ejectionPeriod, h.ejectedUntil = 0, 0, 0 }
 
--- a/core/dhsteer/member.go
+++ b/core/dhsteer/member.go
@@ -51,13 +51,16 @@
 // Cold reports whether the upstream is in its cold start, while its caches fill.
 func (m *Member) Cold(now dhclock.Millis) bool { return now < m.coldUntil }
 
+// available reports whether the member may get requests at all.
+func (m *Member) available() bool { return !m.unavailable && !m.misplaced }
+
 // usable reports whether one more request may go to the member now, apart from the
 // limit that it reports.
 func (m *Member) usable(now dhclock.Millis) bool {
-	if m.unavailable || m.misplaced || now < m.ejectedUntil || now < m.backoffUntil {
+	if !m.available() || m.Ejected(now) || now < m.backoffUntil || m.Paused(now) {
 		return false
 	}
-	return m.running < queueFactor*m.record.Slots() && m.coldRateAllows(now)
+	return m.running < m.slowStart.allowed(now, queueFactor*m.record.Slots()) && m.coldRateAllows(now)
 }
 
 // coldRateAllows reports whether this instance may send one more request to the
@@ -96,10 +99,12 @@
 // state returns the member's state as shown to operators.
 func (m *Member) state(now dhclock.Millis) string {
 	switch {
-	case m.unavailable || m.misplaced:
+	case !m.available():
 		return "leaving"
 	case m.Ejected(now):
 		return "ejected"
+	case m.Paused(now):
+		return "paused"
 	case m.Cold(now):
 		return "warming"
 	case m.limit != nil:
--- a/core/dhsteer/policy_test.go
+++ b/core/dhsteer/policy_test.go
@@ -117,7 +117,7 @@
 			} else {
 				latencies = append(latencies, now-r.started)
 			}
-			p.Release(now, r.u, false, outcome, now-r.started)
+			p.Release(now, r.u, false, outcome, now-r.started, Response{})
 			return true
 		})
 		for owed += 1200; owed >= 1000; owed -= 1000 {
--- a/core/dhsteer/pool.go
+++ b/core/dhsteer/pool.go
@@ -40,12 +40,12 @@
 func (p *Pool) Announce(now, cold dhclock.Millis, a Announcement) {
 	u := p.find(a.Name())
 	if u == nil {
-		u = &Upstream{announcement: a, slowStartFrom: now, slowStart: cold}
+		u = &Upstream{announcement: a, health: health{slowStart: slowStart{from: now, duration: cold}}}
 		p.insert(u)
 	}
 	if !u.available(now) || u.announcement.Address() != a.Address() {
-		u.slowStartFrom, u.slowStart = now, cold
-		u.leaving = false
+		u.slowStart = slowStart{from: now, duration: cold}
+		u.leaving, u.pausedUntil = false, 0
 	}
 	u.announcement = a
 	u.lastAnnounced = now
@@ -189,8 +189,9 @@
 	Neutral
 )
 
-// Release releases a slot of an upstream and records the outcome of the attempt.
-func (p *Pool) Release(now dhclock.Millis, u *Upstream, remote bool, o AttemptOutcome, latency dhclock.Millis) {
+// Release releases a slot of an upstream and records the outcome of the attempt and the
+// pause that the response asked for.
+func (p *Pool) Release(now dhclock.Millis, u *Upstream, remote bool, o AttemptOutcome, latency dhclock.Millis, r Response) {
 	u.running--
 	if remote {
 		p.remoteRunning--
@@ -207,13 +208,40 @@
 		u.backOff(now)
 	case Neutral:
 	}
+	if r.Pause > 0 {
+		u.pause(now, r.Pause, r.Random)
+	}
+}
+
+// PausedUntil returns when the first pause ends if all available upstreams are paused,
+// else 0.
+func (p *Pool) PausedUntil(now dhclock.Millis) dhclock.Millis {
+	first := dhclock.Millis(0)
+	for _, u := range p.upstreams {
+		if !u.available(now) {
+			continue
+		}
+		if !u.Paused(now) {
+			return 0
+		}
+		first = earliest(first, u.pausedUntil)
+	}
+	return first
+}
+
+// earliest returns the earlier one of two times, of which the first may be 0 for none.
+func earliest(a, b dhclock.Millis) dhclock.Millis {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
 }
 
 // Slots returns the allowed slots of all upstreams that may get new requests now,
 // and how many of them are free.
 func (p *Pool) Slots(now dhclock.Millis) (all, free int) {
 	for _, u := range p.upstreams {
-		if u.available(now) && !u.Ejected(now) && now >= u.backoffUntil {
+		if u.available(now) && !u.Ejected(now) && now >= u.backoffUntil && !u.Paused(now) {
 			all += u.allowedSlots(now)
 			free += u.freeSlots(now)
 		}
--- a/core/dhsteer/pool_test.go
+++ b/core/dhsteer/pool_test.go
@@ -40,7 +40,7 @@
 	for _, u := range p.Upstreams() {
 		for range ejectAfterFailures {
 			p.Acquire(u, false)
-			p.Release(0, u, false, Failed, 0)
+			p.Release(0, u, false, Failed, 0, Response{})
 		}
 	}
 	if p.Select(10, nil) != nil || p.SelectEjected(10, nil) == nil {
@@ -157,7 +157,7 @@
 			for b.Loop() {
 				u := p.Select(1, nil)
 				p.Acquire(u, false)
-				p.Release(1, u, false, Answered, 5)
+				p.Release(1, u, false, Answered, 5, Response{})
 			}
 		})
 	}
--- a/core/dhsteer/status.go
+++ b/core/dhsteer/status.go
@@ -47,7 +47,7 @@
 // Latency returns the smoothed latency in milliseconds.
 func (s UpstreamStatus) Latency() float64 { return s.latency }
 
-// State returns ok, warming, limited, ejected, leaving or lost.
+// State returns ok, warming, limited, ejected, paused, leaving or lost.
 func (s UpstreamStatus) State() string { return s.state }
 
 // Status returns the pool's state.
@@ -70,6 +70,8 @@
 		return "lost"
 	case u.Ejected(now):
 		return "ejected"
+	case u.Paused(now):
+		return "paused"
 	case u.allowedSlots(now) < u.Slots():
 		return "warming"
 	default:
--- a/core/dhsteer/upstream.go
+++ b/core/dhsteer/upstream.go
@@ -76,9 +76,7 @@
 	announcement  Announcement
 	running       int // requests of this instance
 	lastAnnounced dhclock.Millis
-	slowStartFrom dhclock.Millis
-	slowStart     dhclock.Millis // duration; 0 for none
-	otherRunning  int            // reported requests of other instances
+	otherRunning  int // reported requests of other instances
 	reportedAt    dhclock.Millis
 	leaving       bool
 	health
@@ -111,7 +109,7 @@
 
 // usable reports whether one more request may start at the upstream now.
 func (u *Upstream) usable(now dhclock.Millis) bool {
-	if u.leaving || now.Since(u.lastAnnounced) > AnnouncementTTL || now < u.backoffUntil || now < u.ejectedUntil {
+	if !u.available(now) || now < u.backoffUntil || u.Ejected(now) || u.Paused(now) {
 		return false
 	}
 	return u.running < u.allowedSlots(now)
@@ -124,18 +122,13 @@
 // mayProbe reports whether an ejected upstream may get one more request as a
 // probe.
 func (u *Upstream) mayProbe(now dhclock.Millis) bool {
-	return u.available(now) && now >= u.backoffUntil && u.running < max(1, u.Slots()/probeSlotsDivisor)
+	return u.available(now) && now >= u.backoffUntil && !u.Paused(now) && u.running < max(1, u.Slots()/probeSlotsDivisor)
 }
 
 // allowedSlots returns how many requests may run at the upstream now: all slots,
 // or fewer during the slow start.
 func (u *Upstream) allowedSlots(now dhclock.Millis) int {
-	slots := u.announcement.Slots()
-	since := now.Since(u.slowStartFrom)
-	if u.slowStart <= 0 || since >= u.slowStart {
-		return slots
-	}
-	return min(slots, 1+int(int64(slots)*int64(since)/int64(u.slowStart)))
+	return u.slowStart.allowed(now, u.announcement.Slots())
 }
 
 // freeSlots returns how many more requests may start at the upstream now.
@@ -160,6 +153,5 @@
 // ejection. A slow start follows.
 func (u *Upstream) eject(now dhclock.Millis) {
 	u.health.eject(now)
-	u.slowStartFrom = u.ejectedUntil
-	u.slowStart = max(u.slowStart, minEjection)
+	u.startSlowlyFrom(u.ejectedUntil)
 }
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -30,7 +30,7 @@
 		s.acquit(now, r, e.Status(), out)
 		s.handleResponse(now, r, e, out)
 	case dhevent.EndNotSent, dhevent.EndRefused, dhevent.EndMisplaced:
-		s.retry(now, r, dheffect.NewRefusal(notRunRefusalKind(e.End()), false, shortRetryAfter), out)
+		s.retry(now, r, s.noCapacityRefusal(now, r, dheffect.NewRefusal(notRunRefusalKind(e.End()), false, shortRetryAfter)), out)
 	case dhevent.EndBroken, dhevent.EndTimedOut:
 		s.handleUnclearEnd(now, r, e, out)
 	case dhevent.EndCallerGone:
@@ -64,7 +64,7 @@
 	}
 	if r.member != nil {
 		limit := r.member.Limit()
-		r.group.Release(now, r.member, attemptOutcome(e), e.Latency(), dhsteer.Response{Load: e.ReportedLoad(), Limit: e.ReportedLimit()})
+		r.group.Release(now, r.member, attemptOutcome(e), e.Latency(), responseOf(r, e))
 		logLimitChange(limit, r.member, out)
 		logRetryAfter(r.member.Name(), e, out)
 		s.recordResponse(now, r.member, e.End(), out)
@@ -88,13 +88,22 @@
 		return
 	}
 	logRetryAfter(r.upstream.Name(), e, out)
-	p.Release(now, r.upstream, r.fromPeer, attemptOutcome(e), e.Latency())
+	p.Release(now, r.upstream, r.fromPeer, attemptOutcome(e), e.Latency(), responseOf(r, e))
 	if e.End() != dhevent.EndAnswered {
 		r.triedUpstreams = append(r.triedUpstreams, r.upstream)
 	}
 	r.upstream = nil
 }
 
+// responseOf returns what the response to an attempt of a request reported.
+func responseOf(r *request, e *dhevent.AttemptEnded) dhsteer.Response {
+	response := dhsteer.Response{Load: e.ReportedLoad(), Limit: e.ReportedLimit(), Random: r.random}
+	if e.RetryAfter() != nil {
+		response.Pause = *e.RetryAfter()
+	}
+	return response
+}
+
 // logLimitChange logs that a registered upstream has begun or ceased to report a
 // limit.
 func logLimitChange(before *dhsteer.RateLimit, m *dhsteer.Member, out *dheffect.List) {
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -119,9 +119,10 @@
 		s.forwardToFallbackPeer(now, g, r, to, out)
 		return
 	}
+	r.group = g
 	m := g.Select(now, s.criteria(r))
 	if m == nil {
-		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, longRetryAfter), out)
+		s.refuse(now, r, s.noCapacityRefusal(now, r, dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, longRetryAfter)), out)
 		return
 	}
 	s.forwardToMember(now, g, r, m, out)
--- a/core/dhtraffic/pause_test.go
+++ b/core/dhtraffic/pause_test.go
@@ -110,3 +110,75 @@
 		})
 	}
 }
+
+// TestInstancesReturnTogetherAfterAPause lets an upstream ask 200 instances for the same
+// pause. If they all returned at its end, they would overload it again.
+func TestInstancesReturnTogetherAfterAPause(t *testing.T) {
+	const end = 1000 + 3000
+	returned := 0
+	for i := range 200 {
+		s := newPauseTest(t, true)
+		s.request = uint64(i) * 1000
+		s.sendUntil(1000, 1200, 3000, "u0", "u1", "u2")
+		if s.sendUntil(end+10, end+100, 3000)[""] == 0 {
+			returned++
+		}
+	}
+	if returned > 100 {
+		t.Errorf("%d of 200 instances send requests within 100 ms after the pause", returned)
+	}
+}
+
+// TestUpstreamIsFloodedAfterItsPause sends many requests at the end of a pause and keeps
+// them open. Few of them must reach the upstream at once, and many within two seconds.
+func TestUpstreamIsFloodedAfterItsPause(t *testing.T) {
+	s := newPauseTest(t, true)
+	s.sendUntil(1000, 1100, 2000, "u0", "u1", "u2")
+	forwarded := func(now dhclock.Millis) int {
+		n := 0
+		for range 40 {
+			if _, ok := s.send(now, "/any/", false).(*dheffect.ForwardToUpstream); ok {
+				n++
+			}
+		}
+		return n
+	}
+	now := dhclock.Millis(2000)
+	first := 0
+	for ; first == 0 && now < 5000; now++ {
+		first = forwarded(now)
+	}
+	if now <= 3000 || first > 2 {
+		t.Errorf("%d of 40 requests were sent at %d ms, want at most 2 after 3000 ms", first, now)
+	}
+	if n := forwarded(now + 2000); n != 40 {
+		t.Errorf("%d of 40 requests were sent two seconds later", n)
+	}
+}
+
+// TestPausedUpstreamIsProbed lets two of three announced upstreams fail
+// and the third one ask for a pause. Requests that probe ejected upstreams must not go to
+// the paused one.
+func TestPausedUpstreamIsProbed(t *testing.T) {
+	s := newPauseTest(t, false)
+	counts := map[string]int{}
+	pause := dhclock.Millis(3000)
+	for now := dhclock.Millis(1000); now < 3900; now += 10 {
+		for _, name := range []string{"u0", "u1", "u2"} {
+			s.announce(now, name)
+		}
+		forward, ok := s.send(now, "/any/", false).(*dheffect.ForwardToUpstream)
+		if !ok {
+			continue
+		}
+		counts[forward.Upstream()]++
+		o := dhevent.AttemptEndedOptions{End: dhevent.EndBroken, Latency: 1}
+		if forward.Upstream() == "u1" {
+			o = dhevent.AttemptEndedOptions{End: dhevent.EndRefused, Latency: 1, RetryAfter: &pause}
+		}
+		s.end(now+1, o)
+	}
+	if counts["u1"] != 1 || counts["u0"] < 4 {
+		t.Errorf("got requests %v, want 1 for u1 and probes of the others", counts)
+	}
+}
--- a/core/dhtraffic/slot.go
+++ b/core/dhtraffic/slot.go
@@ -61,11 +61,13 @@
 	s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, shortRetryAfter), out)
 }
 
-// waitForSlot queues a request and requests reservations from peers. When the
-// queue is full, it refuses the request or the one that the queue drops for it.
+// waitForSlot queues a request and requests reservations from peers. It refuses a request
+// at once that no peer and no upstream can serve before its queue deadline. When the queue
+// is full, it refuses the request or the one that the queue drops for it.
 func (s *State) waitForSlot(now dhclock.Millis, p *pool, r *request, out *dheffect.List) {
-	if r.queueDeadline <= now {
-		s.refuse(now, r, s.noSlotRefusal(now, p), out)
+	pausedTooLong := p.PausedUntil(now) >= r.queueDeadline && len(s.reservationPeers(now)) == 0
+	if r.queueDeadline <= now || pausedTooLong {
+		s.refuse(now, r, s.noSlotRefusal(now, p, r), out)
 		return
 	}
 	r.phase = waitingForSlot
@@ -75,24 +77,48 @@
 	})
 	dropped, ok := p.Enqueue(r.waiter)
 	if dropped != nil {
-		s.refuse(now, s.requests[dropped.Request()], s.noSlotRefusal(now, p), out)
+		other := s.requests[dropped.Request()]
+		s.refuse(now, other, s.noSlotRefusal(now, p, other), out)
 	}
 	if !ok {
 		r.waiter = nil
-		s.refuse(now, r, s.noSlotRefusal(now, p), out)
+		s.refuse(now, r, s.noSlotRefusal(now, p, r), out)
 		return
 	}
 	s.requestReservations(now, p, out)
 }
 
 // noSlotRefusal returns the refusal of a request that got no slot in time.
-func (s *State) noSlotRefusal(now dhclock.Millis, p *pool) dheffect.Refusal {
+func (s *State) noSlotRefusal(now dhclock.Millis, p *pool, r *request) dheffect.Refusal {
 	if total, _ := p.Slots(now); total == 0 {
-		return dheffect.NewRefusal(dheffect.RefuseNoUpstream, false, longRetryAfter)
+		return s.noCapacityRefusal(now, r, dheffect.NewRefusal(dheffect.RefuseNoUpstream, false, longRetryAfter))
 	}
 	return dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, shortRetryAfter)
 }
 
+// noCapacityRefusal returns the refusal of a request that no upstream can serve now: a
+// given one, or if all upstreams asked for a pause, one with the time until the first
+// pause ends, which differs between callers.
+func (s *State) noCapacityRefusal(now dhclock.Millis, r *request, otherwise dheffect.Refusal) dheffect.Refusal {
+	if pausedUntil := s.pausedUntil(now, r); pausedUntil > 0 {
+		return dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, dhsteer.SpreadPause(pausedUntil-now, r.random))
+	}
+	return otherwise
+}
+
+// pausedUntil returns when the first pause ends if all upstreams that a request may go to
+// are paused, else 0.
+func (s *State) pausedUntil(now dhclock.Millis, r *request) dhclock.Millis {
+	switch {
+	case r.group != nil:
+		return r.group.PausedUntil(now, s.criteria(r))
+	case r.pool != nil:
+		return r.pool.PausedUntil(now)
+	default:
+		return 0
+	}
+}
+
 // forwardToUpstream starts an attempt at an announced upstream, unless the
 // caller's key has been revoked while the request waited.
 func (s *State) forwardToUpstream(now dhclock.Millis, p *pool, r *request, u *dhsteer.Upstream, out *dheffect.List) {
@@ -130,7 +156,7 @@
 		}
 		r.waiter = nil
 		if u == nil {
-			s.refuse(now, r, s.noSlotRefusal(now, p), out)
+			s.refuse(now, r, s.noSlotRefusal(now, p, r), out)
 			continue
 		}
 		s.forwardToUpstream(now, p, r, u, out)
@@ -147,7 +173,8 @@
 		s.dispatch(now, p, out)
 		for _, w := range p.Expired(now) {
 			p.Cancel(w)
-			s.refuse(now, s.requests[w.Request()], s.noSlotRefusal(now, p), out)
+			r := s.requests[w.Request()]
+			s.refuse(now, r, s.noSlotRefusal(now, p, r), out)
 		}
 		if p.Waiting() > 0 || now < p.reserveUntil {
 			s.requestReservations(now, p, out)
