--- a/core/dhevent/upstream.go
+++ b/core/dhevent/upstream.go
@@ -85,3 +85,34 @@
 
 // Latency returns how long that took, in milliseconds.
 func (e *UpstreamProbed) Latency() dhclock.Millis { return e.options.Latency }
+
+// UpstreamLeavingOptions are the fields of an UpstreamLeaving.
+type UpstreamLeavingOptions struct {
+	// RequestID is the number of the request at this instance.
+	RequestID uint64
+	// Upstream and Address are the name and address of the upstream if a peer forwarded
+	// its response, else "".
+	Upstream string
+	Address  string
+}
+
+// UpstreamLeaving reports that, as the response to a request says, the upstream that sent
+// it is about to stop. It precedes the end of the attempt.
+type UpstreamLeaving struct {
+	stamp
+	options UpstreamLeavingOptions
+}
+
+// NewUpstreamLeaving returns an UpstreamLeaving.
+func NewUpstreamLeaving(at dhclock.Millis, o UpstreamLeavingOptions) *UpstreamLeaving {
+	return &UpstreamLeaving{stamp: stamp{at: at}, options: o}
+}
+
+// RequestID returns the number of the request at this instance.
+func (e *UpstreamLeaving) RequestID() uint64 { return e.options.RequestID }
+
+// Upstream returns the upstream's name if a peer forwarded its response, else "".
+func (e *UpstreamLeaving) Upstream() string { return e.options.Upstream }
+
+// Address returns the upstream's address if a peer forwarded its response, else "".
+func (e *UpstreamLeaving) Address() string { return e.options.Address }
--- a/core/dhreducer/reduce.go
+++ b/core/dhreducer/reduce.go
@@ -51,6 +51,8 @@
 		t.HandleAttemptEnd(e, out)
 	case *dhevent.UpstreamProbed:
 		t.HandleProbe(e, out)
+	case *dhevent.UpstreamLeaving:
+		t.HandleUpstreamLeaving(e, out)
 	case *dhevent.RequestCancelled:
 		t.HandleCancellation(e, out)
 	case *dhevent.LookUpRequested:
--- a/io/dhentry/dialect.go
+++ b/io/dhentry/dialect.go
@@ -49,6 +49,9 @@
 	// DecodeLimit returns the request rate that an upstream reports in a response as
 	// its limit, or nil. The function may be nil.
 	DecodeLimit func(h http.Header) *dhsteer.RateLimit
+	// LeavingHeader names the field that is 1 in the responses of an upstream that is
+	// about to stop.
+	LeavingHeader string
 	// FormatRetryAfter returns the value of the Retry-After header field.
 	FormatRetryAfter func(delay dhclock.Millis) string
 }
@@ -64,7 +67,7 @@
 func StandardDialect() *Dialect {
 	return NewDialect(DialectOptions{
 		RequestIDHeader: HeaderRequestID, TimeoutHeader: HeaderTimeout, OrganisationHeader: HeaderOrganisation, ObjectHeader: HeaderObject,
-		AttemptHeader: HeaderAttempt, AddForwardedFor: true,
+		AttemptHeader: HeaderAttempt, LeavingHeader: HeaderLeaving, AddForwardedFor: true,
 		NotRun: func(status int, h http.Header) bool {
 			return h.Get(HeaderRun) == NotRun && status == http.StatusServiceUnavailable
 		},
@@ -105,6 +108,11 @@
 	return d.options.DecodeLimit(r.Header)
 }
 
+// isLeaving reports whether a response says that the upstream is about to stop.
+func (d *Dialect) isLeaving(r *http.Response) bool {
+	return strings.TrimSpace(r.Header.Get(d.options.LeavingHeader)) == "1"
+}
+
 // maxRetryAfter bounds the time for which an upstream can ask for no requests, in seconds.
 const maxRetryAfter = 3600
 
--- a/io/dhentry/refusal.go
+++ b/io/dhentry/refusal.go
@@ -27,6 +27,11 @@
 	// HeaderMinDeclaration carries, to the peer that a request is forwarded to, the
 	// number of the declaration that the peer must have at least.
 	HeaderMinDeclaration = "Dogwoodhitch-Min-Declaration"
+	// HeaderLeaving is 1 in the responses of an upstream that is about to stop.
+	HeaderLeaving = "Dogwoodhitch-Leaving"
+	// HeaderLeavingUpstream carries, to the instance that forwarded a request to this one,
+	// the name and address of an upstream that is about to stop.
+	HeaderLeavingUpstream = "Dogwoodhitch-Leaving-Upstream"
 	// HeaderObject names the object that a request is about, for routes with
 	// affinity.
 	HeaderObject = "Dogwoodhitch-Object"
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -299,6 +299,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	a := s.sendAttempt(ctx, x.in, t, s.options.ResponseBufferBytes)
+	x.reportLeaving(a, d, t)
 	if a.end != dhevent.EndAnswered {
 		s.options.DecisionLog.Write("attempt "+a.end.String(), func() (logrus.Fields, string) {
 			return logrus.Fields{
@@ -321,6 +322,23 @@
 	return true
 }
 
+// reportLeaving reports to the reducer that the upstream which refused an attempt or
+// responded to it is about to stop.
+func (x *exchange) reportLeaving(a *attempt, d dhtrafficstate.Decision, t target) {
+	if a.end != dhevent.EndAnswered && a.end != dhevent.EndRefused || !x.server.options.Dialect.isLeaving(a.response) {
+		return
+	}
+	o := dhevent.UpstreamLeavingOptions{RequestID: x.waiter.RequestID()}
+	if t.toPeer {
+		o.Upstream, o.Address, _ = strings.Cut(a.response.Header.Get(HeaderLeavingUpstream), " ")
+	}
+	a.response.Header.Del(HeaderLeavingUpstream)
+	if e, ok := d.Effect().(*dheffect.ForwardToUpstream); ok && x.fromPeer {
+		a.response.Header.Set(HeaderLeavingUpstream, e.Upstream()+" "+e.Address())
+	}
+	x.server.options.TrafficState.Handle(func(at dhclock.Millis) dhevent.Event { return dhevent.NewUpstreamLeaving(at, o) })
+}
+
 // writeResponse forwards a response to the caller and reports the end of the
 // attempt to the reducer.
 func (x *exchange) writeResponse(a *attempt, d dhtrafficstate.Decision, claimed bool) {
--- a/io/dhjournal/types.go
+++ b/io/dhjournal/types.go
@@ -42,6 +42,7 @@
 	"*dhevent.UpstreamLeft":       reflect.TypeFor[*dhevent.UpstreamLeft](),
 	"*dhevent.RequestArrived":     reflect.TypeFor[*dhevent.RequestReceived](),
 	"*dhevent.AttemptEnded":       reflect.TypeFor[*dhevent.AttemptEnded](),
+	"*dhevent.UpstreamLeaving":    reflect.TypeFor[*dhevent.UpstreamLeaving](),
 	"*dhevent.UpstreamProbed":     reflect.TypeFor[*dhevent.UpstreamProbed](),
 	"*dhevent.RequestAbandoned":   reflect.TypeFor[*dhevent.RequestCancelled](),
 	"*dhevent.LookUpAsked":        reflect.TypeFor[*dhevent.LookUpRequested](),
