Stop requests to an upstream once a response says that it leaves

What callers saw: an instance that is cut off went on sending requests to an upstream that was about to stop, until it refused connections.

Cause: only the record of an upstream told an instance that it leaves, and records come through the control processes. Its responses say so too, but nobody read that.

Change: after a response with the field, the process gets no further request from this instance, whatever becomes of its record; a new incarnation or address does. The event precedes the end of the attempt, so a streamed response doesn't delay it. A peer that forwards such a response names the upstream. An announced upstream counts as deregistered.

--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -1,6 +1,7 @@
 package dhsteer
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -17,6 +18,9 @@
 type Group struct {
 	service string
 	members map[string]*Member
+	// stopped are members without a record whose process said that it is about to
+	// stop. It gets no requests if it registers again.
+	stopped map[string]*Member
 	regions []region // sorted by name
 	local   string   // region of this instance
 	// localShare is the share of the objects that the local region serves, in units
@@ -83,7 +87,7 @@
 
 // NewGroup returns a group without members.
 func NewGroup(service string) *Group {
-	return &Group{service: service, members: map[string]*Member{}}
+	return &Group{service: service, members: map[string]*Member{}, stopped: map[string]*Member{}}
 }
 
 // Service returns the name of the service.
@@ -95,8 +99,9 @@
 	kept := make(map[string]*Member, len(list))
 	for _, r := range list {
 		name := r.record.Name()
-		m, found := g.members[name]
-		if !found || m.record.Incarnation() != r.record.Incarnation() || m.Address() != r.record.Address() {
+		m := cmp.Or(g.members[name], g.stopped[name])
+		delete(g.stopped, name)
+		if m == nil || !m.isProcess(r.record) {
 			m = &Member{seed: hashText(name), limitState: limitState{keptShare: 1}}
 		}
 		m.update(now, r, t)
@@ -105,12 +110,21 @@
 	for name, m := range g.members {
 		if kept[name] != m {
 			m.unavailable = true
+			if _, replaced := kept[name]; m.stopping && !replaced {
+				m.removedAt = now
+				g.stopped[name] = m
+			}
 		}
 	}
+	maps.DeleteFunc(g.stopped, func(_ string, m *Member) bool { return now.Since(m.removedAt) > stoppedTTL })
 	g.members = kept
 	g.rebuildRegions(now, t)
 }
 
+// stoppedTTL is how long a group remembers a stopping member after its record was removed,
+// in milliseconds.
+const stoppedTTL dhclock.Millis = 600_000
+
 // update applies a registration to a member. A cold start begins if its caches
 // may be empty.
 func (m *Member) update(now dhclock.Millis, r Registration, t Topology) {
@@ -136,7 +150,7 @@
 	g.local = t.LocalRegion
 	byRegion := map[string]*region{}
 	for _, m := range g.Members() {
-		if m.unavailable {
+		if m.unavailable || m.stopping {
 			continue
 		}
 		r, found := byRegion[m.region]
--- a/core/dhsteer/member.go
+++ b/core/dhsteer/member.go
@@ -30,7 +30,11 @@
 	unavailable bool
 	// misplaced is set when another upstream responds at the address. The member
 	// gets no requests until its record changes.
-	misplaced     bool
+	misplaced bool
+	// stopping is set when a response said that the process is about to stop. It gets
+	// no requests any more.
+	stopping      bool
+	removedAt     dhclock.Millis // when the record of a stopping member was removed
 	coldUntil     dhclock.Millis
 	coldRate      int // requests per coldWindow while cold; negative for no limit
 	coldSendTimes []dhclock.Millis
@@ -52,7 +56,20 @@
 func (m *Member) Cold(now dhclock.Millis) bool { return now < m.coldUntil }
 
 // available reports whether the member may get requests at all.
-func (m *Member) available() bool { return !m.unavailable && !m.misplaced }
+func (m *Member) available() bool { return !m.unavailable && !m.misplaced && !m.stopping }
+
+// isProcess reports whether a record describes the process that the member stands for.
+func (m *Member) isProcess(u dhcatalog.Upstream) bool {
+	return m.record.Incarnation() == u.Incarnation() && m.Address() == u.Address()
+}
+
+// Stop stops new requests to the member's process for good, and reports whether it got
+// some before.
+func (m *Member) Stop() bool {
+	wasStopping := m.stopping
+	m.stopping = true
+	return !wasStopping
+}
 
 // usable reports whether one more request may go to the member now, apart from the
 // limit that it reports.
--- a/core/dhsteer/pool.go
+++ b/core/dhsteer/pool.go
@@ -53,11 +53,11 @@
 	u.otherRunning = max(0, a.Running()-u.running)
 }
 
-// Deregister stops new requests to an upstream at once, and reports whether the
-// upstream was found.
+// Deregister stops new requests to an upstream at once, and reports whether it could get
+// some before.
 func (p *Pool) Deregister(name string) bool {
 	u := p.find(name)
-	if u == nil {
+	if u == nil || u.leaving {
 		return false
 	}
 	u.leaving = true
--- a/core/dhtraffic/leaving.go
+++ b/core/dhtraffic/leaving.go
@@ -6,22 +6,27 @@
 	"dogwoodhitch/core/dhsteer"
 )
 
-// HandleUpstreamLeaving logs that an upstream is about to stop.
+// HandleUpstreamLeaving stops new requests to an upstream that is about to stop. Unlike the
+// record of an upstream, its response also reaches an instance that is cut off.
 func (s *State) HandleUpstreamLeaving(e *dhevent.UpstreamLeaving, out *dheffect.List) {
 	r, found := s.requests[e.RequestID()]
 	if !found || r.phase != running {
 		return
 	}
+	name, stopped := "", false
 	switch {
 	case r.upstream != nil:
-		logLeaving(r.upstream.Name(), out)
+		name, stopped = r.upstream.Name(), r.pool.Deregister(r.upstream.Name())
 	case r.member != nil:
-		logLeaving(r.member.Name(), out)
+		name, stopped = r.member.Name(), r.member.Stop()
 	case r.group != nil:
 		if m := memberAt(r.group, e); m != nil {
-			logLeaving(m.Name(), out)
+			name, stopped = m.Name(), m.Stop()
 		}
 	}
+	if stopped {
+		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "is about to stop, as a response says", Peer: name}))
+	}
 }
 
 // memberAt returns the upstream whose response a peer forwarded, or nil if another one is
@@ -32,7 +37,3 @@
 	}
 	return nil
 }
-
-func logLeaving(upstream string, out *dheffect.List) {
-	out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "is about to stop, as a response says", Peer: upstream}))
-}
