Don't call a request not run after an attempt that may have run

Reported by other operators: callers were told "not run, try again" for requests that an upstream had run or was running.

Cause here: the refusal of a request stated what became of its last attempt. If the first attempt of a repeatable request broke or timed out and its retry was refused, the caller got 503 with "not-run".

TestRetryThatDidNotRunHidesAnAttemptThatMayHaveRun was red in all twelve cases: noCapacity or upstreamUnreachable, not run. Such a request ends with upstreamBroken (502), which may have run, now.

The reported cause itself, an earlier refusal that a faulty upstream writes again on a kept connection, doesn't have this effect at a registered upstream: a response must echo its request. TestRepeatedRefusalDeniesARun passed before the change and guards that.

--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -171,6 +171,7 @@
 	if e.End() == dhevent.EndTimedOut {
 		kind = dheffect.RefuseTimeout
 	}
+	r.mayHaveRun = true
 	refusal := dheffect.NewRefusal(kind, true, longRetryAfter)
 	if r.route.Idempotent() && !e.ResponseStarted() {
 		s.retry(now, r, refusal, out)
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -137,7 +137,7 @@
 	sentToFallback  bool
 	callerRequestID string
 	attemptRecords  []dheffect.Attempt
-	mayHaveRun      bool
+	mayHaveRun      bool // an attempt ended without showing that the request didn't run
 }
 
 // fingerprint identifies the request by its organisation and content; it is nil if the
@@ -231,7 +231,7 @@
 	out.Add(dheffect.NewRecordRequest(dheffect.RecordRequestOptions{
 		CallerRequestID: r.callerRequestID, Route: r.route.Name(), Service: r.service, Organisation: r.organisation,
 		ObjectHash: r.object, Fingerprint: r.fingerprint(), RefusalKind: kind,
-		MayHaveRun: r.mayHaveRun, Status: status, Latency: latency, Timeout: max(0, r.deadline-r.receivedAt),
+		MayHaveRun: kind != "" && r.mayHaveRun, Status: status, Latency: latency, Timeout: max(0, r.deadline-r.receivedAt),
 		WithinRate: withinRate, ObjectiveMissed: r.route.Objective() > 0 && latency > r.route.Objective(),
 		ConfigVersion: s.view.Catalog().Version(), ConfigAge: age, Attempts: r.attemptRecords,
 	}))
@@ -269,8 +269,12 @@
 }
 
 // refuse ends a request with a refusal, and releases its claim if the request
-// certainly did not run.
+// certainly did not run. A refusal of its last attempt doesn't show that, if an earlier one
+// may have run.
 func (s *State) refuse(now dhclock.Millis, r *request, refusal dheffect.Refusal, out *dheffect.List) {
+	if r.mayHaveRun && !refusal.MayHaveRun() {
+		refusal = dheffect.NewRefusal(dheffect.RefuseUpstreamBroken, true, refusal.RetryAfter())
+	}
 	if r.claimGranted && !refusal.MayHaveRun() {
 		s.proposeClaimOutcome(now, r, dhmessage.ClaimReleased, nil, out)
 	}
