Don't trust a refusal that may belong to an earlier request

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told "not run, try again" for a request that it had run.

Here it happened at an announced upstream that doesn't echo attempts, for repeatable requests; others get a connection of their own.

Change: a refusal without an echo on a connection that had carried other requests ends the attempt as unclear. The upstream gets the same backoff or pause as after another refusal.

--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -404,7 +404,7 @@
 
 // String returns the name of the end.
 func (e AttemptEnd) String() string {
-	names := [...]string{"answered", "notSent", "refused", "broken", "timedOut", "misplaced", "callerGone"}
+	names := [...]string{"answered", "notSent", "refused", "broken", "timedOut", "misplaced", "callerGone", "unattributed"}
 	if e < 0 || int(e) >= len(names) {
 		return "unknown"
 	}
@@ -432,4 +432,7 @@
 	EndMisplaced
 	// EndCallerGone means that the caller disconnected during the attempt.
 	EndCallerGone
+	// EndUnattributed means that a refusal arrived which may belong to an earlier request
+	// on the connection, so the request may have run.
+	EndUnattributed
 )
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -31,7 +31,7 @@
 		s.handleResponse(now, r, e, out)
 	case dhevent.EndNotSent, dhevent.EndRefused, dhevent.EndMisplaced:
 		s.retry(now, r, s.noCapacityRefusal(now, r, dheffect.NewRefusal(notRunRefusalKind(e.End()), false, shortRetryAfter)), out)
-	case dhevent.EndBroken, dhevent.EndTimedOut:
+	case dhevent.EndBroken, dhevent.EndTimedOut, dhevent.EndUnattributed:
 		s.handleUnclearEnd(now, r, e, out)
 	case dhevent.EndCallerGone:
 		if r.claimGranted {
@@ -136,7 +136,7 @@
 			return dhsteer.Failed
 		}
 		return dhsteer.Answered
-	case dhevent.EndRefused:
+	case dhevent.EndRefused, dhevent.EndUnattributed:
 		return dhsteer.Shed
 	case dhevent.EndNotSent:
 		return dhsteer.Unreachable
--- a/core/dhtraffic/reachability.go
+++ b/core/dhtraffic/reachability.go
@@ -99,7 +99,7 @@
 // any more. Refused ones are: connections may live on where new ones are refused.
 func (r *reachability) recordResponse(now dhclock.Millis, end dhevent.AttemptEnd) {
 	switch end {
-	case dhevent.EndAnswered, dhevent.EndRefused, dhevent.EndMisplaced:
+	case dhevent.EndAnswered, dhevent.EndRefused, dhevent.EndUnattributed, dhevent.EndMisplaced:
 		r.lastResponse = now
 		maps.DeleteFunc(r.unreachable, func(_ *dhsteer.Member, f failedConnection) bool { return f.timedOut })
 		r.isolated = r.isolated && len(r.unreachable) >= isolationThreshold
--- a/core/dhtraffic/unclear_test.go
+++ b/core/dhtraffic/unclear_test.go
@@ -60,3 +60,13 @@
 		}
 	}
 }
+
+// TestUnattributedRefusalDeniesARun ends an attempt with a refusal that may answer another
+// request, as an upstream that doesn't echo can send on a pooled connection.
+func TestUnattributedRefusalDeniesARun(t *testing.T) {
+	s := newUnclearTest(t, false)
+	unattributed := dhevent.AttemptEndedOptions{End: dhevent.EndUnattributed}
+	if refusal := s.endAll(t, 1000, unattributed, unattributed); !refusal.MayHaveRun() {
+		t.Errorf("got refusal %s that didn't run", refusal.Kind())
+	}
+}
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -163,7 +163,11 @@
 	}
 	field, value := s.options.Dialect.expectedEcho(in, attemptID)
 	if err := s.checkResponse(a.response, t, field, value); err != nil {
-		return a.fail(attemptEndFor(err), err)
+		end := attemptEndFor(err)
+		if isReused := a.connected == nil; end == dhevent.EndRefused && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
+			end = dhevent.EndUnattributed
+		}
+		return a.fail(end, err)
 	}
 	if err := a.readBodyPrefix(bufferBytes); err != nil {
 		return a.fail(s.classifyFailure(ctx, a, dhevent.EndBroken), err)
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -311,7 +311,7 @@
 			End: a.end, ReportedLoad: s.options.Dialect.reportedLoad(a.response), ReportedLimit: s.options.Dialect.reportedLimit(a.response),
 			Connected: a.connected,
 		}
-		if a.end == dhevent.EndRefused {
+		if a.end == dhevent.EndRefused || a.end == dhevent.EndUnattributed {
 			o.RetryAfter = reportedRetryAfter(a.response)
 		}
 		x.postAttemptEnded(o, d.At())
--- a/io/dhentry/server_test.go
+++ b/io/dhentry/server_test.go
@@ -154,6 +154,7 @@
 			return
 		}
 		io.Copy(io.Discard, r.Body)
+		r.RemoteAddr = c.RemoteAddr().String()
 		raw, closes := respond(r, u.requests.Add(1))
 		io.WriteString(c, raw)
 		if closes {
