Answer all requests of a stopping instance, and refuse what can't end in time

Reported by other operators: in a planned stop, requests that came late in the grace were taken and passed on, and were cut with no answer at its end, among them requests that must not be repeated.

That happened here: TestStopCutsRequestsWithoutAnAnswer got "cut" for a request that was open when the stop began and for one that came later, repeatable or not, and the late one reached the upstream.

Cause: requests kept their full deadline during a stop, and the end of the stop closed connections without ending the requests on them.

Change: the reducer knows the two times of a stop. A request that must not be repeated and may outlast the stop is refused as not run; all others end with it, upstreams are told the shorter time, and what is open at the end is aborted and answered. Refusals name 50 ms instead of 1 s, since another instance can serve the caller at once.

--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -334,6 +334,31 @@
 // if the attempt used a pooled one, or ended before that was known.
 func (e *AttemptEnded) Connected() *bool { return e.options.Connected }
 
+// StopScheduledOptions are the fields of a StopScheduled.
+type StopScheduledOptions struct {
+	// RefuseFrom is when the instance begins to refuse all requests.
+	RefuseFrom dhclock.Millis
+	// StopAt is when open requests are aborted.
+	StopAt dhclock.Millis
+}
+
+// StopScheduled reports that this instance is about to stop, and when it will.
+type StopScheduled struct {
+	stamp
+	options StopScheduledOptions
+}
+
+// NewStopScheduled returns a StopScheduled.
+func NewStopScheduled(at dhclock.Millis, o StopScheduledOptions) *StopScheduled {
+	return &StopScheduled{stamp: stamp{at: at}, options: o}
+}
+
+// RefuseFrom returns when the instance begins to refuse all requests.
+func (e *StopScheduled) RefuseFrom() dhclock.Millis { return e.options.RefuseFrom }
+
+// StopAt returns when open requests are aborted.
+func (e *StopScheduled) StopAt() dhclock.Millis { return e.options.StopAt }
+
 // RequestCancelledOptions are the fields of a RequestCancelled.
 type RequestCancelledOptions struct {
 	// RequestID is the number of the request at this instance.
--- a/core/dhreducer/reduce.go
+++ b/core/dhreducer/reduce.go
@@ -53,6 +53,8 @@
 		t.HandleProbe(e, out)
 	case *dhevent.UpstreamLeaving:
 		t.HandleUpstreamLeaving(e, out)
+	case *dhevent.StopScheduled:
+		t.HandleStopScheduled(e)
 	case *dhevent.RequestCancelled:
 		t.HandleCancellation(e, out)
 	case *dhevent.LookUpRequested:
--- a/core/dhtraffic/admission.go
+++ b/core/dhtraffic/admission.go
@@ -12,6 +12,8 @@
 const (
 	shortRetryAfter dhclock.Millis = 200
 	longRetryAfter  dhclock.Millis = 1000
+	// leavingRetryAfter is the time after which a caller may try another instance.
+	leavingRetryAfter dhclock.Millis = 50
 )
 
 // HandleRequest looks up the route of a request, checks the caller's key and the
@@ -25,6 +27,10 @@
 		callerRequestID: e.CallerRequestID(), host: e.Host(), path: e.Path(), object: e.ObjectHash(), random: e.Random(),
 		content: e.ContentHash(),
 	}
+	if s.stop != nil && now >= s.stop.RefuseFrom() {
+		s.refuse(now, r, leavingRefusal(), out)
+		return
+	}
 	if e.MinDeclaration() != nil && s.declarationNumber() < *e.MinDeclaration() {
 		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseConfigurationStale, false, shortRetryAfter), out)
 		return
@@ -40,6 +46,10 @@
 	if e.Timeout() > 0 {
 		r.deadline = min(r.deadline, now+e.Timeout())
 	}
+	if !s.canFinish(r) {
+		s.refuse(now, r, leavingRefusal(), out)
+		return
+	}
 	r.setQueueDeadline(now)
 	s.requests[r.id] = r
 	if r.fromPeer {
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -59,6 +59,7 @@
 	suspects             *dhquarantine.Set
 	suspectsReported     dhquarantine.Replication // to the control state
 	claimRetries         []*request               // requests whose claim is due again at claimRetryAt
+	stop                 *dhevent.StopScheduled   // nil while no stop is scheduled
 }
 
 // New returns a State with an empty catalog. It refuses all requests until
@@ -154,6 +155,11 @@
 	r.queueDeadline = min(r.deadline, now+r.route.QueueWait())
 }
 
+// limitDeadline ends the request at a given time at the latest.
+func (r *request) limitDeadline(at dhclock.Millis) {
+	r.deadline, r.queueDeadline = min(r.deadline, at), min(r.queueDeadline, at)
+}
+
 // recordSent adds an attempt at an upstream or peer to the records, with the limit
 // that the upstream had reported, or nil.
 func (r *request) recordSent(now dhclock.Millis, to string, limit *dhsteer.RateLimit) {
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -118,10 +118,11 @@
 	response   *http.Response
 	cancel     context.CancelFunc
 	context    context.Context
-	bodyPrefix []byte // first bytes of the response body, see readBodyPrefix
-	complete   bool   // bodyPrefix is the complete body
-	err        error  // why the attempt failed; nil if end is EndAnswered
-	connected  *bool  // whether a new connection succeeded; nil if none was tried to its end
+	stopAbort  func() bool // detaches the attempt from Server.Abort
+	bodyPrefix []byte      // first bytes of the response body, see readBodyPrefix
+	complete   bool        // bodyPrefix is the complete body
+	err        error       // why the attempt failed; nil if end is EndAnswered
+	connected  *bool       // whether a new connection succeeded; nil if none was tried to its end
 }
 
 // attemptCounter is the number of the latest attempt of this process.
@@ -133,6 +134,7 @@
 func (s *Server) sendAttempt(ctx context.Context, in *inbound, t target, bufferBytes int) *attempt {
 	a := &attempt{}
 	a.context, a.cancel = context.WithTimeout(ctx, time.Duration(t.timeout)*time.Millisecond)
+	a.stopAbort = context.AfterFunc(s.aborted, a.cancel)
 	gotConnection := false
 	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
@@ -211,6 +213,7 @@
 	if a.response != nil {
 		a.response.Body.Close()
 	}
+	a.stopAbort()
 	a.cancel()
 }
 
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -62,8 +62,9 @@
 	options   Options
 	clients   clients
 	closing   atomic.Bool  // each connection closes after its next response
-	leaving   atomic.Bool  // new requests are refused
 	heldBytes atomic.Int64 // reserved for request bodies
+	aborted   context.Context
+	abort     context.CancelFunc
 }
 
 // New returns a Server.
@@ -71,18 +72,23 @@
 	if o.Dialect == nil {
 		o.Dialect = StandardDialect()
 	}
-	return &Server{options: o, clients: newClients(o.MaxConnections, o.PeerTLS)}
+	s := &Server{options: o, clients: newClients(o.MaxConnections, o.PeerTLS)}
+	s.aborted, s.abort = context.WithCancel(context.Background())
+	return s
 }
 
-// Close closes the idle connections to upstreams and peers.
-func (s *Server) Close() { s.clients.close() }
+// Close aborts the open requests and closes the idle connections to upstreams and peers.
+func (s *Server) Close() {
+	s.abort()
+	s.clients.close()
+}
 
 // CloseConnections makes each connection close after its next response, so that
 // no caller sends a request on an idle connection while the process stops.
 func (s *Server) CloseConnections() { s.closing.Store(true) }
 
-// Leave makes the server refuse new requests with Dogwoodhitch-Run: not-run.
-func (s *Server) Leave() { s.leaving.Store(true) }
+// Abort ends the attempts of all open requests. Their callers get a refusal.
+func (s *Server) Abort() { s.abort() }
 
 // CallerHandler returns the handler for callers. Only reserved paths go through
 // http.ServeMux, because it redirects requests whose path isn't in canonical form.
@@ -184,10 +190,6 @@
 		s.writeRefusal(w, in.id, dheffect.NewRefusal(refusalKind, false, 0))
 		return
 	}
-	if s.leaving.Load() {
-		s.writeRefusal(w, in.id, dheffect.NewRefusal(dheffect.RefuseInstanceLeaving, false, dhclock.Second))
-		return
-	}
 	in.header.Del(s.options.Dialect.options.OrganisationHeader)
 	o := dhevent.RequestReceivedOptions{
 		CallerRequestID: in.id, Host: in.hostName(), Path: in.url.Path, ObjectHash: in.objectHash, Random: rand.Uint64(),
--- a/io/dhjournal/types.go
+++ b/io/dhjournal/types.go
@@ -44,6 +44,7 @@
 	"*dhevent.AttemptEnded":       reflect.TypeFor[*dhevent.AttemptEnded](),
 	"*dhevent.UpstreamLeaving":    reflect.TypeFor[*dhevent.UpstreamLeaving](),
 	"*dhevent.UpstreamProbed":     reflect.TypeFor[*dhevent.UpstreamProbed](),
+	"*dhevent.StopScheduled":      reflect.TypeFor[*dhevent.StopScheduled](),
 	"*dhevent.RequestAbandoned":   reflect.TypeFor[*dhevent.RequestCancelled](),
 	"*dhevent.LookUpAsked":        reflect.TypeFor[*dhevent.LookUpRequested](),
 	"*dhevent.PoolsAsked":         reflect.TypeFor[*dhevent.PoolStatusRequested](),
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -165,7 +165,8 @@
 }
 
 // leave prepares an entry instance for its stop: it removes the instance from
-// look-ups, then refuses new requests, and waits for the open ones to end.
+// look-ups, then refuses new requests, and waits for the open ones to end. It aborts those
+// that don't in time.
 func (p *Process) leave() {
 	p.leaving.Store(true)
 	if p.entry == nil {
@@ -174,8 +175,11 @@
 	p.log.Info("leaving")
 	p.loop.TryPost(dhevent.NewLeaveStarted(p.options.Clock.Now()))
 	p.entry.CloseConnections()
+	p.trafficState.Handle(func(at dhclock.Millis) dhevent.Event {
+		refuseFrom := at + p.options.LeaveWait
+		return dhevent.NewStopScheduled(at, dhevent.StopScheduledOptions{RefuseFrom: refuseFrom, StopAt: refuseFrom + p.options.FinishTimeout})
+	})
 	time.Sleep(dhtime.Duration(p.options.LeaveWait))
-	p.entry.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), dhtime.Duration(p.options.FinishTimeout))
 	defer cancel()
 	ticker := time.NewTicker(trafficTickInterval)
@@ -185,9 +189,12 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			p.log.WithField("open", p.trafficState.OpenRequests()).Warn("timeout for open requests reached; stopping while some are open")
 		}
 	}
+	if open := p.trafficState.OpenRequests(); open > 0 {
+		p.log.WithField("open", open).Warn("timeout for open requests reached; aborting them")
+		p.entry.Abort()
+	}
 }
 
 // Stop stops the process without waiting for open requests, except that
--- /dev/null
+++ b/io/dhprocess/stop_test.go
@@ -0,0 +1,105 @@
+package dhprocess
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/io/dhentry"
+)
+
+// stopResult is what a caller got from an instance that stops.
+type stopResult struct {
+	run string // value of the header field, "cut" if the connection closed
+}
+
+// stopTest is an entry instance with an upstream that doesn't answer.
+type stopTest struct {
+	*cluster
+	entry    *Process
+	arrivals chan string // paths of requests at the upstream
+}
+
+func newStopTest(t *testing.T) *stopTest {
+	s := &stopTest{cluster: newCluster(t, 1), arrivals: make(chan string, 16)}
+	upstream := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		s.arrivals <- r.URL.Path
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() {
+		upstream.CloseClientConnections()
+		upstream.Close()
+	})
+	o := s.options("z00-000", "z00", "entry")
+	o.Listen.Callers, o.LeaveWait, o.FinishTimeout = "127.0.0.1:0", 600, 600
+	s.entry = s.start(o)
+	s.entries = append(s.entries, s.entry)
+	s.applyChange(
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "z00", Region: "r"}),
+		dhcatalog.NewInstance(dhcatalog.InstanceOptions{
+			Name: "z00-000", Zone: "z00", CallerAddress: s.entry.BoundAddresses().Callers, PeerAddress: s.entry.BoundAddresses().Peers,
+		}),
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "repeatable", PathPrefix: "/repeatable/", Service: "s", Open: true, Idempotent: true, Timeout: 30_000, MaxAttempts: 2}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "once", PathPrefix: "/once/", Service: "s", Open: true, Timeout: 30_000, MaxAttempts: 2}),
+		dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{
+			Name: "u", Service: "s", Address: upstream.Listener.Addr().String(), Zone: "z00", Slots: 100, Incarnation: 1,
+		}),
+	)
+	s.waitInForce(time.Now())
+	return s
+}
+
+// send sends a request and delivers its result to the channel.
+func (s *stopTest) send(path string, results chan stopResult) {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Post("http://"+s.entry.BoundAddresses().Callers+path, "text/plain", strings.NewReader("x"))
+	if err != nil {
+		results <- stopResult{run: "cut"}
+		return
+	}
+	response.Body.Close()
+	results <- stopResult{run: response.Header.Get(dhentry.HeaderRun)}
+}
+
+// TestStopCutsRequestsWithoutAnAnswer stops an instance with a request in flight, and sends
+// another one shortly before it ceases to accept requests. Each must get an answer; one that must
+// not be repeated and can't end in time must not reach the upstream.
+func TestStopCutsRequestsWithoutAnAnswer(t *testing.T) {
+	for path, want := range map[string]struct{ late, run string }{
+		"/repeatable/": {late: "forwarded", run: dhentry.MayHaveRun},
+		"/once/":       {late: "refused", run: dhentry.NotRun},
+	} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			s := newStopTest(t)
+			early, late := make(chan stopResult, 1), make(chan stopResult, 1)
+			go s.send(path+"early", early)
+			<-s.arrivals
+			startedAt := time.Now()
+			left := make(chan struct{})
+			go func() { s.entry.leave(); s.entry.Stop(); close(left) }()
+			time.Sleep(400 * time.Millisecond)
+			go s.send(path+"late", late)
+			if r := <-early; r.run != dhentry.MayHaveRun {
+				t.Errorf("early request: got %q, want %q", r.run, dhentry.MayHaveRun)
+			}
+			if r := <-late; r.run != want.run {
+				t.Errorf("late request: got %q, want %q", r.run, want.run)
+			}
+			<-left
+			if isForwarded := len(s.arrivals) > 0; isForwarded != (want.late == "forwarded") {
+				t.Errorf("the late request reached the upstream: %t, want it %s", isForwarded, want.late)
+			}
+			limit := dhclock.Millis(600 + 600 + 1000)
+			if took := time.Since(startedAt); took > time.Duration(limit)*time.Millisecond {
+				t.Errorf("the instance stopped after %v, want within %d ms", took, limit)
+			}
+		})
+	}
+}
