Keep the digest of the suspects up to date instead of recomputing it

Cause: each request in flight at a crash sorted all suspects by texts and hashed them, in each process and part of one.

In older tests RecordCrash's arguments have another order.

--- a/core/dhquarantine/set.go
+++ b/core/dhquarantine/set.go
@@ -7,10 +7,10 @@
 package dhquarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
-	"strings"
 
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhmessage"
@@ -37,25 +37,39 @@
 	maxSuspects = 512
 )
 
+// expiryInterval is the least time between two searches for expired suspects, in
+// milliseconds.
+const expiryInterval = dhclock.Second
+
 // Set holds the suspects that one process knows.
 type Set struct {
 	suspects    map[dhmessage.Fingerprint]*suspect
 	changes     uint64 // number of changes so far
 	quarantined map[dhmessage.Fingerprint]bool
-	digest      uint64
+	// repeated holds the suspects that were in flight at minCrashes crashes or more.
+	repeated   map[dhmessage.Fingerprint]*suspect
+	digest     uint64
+	lastExpiry dhclock.Millis
 }
 
 // suspect is a request that was in flight at upstreams that crashed.
 type suspect struct {
 	request    dhmessage.Fingerprint
+	key        uint64 // hash of request
 	acquittals uint64
 	crashes    []uint64 // sorted
 	changedAt  dhclock.Millis
 	change     uint64 // value of Set.changes after the last change
+	hash       uint64 // of all but the times
 }
 
 // NewSet returns an empty set.
-func NewSet() *Set { return &Set{suspects: map[dhmessage.Fingerprint]*suspect{}} }
+func NewSet() *Set {
+	return &Set{
+		suspects: map[dhmessage.Fingerprint]*suspect{}, quarantined: map[dhmessage.Fingerprint]bool{},
+		repeated: map[dhmessage.Fingerprint]*suspect{},
+	}
+}
 
 // Changes returns the number of changes so far.
 func (s *Set) Changes() uint64 { return s.changes }
@@ -69,16 +83,23 @@
 	return dhsteer.HashObject(service + "\x00" + upstream + "\x00" + strconv.FormatInt(incarnation, 10))
 }
 
-// RecordCrash records that a request was in flight at a crash, and reports whether the
-// request is quarantined by it.
-func (s *Set) RecordCrash(now dhclock.Millis, request dhmessage.Fingerprint, crash uint64) bool {
-	before := s.quarantined[request]
-	o := dhmessage.SuspectOptions{Fingerprint: request, Crashes: []uint64{crash}}
-	if x, found := s.suspects[request]; found {
-		o.Acquittals = x.acquittals
+// RecordCrash records that requests were in flight at a crash, and returns those that are
+// quarantined by it.
+func (s *Set) RecordCrash(now dhclock.Millis, crash uint64, requests ...dhmessage.Fingerprint) []dhmessage.Fingerprint {
+	var list []dhmessage.Suspect
+	var others []dhmessage.Fingerprint
+	for _, request := range requests {
+		o := dhmessage.SuspectOptions{Fingerprint: request, Crashes: []uint64{crash}}
+		if x, found := s.suspects[request]; found {
+			o.Acquittals = x.acquittals
+		}
+		list = append(list, dhmessage.NewSuspect(o))
+		if !s.quarantined[request] {
+			others = append(others, request)
+		}
 	}
-	s.Merge(now, []dhmessage.Suspect{dhmessage.NewSuspect(o)})
-	return !before && s.quarantined[request]
+	s.Merge(now, list)
+	return slices.DeleteFunc(others, func(request dhmessage.Fingerprint) bool { return !s.quarantined[request] })
 }
 
 // Acquit records that a request ended without a crash. It reports whether the request was
@@ -118,21 +139,26 @@
 		return false
 	}
 	s.evict()
-	s.update()
+	s.judge()
 	return true
 }
 
 func (s *Set) merge(now dhclock.Millis, other dhmessage.Suspect) {
 	request := other.Fingerprint()
-	x, found := s.suspects[request]
-	if !found {
-		x = &suspect{request: request}
-	}
 	incoming := &suspect{request: request, acquittals: other.Acquittals(), changedAt: now - other.Age()}
+	x, found := s.suspects[request]
 	switch {
-	case found && other.Acquittals() < x.acquittals:
+	case !found:
+		incoming.key = hashKey(request)
+		incoming.crashes = unite(nil, other.Crashes())
+	case other.Acquittals() < x.acquittals:
 		return
-	case found && other.Acquittals() == x.acquittals:
+	case other.Acquittals() == x.acquittals:
+		if slices.Equal(x.crashes, other.Crashes()) {
+			x.changedAt = max(x.changedAt, incoming.changedAt)
+			return
+		}
+		incoming.key = x.key
 		incoming.crashes = unite(x.crashes, other.Crashes())
 		incoming.changedAt = max(x.changedAt, incoming.changedAt)
 		if len(incoming.crashes) == len(x.crashes) {
@@ -140,14 +166,33 @@
 			return
 		}
 	default:
+		incoming.key = x.key
 		incoming.crashes = unite(nil, other.Crashes())
 	}
 	if incoming.expired(now) {
 		return
 	}
+	s.put(incoming)
+}
+
+// put adds a suspect, or replaces the one of the same request.
+func (s *Set) put(x *suspect) {
+	if old, found := s.suspects[x.request]; found {
+		s.remove(old)
+	}
 	s.changes++
-	incoming.change = s.changes
-	s.suspects[request] = incoming
+	x.change, x.hash = s.changes, x.computeHash()
+	s.suspects[x.request] = x
+	s.digest += x.hash
+	if len(x.crashes) >= minCrashes {
+		s.repeated[x.request] = x
+	}
+}
+
+func (s *Set) remove(x *suspect) {
+	delete(s.suspects, x.request)
+	delete(s.repeated, x.request)
+	s.digest -= x.hash
 }
 
 // unite returns the union of two lists of crashes, sorted.
@@ -173,10 +218,18 @@
 
 // RemoveExpired removes the suspects that need not be kept any more.
 func (s *Set) RemoveExpired(now dhclock.Millis) {
+	if now.Since(s.lastExpiry) < expiryInterval {
+		return
+	}
+	s.lastExpiry = now
 	before := len(s.suspects)
-	maps.DeleteFunc(s.suspects, func(_ dhmessage.Fingerprint, x *suspect) bool { return x.expired(now) })
+	for _, x := range s.suspects {
+		if x.expired(now) {
+			s.remove(x)
+		}
+	}
 	if len(s.suspects) != before {
-		s.update()
+		s.judge()
 	}
 }
 
@@ -185,40 +238,25 @@
 	if len(s.suspects) <= maxSuspects {
 		return
 	}
-	list := s.sorted(func(a, b *suspect) int {
-		if n := len(b.crashes) - len(a.crashes); n != 0 {
-			return n
-		}
-		return int(b.changedAt - a.changedAt)
+	list := slices.SortedFunc(maps.Values(s.suspects), func(a, b *suspect) int {
+		return cmp.Or(byCrashes(a, b), cmp.Compare(b.changedAt, a.changedAt), cmp.Compare(a.key, b.key))
 	})
 	for _, x := range list[maxSuspects:] {
-		delete(s.suspects, x.request)
+		s.remove(x)
 	}
 }
 
-// sorted returns the suspects in an order, those that are equal in it by fingerprint.
-func (s *Set) sorted(compare func(a, b *suspect) int) []*suspect {
-	list := slices.SortedFunc(maps.Values(s.suspects), func(a, b *suspect) int {
-		return strings.Compare(a.key(), b.key())
-	})
-	slices.SortStableFunc(list, compare)
-	return list
-}
+// byCrashes orders suspects with more crashes first.
+func byCrashes(a, b *suspect) int { return cmp.Compare(len(b.crashes), len(a.crashes)) }
 
-// key returns a text that identifies the suspect's request.
-func (x *suspect) key() string {
-	content := x.request.Content()
-	return string(content[:]) + x.request.Organisation()
-}
-
-// update computes the digest and the quarantined requests. Suspects with more crashes come
-// first; the crashes at which a quarantined request was in flight count for no other
-// request.
-func (s *Set) update() {
-	s.digest, s.quarantined = 0, map[dhmessage.Fingerprint]bool{}
+// judge computes the quarantined requests. Suspects with more crashes come first; the
+// crashes at which a quarantined request was in flight count for no other request.
+func (s *Set) judge() {
+	clear(s.quarantined)
 	explained := map[uint64]bool{}
-	for _, x := range s.sorted(func(a, b *suspect) int { return len(b.crashes) - len(a.crashes) }) {
-		s.digest += x.hash()
+	for _, x := range slices.SortedFunc(maps.Values(s.repeated), func(a, b *suspect) int {
+		return cmp.Or(byCrashes(a, b), cmp.Compare(a.key, b.key))
+	}) {
 		unexplained := 0
 		for _, c := range x.crashes {
 			if !explained[c] {
@@ -235,11 +273,17 @@
 	}
 }
 
-// hash returns a hash of the suspect, apart from times.
-func (x *suspect) hash() uint64 {
-	text := strconv.AppendUint([]byte(x.key()), x.acquittals, 10)
+// hashKey returns a hash of a request.
+func hashKey(request dhmessage.Fingerprint) uint64 {
+	content := request.Content()
+	return dhsteer.HashObject(string(content[:]) + request.Organisation())
+}
+
+// computeHash returns a hash of the suspect, apart from times.
+func (x *suspect) computeHash() uint64 {
+	text := strconv.AppendUint(append(strconv.AppendUint(nil, x.key, 36), ':'), x.acquittals, 36)
 	for _, c := range x.crashes {
-		text = strconv.AppendUint(append(text, ','), c, 10)
+		text = strconv.AppendUint(append(text, ','), c, 36)
 	}
 	return dhsteer.HashObject(string(text))
 }
@@ -247,7 +291,7 @@
 // suspectsSince returns the suspects that have changed after a number of changes.
 func (s *Set) suspectsSince(now dhclock.Millis, change uint64) []dhmessage.Suspect {
 	var list []dhmessage.Suspect
-	for _, x := range s.sorted(func(*suspect, *suspect) int { return 0 }) {
+	for _, x := range slices.SortedFunc(maps.Values(s.suspects), func(a, b *suspect) int { return cmp.Compare(a.change, b.change) }) {
 		if x.change > change && !x.expired(now) {
 			list = append(list, dhmessage.NewSuspect(dhmessage.SuspectOptions{
 				Fingerprint: x.request, Acquittals: x.acquittals, Crashes: x.crashes, Age: now.Since(x.changedAt),
--- a/core/dhquarantine/set_test.go
+++ b/core/dhquarantine/set_test.go
@@ -21,10 +21,10 @@
 func TestRequestsInFlightAtCrashesAreServed(t *testing.T) {
 	s := NewSet()
 	for crash := range 4 {
-		s.RecordCrash(1000, fingerprint(0), HashCrash("s", "u", int64(crash)))
+		s.RecordCrash(1000, HashCrash("s", "u", int64(crash)), fingerprint(0))
 		for other := range 10 {
 			if crash < 1+other%3 {
-				s.RecordCrash(1000, fingerprint(1+other), HashCrash("s", "u", int64(crash)))
+				s.RecordCrash(1000, HashCrash("s", "u", int64(crash)), fingerprint(1+other))
 			}
 		}
 	}
@@ -43,7 +43,7 @@
 func TestOneUpstreamCrashingIsNoEvidence(t *testing.T) {
 	s := NewSet()
 	for range 5 {
-		s.RecordCrash(1000, fingerprint(0), HashCrash("s", "u", 1))
+		s.RecordCrash(1000, HashCrash("s", "u", 1), fingerprint(0))
 	}
 	if s.Quarantine(1000, fingerprint(0)) > 0 {
 		t.Error("one crash quarantines a request")
@@ -55,8 +55,8 @@
 func TestAcquittalOutlivesLateReports(t *testing.T) {
 	s, late := NewSet(), NewSet()
 	for crash := range 3 {
-		s.RecordCrash(1000, fingerprint(0), HashCrash("s", "u", int64(crash)))
-		late.RecordCrash(1000, fingerprint(0), HashCrash("s", "u", int64(crash)))
+		s.RecordCrash(1000, HashCrash("s", "u", int64(crash)), fingerprint(0))
+		late.RecordCrash(1000, HashCrash("s", "u", int64(crash)), fingerprint(0))
 	}
 	if !s.Acquit(1500, fingerprint(0)) || s.Quarantine(1500, fingerprint(0)) > 0 {
 		t.Fatal("a request that ended without a crash stays quarantined")
@@ -76,14 +76,14 @@
 func TestQuarantineEnds(t *testing.T) {
 	s := NewSet()
 	for crash := range minCrashes {
-		s.RecordCrash(1000, fingerprint(0), HashCrash("s", "u", int64(crash)))
+		s.RecordCrash(1000, HashCrash("s", "u", int64(crash)), fingerprint(0))
 	}
 	after := 1000 + minQuarantine
 	s.RemoveExpired(after)
 	if s.Quarantine(after, fingerprint(0)) > 0 {
 		t.Fatal("the quarantine doesn't end")
 	}
-	s.RecordCrash(after, fingerprint(0), HashCrash("s", "u", 99))
+	s.RecordCrash(after, HashCrash("s", "u", 99), fingerprint(0))
 	if got, want := s.Quarantine(after, fingerprint(0)), 2*minQuarantine; got != want {
 		t.Errorf("quarantined for %d ms after one more crash, want %d", got, want)
 	}
@@ -98,10 +98,10 @@
 func TestSuspectsAreBounded(t *testing.T) {
 	s := NewSet()
 	for crash := range minCrashes {
-		s.RecordCrash(1000, fingerprint(0), HashCrash("s", "u", int64(crash)))
+		s.RecordCrash(1000, HashCrash("s", "u", int64(crash)), fingerprint(0))
 	}
 	for n := range 3 * maxSuspects {
-		s.RecordCrash(1000+dhclock.Millis(n), fingerprint(1+n), HashCrash("s", fmt.Sprint(n), 1))
+		s.RecordCrash(1000+dhclock.Millis(n), HashCrash("s", fmt.Sprint(n), 1), fingerprint(1+n))
 	}
 	if len(s.suspects) > maxSuspects || s.Quarantine(5000, fingerprint(0)) == 0 {
 		t.Errorf("%d suspects are kept, want at most %d and among them the quarantined one", len(s.suspects), maxSuspects)
@@ -138,7 +138,7 @@
 					exchange(i, j)
 				}
 			default:
-				sets[i].RecordCrash(now, fingerprint(j), HashCrash("s", "u", rapid.Int64Range(0, 6).Draw(rt, "crash")))
+				sets[i].RecordCrash(now, HashCrash("s", "u", rapid.Int64Range(0, 6).Draw(rt, "crash")), fingerprint(j))
 			}
 		}
 		for range 4 * processes {
--- /dev/null
+++ b/core/dhquarantine/storm_test.go
@@ -0,0 +1,129 @@
+package dhquarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// storm is a parent and its children, of which each sees the crashes of some upstreams.
+type storm struct {
+	parent   *Set
+	children []*Set
+	up, down []Replication // of each child and of the parent to it
+	sent     int           // suspects in reports
+}
+
+func newStorm(children int) *storm {
+	s := &storm{parent: NewSet(), up: make([]Replication, children), down: make([]Replication, children)}
+	for range children {
+		s.children = append(s.children, NewSet())
+	}
+	return s
+}
+
+// exchange lets each child poll the parent and get its response. Messages of each child take a
+// different time.
+func (s *storm) exchange(now dhclock.Millis) {
+	for i, child := range s.children {
+		delay := dhclock.Millis(10 + 37*i%150)
+		if report := s.up[i].NextReport(now, child); report != nil {
+			s.sent += len(report.Suspects())
+			s.down[i].Receive(now+delay, s.parent, report)
+		}
+		if report := s.down[i].NextReport(now+delay, s.parent); report != nil {
+			s.sent += len(report.Suspects())
+			s.up[i].Receive(now+2*delay, child, report)
+		}
+	}
+}
+
+// TestManyCrashesFloodLinks lets 100 upstreams crash with 12 requests in flight each, more than
+// a process keeps. Each report must cross each link about once, and little must be
+// sent once there are no more crashes.
+func TestManyCrashesFloodLinks(t *testing.T) {
+	const (
+		children = 15
+		crashes  = 100
+		inFlight = 12
+		poll     = dhclock.Millis(400)
+	)
+	s := newStorm(children)
+	now := dhclock.Millis(1000)
+	for crash := range crashes {
+		for n := range inFlight {
+			s.children[(crash+n)%children].RecordCrash(now, HashCrash("s", fmt.Sprint(crash), 1), fingerprint(crash*inFlight+n))
+		}
+		now += poll / 2
+		if crash%2 == 1 {
+			s.exchange(now)
+		}
+	}
+	if limit := 2 * crashes * inFlight * children; s.sent > limit {
+		t.Errorf("%d suspects were sent during the crashes, want at most %d", s.sent, limit)
+	}
+	s.sent = 0
+	for range 150 {
+		now += poll
+		s.exchange(now)
+	}
+	if limit := maxSuspects * children; s.sent > limit {
+		t.Errorf("%d suspects were sent in the minute after the crashes, want at most %d", s.sent, limit)
+	}
+}
+
+// BenchmarkRecordCrash records a crash with 12 requests in flight at a process that has as many
+// suspects as it keeps, and merges the report of that at another one.
+func BenchmarkRecordCrash(b *testing.B) {
+	s, other := NewSet(), NewSet()
+	var link Replication
+	record := func(n int) {
+		var requests []dhmessage.Fingerprint
+		for i := range 12 {
+			requests = append(requests, fingerprint(n*12+i))
+		}
+		s.RecordCrash(dhclock.Millis(1000+n), HashCrash("s", "u", int64(n)), requests...)
+		other.Merge(dhclock.Millis(1000+n), link.NextReport(dhclock.Millis(1000+n), s).Suspects())
+	}
+	for n := range maxSuspects {
+		record(n)
+	}
+	b.ResetTimer()
+	for n := range b.N {
+		record(maxSuspects + n)
+	}
+}
+
+// BenchmarkMergeSame merges all suspects into a process that has them already, as the traffic
+// state does with each view.
+func BenchmarkMergeSame(b *testing.B) {
+	s, other := NewSet(), NewSet()
+	for n := range maxSuspects {
+		s.RecordCrash(1000, HashCrash("s", "u", int64(n)), fingerprint(n))
+	}
+	for b.Loop() {
+		other.Merge(1000, new(Replication).NextReport(1000, s).Suspects())
+	}
+}
+
+// TestCrashRecomputesAllSuspects counts the allocations of recording a crash while a process
+// has few suspects and while it has as many as it keeps. They must not grow with the suspects:
+// control processes of large clusters lost their majority over that work.
+func TestCrashRecomputesAllSuspects(t *testing.T) {
+	count := func(suspects int) float64 {
+		s := NewSet()
+		for n := range suspects {
+			s.RecordCrash(1000, HashCrash("s", "u", int64(n)), fingerprint(n))
+		}
+		n := suspects
+		return testing.AllocsPerRun(50, func() {
+			n++
+			s.RecordCrash(dhclock.Millis(1000+n), HashCrash("s", "u", int64(n)), fingerprint(n))
+		})
+	}
+	if few, many := count(8), count(maxSuspects); many > 4*few+20 {
+		t.Errorf("%.0f allocations with %d suspects, %.0f with 8", many, maxSuspects, few)
+	}
+}
--- a/core/dhtraffic/crash.go
+++ b/core/dhtraffic/crash.go
@@ -189,10 +189,8 @@
 		Layer: "upstreams", Text: "crashed: attempts broke and its address refuses connections; number of requests in flight", Peer: u.name, Number: uint64(len(requests)),
 	}))
 	crash := dhquarantine.HashCrash(u.service, u.name, process.incarnation)
-	for _, r := range requests {
-		if s.suspects.RecordCrash(now, r, crash) {
-			out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "quarantines the request with this content", Peer: r.String()}))
-		}
+	for _, r := range s.suspects.RecordCrash(now, crash, requests...) {
+		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "quarantines the request with this content", Peer: r.String()}))
 	}
 	s.reportSuspects(now, out)
 }
