Don't send suspects back to the process that reported them

A process that received suspects counted them as changes that the sender lacked, sent them back, and polled its parent every 60 ms for it. With 15 children, 100 crashes and 12 requests in flight each, 35,310 suspects crossed the links (TestManyCrashesFloodLinks, at most 22,500 wanted: each of 18,000 once and a quarter). If everything had been sent before, what a report changes is what the sender has.

--- a/core/dhquarantine/replication.go
+++ b/core/dhquarantine/replication.go
@@ -49,7 +49,11 @@
 		r.Compare(now, s, 0)
 		return false
 	}
+	wasUpToDate := !r.HasUnsent(s)
 	changed := s.Merge(now, report.Suspects())
+	if wasUpToDate {
+		r.sent = s.changes // the sender has what it reported
+	}
 	r.Compare(now, s, report.Digest())
 	return changed
 }
--- a/core/dhquarantine/storm_test.go
+++ b/core/dhquarantine/storm_test.go
@@ -41,8 +41,8 @@
 }
 
 // TestManyCrashesFloodLinks lets 100 upstreams crash with 12 requests in flight each, more than
-// a process keeps. Each report must cross each link about once, and little must be
-// sent once there are no more crashes.
+// a process keeps. A suspect must cross each link once, with few exceptions, and
+// little must be sent once there are no more crashes.
 func TestManyCrashesFloodLinks(t *testing.T) {
 	const (
 		children = 15
@@ -61,7 +61,7 @@
 			s.exchange(now)
 		}
 	}
-	if limit := 2 * crashes * inFlight * children; s.sent > limit {
+	if limit := crashes * inFlight * children * 5 / 4; s.sent > limit {
 		t.Errorf("%d suspects were sent during the crashes, want at most %d", s.sent, limit)
 	}
 	s.sent = 0
