--- a/core/dhsteer/health.go
+++ b/core/dhsteer/health.go
@@ -56,17 +56,11 @@
 	return h.failures >= ejectAfterFailures
 }
 
-// pauseSpread is the inverse of the largest extension of a pause, as a share of the
-// pause; maxPauseExtension bounds it, in milliseconds.
-const (
-	pauseSpread                      = 4
-	maxPauseExtension dhclock.Millis = 1000
-)
-
 // SpreadPause extends a pause by a random time, so that those who wait for its end don't
 // all return at the same moment.
 func SpreadPause(pause dhclock.Millis, random uint64) dhclock.Millis {
-	return pause + dhclock.Millis(mixBits(random)%uint64(min(maxPauseExtension, pause/pauseSpread)+1))
+	longest := min(maxPauseExtension, pause/pauseExtensionDivisor)
+	return pause + dhclock.Millis(mixBits(random)%uint64(longest+1))
 }
 
 // Paused reports whether the upstream asked for no requests before a later time.
@@ -74,8 +68,8 @@
 
 // pause excludes the upstream from selection for the time that it asked for. A slow
 // start follows.
-func (h *health) pause(now, pause dhclock.Millis, random uint64) {
-	if end := now + SpreadPause(pause, random); end > h.pausedUntil {
+func (h *health) pause(now, duration dhclock.Millis, random uint64) {
+	if end := now + SpreadPause(duration, random); end > h.pausedUntil {
 		h.pausedUntil = end
 		h.startSlowlyFrom(end)
 	}
@@ -87,9 +81,6 @@
 	h.slowStart.duration = max(h.slowStart.duration, minSlowStart)
 }
 
-// minSlowStart is the least duration of the slow start after an ejection or a pause.
-const minSlowStart dhclock.Millis = 1000
-
 // forgetFailures ends an ejection and resets the failure count.
 func (h *health) forgetFailures() { h.failures, h.ejectionPeriod, h.ejectedUntil = 0, 0, 0 }
 
--- a/core/dhsteer/upstream.go
+++ b/core/dhsteer/upstream.go
@@ -22,6 +22,12 @@
 	// gets no requests.
 	minShedBackoff dhclock.Millis = 50
 	maxShedBackoff dhclock.Millis = 1000
+	// pauseExtensionDivisor is the longest extension of a pause, as the part of it: one
+	// in four. maxPauseExtension bounds it.
+	pauseExtensionDivisor                = 4
+	maxPauseExtension     dhclock.Millis = 1000
+	// minSlowStart is the least duration of the slow start after an ejection or a pause.
+	minSlowStart dhclock.Millis = 1000
 	// latencyScale is the fixed-point scale of the latency estimate.
 	latencyScale = 64
 	// latencySmoothing is the inverse of a new latency's weight in the moving
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -61,9 +61,9 @@
 type Server struct {
 	options   Options
 	clients   clients
-	closing   atomic.Bool  // each connection closes after its next response
-	heldBytes atomic.Int64 // reserved for request bodies
-	aborted   context.Context
+	closing   atomic.Bool     // each connection closes after its next response
+	heldBytes atomic.Int64    // reserved for request bodies
+	aborted   context.Context // done once Abort was called
 	abort     context.CancelFunc
 }
 
@@ -193,7 +193,8 @@
 	in.header.Del(s.options.Dialect.options.OrganisationHeader)
 	o := dhevent.RequestReceivedOptions{
 		CallerRequestID: in.id, Host: in.hostName(), Path: in.url.Path, ObjectHash: in.objectHash, Random: rand.Uint64(),
-		APIKeyHash: in.apiKeyHash, Timeout: in.timeout, IdempotencyKey: in.idempotencyKey, Digest: in.digest, BodyBytes: len(in.body), ContentHash: new(in.contentHash()),
+		APIKeyHash: in.apiKeyHash, Timeout: in.timeout, IdempotencyKey: in.idempotencyKey, Digest: in.digest, BodyBytes: len(in.body),
+		ContentHash: new(in.contentHash()),
 	}
 	if forwarded != nil {
 		o.FromPeer, o.Organisation, o.MinDeclaration = true, forwarded.organisation, forwarded.minDeclaration
