Store suspects, so that a restart of all processes ends no quarantine

What callers saw: a rare request that crashes upstreams crashed three of them, all processes were killed and started again, and the request reached upstreams six times more once instances were in touch.

Cause: suspects were in memory alone. Each restarted process learns them from the others, but after a restart of all of them there is nobody to learn from.

Evidence: dhprocess TestRestartOfAllProcessesEndsQuarantine was red before: the request reached upstreams eight times more after the restart.

Change: voters keep the suspects with three crashes or more in a file of their data folder and merge it when they start. It isn't an entry of the replicated log: older voters couldn't read it, and sets merge in any order. Writes happen beside the control loop. Older releases ignore the file.

--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -40,6 +40,8 @@
 	// Managed lets the leader manage members, zones and instances
 	// automatically; nil where operators manage them.
 	Managed *ManagedOptions
+	// Suspects are the suspects that a voter's data folder holds.
+	Suspects []dhmessage.Suspect
 }
 
 // State is the control state of one process.
@@ -79,7 +81,7 @@
 		now:  o.Now,
 		distribution: dhdistribution.New(dhdistribution.Options{
 			Self: o.Self.Name(), Zone: o.Zone, Voters: o.Voters,
-			IsVoter: o.Consensus != nil, Advertised: o.Advertised, Now: o.Now,
+			IsVoter: o.Consensus != nil, Advertised: o.Advertised, Suspects: o.Suspects, Now: o.Now,
 		}),
 		proposals:  newProposals(o.StartID, o.Voters),
 		registry:   newRegistry(),
@@ -138,7 +140,7 @@
 	case *dhevent.UpstreamDeregistered:
 		s.handleUpstreamDeregistration(e, out)
 	case *dhevent.SuspectsReported:
-		s.distribution.RecordSuspects(s.now, e.Report())
+		s.distribution.RecordSuspects(s.now, e.Report().Suspects())
 	case *dhevent.LeaveStarted:
 		s.distribution.StartLeaving()
 	}
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -73,7 +73,9 @@
 	// Advertised is the record of this instance, which the leader adds to the
 	// configuration; nil where operators declare instances.
 	Advertised *dhcatalog.Instance
-	Now        dhclock.Millis
+	// Suspects are the suspects that a voter's data folder holds.
+	Suspects []dhmessage.Suspect
+	Now      dhclock.Millis
 }
 
 // State is the distribution state of one process.
@@ -110,6 +112,7 @@
 	suspectsChanged bool
 	lastSuspectPush dhclock.Millis
 	viewSuspects    *dhview.Suspects // as of the last change; nil for none
+	suspectBackup   dhquarantine.Backup
 
 	parent          parent
 	children        map[string]*child
@@ -128,12 +131,14 @@
 
 // New returns the state of a process without a configuration.
 func New(o Options) *State {
-	return &State{
+	s := &State{
 		self: o.Self, zone: o.Zone, configuredVoters: o.Voters, isVoter: o.IsVoter, advertised: o.Advertised,
 		catalog: dhcatalog.New(), appliedAt: o.Now, limitsChangedAt: o.Now, suspects: dhquarantine.NewSet(),
 		children: map[string]*child{}, ackRecords: map[string]*ackRecord{},
 		parent: parent{selectedAt: o.Now, oldestUnanswered: o.Now}, viewChanged: true,
 	}
+	s.RecordSuspects(o.Now, o.Suspects)
+	return s
 }
 
 // Catalog returns the configuration in force in this process.
--- a/core/dhdistribution/suspects.go
+++ b/core/dhdistribution/suspects.go
@@ -15,9 +15,10 @@
 // only bring suspects, in milliseconds.
 const suspectInterval dhclock.Millis = 60
 
-// RecordSuspects merges what the traffic state of this instance reports.
-func (s *State) RecordSuspects(now dhclock.Millis, r *dhmessage.SuspectReport) {
-	if s.suspects.Merge(now, r.Suspects()) {
+// RecordSuspects merges suspects that the traffic state of this instance reports or that
+// the data folder holds.
+func (s *State) RecordSuspects(now dhclock.Millis, list []dhmessage.Suspect) {
+	if s.suspects.Merge(now, list) {
 		s.recordSuspectChange(now)
 	}
 }
@@ -35,10 +36,22 @@
 	s.viewSuspects = dhview.NewSuspects(now, new(dhquarantine.Replication).NextReport(now, s.suspects))
 }
 
-// tickSuspects removes expired suspects and sends changes to the children without waiting
-// for their polls.
+// saveSuspects stores the suspects in a voter's data folder, so that a restart of all
+// processes ends no quarantine.
+func (s *State) saveSuspects(now dhclock.Millis, out *dheffect.List) {
+	if !s.isVoter {
+		return
+	}
+	if list, due := s.suspectBackup.Due(now, s.suspects); due {
+		out.Add(dheffect.NewSaveSuspects(dheffect.SaveSuspectsOptions{Suspects: list}))
+	}
+}
+
+// tickSuspects removes expired suspects, stores changes and sends them to the children
+// without waiting for their polls.
 func (s *State) tickSuspects(now dhclock.Millis, out *dheffect.List) {
 	s.suspects.RemoveExpired(now)
+	s.saveSuspects(now, out)
 	if !s.suspectsChanged || now.Since(s.lastSuspectPush) < suspectInterval {
 		return
 	}
--- a/core/dheffect/control.go
+++ b/core/dheffect/control.go
@@ -109,6 +109,27 @@
 
 func (*SaveSnapshot) effect() {}
 
+// SaveSuspectsOptions are the fields of a SaveSuspects.
+type SaveSuspectsOptions struct {
+	// Suspects replace the stored ones.
+	Suspects []dhmessage.Suspect
+}
+
+// SaveSuspects stores suspects in the data folder. No other effect depends on it.
+type SaveSuspects struct {
+	options SaveSuspectsOptions
+}
+
+// NewSaveSuspects returns a SaveSuspects.
+func NewSaveSuspects(o SaveSuspectsOptions) *SaveSuspects {
+	return &SaveSuspects{options: o}
+}
+
+// Suspects returns the suspects that replace the stored ones.
+func (e *SaveSuspects) Suspects() []dhmessage.Suspect { return e.options.Suspects }
+
+func (*SaveSuspects) effect() {}
+
 // PublishOptions are the fields of a Publish.
 type PublishOptions struct {
 	// View is the new view.
--- a/core/dhquarantine/replication.go
+++ b/core/dhquarantine/replication.go
@@ -32,7 +32,7 @@
 	}
 	o := dhmessage.SuspectReportOptions{Digest: s.digest}
 	if r.HasUnsent(s) {
-		o.Suspects = s.suspectsSince(now, r.sent)
+		o.Suspects = messages(now, s.suspects, r.sent)
 		r.sent = s.changes
 	}
 	return dhmessage.NewSuspectReport(o)
--- a/core/dhquarantine/set.go
+++ b/core/dhquarantine/set.go
@@ -47,9 +47,10 @@
 	changes     uint64 // number of changes so far
 	quarantined map[dhmessage.Fingerprint]bool
 	// repeated holds the suspects that were in flight at minCrashes crashes or more.
-	repeated   map[dhmessage.Fingerprint]*suspect
-	digest     uint64
-	lastExpiry dhclock.Millis
+	repeated        map[dhmessage.Fingerprint]*suspect
+	repeatedChanges uint64 // number of changes of repeated so far
+	digest          uint64
+	lastExpiry      dhclock.Millis
 }
 
 // suspect is a request that was in flight at upstreams that crashed.
@@ -186,12 +187,16 @@
 	s.digest += x.hash
 	if len(x.crashes) >= minCrashes {
 		s.repeated[x.request] = x
+		s.repeatedChanges++
 	}
 }
 
 func (s *Set) remove(x *suspect) {
 	delete(s.suspects, x.request)
-	delete(s.repeated, x.request)
+	if s.repeated[x.request] != nil {
+		delete(s.repeated, x.request)
+		s.repeatedChanges++
+	}
 	s.digest -= x.hash
 }
 
@@ -288,10 +293,11 @@
 	return dhsteer.HashObject(string(text))
 }
 
-// suspectsSince returns the suspects that have changed after a number of changes.
-func (s *Set) suspectsSince(now dhclock.Millis, change uint64) []dhmessage.Suspect {
+// messages returns the suspects that have changed after a number of changes, in the order
+// of their changes.
+func messages(now dhclock.Millis, suspects map[dhmessage.Fingerprint]*suspect, change uint64) []dhmessage.Suspect {
 	var list []dhmessage.Suspect
-	for _, x := range slices.SortedFunc(maps.Values(s.suspects), func(a, b *suspect) int { return cmp.Compare(a.change, b.change) }) {
+	for _, x := range slices.SortedFunc(maps.Values(suspects), func(a, b *suspect) int { return cmp.Compare(a.change, b.change) }) {
 		if x.change > change && !x.expired(now) {
 			list = append(list, dhmessage.NewSuspect(dhmessage.SuspectOptions{
 				Fingerprint: x.request, Acquittals: x.acquittals, Crashes: x.crashes, Age: now.Since(x.changedAt),
--- a/io/dhcommand/serve.go
+++ b/io/dhcommand/serve.go
@@ -185,8 +185,9 @@
 				SnapshotIndex   uint64 `json:"snapshotIndex"`
 				SnapshotVersion uint64 `json:"snapshotVersion"`
 				Entries         int    `json:"entries"`
+				Suspects        int    `json:"suspects"`
 				CutBytes        int64  `json:"cutBytes"`
-			}{s.ProcessName(), s.FolderID(), s.Term(), s.VotedFor(), s.Snapshot().Index(), version, len(s.Entries()), s.TornBytes()}, nil)
+			}{s.ProcessName(), s.FolderID(), s.Term(), s.VotedFor(), s.Snapshot().Index(), version, len(s.Entries()), len(s.Suspects()), s.TornBytes()}, nil)
 		},
 	}
 }
--- a/io/dhdisk/folder.go
+++ b/io/dhdisk/folder.go
@@ -1,4 +1,4 @@
-// Package dhdisk stores a voter's term, vote, log and snapshots in a data
+// Package dhdisk stores a voter's term, vote, log, snapshots and suspects in a data
 // folder.
 //
 // A data folder contains these files:
@@ -7,6 +7,7 @@
 //	identity           process name, random folder ID and founders of the group
 //	snapshot-INDEX     the state after the entry with that index
 //	log-SEQUENCE       segments of the write-ahead log, read in numeric order
+//	suspects           requests that were in flight at several crashes of upstreams
 //
 // Only the last segment may end in a torn record: one whose write a crash cut
 // off. An entry whose index already exists replaces the stored entry and all
--- a/io/dhdisk/record.go
+++ b/io/dhdisk/record.go
@@ -14,6 +14,7 @@
 	logMagic         = "dhLog001"
 	snapshotMagic    = "dhSnap01"
 	identityMagic    = "dhIden01"
+	suspectsMagic    = "dhSusp01"
 	magicSize        = 8
 	recordHeaderSize = 8
 	// maxPayload is the maximum length of a payload, in bytes.
--- a/io/dhdisk/state.go
+++ b/io/dhdisk/state.go
@@ -22,6 +22,7 @@
 	votedFor  string
 	snapshot  dhmessage.Snapshot
 	entries   []dhmessage.Entry
+	suspects  []dhmessage.Suspect
 	tornBytes int64
 }
 
@@ -47,6 +48,9 @@
 // Entries returns the log entries after the snapshot.
 func (s State) Entries() []dhmessage.Entry { return s.entries }
 
+// Suspects returns the requests that were in flight at several crashes of upstreams.
+func (s State) Suspects() []dhmessage.Suspect { return s.suspects }
+
 // TornBytes returns the size of the torn record at the end of the log, in bytes.
 // Open removes it.
 func (s State) TornBytes() int64 { return s.tornBytes }
@@ -59,7 +63,7 @@
 	validSize int64 // of a segment, in bytes; 0 if its magic header is incomplete
 }
 
-// readState reads the identity, the latest snapshot and the log of a data folder.
+// readState reads the identity, the latest snapshot, the suspects and the log of a data folder.
 // It also returns the segments with the sizes of their valid parts.
 func readState(path string) (State, []numberedFile, error) {
 	var s State
@@ -74,6 +78,9 @@
 	if err := s.readSnapshot(path); err != nil {
 		return s, nil, err
 	}
+	if err := s.readSuspects(path); err != nil {
+		return s, nil, err
+	}
 	segments, err := s.readLog(path)
 	return s, segments, err
 }
--- a/io/dhjournal/types.go
+++ b/io/dhjournal/types.go
@@ -53,6 +53,7 @@
 	"*dheffect.Send":         reflect.TypeFor[*dheffect.Send](),
 	"*dheffect.Persist":      reflect.TypeFor[*dheffect.Persist](),
 	"*dheffect.SaveSnapshot": reflect.TypeFor[*dheffect.SaveSnapshot](),
+	"*dheffect.SaveSuspects": reflect.TypeFor[*dheffect.SaveSuspects](),
 	"*dheffect.Publish":      reflect.TypeFor[*dheffect.Publish](),
 	"*dheffect.Reply":        reflect.TypeFor[*dheffect.Reply](),
 	"*dheffect.ToTraffic":    reflect.TypeFor[*dheffect.PostToTraffic](),
--- a/io/dhprocess/cluster_test.go
+++ b/io/dhprocess/cluster_test.go
@@ -30,6 +30,7 @@
 	voters        []*Process
 	entries       []*Process
 	voterSettings []dhsettings.Voter
+	folders       []string // of the voters
 	version       uint64
 }
 
@@ -53,17 +54,42 @@
 		if err := dhdisk.Found(path, v.Name(), founders); err != nil {
 			t.Fatal(err)
 		}
-		folder, err := dhdisk.Open(path, v.Name())
-		if err != nil {
-			t.Fatal(err)
-		}
+		c.folders = append(c.folders, path)
 		o := c.options(v.Name(), "", dhsettings.RoleControl)
-		o.Listen.Peers, o.DataFolder = v.Address(), folder
+		o.Listen.Peers, o.DataFolder = v.Address(), c.openFolder(path, v.Name())
 		c.voters = append(c.voters, c.start(o))
 	}
 	return c
 }
 
+func (c *cluster) openFolder(path, name string) *dhdisk.Folder {
+	c.t.Helper()
+	folder, err := dhdisk.Open(path, name)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return folder
+}
+
+// restart stops all processes and then starts them at their former addresses, with their
+// data folders.
+func (c *cluster) restart() {
+	c.t.Helper()
+	for _, p := range slices.Concat(c.voters, c.entries) {
+		p.Stop()
+	}
+	for i, p := range c.voters {
+		o := p.options
+		o.DataFolder = c.openFolder(c.folders[i], o.Name)
+		c.voters[i] = c.start(o)
+	}
+	for i, p := range c.entries {
+		o := p.options
+		o.Listen = p.BoundAddresses()
+		c.entries[i] = c.start(o)
+	}
+}
+
 // lastPort is the port that freeAddress tried last. Its ports are below the
 // range from which the kernel chooses ports for outgoing connections.
 var lastPort = 10_000
--- a/io/dhprocess/crash_test.go
+++ b/io/dhprocess/crash_test.go
@@ -113,6 +113,41 @@
 	return response.StatusCode
 }
 
+// crashUpstreams sends the request that crashes upstreams until it has crashed three, beside
+// requests that are in flight at them.
+func (c *crashTest) crashUpstreams(route string) {
+	c.t.Helper()
+	var others sync.WaitGroup
+	for i := 0; c.crashed.Load() < 3 && i < 20; i++ {
+		for k := range 8 {
+			others.Go(func() { c.get(c.entries[k%4], fmt.Sprintf("/repeatable/%d", k)) })
+		}
+		time.Sleep(10 * time.Millisecond)
+		c.get(c.entries[i%4], "/"+route+"/lethal")
+		time.Sleep(200 * time.Millisecond)
+	}
+	others.Wait()
+	if c.crashed.Load() < 3 {
+		c.t.Fatalf("%d upstreams have crashed, want 3 before the check", c.crashed.Load())
+	}
+}
+
+// checkQuarantine checks that all instances refuse the request that crashes upstreams.
+func (c *crashTest) checkQuarantine(route string) {
+	c.t.Helper()
+	arrived := c.arrived.Load()
+	for range 3 {
+		for _, p := range c.entries {
+			if status := c.get(p, "/"+route+"/lethal"); status != http.StatusServiceUnavailable {
+				c.t.Errorf("%s answers the request with status %d, want 503", p.options.Name, status)
+			}
+		}
+	}
+	if n := c.arrived.Load() - arrived; n > 0 {
+		c.t.Errorf("the request reached upstreams %d times more after it had crashed %d", n, c.crashed.Load())
+	}
+}
+
 // TestRequestCrashesOneUpstreamAfterAnother sends a request that crashes each upstream
 // which runs it to all instances in turn. Once it has crashed three upstreams, no
 // instance may forward it any more, including one that joins later. Requests that were in
@@ -121,33 +156,11 @@
 	for _, route := range []string{"repeatable", "once"} {
 		t.Run(route, func(t *testing.T) {
 			c := newCrashTest(t)
-			var others sync.WaitGroup
-			for i := 0; c.crashed.Load() < 3 && i < 20; i++ {
-				for k := range 8 {
-					others.Go(func() { c.get(c.entries[k%4], fmt.Sprintf("/repeatable/%d", k)) })
-				}
-				time.Sleep(10 * time.Millisecond)
-				c.get(c.entries[i%4], "/"+route+"/lethal")
-				time.Sleep(200 * time.Millisecond)
-			}
-			if c.crashed.Load() < 3 {
-				t.Fatalf("%d upstreams have crashed, want 3 before the check", c.crashed.Load())
-			}
-			others.Wait()
+			c.crashUpstreams(route)
 			c.applyChange(c.startEntry("z00-late", "z00"))
 			c.waitInForce(time.Now())
 			time.Sleep(2 * time.Second)
-			arrived := c.arrived.Load()
-			for range 3 {
-				for _, p := range c.entries {
-					if status := c.get(p, "/"+route+"/lethal"); status != http.StatusServiceUnavailable {
-						t.Errorf("%s answers the request with status %d, want 503", p.options.Name, status)
-					}
-				}
-			}
-			if n := c.arrived.Load() - arrived; n > 0 {
-				t.Errorf("the request reached upstreams %d times more after it had crashed %d", n, c.crashed.Load())
-			}
+			c.checkQuarantine(route)
 			for _, p := range c.entries {
 				for k := range 8 {
 					if status := c.get(p, fmt.Sprintf("/repeatable/%d", k)); status != http.StatusOK {
@@ -158,3 +171,15 @@
 		})
 	}
 }
+
+// TestRestartOfAllProcessesEndsQuarantine restarts all processes after a request has crashed
+// three upstreams. No instance may forward it afterwards.
+func TestRestartOfAllProcessesEndsQuarantine(t *testing.T) {
+	c := newCrashTest(t)
+	c.crashUpstreams("repeatable")
+	time.Sleep(time.Second)
+	c.restart()
+	c.waitInForce(time.Now())
+	time.Sleep(time.Second)
+	c.checkQuarantine("repeatable")
+}
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -49,6 +49,8 @@
 	entry        *dhentry.Server
 	// trafficEvents are events of the control state for the traffic state.
 	trafficEvents chan dhevent.Event
+	// suspectsToSave holds the latest suspects that are not stored yet.
+	suspectsToSave chan *dheffect.SaveSuspects
 	// view is the configuration in force; nil before the first one.
 	view atomic.Pointer[dhview.View]
 	// ctx ends the goroutines of the process.
@@ -69,6 +71,7 @@
 	p := &Process{
 		options: o, log: o.Logs.Logger("process"), metrics: dhmetrics.New(),
 		trafficEvents: make(chan dhevent.Event, trafficQueueSize), failures: make(chan error, 1),
+		suspectsToSave: make(chan *dheffect.SaveSuspects, 1),
 	}
 	p.decisionLog = dhlogs.NewLimiter(o.Logs.Logger("decisions"), o.Clock)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
@@ -122,6 +125,9 @@
 		CountBytes: p.countBytes, TLS: p.clientTLS(),
 	})
 	p.goroutines.Go(func() { p.reportFailure(p.loop.Run(p.ctx)) })
+	if p.options.DataFolder != nil {
+		p.goroutines.Go(p.runSuspectSaves)
+	}
 	if p.trafficState != nil {
 		p.goroutines.Go(p.runTrafficEvents)
 		p.goroutines.Go(p.runTrafficTicks)
@@ -189,6 +195,7 @@
 	}
 	if f := p.options.DataFolder; f != nil {
 		seams.Persist, seams.SaveSnapshot = f.Persist, f.SaveSnapshot
+		o.Suspects = f.State().Suspects()
 	}
 	if j := p.options.Journal; j != nil {
 		seams.Record = j.ControlRecorder(o)
@@ -246,6 +253,8 @@
 		p.postToControl(e.Event())
 	case *dheffect.RecordRequest:
 		p.recordRequest(e)
+	case *dheffect.SaveSuspects:
+		p.saveSuspects(e)
 	case *dheffect.ProbeUpstream:
 		p.goroutines.Go(func() { p.entry.Probe(p.ctx, e) })
 	case *dheffect.Log:
@@ -253,6 +262,31 @@
 	}
 }
 
+// saveSuspects queues suspects for the data folder, in place of those that still wait.
+// Only the control loop calls it.
+func (p *Process) saveSuspects(e *dheffect.SaveSuspects) {
+	select {
+	case <-p.suspectsToSave:
+	default:
+	}
+	p.suspectsToSave <- e
+}
+
+// runSuspectSaves stores suspects beside the control loop, which must not wait for them. If
+// that fails, a restart of all processes forgets them.
+func (p *Process) runSuspectSaves() {
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case e := <-p.suspectsToSave:
+			if err := p.options.DataFolder.SaveSuspects(e.Suspects()); err != nil {
+				p.log.WithError(err).Warn("storing suspects failed; check the disk of the data folder")
+			}
+		}
+	}
+}
+
 // publish makes a view the configuration in force in this process.
 func (p *Process) publish(v *dhview.View) {
 	p.view.Store(v)
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -84,7 +84,7 @@
 }
 
 func pollToWire(m *dhmessage.Poll) *dhproto.Poll {
-	w := &dhproto.Poll{Version: m.Version(), SentMs: m.SentAt().Milliseconds(), Replica: m.Replica(), Suspects: suspectReportToWire(m.Suspects())}
+	w := &dhproto.Poll{Version: m.Version(), SentMs: m.SentAt().Milliseconds(), Replica: m.Replica(), Suspects: SuspectReportToWire(m.Suspects())}
 	for _, a := range m.Acks() {
 		ack := &dhproto.Ack{Instance: a.Instance(), Version: a.Version(), Leaving: a.Leaving()}
 		if i, found := a.AdvertisedInstance(); found {
@@ -99,7 +99,7 @@
 	w := &dhproto.Update{
 		SentMs: m.PollSentAt().Milliseconds(), Version: m.Version(), Confirmed: m.EverConfirmed(), AgeMs: m.Age().Milliseconds(),
 		Full: catalogToWire(m.Full()), Leader: m.Leader(), InForce: m.InForce(), Voters: MembersToWire(m.Members()),
-		LimitsAgeMs: m.LimitsAge().Milliseconds(), Suspects: suspectReportToWire(m.Suspects()),
+		LimitsAgeMs: m.LimitsAge().Milliseconds(), Suspects: SuspectReportToWire(m.Suspects()),
 	}
 	for _, c := range m.Changes() {
 		w.Changes = append(w.Changes, ChangeSetToWire(c))
@@ -213,7 +213,7 @@
 }
 
 func pollFromWire(w *dhproto.Poll) (dhmessage.Message, error) {
-	suspects, err := suspectReportFromWire(w.GetSuspects())
+	suspects, err := SuspectReportFromWire(w.GetSuspects())
 	if err != nil {
 		return nil, err
 	}
@@ -233,7 +233,7 @@
 	if err != nil {
 		return nil, err
 	}
-	suspects, err := suspectReportFromWire(w.GetSuspects())
+	suspects, err := SuspectReportFromWire(w.GetSuspects())
 	if err != nil {
 		return nil, err
 	}
--- a/io/dhwire/suspect.go
+++ b/io/dhwire/suspect.go
@@ -9,7 +9,8 @@
 	"dogwoodhitch/io/dhproto"
 )
 
-func suspectReportToWire(r *dhmessage.SuspectReport) *dhproto.SuspectReport {
+// SuspectReportToWire returns the wire form of a report; nil for none.
+func SuspectReportToWire(r *dhmessage.SuspectReport) *dhproto.SuspectReport {
 	if r == nil {
 		return nil
 	}
@@ -23,7 +24,8 @@
 	return w
 }
 
-func suspectReportFromWire(w *dhproto.SuspectReport) (*dhmessage.SuspectReport, error) {
+// SuspectReportFromWire returns a report from its wire form, or nil for none.
+func SuspectReportFromWire(w *dhproto.SuspectReport) (*dhmessage.SuspectReport, error) {
 	if w == nil {
 		return nil, nil
 	}
