Select an upstream only while there is a connection left for it

An upstream that asks for a pause could get requests long after its answer, which it refuses again.

Cause: the reducer allowed an instance more requests at an upstream than the HTTP client may open connections. The rest waited inside the client, out of the reducer's sight, and were sent whenever a connection became free, whatever the upstream had asked for in the meantime. The same holds for a response that says that the upstream stops.

Change: the limit on connections bounds the slots of announced upstreams and the requests at registered ones.

--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -81,6 +81,9 @@
 	// ColdRate returns how many requests per second this instance may send to a
 	// cold upstream; negative means no limit.
 	ColdRate func(upstream string) int
+	// MaxConnections is how many connections this instance may have to one upstream;
+	// nil for no limit.
+	MaxConnections *int
 	// Instance is the name of this instance.
 	Instance string
 }
@@ -140,6 +143,10 @@
 	m.misplaced = m.misplaced && m.record == r.record
 	m.unavailable = unavailable
 	m.record, m.region = r.record, r.region
+	m.maxRunning = queueFactor * r.record.Slots()
+	if t.MaxConnections != nil {
+		m.maxRunning = min(m.maxRunning, *t.MaxConnections)
+	}
 	m.coldRate = t.ColdRate(r.record.Name())
 	m.initialLevel = dhmessage.Tokens(mixBits(m.seed^hashText(t.Instance)) % uint64(dhmessage.Token))
 }
--- a/core/dhsteer/member.go
+++ b/core/dhsteer/member.go
@@ -25,6 +25,10 @@
 	region  string
 	seed    uint64
 	running int
+	// maxRunning is how many requests this instance may have at the upstream. It includes
+	// no request that would wait here for a connection, because what the upstream asks
+	// for in the meantime wouldn't reach it.
+	maxRunning int
 	// unavailable members get no new requests: they are not ready, not registered,
 	// or in an evacuated zone.
 	unavailable bool
@@ -77,7 +81,7 @@
 	if !m.available() || m.Ejected(now) || now < m.backoffUntil || m.Paused(now) {
 		return false
 	}
-	return m.running < m.slowStart.allowed(now, queueFactor*m.record.Slots()) && m.coldRateAllows(now)
+	return m.running < m.slowStart.allowed(now, m.maxRunning) && m.coldRateAllows(now)
 }
 
 // coldRateAllows reports whether this instance may send one more request to the
--- a/core/dhsteer/upstream.go
+++ b/core/dhsteer/upstream.go
@@ -70,6 +70,12 @@
 // Slots returns how many requests this instance may run at the upstream at once.
 func (a Announcement) Slots() int { return a.options.Slots }
 
+// LimitSlots returns the announcement with at most the given number of slots.
+func (a Announcement) LimitSlots(most int) Announcement {
+	a.options.Slots = min(a.options.Slots, most)
+	return a
+}
+
 // Running returns how many requests the upstream reports to run.
 func (a Announcement) Running() int { return a.options.Running }
 
--- a/core/dhtraffic/events.go
+++ b/core/dhtraffic/events.go
@@ -16,8 +16,12 @@
 // HandleAnnouncement adds or renews an announced upstream and dispatches waiting
 // requests to its slots.
 func (s *State) HandleAnnouncement(e *dhevent.UpstreamAnnounced, out *dheffect.List) {
-	p := s.poolOf(e.Announcement().Service())
-	p.Announce(e.At(), p.coldStart, e.Announcement())
+	a := e.Announcement()
+	if s.maxConnections != nil {
+		a = a.LimitSlots(*s.maxConnections)
+	}
+	p := s.poolOf(a.Service())
+	p.Announce(e.At(), p.coldStart, a)
 	s.dispatch(e.At(), p, out)
 }
 
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -23,7 +23,7 @@
 	c := s.view.Catalog()
 	topology := s.topology()
 	position, instances := s.instancePosition()
-	topology.Instance = s.instance
+	topology.Instance, topology.MaxConnections = s.instance, s.maxConnections
 	registered := map[string]bool{}
 	for _, name := range c.RegisteredServices() {
 		registered[name] = true
--- a/core/dhtraffic/pause_test.go
+++ b/core/dhtraffic/pause_test.go
@@ -182,3 +182,36 @@
 		t.Errorf("got requests %v, want 1 for u1 and probes of the others", counts)
 	}
 }
+
+// TestRequestsWaitForConnections sends more requests at once than the instance may have
+// connections. No upstream may get more of them, since a request that waits for a connection
+// doesn't learn that the upstream asks for a pause.
+func TestRequestsWaitForConnections(t *testing.T) {
+	const maxConnections = 7
+	for _, isRegistered := range []bool{true, false} {
+		t.Run(fmt.Sprint("registered ", isRegistered), func(t *testing.T) {
+			s := newPauseTest(t, isRegistered)
+			s.maxConnections = new(maxConnections)
+			s.setGroups(950)
+			for name := range s.pools {
+				for _, u := range s.pools[name].Upstreams() {
+					s.announce(950, u.Name())
+				}
+			}
+			counts := map[string]int{}
+			for range 10 * maxConnections {
+				if forward, ok := s.send(1000, "/any/", false).(*dheffect.ForwardToUpstream); ok {
+					counts[forward.Upstream()]++
+				}
+			}
+			for name, n := range counts {
+				if n > maxConnections {
+					t.Errorf("%s got %d requests, want at most %d", name, n, maxConnections)
+				}
+			}
+			if len(counts) == 0 {
+				t.Error("no upstream got a request")
+			}
+		})
+	}
+}
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -27,6 +27,9 @@
 	// Retries is the cluster's retry budget for each service with registered
 	// upstreams.
 	Retries RetryBudget
+	// MaxConnections is how many connections this instance may have to one upstream;
+	// nil for no limit.
+	MaxConnections *int
 }
 
 // RetryBudget limits the retries that all instances together make for a service
@@ -50,6 +53,7 @@
 	groups               map[string]*group // by service with registered upstreams
 	splits               map[string]*split // by route
 	clusterRetries       RetryBudget
+	maxConnections       *int
 	requests             map[uint64]*request
 	burn                 *dhburn.Recorder
 	lastTokenReport      dhclock.Millis
@@ -75,6 +79,7 @@
 		groups:         map[string]*group{},
 		splits:         map[string]*split{},
 		clusterRetries: o.Retries,
+		maxConnections: o.MaxConnections,
 		requests:       map[uint64]*request{},
 		reachability:   newReachability(),
 		crashes:        newCrashDetector(),
--- a/io/dhentry/pause_test.go
+++ b/io/dhentry/pause_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 )
 
@@ -81,3 +84,38 @@
 		}
 	}
 }
+
+// TestRequestsThatWaitForConnectionsMissAPause sends more requests at once than the instance
+// may have connections to the upstream, which answers each after 700 ms and asks for a pause.
+// No request may arrive later than half a second after the first answer.
+func TestRequestsThatWaitForConnectionsMissAPause(t *testing.T) {
+	const (
+		requests = 40
+		duration = 700 * time.Millisecond
+		grace    = 500 * time.Millisecond
+	)
+	var answeredAt atomic.Int64 // the first answer, in nanoseconds
+	var late atomic.Int64
+	u := startUpstream(t, func(r *http.Request, _ int64) (string, bool) {
+		if at := answeredAt.Load(); at > 0 && time.Now().UnixNano()-at > int64(grace) {
+			late.Add(1)
+		}
+		time.Sleep(duration)
+		answeredAt.CompareAndSwap(0, time.Now().UnixNano())
+		return fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\n%s: %s\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n",
+			HeaderAttempt, r.Header.Get(HeaderAttempt), HeaderRun, NotRun), false
+	})
+	e := startEntry(t)
+	e.publish(t,
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "slow", PathPrefix: "/slow/", Service: "service", Open: true, Timeout: 5000}),
+		dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{Name: "u", Service: "service", Address: u.Addr().String(), Zone: "z", Slots: requests, Incarnation: 1}),
+	)
+	var callers sync.WaitGroup
+	for range requests {
+		callers.Go(func() { e.send(http.MethodPost, "/slow/1", "x") })
+	}
+	callers.Wait()
+	if late.Load() > 0 {
+		t.Errorf("%d requests arrived during the pause, want none", late.Load())
+	}
+}
--- a/io/dhentry/server_test.go
+++ b/io/dhentry/server_test.go
@@ -70,7 +70,7 @@
 	t.Helper()
 	e := &testEntry{}
 	clock := dhtime.System()
-	e.trafficState = dhtrafficstate.New(dhreducer.NewTraffic(dhtraffic.Options{Instance: "i", Zone: "z", Now: clock.Now()}), dhtrafficstate.Seams{
+	e.trafficState = dhtrafficstate.New(dhreducer.NewTraffic(dhtraffic.Options{Instance: "i", Zone: "z", Now: clock.Now(), MaxConnections: new(16)}), dhtrafficstate.Seams{
 		Clock: clock,
 		Execute: func(effect dheffect.Effect) {
 			posted, ok := effect.(*dheffect.PostToControl)
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -223,7 +223,7 @@
 	seams := dhtrafficstate.Seams{Clock: p.options.Clock, Execute: p.executeEffect}
 	o := dhtraffic.Options{
 		Instance: p.options.Name, Zone: p.options.Zone, StartID: startID, Now: p.options.Clock.Now(),
-		Retries: p.options.RetryBudget,
+		Retries: p.options.RetryBudget, MaxConnections: &p.options.MaxConnections,
 	}
 	if j := p.options.Journal; j != nil {
 		seams.Record = j.TrafficRecorder(o)
