Cease to forward to peers that a full link doesn't reach either

Cause: on a full link connections to upstreams time out, so the instance counts as isolated.

Change: once connections to two peers have timed out, with no response of any peer in between, the instance isn't isolated any more. Its links are congested or cut altogether, and there is no way round.

Evidence: dhtraffic TestPeersBehindACongestedLinkGetRequests was red without the change: the third request was forwarded to a peer.

--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -80,7 +80,7 @@
 	}
 	if r.peer != nil {
 		s.chargeLink(now, r.peer, e.BodyBytes())
-		s.reachability.recordPeer(now, r.peer.instance.Name(), e.End())
+		s.recordPeer(r.peer.instance.Name(), e, out)
 		s.uncountUnsent(r, e)
 		r.peer.releaseSlot(e.End())
 		r.triedPeers = append(r.triedPeers, r.peer)
--- a/core/dhtraffic/reachability.go
+++ b/core/dhtraffic/reachability.go
@@ -27,6 +27,9 @@
 	// peerAvoidance is how long an isolated instance forwards nothing to a peer that
 	// it couldn't reach or that is isolated too.
 	peerAvoidance dhclock.Millis = 1000
+	// unreachablePeersThreshold is how many peers must not answer a new connection, with
+	// no response of any in between, before an isolated instance ceases to forward.
+	unreachablePeersThreshold = 2
 )
 
 // reachability tracks whether this instance can open connections to registered upstreams.
@@ -48,6 +51,9 @@
 	lastProbe    dhclock.Millis
 	probes       int                       // how many were sent
 	avoidedPeers map[string]dhclock.Millis // by name: until when
+	// timedOutPeers are the peers to which connections timed out since the last one
+	// that responded.
+	timedOutPeers map[string]bool
 }
 
 // failedConnection is a connection that was refused or timed out.
@@ -56,8 +62,11 @@
 	timedOut  bool
 }
 
+// connectsAgain is the text of the log line at the usual end of an isolation.
+const connectsAgain = "connects to upstreams again"
+
 func newReachability() reachability {
-	return reachability{unreachable: map[*dhsteer.Member]failedConnection{}, avoidedPeers: map[string]dhclock.Millis{}}
+	return reachability{unreachable: map[*dhsteer.Member]failedConnection{}, avoidedPeers: map[string]dhclock.Millis{}, timedOutPeers: map[string]bool{}}
 }
 
 // recordConnect updates the reachability with the result of a new connection to one of a
@@ -107,10 +116,24 @@
 	}
 }
 
-// recordPeer records how an attempt through a peer ended.
-func (r *reachability) recordPeer(now dhclock.Millis, peer string, end dhevent.AttemptEnd) {
-	if end == dhevent.EndNotSent || end == dhevent.EndBroken {
-		r.avoidedPeers[peer] = now + peerAvoidance
+// recordPeer records how an attempt through a peer ended. Where connections to peers time
+// out like those to upstreams, the links of this instance are congested or cut altogether:
+// forwarding helps nobody then, and adds to the load.
+func (r *reachability) recordPeer(peer string, e *dhevent.AttemptEnded) {
+	if e.End() == dhevent.EndNotSent || e.End() == dhevent.EndBroken {
+		r.avoidedPeers[peer] = e.At() + peerAvoidance
+	}
+	if e.Connected() == nil || *e.Connected() || e.Latency() <= maxRefusalTime {
+		if e.End() != dhevent.EndTimedOut && e.End() != dhevent.EndCallerGone {
+			clear(r.timedOutPeers)
+		}
+		return
+	}
+	r.timedOutPeers[peer] = true
+	if r.isolated && len(r.timedOutPeers) >= unreachablePeersThreshold {
+		r.isolated = false
+		clear(r.timedOutPeers)
+		clear(r.unreachable)
 	}
 }
 
@@ -138,7 +161,7 @@
 	}
 	isolated, suspected := s.reachability.isolated, len(s.reachability.unreachable) > 0
 	s.reachability.recordConnect(now-latency, latency, m, connected, upstreams)
-	s.handleIsolationChange(isolated, m, out)
+	s.handleIsolationChange(isolated, m.Name(), connectsAgain, out)
 	s.recordConnection(now, latency, upstreamName{service, m.Name()}, connected, out)
 	if s.reachability.isolated {
 		return
@@ -159,17 +182,25 @@
 func (s *State) recordResponse(now dhclock.Millis, m *dhsteer.Member, end dhevent.AttemptEnd, out *dheffect.List) {
 	isolated := s.reachability.isolated
 	s.reachability.recordResponse(now, end)
-	s.handleIsolationChange(isolated, m, out)
+	s.handleIsolationChange(isolated, m.Name(), connectsAgain, out)
+}
+
+// recordPeer updates the reachability with the end of an attempt through a peer.
+func (s *State) recordPeer(peer string, e *dhevent.AttemptEnded, out *dheffect.List) {
+	isolated := s.reachability.isolated
+	s.reachability.recordPeer(peer, e)
+	s.handleIsolationChange(isolated, peer, "can't connect to peers either", out)
 }
 
-// handleIsolationChange logs a change of isolated, which the upstream has caused. Once
-// the instance is no longer isolated, the failures of the time between count no more.
-func (s *State) handleIsolationChange(before bool, m *dhsteer.Member, out *dheffect.List) {
+// handleIsolationChange logs a change of isolated, which an upstream or peer has caused, and
+// the reason if the instance is no longer isolated. The failures of the time between count no
+// more then.
+func (s *State) handleIsolationChange(before bool, cause, endReason string, out *dheffect.List) {
 	switch {
 	case s.reachability.isolated && !before:
-		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "can't connect to any upstream", Peer: m.Name(), Number: uint64(len(s.reachability.unreachable))}))
+		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "can't connect to any upstream", Peer: cause, Number: uint64(len(s.reachability.unreachable))}))
 	case before && !s.reachability.isolated:
-		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "connects to upstreams again", Peer: m.Name()}))
+		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: endReason, Peer: cause}))
 		for _, g := range s.groups {
 			g.ForgetFailures()
 		}
--- a/core/dhtraffic/reachability_test.go
+++ b/core/dhtraffic/reachability_test.go
@@ -280,3 +280,37 @@
 		}
 	}
 }
+
+// TestPeersBehindACongestedLinkGetRequests lets connections to upstreams time out until the
+// instance is isolated, and then those to two peers. The instance must not forward further
+// requests to peers over the same link, unless a peer has responded in between.
+func TestPeersBehindACongestedLinkGetRequests(t *testing.T) {
+	for _, responds := range []bool{false, true} {
+		t.Run(fmt.Sprint("a peer responds ", responds), func(t *testing.T) {
+			s := newReachabilityTest(t)
+			timedOut := dhevent.AttemptEndedOptions{End: dhevent.EndNotSent, Latency: 500, Connected: new(false)}
+			decision := s.send(1000, "/any/", false)
+			for i := 0; !s.reachability.isolated && i < 2*isolationThreshold; i++ {
+				if _, ok := decision.(*dheffect.ForwardToUpstream); !ok {
+					s.send(1000, "/any/", false)
+				}
+				decision = s.end(1500, timedOut)
+			}
+			if _, ok := decision.(*dheffect.ForwardToPeer); !ok {
+				t.Fatalf("got decision %T after connections timed out, want a ForwardToPeer", decision)
+			}
+			s.end(2000, timedOut)
+			if responds {
+				s.send(2001, "/any/", false)
+				s.end(2100, dhevent.AttemptEndedOptions{Status: 200, Latency: 100})
+			}
+			if _, ok := s.send(2101, "/any/", false).(*dheffect.ForwardToPeer); ok {
+				s.end(2601, timedOut)
+			}
+			_, isForwarded := s.send(2602, "/any/", false).(*dheffect.ForwardToPeer)
+			if isForwarded != responds {
+				t.Errorf("forwarded to a peer: %t, want %t", isForwarded, responds)
+			}
+		})
+	}
+}
