Distinguish the processes of an announced upstream that crashes

A request that crashes the only upstream of a service, or one of two, which announce themselves to an entry, would never be quarantined: it crashes them again and again.

Cause: a crash is known by service, name and incarnation, so that one crash that many instances see counts once. Announcements have no incarnation, so all crashes of one announced upstream were the same one.

Evidence: dhtraffic TestAnnouncedUpstreamCrashesOverAndOver was red: not quarantined after three crashes. It also breaks three connections to each process, which must count once.

Change: only the entry that an upstream announces itself to sends it requests, so that entry can tell its processes apart: a response after a crash begins a new one.

--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -88,6 +88,9 @@
 		return
 	}
 	logRetryAfter(r.upstream.Name(), e, out)
+	if e.End() == dhevent.EndAnswered {
+		s.crashes.recordResponse(now, upstreamName{r.service, r.upstream.Name()})
+	}
 	p.Release(now, r.upstream, r.fromPeer, attemptOutcome(e), e.Latency(), responseOf(r, e))
 	if e.End() != dhevent.EndAnswered {
 		r.triedUpstreams = append(r.triedUpstreams, r.upstream)
--- a/core/dhtraffic/crash.go
+++ b/core/dhtraffic/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -22,6 +23,9 @@
 	// closingTime is the time within which a process that crashes may still accept
 	// connections although others broke already.
 	closingTime dhclock.Millis = 100
+	// announcedProcessTTL is how long the processes of an announced upstream are
+	// distinguished after a crash.
+	announcedProcessTTL = 3600 * dhclock.Second
 )
 
 // crashDetector distinguishes a crashed upstream from connections that broke for another
@@ -30,6 +34,16 @@
 // doesn't respond.
 type crashDetector struct {
 	suspected map[upstreamName]*suspectedCrash
+	// announced are the announced upstreams that have crashed. Their announcements don't
+	// tell one process from the next.
+	announced map[upstreamName]*announcedProcess
+}
+
+// announcedProcess is the present process of an announced upstream that has crashed before.
+type announcedProcess struct {
+	incarnation int64 // time of its first response; 0 for the first process
+	crashedAt   dhclock.Millis
+	hasCrashed  bool // and not responded since
 }
 
 // upstreamName is the name of an upstream in its service.
@@ -60,7 +74,28 @@
 }
 
 func newCrashDetector() crashDetector {
-	return crashDetector{suspected: map[upstreamName]*suspectedCrash{}}
+	return crashDetector{suspected: map[upstreamName]*suspectedCrash{}, announced: map[upstreamName]*announcedProcess{}}
+}
+
+// incarnation returns the incarnation of an announced upstream's process.
+func (d *crashDetector) incarnation(u upstreamName) int64 {
+	if p := d.announced[u]; p != nil {
+		return p.incarnation
+	}
+	return 0
+}
+
+// recordAnnouncedCrash records a crash of an announced upstream.
+func (d *crashDetector) recordAnnouncedCrash(now dhclock.Millis, u upstreamProcess) {
+	d.announced[u.upstreamName] = &announcedProcess{incarnation: u.incarnation, crashedAt: now, hasCrashed: true}
+}
+
+// recordResponse records a response of an announced upstream. One after a crash comes from
+// a new process.
+func (d *crashDetector) recordResponse(now dhclock.Millis, u upstreamName) {
+	if p := d.announced[u]; p != nil && p.hasCrashed {
+		p.incarnation, p.hasCrashed = now.Milliseconds(), false
+	}
 }
 
 // recordBroken records an attempt that broke, and reports whether the upstream should be
@@ -116,6 +151,7 @@
 // removeExpired forgets the attempts that are too old to be explained by a crash. It
 // returns the upstreams with other attempts that are due for a probe.
 func (d *crashDetector) removeExpired(now dhclock.Millis) []upstreamProcess {
+	maps.DeleteFunc(d.announced, func(_ upstreamName, p *announcedProcess) bool { return now.Since(p.crashedAt) > announcedProcessTTL })
 	var due []upstreamProcess
 	for u, c := range d.suspected {
 		c.attempts = slices.DeleteFunc(c.attempts, func(b brokenAttempt) bool { return now.Since(b.at) > brokenAttemptTTL })
@@ -147,14 +183,15 @@
 
 // upstreamOf returns the upstream that a running request was sent to; false if it was
 // sent to a peer.
-func (r *request) upstreamOf() (upstreamProcess, bool) {
+func (s *State) upstreamOf(r *request) (upstreamProcess, bool) {
 	switch {
 	case r.member != nil:
 		return upstreamProcess{
 			upstreamName: upstreamName{r.service, r.member.Name()}, address: r.member.Address(), incarnation: r.member.Incarnation(),
 		}, true
 	case r.upstream != nil:
-		return upstreamProcess{upstreamName: upstreamName{r.service, r.upstream.Name()}, address: r.upstream.Address()}, true
+		name := upstreamName{r.service, r.upstream.Name()}
+		return upstreamProcess{upstreamName: name, address: r.upstream.Address(), incarnation: s.crashes.incarnation(name)}, true
 	default:
 		return upstreamProcess{}, false
 	}
@@ -163,7 +200,7 @@
 // recordBroken records an attempt that broke at an upstream and probes the upstream. An
 // isolated instance can't distinguish crashes from the failure of its own links.
 func (s *State) recordBroken(now dhclock.Millis, r *request, out *dheffect.List) {
-	u, ok := r.upstreamOf()
+	u, ok := s.upstreamOf(r)
 	fingerprint := r.fingerprint()
 	if !ok || fingerprint == nil || s.reachability.isolated || !s.crashes.recordBroken(now, u, *fingerprint) {
 		return
@@ -188,6 +225,9 @@
 	out.Add(dheffect.NewLog(dheffect.LogOptions{
 		Layer: "upstreams", Text: "crashed: attempts broke and its address refuses connections; number of requests in flight", Peer: u.name, Number: uint64(len(requests)),
 	}))
+	if s.groups[u.service] == nil {
+		s.crashes.recordAnnouncedCrash(now, process)
+	}
 	crash := dhquarantine.HashCrash(u.service, u.name, process.incarnation)
 	for _, r := range s.suspects.RecordCrash(now, crash, requests...) {
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "upstreams", Text: "quarantines the request with this content", Peer: r.String()}))
--- a/core/dhtraffic/crash_test.go
+++ b/core/dhtraffic/crash_test.go
@@ -7,6 +7,7 @@
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
 )
 
 // TestResetConnectionIsNoCrash breaks attempts at an upstream that still accepts
@@ -36,3 +37,42 @@
 		}
 	}
 }
+
+// TestAnnouncedUpstreamCrashesOverAndOver crashes the only announced upstream with the same
+// request. Each crash counts once, however many connections break by it, and the third one
+// quarantines the request: the announcements don't tell that the process is another one.
+func TestAnnouncedUpstreamCrashesOverAndOver(t *testing.T) {
+	s := newPauseTest(t, false)
+	s.pools["s"].Deregister("u1")
+	s.pools["s"].Deregister("u2")
+	send := func(now dhclock.Millis, content byte) dheffect.Effect {
+		s.request++
+		var out dheffect.List
+		s.HandleRequest(dhevent.NewRequestReceived(now, dhevent.RequestReceivedOptions{
+			RequestID: s.request, Path: "/any/", ContentHash: &dhcatalog.Hash{content},
+		}), &out)
+		return lastDecision(&out)
+	}
+	now := dhclock.Millis(1000)
+	for crash := range 3 {
+		for broken := range 3 { // connections to the same process
+			if _, ok := send(now, 1).(*dheffect.ForwardToUpstream); !ok {
+				t.Fatalf("crash %d, attempt %d: the request isn't forwarded", crash, broken)
+			}
+			s.end(now+1, dhevent.AttemptEndedOptions{End: dhevent.EndBroken})
+			var out dheffect.List
+			s.HandleProbe(dhevent.NewUpstreamProbed(now+2, dhevent.UpstreamProbedOptions{Service: "s", Upstream: "u0", Latency: 1}), &out)
+			if n := s.suspects.Quarantine(now+3, dhmessage.NewFingerprint("", dhcatalog.Hash{1})) > 0; n != (crash == 2) {
+				t.Fatalf("quarantined after %d crashes: %t", crash+1, n)
+			}
+			if crash == 2 {
+				return
+			}
+			now += 500
+		}
+		now += 10_000
+		s.announce(now, "u0")
+		send(now, 2)
+		s.end(now+1, dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: 200})
+	}
+}
