Reset connections whose request has no response when its attempt ends

Closing the connection of an attempt that has ended leaves the request to the kernel, which goes on sending it until it arrives.

Change: a connection that is closed before the first byte of the response is reset, which discards what the kernel holds. All others are closed as before.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -52,7 +52,7 @@
 func newClients(maxConnections int, peerTLS *tls.Config) clients {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: dhnet.TCPUserTimeout(tcpUserTimeout)}
 	pooled := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialRequestConn(dialer),
 		MaxConnsPerHost:        maxConnections,
 		MaxIdleConnsPerHost:    maxConnections,
 		IdleConnTimeout:        idleConnTimeout,
@@ -136,13 +136,17 @@
 	a.context, a.cancel = context.WithTimeout(ctx, time.Duration(t.timeout)*time.Millisecond)
 	a.stopAbort = context.AfterFunc(s.aborted, a.cancel)
 	gotConnection := false
+	var connection atomic.Pointer[requestConn]
 	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			gotConnection = true
 			if !i.Reused {
 				a.connected = new(true)
 			}
+			connection.Store(requestConnOf(i.Conn))
+			connection.Load().setUnanswered(true)
 		},
+		GotFirstResponseByte: func() { connection.Load().setUnanswered(false) },
 	})
 	attemptID := s.options.Instance + "-" + strconv.FormatUint(attemptCounter.Add(1), 36)
 	request, err := s.newOutboundRequest(tracedCtx, in, t, attemptID)
--- /dev/null
+++ b/io/dhentry/connection.go
@@ -0,0 +1,53 @@
+package dhentry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync/atomic"
+)
+
+// requestConn is a connection to an upstream or a peer. If it is closed before the response
+// to a request has begun, it is reset: otherwise the kernel would go on to send what it holds
+// of the request, which could arrive seconds after the attempt has ended.
+type requestConn struct {
+	*net.TCPConn
+	unanswered atomic.Bool
+}
+
+// dialRequestConn returns a dial function for requestConns.
+func dialRequestConn(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			return &requestConn{TCPConn: tcp}, err
+		}
+		return c, err
+	}
+}
+
+// requestConnOf returns the requestConn below a connection of the transport, or nil.
+func requestConnOf(c net.Conn) *requestConn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	r, _ := c.(*requestConn)
+	return r
+}
+
+// setUnanswered records whether the connection carries a request to which no response has
+// begun.
+func (c *requestConn) setUnanswered(unanswered bool) {
+	if c != nil {
+		c.unanswered.Store(unanswered)
+	}
+}
+
+// Close implements net.Conn.
+func (c *requestConn) Close() error {
+	if c.unanswered.Load() {
+		// If that fails, the connection is closed in the usual way.
+		_ = c.SetLinger(0)
+	}
+	return c.TCPConn.Close()
+}
--- a/io/dhentry/server_test.go
+++ b/io/dhentry/server_test.go
@@ -35,6 +35,7 @@
 type testEntry struct {
 	*httptest.Server
 	trafficState *dhtrafficstate.Owner
+	server       *Server
 }
 
 func testCatalog(t testing.TB) *dhcatalog.Catalog {
@@ -105,6 +106,7 @@
 		Instance: "i", TrafficState: e.trafficState, Clock: clock, Log: logrus.NewEntry(log),
 		MaxBodyBytes: 1 << 10, MaxHeldBytes: 1 << 12, ResponseBufferBytes: 1 << 10, MaxConnections: 16,
 	})
+	e.server = s
 	e.Server = httptest.NewUnstartedServer(s.CallerHandler())
 	e.Config.Protocols = new(http.Protocols)
 	e.Config.Protocols.SetHTTP1(true)
