--- a/core/dhtraffic/reachability.go
+++ b/core/dhtraffic/reachability.go
@@ -28,7 +28,8 @@
 	// it couldn't reach or that is isolated too.
 	peerAvoidance dhclock.Millis = 1000
 	// unreachablePeersThreshold is how many peers must not answer a new connection, with
-	// no response of any in between, before an isolated instance ceases to forward.
+	// no attempt in between that ended otherwise, before an isolated instance ceases to
+	// forward.
 	unreachablePeersThreshold = 2
 )
 
@@ -51,8 +52,8 @@
 	lastProbe    dhclock.Millis
 	probes       int                       // how many were sent
 	avoidedPeers map[string]dhclock.Millis // by name: until when
-	// timedOutPeers are the peers to which connections timed out since the last one
-	// that responded.
+	// timedOutPeers are the peers to which connections timed out since an attempt
+	// through a peer last ended in another way.
 	timedOutPeers map[string]bool
 }
 
