--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -9,6 +9,8 @@
 	"os"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhevent"
@@ -156,7 +158,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		p.leave()
+		p.leave(context.Cause(ctx))
 	case err = <-p.failures:
 		p.log.WithError(err).Error("stopped by an error")
 	}
@@ -167,12 +169,15 @@
 // leave prepares an entry instance for its stop: it removes the instance from
 // look-ups, then refuses new requests, and waits for the open ones to end. It aborts those
 // that don't in time.
-func (p *Process) leave() {
+func (p *Process) leave(reason error) {
 	p.leaving.Store(true)
+	fields := logrus.Fields{"reason": reason.Error()}
 	if p.entry == nil {
+		p.log.WithFields(fields).Info("leaving")
 		return
 	}
-	p.log.Info("leaving")
+	fields["open"] = p.trafficState.OpenRequests()
+	p.log.WithFields(fields).Info("leaving")
 	p.loop.TryPost(dhevent.NewLeaveStarted(p.options.Clock.Now()))
 	p.entry.CloseConnections()
 	p.trafficState.Handle(func(at dhclock.Millis) dhevent.Event {
--- a/io/dhprocess/stop_test.go
+++ b/io/dhprocess/stop_test.go
@@ -1,6 +1,7 @@
 package dhprocess
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -81,7 +82,7 @@
 			<-s.arrivals
 			startedAt := time.Now()
 			left := make(chan struct{})
-			go func() { s.entry.leave(); s.entry.Stop(); close(left) }()
+			go func() { s.entry.leave(errors.New("test")); s.entry.Stop(); close(left) }()
 			time.Sleep(400 * time.Millisecond)
 			go s.send(path+"late", late)
 			if run := <-early; run != dhentry.MayHaveRun {
