Keep requests from being cut by repeated signals

What callers saw, or would see: SIGHUP ended an entry or control process of the product's own command at once, also during a stop. A second SIGTERM ended a stopping entry at once, with requests at work: no answer and no refusal.

Cause: SIGHUP wasn't received, and the receiver of SIGTERM gave it back after the first one, so that both had their default, which ends the process.

Change: entry and control receive SIGHUP until they exit; it changes nothing but a log line. Further SIGTERMs are ignored. A second SIGINT still ends the process at once, for operators at a terminal. Both programs share the receiver.

Test: TestRepeatedSignalsCutRequests failed before: "the request got {status:0 ...}, want the complete answer", "the instance ended with exit code -1", "the voter ended by SIGHUP". TestSecondInterruptIsIgnored passed before and after.

Left: SIGHUP within the first 3 to 8 ms after exec still ends a process, before the runtime has started (9 delays, 10 starts each, beside load); it has no requests then.

--- a/io/dhcommand/main.go
+++ b/io/dhcommand/main.go
@@ -40,10 +40,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	go func() {
-		// Restores the default handling after the first signal, so that a second
-		// one ends the process at once.
+		// After the first signal a second SIGINT ends the process at once. Further
+		// SIGTERMs are ignored: they come from programs that send the signal again, and
+		// must not cut the requests that the stop completes.
 		<-ctx.Done()
-		stop()
+		signal.Reset(os.Interrupt)
 	}()
 	root := New(stdout, stderr)
 	started := false
--- a/io/dhcommand/serve.go
+++ b/io/dhcommand/serve.go
@@ -28,7 +28,7 @@
 	return &cli.Command{
 		Name:        "entry",
 		Usage:       "run an entry instance, which serves callers, upstreams and operators",
-		Description: "Example:\n   dogwoodhitch entry --settings examples/entry.jsonc\n\nThe first signal stops the process gracefully, the second at once.",
+		Description: "Example:\n   dogwoodhitch entry --settings examples/entry.jsonc\n\nSIGTERM or SIGINT stops the process gracefully, a second SIGINT at once. SIGHUP changes nothing.",
 		Flags:       []cli.Flag{settingsFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return serve(ctx, c, dhsettings.RoleEntry)
@@ -57,6 +57,7 @@
 }
 
 func serve(ctx context.Context, c *cli.Command, role dhsettings.Role) error {
+	hangups := dhprocess.ReceiveHangups()
 	s, err := readSettings(c.String("settings"))
 	if err != nil {
 		return err
@@ -92,6 +93,10 @@
 			return dherrors.Wrap(dherrors.KindDataFolder, err)
 		}
 	}
+	stopLogging := hangups.Handle(func() {
+		logs.Logger("process").Info("SIGHUP changes nothing; settings take effect at the next start")
+	})
+	defer stopLogging()
 	return dhprocess.New(o).Run(ctx)
 }
 
--- a/io/dhprocess/hangup.go
+++ b/io/dhprocess/hangup.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 )
 
@@ -18,15 +19,23 @@
 	return h
 }
 
-// Run calls a function after each SIGHUP until the context ends. Signals that arrive
-// during a call cause one further call.
-func (h *Hangups) Run(ctx context.Context, f func()) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.received:
-			f()
+// Handle calls a function after each SIGHUP, one call at a time, until the returned
+// function is called. Signals that arrive during a call cause one further call.
+func (h *Hangups) Handle(f func()) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var handling sync.WaitGroup
+	handling.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-h.received:
+				f()
+			}
 		}
+	})
+	return func() {
+		cancel()
+		handling.Wait()
 	}
 }
