Tell callers to close in each answer during a stop

What callers saw: the answer to a request that was open when an entry began to stop didn't have "Connection: close". The caller kept the connection, and a request that it sent there at the end of the stop met a closing connection: no answer.

Cause: the field was set when a request arrived instead of when it was answered.

Change: it is set when the head of an answer is written, whatever kind it is.

Test: dhprocess TestAnswerDuringStopLeavesConnectionOpen failed before: "got body "answer", error <nil>, connection closes: false; want the answer and true".

--- a/io/dhentry/refusal.go
+++ b/io/dhentry/refusal.go
@@ -98,6 +98,7 @@
 	h.Set(HeaderRefusal, string(refusal.Kind()))
 	h.Set(HeaderRun, run)
 	h.Set(s.options.Dialect.options.RequestIDHeader, requestID)
+	s.setClose(h)
 	if refusal.RetryAfter() > 0 {
 		h.Set("Retry-After", s.options.Dialect.options.FormatRetryAfter(refusal.RetryAfter()))
 	}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -87,6 +87,13 @@
 // no caller sends a request on an idle connection while the process stops.
 func (s *Server) CloseConnections() { s.closing.Store(true) }
 
+// setClose marks a response as the last one on its connection after CloseConnections.
+func (s *Server) setClose(h http.Header) {
+	if s.closing.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // Abort ends the attempts of all open requests. Their callers get a refusal.
 func (s *Server) Abort() { s.abort() }
 
@@ -100,6 +107,7 @@
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, dhcatalog.ReservedPrefix) {
+			s.setClose(w.Header())
 			reserved.ServeHTTP(w, r)
 			return
 		}
@@ -177,9 +185,6 @@
 // serve handles one request until it has ended. The options are set only for requests
 // from peers.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, forwarded *forwardedOptions) {
-	if s.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if !s.reserveBody(r) {
 		s.writeRefusal(w, s.requestID(r), dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, dhclock.Second))
 		return
@@ -391,6 +396,7 @@
 	if a.complete && a.response.Request.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.bodyPrefix)))
 	}
+	x.server.setClose(h)
 	x.writer.WriteHeader(a.response.StatusCode)
 }
 
@@ -449,6 +455,7 @@
 	h.Set(x.server.options.Dialect.options.RequestIDHeader, x.in.id)
 	h.Set(HeaderReplayed, "true")
 	h.Set("Content-Length", strconv.Itoa(len(response.Body())))
+	x.server.setClose(h)
 	x.writer.WriteHeader(response.Status())
 	_, _ = x.writer.Write(response.Body())
 }
--- a/io/dhprocess/stop_test.go
+++ b/io/dhprocess/stop_test.go
@@ -1,8 +1,11 @@
 package dhprocess
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,19 +16,28 @@
 	"dogwoodhitch/io/dhentry"
 )
 
-// stopTest is an entry instance with an upstream that doesn't answer.
+// errTest is the reason of stops in tests.
+var errTest = errors.New("test")
+
+// stopTest is an entry instance with an upstream that answers only when it is told to.
 type stopTest struct {
 	*cluster
 	entry    *Process
 	arrivals chan string // paths of requests at the upstream
+	answers  chan string // bodies of the upstream's answers
 }
 
 func newStopTest(t *testing.T) *stopTest {
-	s := &stopTest{cluster: newCluster(t, 1), arrivals: make(chan string, 16)}
-	upstream := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	s := &stopTest{cluster: newCluster(t, 1), arrivals: make(chan string, 16), answers: make(chan string)}
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		s.arrivals <- r.URL.Path
-		<-r.Context().Done()
+		select {
+		case body := <-s.answers:
+			w.Header().Set(dhentry.HeaderAttempt, r.Header.Get(dhentry.HeaderAttempt))
+			io.WriteString(w, body)
+		case <-r.Context().Done():
+		}
 	}))
 	t.Cleanup(func() {
 		upstream.CloseClientConnections()
@@ -76,7 +88,7 @@
 			<-s.arrivals
 			startedAt := time.Now()
 			left := make(chan struct{})
-			go func() { s.entry.leave(errors.New("test")); s.entry.Stop(); close(left) }()
+			go func() { s.entry.leave(errTest); s.entry.Stop(); close(left) }()
 			time.Sleep(400 * time.Millisecond)
 			go s.send(path+"late", late)
 			if run := <-early; run != dhentry.MayHaveRun {
@@ -95,3 +107,40 @@
 		})
 	}
 }
+
+// dial opens a caller's connection to the instance.
+func (s *stopTest) dial() net.Conn {
+	s.t.Helper()
+	connection, err := net.Dial("tcp", s.entry.BoundAddresses().Callers)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { connection.Close() })
+	return connection
+}
+
+// TestAnswerDuringStopLeavesConnectionOpen lets an upstream answer a request that was open when
+// the instance began to stop. The answer must tell the caller to send no more requests on the
+// connection.
+func TestAnswerDuringStopLeavesConnectionOpen(t *testing.T) {
+	s := newStopTest(t)
+	connection := s.dial()
+	fmt.Fprint(connection, "POST /once/early HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n\r\nx")
+	<-s.arrivals
+	stopped := make(chan struct{})
+	go func() { s.entry.leave(errTest); s.entry.Stop(); close(stopped) }()
+	for s.entry.Ready() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.answers <- "answer"
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || string(body) != "answer" || !response.Close {
+		t.Errorf("got body %q, error %v, connection closes: %t; want the answer and true", body, err, response.Close)
+	}
+	<-stopped
+}
