Answer requests whose body is still arriving at the end of a stop

What callers saw: the connection closed without an answer, so that the caller couldn't know whether the request had run.

Cause: an instance counts a request from the moment at which its body is complete. Until then the end of a stop closes its connection; a read error otherwise counts as a malformed request, which callers don't repeat.

Change: at the end of a stop the reading of bodies is interrupted, and the request is refused as not run by an instance that leaves.

Test: dhprocess TestBodyThatArrivesDuringStopGetsNoAnswer failed before: "the request got no answer: unexpected EOF".

--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -1,6 +1,7 @@
 package dhentry
 
 import (
+	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
@@ -11,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
@@ -73,9 +75,13 @@
 		return in, dheffect.RefuseMalformed
 	}
 	in.extractKey(dialect.KeyHeader)
+	stopInterrupt := s.interruptOnAbort(w)
 	body, err := readBody(http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes), r.ContentLength)
+	stopInterrupt()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && s.aborted.Err() != nil:
+		return in, dheffect.RefuseInstanceLeaving
 	case errors.As(err, &tooLarge):
 		return in, dheffect.RefuseTooLarge
 	case err != nil:
@@ -88,6 +94,16 @@
 	return in, ""
 }
 
+// interruptOnAbort makes reading a request's body fail once Abort is called. The returned
+// function ends that.
+func (s *Server) interruptOnAbort(w http.ResponseWriter) (stop func() bool) {
+	controller := http.NewResponseController(w)
+	return context.AfterFunc(s.aborted, func() {
+		// Without support for deadlines the body is read until its connection closes.
+		_ = controller.SetReadDeadline(time.Now())
+	})
+}
+
 // readBody reads a body. If its length is declared and at most
 // maxPreallocatedBodyBytes, it goes into one buffer of exactly that length.
 func readBody(body io.Reader, length int64) ([]byte, error) {
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -94,7 +94,8 @@
 	}
 }
 
-// Abort ends the attempts of all open requests. Their callers get a refusal.
+// Abort ends the attempts of all open requests, and the reading of bodies. Their callers
+// get a refusal.
 func (s *Server) Abort() { s.abort() }
 
 // CallerHandler returns the handler for callers. Only reserved paths go through
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -198,8 +198,8 @@
 	}
 	if open := p.trafficState.OpenRequests(); open > 0 {
 		p.log.WithField("open", open).Warn("timeout for open requests reached; aborting them")
-		p.entry.Abort()
 	}
+	p.entry.Abort()
 }
 
 // Stop stops the process without waiting for open requests, except that
--- a/io/dhprocess/stop_test.go
+++ b/io/dhprocess/stop_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/io/dhentry"
 )
 
@@ -144,3 +145,22 @@
 	}
 	<-stopped
 }
+
+// TestBodyThatArrivesDuringStopGetsNoAnswer stops an instance while a request's body is still
+// arriving. The caller must hear that the request didn't run.
+func TestBodyThatArrivesDuringStopGetsNoAnswer(t *testing.T) {
+	s := newStopTest(t)
+	connection := s.dial()
+	fmt.Fprint(connection, "POST /once/slow HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100\r\n\r\nx")
+	time.Sleep(100 * time.Millisecond)
+	go func() { s.entry.leave(errTest); s.entry.Stop() }()
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatalf("the request got no answer: %v", err)
+	}
+	response.Body.Close()
+	run, refusal := response.Header.Get(dhentry.HeaderRun), response.Header.Get(dhentry.HeaderRefusal)
+	if run != dhentry.NotRun || refusal != string(dheffect.RefuseInstanceLeaving) {
+		t.Errorf("got %q and %q, want %q and %q", run, refusal, dhentry.NotRun, dheffect.RefuseInstanceLeaving)
+	}
+}
