Stop gracefully also after an error of a listener or the control loop

What callers would see: if a listener of an entry failed, such as the one for readiness, all requests at work were cut after a second, without an answer.

Cause: the process stopped at once after any error, although the parts that serve requests still worked. The class of fault: the end of one part ends the others' work.

Change: an error begins the same stop as a signal; the log names the error as its reason.

Test: dhprocess TestFailedListenerCutsOpenRequests failed before: got "cut", want "may-have-run".

--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -149,18 +149,25 @@
 	}
 }
 
-// Run starts the process, serves until the context ends and then stops
-// gracefully. After an error it stops at once and returns the error.
+// Run starts the process, serves until the context ends or a part of the process fails,
+// and then stops gracefully. It returns the error of the part that failed.
 func (p *Process) Run(ctx context.Context) error {
 	if err := p.Start(); err != nil {
 		return err
 	}
+	return p.serveUntil(ctx)
+}
+
+// serveUntil serves until the context ends or a part of the process fails, and then stops
+// gracefully: what still works can answer the open requests.
+func (p *Process) serveUntil(ctx context.Context) error {
 	var err error
 	select {
 	case <-ctx.Done():
 		p.leave(context.Cause(ctx))
 	case err = <-p.failures:
-		p.log.WithError(err).Error("stopped by an error")
+		p.log.WithError(err).Error("stopping because of an error")
+		p.leave(err)
 	}
 	p.Stop()
 	return err
--- a/io/dhprocess/stop_test.go
+++ b/io/dhprocess/stop_test.go
@@ -164,3 +164,21 @@
 		t.Errorf("got %q and %q, want %q and %q", run, refusal, dhentry.NotRun, dheffect.RefuseInstanceLeaving)
 	}
 }
+
+// TestFailedListenerCutsOpenRequests lets a part of an instance fail while a request runs.
+// The instance must stop as on a signal: the request gets an answer.
+func TestFailedListenerCutsOpenRequests(t *testing.T) {
+	s := newStopTest(t)
+	results := make(chan string, 1)
+	go s.send("/repeatable/early", results)
+	<-s.arrivals
+	ended := make(chan error, 1)
+	go func() { ended <- s.entry.serveUntil(t.Context()) }()
+	s.entry.reportFailure(errTest)
+	if run := <-results; run != dhentry.MayHaveRun {
+		t.Errorf("got %q, want %q", run, dhentry.MayHaveRun)
+	}
+	if err := <-ended; !errors.Is(err, errTest) {
+		t.Errorf("the process ended with %v, want %v", err, errTest)
+	}
+}
