Answer callers that still send requests at the end of a stop

What callers saw: 3.2 s after SIGTERM an entry without open requests closed all connections, although it had 2 s left.

Cause: the end of a stop looked at open requests only, not at the connections on which the next ones arrive; and it closed connections while it still accepted new ones.

Change: at the end an instance first accepts no new connections, which sends callers to another instance at once. It closes the open ones when nobody has sent anything for 250 ms, or at the end of its time.

Test: dhprocess TestStopCutsCallersThatStillSend; on the former code a request 1.3 s after the last second in which requests are served got no answer: "unexpected EOF".

--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -64,6 +64,12 @@
 	decisionLog    *dhlogs.Limiter
 	boundAddresses Addresses
 	leaving        atomic.Bool
+	// callerListener accepts connections of callers; nil without a listener for them.
+	callerListener net.Listener
+	// callerConnections is the number of open connections of callers.
+	callerConnections atomic.Int64
+	// lastCallerActivity is when one of them was last used, in milliseconds.
+	lastCallerActivity atomic.Int64
 }
 
 // New returns a process that has not been started.
@@ -372,9 +378,10 @@
 	return binary.LittleEndian.Uint64(raw[:]) >> 1
 }
 
-// listener is a listening socket with the handler of its requests.
+// listener is a listening socket with its name and the handler of its requests.
 type listener struct {
 	net.Listener
+	name    string
 	handler http.Handler
 }
 
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -18,9 +18,11 @@
 	"dogwoodhitch/io/dhannounce"
 	"dogwoodhitch/io/dhoperator"
 	"dogwoodhitch/io/dhpeer"
-	"dogwoodhitch/io/dhtime"
 )
 
+// callerListener is the name of the listener for callers.
+const callerListener = "callers"
+
 // Timeouts and limits of the HTTP servers.
 const (
 	headerTimeout  = 5 * time.Second
@@ -31,8 +33,12 @@
 	trafficTickInterval = 10 * time.Millisecond
 	// minRefusalTime is the minimum time for which a stopping instance refuses new
 	// requests before it closes its listeners, so that late callers get a
-	// refusal instead of a connection error.
-	minRefusalTime = 500 * time.Millisecond
+	// refusal instead of a connection error, in milliseconds.
+	minRefusalTime dhclock.Millis = 500
+	// quietTime is how long no caller must have sent anything before a stopping instance
+	// closes connections that callers keep open, in milliseconds. It is longer than the
+	// time that a request takes on its way between distant regions.
+	quietTime dhclock.Millis = 250
 )
 
 var emptyCatalog = dhcatalog.New()
@@ -50,7 +56,7 @@
 			return fmt.Errorf("listen for %s on %s: %w; make the address available or change listen.%s", name, address, err, name)
 		}
 		*bound = l.Addr().String()
-		list = append(list, listener{l, handler})
+		list = append(list, listener{l, name, handler})
 		return nil
 	}
 	listen := p.options.Listen
@@ -60,7 +66,7 @@
 	)
 	if p.entry != nil {
 		err = errors.Join(err,
-			open("callers", listen.Callers, &p.boundAddresses.Callers, p.entry.CallerHandler()),
+			open(callerListener, listen.Callers, &p.boundAddresses.Callers, p.entry.CallerHandler()),
 			open("upstreams", listen.Upstreams, &p.boundAddresses.Upstreams,
 				dhannounce.New(dhannounce.Options{TrafficState: p.trafficState, Secret: p.options.Secrets.Upstreams}).Mux()),
 		)
@@ -120,6 +126,10 @@
 			Handler: l.handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout,
 			ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}
+		if l.name == callerListener {
+			s.ConnState = p.recordCallerConnection
+			p.callerListener = l.Listener
+		}
 		p.servers = append(p.servers, s)
 		serve := s.Serve
 		if p.options.TLS != nil {
@@ -127,7 +137,7 @@
 			serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
 		}
 		p.goroutines.Go(func() {
-			if err := serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := serve(l.Listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				p.reportFailure(err)
 			}
 		})
@@ -173,6 +183,20 @@
 	return err
 }
 
+// recordCallerConnection counts the open connections of callers, and records when one was
+// last used. It is called for each change of a connection's state.
+func (p *Process) recordCallerConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		p.callerConnections.Add(1)
+	case http.StateActive:
+		p.lastCallerActivity.Store(int64(p.options.Clock.Now()))
+	case http.StateClosed, http.StateHijacked:
+		p.callerConnections.Add(-1)
+	case http.StateIdle:
+	}
+}
+
 // leave prepares an entry instance for its stop: it removes the instance from
 // look-ups, then refuses new requests, and waits for the open ones to end. It aborts those
 // that don't in time.
@@ -187,28 +211,45 @@
 	p.log.WithFields(fields).Info("leaving")
 	p.loop.TryPost(dhevent.NewLeaveStarted(p.options.Clock.Now()))
 	p.entry.CloseConnections()
+	refuseFrom := p.options.Clock.Now() + p.options.LeaveWait
+	stopAt := refuseFrom + p.options.FinishTimeout
 	p.trafficState.Handle(func(at dhclock.Millis) dhevent.Event {
-		refuseFrom := at + p.options.LeaveWait
-		return dhevent.NewStopScheduled(at, dhevent.StopScheduledOptions{RefuseFrom: refuseFrom, StopAt: refuseFrom + p.options.FinishTimeout})
+		return dhevent.NewStopScheduled(at, dhevent.StopScheduledOptions{RefuseFrom: refuseFrom, StopAt: stopAt})
 	})
-	time.Sleep(dhtime.Duration(p.options.LeaveWait))
-	ctx, cancel := context.WithTimeout(context.Background(), dhtime.Duration(p.options.FinishTimeout))
-	defer cancel()
-	ticker := time.NewTicker(trafficTickInterval)
-	defer ticker.Stop()
-	refuseUntil := time.Now().Add(minRefusalTime)
-	for (p.trafficState.OpenRequests() > 0 || time.Now().Before(refuseUntil)) && ctx.Err() == nil {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
-	}
+	p.waitForCallers(refuseFrom+minRefusalTime, stopAt)
 	if open := p.trafficState.OpenRequests(); open > 0 {
 		p.log.WithField("open", open).Warn("timeout for open requests reached; aborting them")
 	}
 	p.entry.Abort()
 }
 
+// waitForCallers waits until the open requests have ended and callers send no more, at least
+// until one time and at most until another. From the former on it accepts no new connections,
+// but requests on open ones still get an answer.
+func (p *Process) waitForCallers(earliest, latest dhclock.Millis) {
+	ticker := time.NewTicker(trafficTickInterval)
+	defer ticker.Stop()
+	isListening := p.callerListener != nil
+	for now := p.options.Clock.Now(); now < latest; now = p.options.Clock.Now() {
+		if now >= earliest {
+			if isListening {
+				isListening = false
+				p.callerListener.Close()
+			}
+			if p.trafficState.OpenRequests() == 0 && !p.mayGetRequests(now) {
+				return
+			}
+		}
+		<-ticker.C
+	}
+}
+
+// mayGetRequests reports whether callers with open connections have sent something recently.
+func (p *Process) mayGetRequests(now dhclock.Millis) bool {
+	lastActivity := dhclock.Millis(p.lastCallerActivity.Load())
+	return p.callerConnections.Load() > 0 && now.Since(lastActivity) < quietTime
+}
+
 // Stop stops the process without waiting for open requests, except that
 // responses being written have a second to finish.
 func (p *Process) Stop() {
--- a/io/dhprocess/stop_test.go
+++ b/io/dhprocess/stop_test.go
@@ -120,6 +120,48 @@
 	return connection
 }
 
+// TestStopCutsCallersThatStillSend lets callers send requests on open connections, each of
+// them once, all through the stop of an instance. As long as there is time left, each must be
+// answered. Once they have ceased, the instance must end.
+func TestStopCutsCallersThatStillSend(t *testing.T) {
+	s := newStopTest(t)
+	s.entry.options.LeaveWait, s.entry.options.FinishTimeout = 200, 3000
+	var connections []net.Conn
+	for range 20 {
+		connections = append(connections, s.dial())
+	}
+	stopped := make(chan struct{})
+	go func() { s.entry.leave(errTest); s.entry.Stop(); close(stopped) }()
+	for i, c := range connections {
+		time.Sleep(100 * time.Millisecond)
+		fmt.Fprint(c, "POST /once/late HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n\r\nx")
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("request %d got no answer: %v", i, err)
+		}
+		response.Body.Close()
+		if run := response.Header.Get(dhentry.HeaderRun); run != dhentry.NotRun || !response.Close {
+			t.Errorf("request %d got %q, connection closes: %t; want %q and true", i, run, response.Close, dhentry.NotRun)
+		}
+	}
+	ceasedAt := time.Now()
+	s.dialAgainFails()
+	<-stopped
+	if took := time.Since(ceasedAt); took > 800*time.Millisecond {
+		t.Errorf("the instance ended %v after the last request, want within 800 ms", took)
+	}
+}
+
+// dialAgainFails checks that the instance accepts no new connections.
+func (s *stopTest) dialAgainFails() {
+	s.t.Helper()
+	connection, err := net.Dial("tcp", s.entry.BoundAddresses().Callers)
+	if err == nil {
+		connection.Close()
+		s.t.Error("the instance accepts connections at the end of its stop")
+	}
+}
+
 // TestAnswerDuringStopLeavesConnectionOpen lets an upstream answer a request that was open when
 // the instance began to stop. The answer must tell the caller to send no more requests on the
 // connection.
