--- a/io/dhprocess/cluster_test.go
+++ b/io/dhprocess/cluster_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/core/dhtraffic"
 	"dogwoodhitch/io/dhdisk"
@@ -117,7 +118,7 @@
 	return Options{
 		Name: name, Zone: zone, Role: role, Voters: c.voterSettings, Logs: c.logs, Clock: dhtime.System(),
 		Listen: Addresses{Peers: "127.0.0.1:0"}, Secrets: Secrets{Peers: "secret"},
-		MaxBodyBytes: 1 << 20, MaxHeldBytes: 1 << 24, ResponseBufferBytes: 1 << 16, MaxConnections: 16,
+		MaxBodyBytes: 1 << 20, MaxHeldBytes: 1 << 24, ResponseBufferBytes: 1 << 16, MaxConnections: 16, CloseTimeout: dhclock.Second,
 	}
 }
 
--- a/io/dhprocess/options.go
+++ b/io/dhprocess/options.go
@@ -71,6 +71,9 @@
 	// FinishTimeout is how long a stopping instance waits for open requests, in
 	// milliseconds.
 	FinishTimeout dhclock.Millis
+	// CloseTimeout is how long responses being written have to finish after that, in
+	// milliseconds.
+	CloseTimeout dhclock.Millis
 	// Logs creates the loggers of all layers.
 	Logs *dhlogs.Logs
 	// Clock is the clock of all events.
@@ -116,6 +119,6 @@
 		Voters:       s.Voters(),
 		Secrets:      Secrets{Peers: s.PeerSecret(), Operators: s.OperatorSecret(), Upstreams: s.UpstreamSecret()},
 		MaxBodyBytes: s.MaxBodyBytes(), MaxHeldBytes: s.MaxHeldBytes(), ResponseBufferBytes: s.ResponseBufferBytes(), MaxConnections: s.MaxConnections(),
-		LeaveWait: s.LeaveWait(), FinishTimeout: s.FinishTimeout(), Logs: logs, Clock: dhtime.System(),
+		LeaveWait: s.LeaveWait(), FinishTimeout: s.FinishTimeout(), CloseTimeout: dhclock.Second, Logs: logs, Clock: dhtime.System(),
 	}
 }
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -18,6 +18,7 @@
 	"dogwoodhitch/io/dhannounce"
 	"dogwoodhitch/io/dhoperator"
 	"dogwoodhitch/io/dhpeer"
+	"dogwoodhitch/io/dhtime"
 )
 
 // callerListener is the name of the listener for callers.
@@ -251,9 +252,9 @@
 }
 
 // Stop stops the process without waiting for open requests, except that
-// responses being written have a second to finish.
+// responses being written have CloseTimeout to finish.
 func (p *Process) Stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), dhtime.Duration(p.options.CloseTimeout))
 	defer cancel()
 	for _, s := range p.servers {
 		if s.Shutdown(ctx) != nil {
--- a/io/dhquickstart/system.go
+++ b/io/dhquickstart/system.go
@@ -15,6 +15,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhclient"
 	"dogwoodhitch/io/dhfakeupstream"
@@ -119,7 +120,7 @@
 		Name: name, Zone: zone, Role: role,
 		Listen:  dhprocess.Addresses{Peers: loopback, Operators: loopback},
 		Secrets: s.secrets, MaxBodyBytes: maxBodyBytes, MaxHeldBytes: maxHeldBytes, ResponseBufferBytes: responseBufferBytes, MaxConnections: maxConnections,
-		Logs: s.logs, Clock: dhtime.System(),
+		CloseTimeout: dhclock.Second, Logs: s.logs, Clock: dhtime.System(),
 	}
 }
 
