Write what net/http reports as JSON lines of the log

What it was: net/http wrote plain text to standard error beside the JSON lines, at any rate. A handler that panicked looked to an operator like any other broken connection.

Cause: http.Server without ErrorLog and http.Transport, which has no such field, both use the standard logger.

All servers of a process use it as ErrorLog, and both programs and the quickstart set it as the output of the standard logger. A panic is a kind of its own, at level error, with the stack in the field stack.

net/http may report something while the process ends, after the writer of the log was closed; a late line was a crash then and is dropped now.

--- a/io/dhcommand/serve.go
+++ b/io/dhcommand/serve.go
@@ -73,6 +73,7 @@
 		return dherrors.Wrap(dherrors.KindSettings, err)
 	}
 	o := dhprocess.FromSettings(s, logs)
+	logs.CaptureStandardLog(o.Clock)
 	if s.JournalFile() != "" {
 		file, err := os.Create(s.JournalFile())
 		if err != nil {
--- a/io/dhlogs/limiter.go
+++ b/io/dhlogs/limiter.go
@@ -50,6 +50,11 @@
 // exceeded its rate. It calls line only if the line is written. A nil limiter
 // writes nothing.
 func (l *Limiter) Write(kind string, line func() (logrus.Fields, string)) {
+	l.WriteAt(logrus.InfoLevel, kind, line)
+}
+
+// WriteAt is like Write for another level.
+func (l *Limiter) WriteAt(level logrus.Level, kind string, line func() (logrus.Fields, string)) {
 	if l == nil {
 		return
 	}
@@ -62,7 +67,7 @@
 	if leftOut > 0 {
 		fields["leftOut"] = leftOut
 	}
-	l.log.WithFields(fields).Info(text)
+	l.log.WithFields(fields).Log(level, text)
 }
 
 // allow reports whether a line of a kind may be written now. If so, it also
--- a/io/dhlogs/logs_test.go
+++ b/io/dhlogs/logs_test.go
@@ -95,3 +95,43 @@
 		t.Error("the writer did not report the dropped lines")
 	}
 }
+
+// TestNetHTTPFloodsTheLog writes many messages of one kind to the standard library's logger,
+// and then one on a panic. The rate must be limited, and the panic a line of its own.
+func TestNetHTTPFloodsTheLog(t *testing.T) {
+	var output bytes.Buffer
+	logs, err := New(Options{Level: "info", Output: &output, Process: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := logs.StandardLogger(dhtime.New(func() dhclock.Millis { return 1000 }))
+	for range 10 * burstLines {
+		l.Print("http: TLS handshake error from 10.0.0.1:1: EOF")
+	}
+	l.Printf("http: panic serving 10.0.0.1:1: fault\ngoroutine 1 [running]:\n%s", strings.Repeat("x", 2*maxMessageBytes))
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	if len(lines) != burstLines+1 {
+		t.Fatalf("got %d lines, want %d and one on the panic", len(lines), burstLines)
+	}
+	for _, text := range lines {
+		if !json.Valid([]byte(text)) {
+			t.Errorf("the line is no JSON: %s", text)
+		}
+	}
+	if last := lines[burstLines]; !strings.Contains(last, `"stack":"goroutine 1 [running]:`) || len(last) > maxMessageBytes+1000 {
+		t.Errorf("got a line of %d bytes on the panic, want one with a stack of at most %d", len(last), maxMessageBytes)
+	}
+}
+
+// TestLineAfterCloseCrashesTheProcess writes a line after Close, as a connection that is
+// still being closed does.
+func TestLineAfterCloseCrashesTheProcess(t *testing.T) {
+	var output bytes.Buffer
+	w := NewWriter(&output)
+	_, _ = w.Write([]byte("first\n"))
+	w.Close()
+	_, _ = w.Write([]byte("late\n"))
+	if output.String() != "first\n" {
+		t.Errorf("got %q, want the line written before Close", output.String())
+	}
+}
--- a/io/dhlogs/writer.go
+++ b/io/dhlogs/writer.go
@@ -16,12 +16,13 @@
 	output  io.Writer
 	queue   chan []byte
 	dropped atomic.Int64
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // NewWriter returns a writer and starts its goroutine, which runs until Close.
 func NewWriter(output io.Writer) *Writer {
-	w := &Writer{output: output, queue: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	w := &Writer{output: output, queue: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -36,23 +37,35 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and stops the writer. Write must not be called
-// afterwards.
+// Close writes the queued lines and stops the writer. Lines written afterwards are
+// lost: connections that net/http still closes may write some.
 func (w *Writer) Close() {
-	close(w.queue)
+	close(w.closing)
 	<-w.done
 }
 
 func (w *Writer) run() {
 	defer close(w.done)
-	for line := range w.queue {
-		if n := w.dropped.Swap(0); n > 0 {
-			line = append(fmt.Appendf(nil, "{\"level\":\"warning\",\"layer\":\"logs\",\"msg\":\"the output is too slow; lines were dropped\",\"lines\":%d}\n", n), line...)
-		}
-		if _, err := w.output.Write(line); err != nil {
-			// The error can't be logged, as the output failed. The count is
-			// written if the output recovers.
-			w.dropped.Add(1)
+	for {
+		select {
+		case line := <-w.queue:
+			w.writeLine(line)
+		case <-w.closing:
+			for range len(w.queue) {
+				w.writeLine(<-w.queue)
+			}
+			return
 		}
 	}
 }
+
+func (w *Writer) writeLine(line []byte) {
+	if n := w.dropped.Swap(0); n > 0 {
+		line = append(fmt.Appendf(nil, "{\"level\":\"warning\",\"layer\":\"logs\",\"msg\":\"the output is too slow; lines were dropped\",\"lines\":%d}\n", n), line...)
+	}
+	if _, err := w.output.Write(line); err != nil {
+		// The error can't be logged, as the output failed. The count is
+		// written if the output recovers.
+		w.dropped.Add(1)
+	}
+}
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"encoding/binary"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -61,7 +62,9 @@
 	failures chan error
 	servers  []*http.Server
 	// decisionLog logs single requests, limited for each kind of line.
-	decisionLog    *dhlogs.Limiter
+	decisionLog *dhlogs.Limiter
+	// serverLog gets the messages of the HTTP servers.
+	serverLog      *log.Logger
 	boundAddresses Addresses
 	leaving        atomic.Bool
 }
@@ -74,6 +77,7 @@
 		suspectsToSave: make(chan *dheffect.SaveSuspects, 1),
 	}
 	p.decisionLog = dhlogs.NewLimiter(o.Logs.Logger("decisions"), o.Clock)
+	p.serverLog = o.Logs.StandardLogger(o.Clock)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	voterAddresses := map[string]string{}
 	for _, v := range o.Voters {
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -116,7 +116,7 @@
 	for _, l := range list {
 		s := &http.Server{
 			Handler: l.handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout,
-			ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: p.serverLog,
 		}
 		p.servers = append(p.servers, s)
 		serve := s.Serve
--- a/io/dhquickstart/system.go
+++ b/io/dhquickstart/system.go
@@ -76,6 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
+	logs.CaptureStandardLog(dhtime.System())
 	s := &System{
 		logs:    logs,
 		secrets: dhprocess.Secrets{Peers: randomSecret(), Operators: randomSecret(), Upstreams: randomSecret()},
