Keep an isolation by refused connections with fewer than three upstreams

What it was: an instance to which all of one or two upstreams refuse connections is isolated and forwards to peers. A response on a connection that lived on ended that; with three upstreams or more it doesn't.

What callers saw: their requests went to the upstreams that refuse connections. Each was refused as upstreamUnreachable, not run, instead of being served through a peer, until a probe failed and the instance was isolated again.

Cause: recordConnect compared the unreachable upstreams with the smaller of isolationThreshold and the number of upstreams, recordResponse with isolationThreshold.

Evidence, before the change (with 3 and 6 upstreams the test passed):

TestResponseEndsIsolationByRefusals/1_upstreams: the request was sent to u0, which refuses connections TestResponseEndsIsolationByRefusals/2_upstreams: the request was sent to u0, which refuses connections

A print in the test showed the next decisions: the attempts at u0 (and u1) were refused, and then Refuse with kind upstreamUnreachable, mayHaveRun false.

Change: isSuspected decides for both. The number of upstreams is known from the last view in place of being counted for each connection.

--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -44,10 +44,12 @@
 		g.Update(now, registrations, topology)
 		g.retryBucket.setClusterShare(s.clusterRetries, instances)
 	}
+	s.reachability.upstreams = 0
 	for name, g := range s.groups {
 		if !registered[name] {
 			g.Update(now, nil, topology)
 		}
+		s.reachability.upstreams += g.Size()
 	}
 }
 
--- a/core/dhtraffic/reachability.go
+++ b/core/dhtraffic/reachability.go
@@ -37,6 +37,8 @@
 // If it can't reach any, its own links have failed rather than the upstreams. It is
 // isolated then, and forwards requests to peers.
 type reachability struct {
+	// upstreams is the number of registered upstreams of all services.
+	upstreams int
 	// lastConnected is when the last connection that succeeded was started.
 	lastConnected dhclock.Millis
 	// lastResponse is when the last response of an upstream arrived, on any
@@ -70,13 +72,13 @@
 	return reachability{unreachable: map[*dhsteer.Member]failedConnection{}, avoidedPeers: map[string]dhclock.Millis{}, timedOutPeers: map[string]bool{}}
 }
 
-// recordConnect updates the reachability with the result of a new connection to one of a
-// number of upstreams. Results are compared by their starts, because a failure is
+// recordConnect updates the reachability with the result of a new connection to an
+// upstream. Results are compared by their starts, because a failure is
 // known later than a success. A failure is no evidence either if some upstream has
 // responded since its start: on a congested link connections time out while responses
 // arrive. Upstreams that refuse connections may have crashed: if any upstream has ever
 // responded, a failed probe of another one must confirm the isolation.
-func (r *reachability) recordConnect(startedAt, latency dhclock.Millis, m *dhsteer.Member, connected bool, upstreams int) {
+func (r *reachability) recordConnect(startedAt, latency dhclock.Millis, m *dhsteer.Member, connected bool) {
 	if connected {
 		r.probeFailed = false
 		r.lastConnected = max(r.lastConnected, startedAt)
@@ -85,7 +87,7 @@
 		r.unreachable[m] = failedConnection{startedAt: startedAt, timedOut: latency > maxRefusalTime}
 	}
 	isConfirmed := r.probeFailed || r.lastResponse == 0 || !r.isRefused()
-	r.isolated = r.isSuspected(upstreams) && isConfirmed
+	r.isolated = r.isSuspected() && isConfirmed
 }
 
 // isRefused reports whether an upstream refused the last connection to it.
@@ -98,10 +100,10 @@
 	return false
 }
 
-// isSuspected reports whether enough of a number of upstreams are unreachable for this
-// instance to be isolated.
-func (r *reachability) isSuspected(upstreams int) bool {
-	return upstreams > 0 && len(r.unreachable) >= min(isolationThreshold, upstreams)
+// isSuspected reports whether enough upstreams are unreachable for this instance to be
+// isolated.
+func (r *reachability) isSuspected() bool {
+	return r.upstreams > 0 && len(r.unreachable) >= min(isolationThreshold, r.upstreams)
 }
 
 // recordResponse records that an attempt at an upstream may have ended with a response.
@@ -112,7 +114,7 @@
 	case dhevent.EndAnswered, dhevent.EndRefused, dhevent.EndUnattributed, dhevent.EndMisplaced:
 		r.lastResponse = now
 		maps.DeleteFunc(r.unreachable, func(_ *dhsteer.Member, f failedConnection) bool { return f.timedOut })
-		r.isolated = r.isolated && len(r.unreachable) >= isolationThreshold
+		r.isolated = r.isolated && r.isSuspected()
 	case dhevent.EndNotSent, dhevent.EndBroken, dhevent.EndTimedOut, dhevent.EndCallerGone:
 	}
 }
@@ -156,23 +158,19 @@
 // upstream. The first failure is followed by probes of two other upstreams, which show
 // whether it is that upstream's or this instance's.
 func (s *State) recordConnect(now, latency dhclock.Millis, service string, m *dhsteer.Member, connected bool, out *dheffect.List) {
-	upstreams := 0
-	for _, g := range s.groups {
-		upstreams += g.Size()
-	}
 	isolated, suspected := s.reachability.isolated, len(s.reachability.unreachable) > 0
-	s.reachability.recordConnect(now-latency, latency, m, connected, upstreams)
+	s.reachability.recordConnect(now-latency, latency, m, connected)
 	s.handleIsolationChange(isolated, m.Name(), connectsAgain, out)
 	s.recordConnection(now, latency, upstreamName{service, m.Name()}, connected, out)
 	if s.reachability.isolated {
 		return
 	}
 	interval := probeInterval
-	if !s.reachability.isSuspected(upstreams) {
+	if !s.reachability.isSuspected() {
 		interval = suspicionInterval
 	}
 	hasFirstFailure := !suspected && len(s.reachability.unreachable) > 0
-	if (hasFirstFailure || s.reachability.isSuspected(upstreams)) && now.Since(s.reachability.lastProbe) >= interval {
+	if (hasFirstFailure || s.reachability.isSuspected()) && now.Since(s.reachability.lastProbe) >= interval {
 		for range isolationThreshold - 1 {
 			s.probe(now, out)
 		}
--- a/core/dhtraffic/reachability_test.go
+++ b/core/dhtraffic/reachability_test.go
@@ -18,6 +18,12 @@
 }
 
 func newReachabilityTest(t *testing.T) *reachabilityTest {
+	t.Helper()
+	return newReachabilityTestWith(t, 6)
+}
+
+// newReachabilityTestWith is like newReachabilityTest with another number of upstreams.
+func newReachabilityTestWith(t *testing.T, upstreams int) *reachabilityTest {
 	t.Helper()
 	objects := []dhcatalog.Object{
 		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
@@ -31,7 +37,7 @@
 			Name: name, Zone: name[:2], CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2",
 		}))
 	}
-	for i := range 6 {
+	for i := range upstreams {
 		objects = append(objects, dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{
 			Name: fmt.Sprint("u", i), Service: "s", Address: "10.0.1.1:1", Zone: []string{"a1", "b1"}[i%2], Slots: 100, Incarnation: 1,
 		}))
@@ -242,6 +248,30 @@
 	}
 }
 
+// TestResponseEndsIsolationByRefusals has all upstreams, or isolationThreshold of them, refuse
+// new connections, and a response to an earlier request arrive. The instance must go on
+// forwarding to peers, whatever the number of upstreams.
+func TestResponseEndsIsolationByRefusals(t *testing.T) {
+	for _, upstreams := range []int{1, 2, 3, 6} {
+		t.Run(fmt.Sprint(upstreams, " upstreams"), func(t *testing.T) {
+			s := newReachabilityTestWith(t, upstreams)
+			s.send(1000, "/any/", false)
+			early := s.request
+			var out dheffect.List
+			for _, m := range s.groups["s"].Members()[:min(isolationThreshold, upstreams)] {
+				s.recordConnect(1001, 1, "s", m, false, &out)
+			}
+			if _, ok := s.send(1002, "/any/", false).(*dheffect.ForwardToPeer); !ok {
+				t.Fatal("the instance isn't isolated after upstreams refused its connections")
+			}
+			s.HandleAttemptEnd(dhevent.NewAttemptEnded(1003, dhevent.AttemptEndedOptions{RequestID: early, Status: 200, Latency: 3}), &out)
+			if forward, ok := s.send(1004, "/any/", false).(*dheffect.ForwardToUpstream); ok {
+				t.Errorf("the request was sent to %s, which refuses connections", forward.Upstream())
+			}
+		})
+	}
+}
+
 // countProbes counts the probes among the effects.
 func countProbes(out *dheffect.List) int {
 	probes := 0
