Compute the end of the first pause in one place

What it was: dhsteer Group.PausedUntil and Pool.PausedUntil were the same loop over different upstreams.

Change: each passes the health of its upstreams to firstPauseEnd. Behaviour stays: the tests of core/dhsteer and core/dhtraffic pass as they were.

--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -286,17 +286,13 @@
 // PausedUntil returns when the first pause ends if all members that a request may go to
 // are paused, else 0.
 func (g *Group) PausedUntil(now dhclock.Millis, c Criteria) dhclock.Millis {
-	first := dhclock.Millis(0)
-	for _, m := range g.members {
-		if !m.available() || !c.Allows(m.region) {
-			continue
-		}
-		if !m.Paused(now) {
-			return 0
+	return firstPauseEnd(now, func(yield func(*health) bool) {
+		for _, m := range g.members {
+			if m.available() && c.Allows(m.region) && !yield(&m.health) {
+				return
+			}
 		}
-		first = earliest(first, m.pausedUntil)
-	}
-	return first
+	})
 }
 
 // Member returns the member with a name, or nil.
--- a/core/dhsteer/health.go
+++ b/core/dhsteer/health.go
@@ -1,6 +1,10 @@
 package dhsteer
 
-import "dogwoodhitch/core/dhclock"
+import (
+	"iter"
+
+	"dogwoodhitch/core/dhclock"
+)
 
 // health holds this instance's own measurements of an upstream, for outlier
 // ejection and backoff.
@@ -66,6 +70,20 @@
 // Paused reports whether the upstream asked for no requests before a later time.
 func (h *health) Paused(now dhclock.Millis) bool { return now < h.pausedUntil }
 
+// firstPauseEnd returns when the first pause of some upstreams ends if all are paused, else 0.
+func firstPauseEnd(now dhclock.Millis, upstreams iter.Seq[*health]) dhclock.Millis {
+	first := dhclock.Millis(0)
+	for h := range upstreams {
+		if !h.Paused(now) {
+			return 0
+		}
+		if first == 0 || h.pausedUntil < first {
+			first = h.pausedUntil
+		}
+	}
+	return first
+}
+
 // pause excludes the upstream from selection for the time that it asked for. A slow
 // start follows.
 func (h *health) pause(now, duration dhclock.Millis, random uint64) {
--- a/core/dhsteer/pool.go
+++ b/core/dhsteer/pool.go
@@ -216,25 +216,13 @@
 // PausedUntil returns when the first pause ends if all available upstreams are paused,
 // else 0.
 func (p *Pool) PausedUntil(now dhclock.Millis) dhclock.Millis {
-	first := dhclock.Millis(0)
-	for _, u := range p.upstreams {
-		if !u.available(now) {
-			continue
+	return firstPauseEnd(now, func(yield func(*health) bool) {
+		for _, u := range p.upstreams {
+			if u.available(now) && !yield(&u.health) {
+				return
+			}
 		}
-		if !u.Paused(now) {
-			return 0
-		}
-		first = earliest(first, u.pausedUntil)
-	}
-	return first
-}
-
-// earliest returns the earlier one of two times, of which the first may be 0 for none.
-func earliest(a, b dhclock.Millis) dhclock.Millis {
-	if a == 0 {
-		return b
-	}
-	return min(a, b)
+	})
 }
 
 // Slots returns the allowed slots of all upstreams that may get new requests now,
