Set a request's fingerprint when it is received

What it was: each place that needs the fingerprint of a request put it together again from the organisation and the hash of the content.

Change: the request holds it, and setOrganisation sets it with the organisation. A refusal before authentication is recorded without an organisation, as before, so that journals of earlier releases replay to the same effects.

A comment says so.

--- a/core/dhtraffic/admission.go
+++ b/core/dhtraffic/admission.go
@@ -25,7 +25,9 @@
 	r := &request{
 		id: e.RequestID(), receivedAt: now, weight: 1, fromPeer: e.FromPeer(), bodyBytes: e.BodyBytes(),
 		callerRequestID: e.CallerRequestID(), host: e.Host(), path: e.Path(), object: e.ObjectHash(), random: e.Random(),
-		content: e.ContentHash(),
+	}
+	if hash := e.ContentHash(); hash != nil {
+		r.fingerprint = new(dhmessage.NewFingerprint("", *hash))
 	}
 	if s.stop != nil && now >= s.stop.RefuseFrom() {
 		s.refuse(now, r, leavingRefusal(), out)
@@ -53,7 +55,7 @@
 	r.setQueueDeadline(now)
 	s.requests[r.id] = r
 	if r.fromPeer {
-		r.organisation = e.Organisation()
+		r.setOrganisation(e.Organisation())
 		s.acquireSlot(now, r, out)
 		return
 	}
@@ -104,7 +106,7 @@
 	}
 	key, _ := s.view.Catalog().KeyByHash(hash)
 	organisation, _ := s.view.Catalog().Organisation(key.Organisation())
-	r.organisation = organisation.Name()
+	r.setOrganisation(organisation.Name())
 	r.weight = organisation.Weight()
 	return dheffect.Refusal{}, true
 }
--- a/core/dhtraffic/crash.go
+++ b/core/dhtraffic/crash.go
@@ -201,8 +201,7 @@
 // isolated instance can't distinguish crashes from the failure of its own links.
 func (s *State) recordBroken(now dhclock.Millis, r *request, out *dheffect.List) {
 	u, ok := s.upstreamOf(r)
-	fingerprint := r.fingerprint()
-	if !ok || fingerprint == nil || s.reachability.isolated || !s.crashes.recordBroken(now, u, *fingerprint) {
+	if !ok || r.fingerprint == nil || s.reachability.isolated || !s.crashes.recordBroken(now, u, *r.fingerprint) {
 		return
 	}
 	s.probeCrashed(u, out)
--- a/core/dhtraffic/quarantine.go
+++ b/core/dhtraffic/quarantine.go
@@ -18,18 +18,16 @@
 
 // quarantine returns how long a request is still quarantined; 0 if it isn't.
 func (s *State) quarantine(now dhclock.Millis, r *request) dhclock.Millis {
-	fingerprint := r.fingerprint()
-	if fingerprint == nil {
+	if r.fingerprint == nil {
 		return 0
 	}
-	return s.suspects.Quarantine(now, *fingerprint)
+	return s.suspects.Quarantine(now, *r.fingerprint)
 }
 
 // acquit records that a request ended without a crash. A server error is no evidence: an
 // upstream may have sent it before it ran the request.
 func (s *State) acquit(now dhclock.Millis, r *request, status int, out *dheffect.List) {
-	fingerprint := r.fingerprint()
-	if fingerprint == nil || status >= statusServerError || !s.suspects.Acquit(now, *fingerprint) {
+	if r.fingerprint == nil || status >= statusServerError || !s.suspects.Acquit(now, *r.fingerprint) {
 		return
 	}
 	s.reportSuspects(now, out)
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -117,7 +117,7 @@
 	path           string
 	object         uint64
 	random         uint64
-	content        *dhcatalog.Hash // of the method, host, target and body; nil if unknown
+	fingerprint    *dhmessage.Fingerprint // nil if the content is unknown
 	organisation   string
 	key            dhcatalog.Hash
 	weight         int
@@ -146,13 +146,12 @@
 	mayHaveRun      bool // an attempt ended without showing that the request didn't run
 }
 
-// fingerprint identifies the request by its organisation and content; it is nil if the
-// content is unknown.
-func (r *request) fingerprint() *dhmessage.Fingerprint {
-	if r.content == nil {
-		return nil
+// setOrganisation sets the organisation that the request belongs to.
+func (r *request) setOrganisation(name string) {
+	r.organisation = name
+	if r.fingerprint != nil {
+		*r.fingerprint = dhmessage.NewFingerprint(name, r.fingerprint.Content())
 	}
-	return new(dhmessage.NewFingerprint(r.organisation, *r.content))
 }
 
 // setQueueDeadline starts the route's queue wait anew, within the deadline.
@@ -241,7 +240,7 @@
 	age, _ := s.view.Age(now)
 	out.Add(dheffect.NewRecordRequest(dheffect.RecordRequestOptions{
 		CallerRequestID: r.callerRequestID, Route: r.route.Name(), Service: r.service, Organisation: r.organisation,
-		ObjectHash: r.object, Fingerprint: r.fingerprint(), RefusalKind: kind,
+		ObjectHash: r.object, Fingerprint: r.fingerprint, RefusalKind: kind,
 		MayHaveRun: kind != "" && r.mayHaveRun, Status: status, Latency: latency, Timeout: max(0, r.deadline-r.receivedAt),
 		WithinRate: withinRate, ObjectiveMissed: r.route.Objective() > 0 && latency > r.route.Objective(),
 		ConfigVersion: s.view.Catalog().Version(), ConfigAge: age, Attempts: r.attemptRecords,
--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -218,7 +218,8 @@
 }
 
 // contentHash hashes what an upstream gets of a request apart from its header: the
-// method, host, target and body.
+// method, host, target and body. It shares no work with contentDigest: the texts before
+// the body differ, and other processes compare both hashes.
 func (in *inbound) contentHash() dhcatalog.Hash {
 	return in.hashWithBody(in.method, in.hostName(), in.url.Path, in.url.RawQuery)
 }
