Test that crashes are counted while a pool forgets the upstream

What it was: the crash detector keeps the processes of announced upstreams beside the pool's Upstream, and an earlier review proposed to move them there.

Found: that would lose crashes. A pool drops an upstream 6 s after its last announcement, and a restart may take longer; the detector remembers it for an hour.

To date the process of a new Upstream by its announcement doesn't help: the instances to which it announces itself would count one crash under two incarnations.

Change: the code stays. The test restarts the upstream also after the pool forgot it, and a comment gives the reason.

--- a/core/dhtraffic/crash.go
+++ b/core/dhtraffic/crash.go
@@ -35,7 +35,7 @@
 type crashDetector struct {
 	suspected map[upstreamName]*suspectedCrash
 	// announced are the announced upstreams that have crashed. Their announcements don't
-	// tell one process from the next.
+	// tell one process from the next, and pools forget an upstream whose restart takes long.
 	announced map[upstreamName]*announcedProcess
 }
 
--- a/core/dhtraffic/crash_test.go
+++ b/core/dhtraffic/crash_test.go
@@ -1,6 +1,7 @@
 package dhtraffic
 
 import (
+	"fmt"
 	"testing"
 
 	"dogwoodhitch/core/dhcatalog"
@@ -40,8 +41,16 @@
 
 // TestAnnouncedUpstreamCrashesOverAndOver crashes the only announced upstream with the same
 // request. Each crash counts once, however many connections break by it, and the third one
-// quarantines the request: the announcements don't tell that the process is another one.
+// quarantines the request: the announcements don't tell that the process is another one, and
+// a restart may take longer than the pool remembers the upstream.
 func TestAnnouncedUpstreamCrashesOverAndOver(t *testing.T) {
+	for _, isForgotten := range []bool{false, true} {
+		t.Run(fmt.Sprint("forgotten by the pool ", isForgotten), func(t *testing.T) { crashAnnouncedUpstream(t, isForgotten) })
+	}
+}
+
+func crashAnnouncedUpstream(t *testing.T, isForgotten bool) {
+	t.Helper()
 	s := newPauseTest(t, false)
 	s.pools["s"].Deregister("u1")
 	s.pools["s"].Deregister("u2")
@@ -71,6 +80,12 @@
 			now += 500
 		}
 		now += 10_000
+		if isForgotten {
+			s.Tick(now, new(dheffect.List))
+			if n := len(s.pools["s"].Upstreams()); n > 0 {
+				t.Fatalf("the pool has %d upstreams 10 s after the crash, want none", n)
+			}
+		}
 		s.announce(now, "u0")
 		send(now, 2)
 		s.end(now+1, dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: 200})
