Check a fallback peer before making a record of it

What it was: for each request of an isolated instance, fallbackPeer made a record of each instance and then checked whether that one may get the request.

Change: a zone whose region is not allowed, or whose link has no budget left, is left out as a whole, an instance is checked by its name, and a record is made only of one that is better than the best so far. distanceTo takes a zone, linkHasBudget a region.

Behaviour stays: the tests of core/dhtraffic pass as they were. With 204 instances and one attempt through a peer, a request makes 13 allocations; before 212 (testing.AllocsPerRun, 2000 runs).

--- a/core/dhtraffic/fallback.go
+++ b/core/dhtraffic/fallback.go
@@ -21,37 +21,34 @@
 	var best *peer
 	var bestRank uint64
 	for _, z := range s.view.Catalog().Zones() {
-		if !criteria.Allows(z.Region()) {
+		to := s.distanceTo(z.Name())
+		if !criteria.Allows(z.Region()) || to == otherRegion && !s.linkHasBudget(now, z.Region()) {
 			continue
 		}
 		for _, i := range s.view.Catalog().InstancesIn(z.Name()) {
-			candidate := &peer{instance: i, distance: s.distanceTo(i), region: z.Region()}
-			if !s.mayFallBackTo(now, r, candidate) {
+			if !s.mayFallBackTo(now, r, i.Name()) {
 				continue
 			}
 			rank := dhsteer.HashObject(i.Name()) ^ r.random
-			if best == nil || isCloserRegion(candidate, best) || !isCloserRegion(best, candidate) && rank < bestRank {
-				best, bestRank = candidate, rank
+			if best == nil || isCloserRegion(to, best.distance) || !isCloserRegion(best.distance, to) && rank < bestRank {
+				best, bestRank = &peer{instance: i, distance: to, region: z.Region()}, rank
 			}
 		}
 	}
 	return best
 }
 
-// isCloserRegion reports whether only a is in the region of this instance.
-func isCloserRegion(a, b *peer) bool { return a.distance != otherRegion && b.distance == otherRegion }
+// isCloserRegion reports whether only a is the distance of a peer in the region of this
+// instance.
+func isCloserRegion(a, b distance) bool { return a != otherRegion && b == otherRegion }
 
-// mayFallBackTo reports whether a peer may get a request while this instance is
-// isolated.
-func (s *State) mayFallBackTo(now dhclock.Millis, r *request, to *peer) bool {
-	name := to.instance.Name()
+// mayFallBackTo reports whether the peer with a name may get a request while this instance
+// is isolated.
+func (s *State) mayFallBackTo(now dhclock.Millis, r *request, name string) bool {
 	if name == s.instance || s.view.IsUnavailable(name) || now < s.reachability.avoidedPeers[name] {
 		return false
 	}
-	if slices.ContainsFunc(r.triedPeers, func(tried *peer) bool { return tried.instance.Name() == name }) {
-		return false
-	}
-	return to.distance != otherRegion || s.linkHasBudget(now, to)
+	return !slices.ContainsFunc(r.triedPeers, func(tried *peer) bool { return tried.instance.Name() == name })
 }
 
 // forwardToFallbackPeer forwards a request for a registered upstream to a peer, which
--- a/core/dhtraffic/link.go
+++ b/core/dhtraffic/link.go
@@ -46,10 +46,10 @@
 	s.links = budgets
 }
 
-// linkHasBudget reports whether the link to a peer's region has bytes left in
+// linkHasBudget reports whether the link to another region has bytes left in
 // its budget, or no limit.
-func (s *State) linkHasBudget(now dhclock.Millis, to *peer) bool {
-	b, limited := s.links[to.region]
+func (s *State) linkHasBudget(now dhclock.Millis, region string) bool {
+	b, limited := s.links[region]
 	return !limited || b.HasRemaining(now)
 }
 
--- a/core/dhtraffic/peer.go
+++ b/core/dhtraffic/peer.go
@@ -76,7 +76,7 @@
 		if !candidate.hasFreeSlot(now) || s.view.IsUnavailable(name) || slices.Contains(r.triedPeers, candidate) {
 			continue
 		}
-		if candidate.distance == otherRegion && (!crossRegion || !s.linkHasBudget(now, candidate)) {
+		if candidate.distance == otherRegion && (!crossRegion || !s.linkHasBudget(now, candidate.region)) {
 			continue
 		}
 		if best == nil || preferred(candidate, best) {
@@ -164,7 +164,7 @@
 	for _, z := range s.view.Catalog().Zones() {
 		for _, i := range s.view.Catalog().InstancesIn(z.Name()) {
 			if i.Name() != s.instance && !s.view.IsUnavailable(i.Name()) {
-				d := s.distanceTo(i)
+				d := s.distanceTo(i.Zone())
 				byDistance[d] = append(byDistance[d], i)
 			}
 		}
@@ -179,12 +179,12 @@
 	return list
 }
 
-func (s *State) distanceTo(i dhcatalog.Instance) distance {
-	if i.Zone() == s.zone {
+func (s *State) distanceTo(zone string) distance {
+	if zone == s.zone {
 		return sameZone
 	}
 	here, _ := s.view.Catalog().Zone(s.zone)
-	there, _ := s.view.Catalog().Zone(i.Zone())
+	there, _ := s.view.Catalog().Zone(zone)
 	if here.Region() == there.Region() {
 		return sameRegion
 	}
@@ -205,7 +205,7 @@
 		p.peers[i.Name()] = from
 	}
 	there, _ := s.view.Catalog().Zone(i.Zone())
-	from.instance, from.distance, from.region = i, s.distanceTo(i), there.Region()
+	from.instance, from.distance, from.region = i, s.distanceTo(i.Zone()), there.Region()
 	from.slots, from.expiry = e.Response().Slots(), e.Response().RequestSentAt()+e.Response().TTL()
 	s.forwardWaitingToPeers(e.At(), p, out)
 }
