Choose between a fallback peer and an upstream in one place

What it was: acquireMember and retryOnMember each looked for a fallback peer, then for a registered upstream, and forwarded the request to what they found.

Change: forwardInGroup does it for both. The group is set once, so that the two functions that forward take it from the request. A first attempt spends nothing of the retry budget, as before, since the request has no attempt yet.

--- a/core/dhtraffic/fallback.go
+++ b/core/dhtraffic/fallback.go
@@ -54,8 +54,8 @@
 // forwardToFallbackPeer forwards a request for a registered upstream to a peer, which
 // selects the upstream. A peer whose configuration is older than the one here must not
 // serve it, or the caller would see the configuration go back.
-func (s *State) forwardToFallbackPeer(now dhclock.Millis, g *group, r *request, to *peer, out *dheffect.List) {
-	r.group, r.sentToFallback = g, true
+func (s *State) forwardToFallbackPeer(now dhclock.Millis, r *request, to *peer, out *dheffect.List) {
+	r.sentToFallback = true
 	s.sendToPeer(now, r, to, new(s.declarationNumber()), out)
 }
 
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -117,17 +117,30 @@
 		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseNoUpstream, false, shortRetryAfter), out)
 		return
 	}
-	if to := s.fallbackPeer(now, r); to != nil {
-		s.forwardToFallbackPeer(now, g, r, to, out)
-		return
-	}
 	r.group = g
-	m := g.Select(now, s.criteria(r))
-	if m == nil {
+	if !s.forwardInGroup(now, r, out) {
 		s.refuse(now, r, s.noCapacityRefusal(now, r, dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, longRetryAfter)), out)
-		return
 	}
-	s.forwardToMember(now, g, r, m, out)
+}
+
+// forwardInGroup forwards a request to a fallback peer if this instance is isolated, else
+// to an upstream of its group. It reports false if there is none, or if the request has had
+// an attempt and the retry budget is exhausted.
+func (s *State) forwardInGroup(now dhclock.Millis, r *request, out *dheffect.List) bool {
+	to := s.fallbackPeer(now, r)
+	var m *dhsteer.Member
+	if to == nil {
+		m = r.group.Select(now, s.criteria(r))
+	}
+	if to == nil && m == nil || r.attempts > 0 && !r.group.retryBucket.acquire() {
+		return false
+	}
+	if to != nil {
+		s.forwardToFallbackPeer(now, r, to, out)
+	} else {
+		s.forwardToMember(now, r, m, out)
+	}
+	return true
 }
 
 // criteria returns what a request needs of its upstream. Affinity by object
@@ -145,20 +158,20 @@
 
 // forwardToMember starts an attempt at a registered upstream, unless the
 // caller's key has been revoked in the meantime.
-func (s *State) forwardToMember(now dhclock.Millis, g *group, r *request, m *dhsteer.Member, out *dheffect.List) {
+func (s *State) forwardToMember(now dhclock.Millis, r *request, m *dhsteer.Member, out *dheffect.List) {
 	if refusal, ok := s.mayForward(now, r); !ok {
 		s.refuse(now, r, refusal, out)
 		return
 	}
-	r.phase, r.group, r.member = running, g, m
+	r.phase, r.member = running, m
 	r.attempts++
 	if r.attempts == 1 && r.unsentAttempts == 0 {
-		g.retryBucket.credit()
+		r.group.retryBucket.credit()
 	}
 	r.recordSent(now, m.Name(), m.Limit())
-	g.Acquire(now, m)
+	r.group.Acquire(now, m)
 	out.Add(dheffect.NewForwardToUpstream(dheffect.ForwardToUpstreamOptions{
-		RequestID: r.id, Service: g.Service(), Upstream: m.Name(), Address: m.Address(), Organisation: r.organisation,
+		RequestID: r.id, Service: r.group.Service(), Upstream: m.Name(), Address: m.Address(), Organisation: r.organisation,
 		Timeout: r.remaining(now), Claimed: r.claimGranted, Registered: true,
 		// The transport can resend a request without a body on a pooled connection.
 		NewConnection: !r.route.Idempotent() && r.bodyBytes == 0,
@@ -180,20 +193,9 @@
 		return
 	}
 	r.route = route
-	to := s.fallbackPeer(now, r)
-	var m *dhsteer.Member
-	if to == nil {
-		m = r.group.Select(now, s.criteria(r))
-	}
-	if to == nil && m == nil || r.attempts > 0 && !r.group.retryBucket.acquire() {
+	if !s.forwardInGroup(now, r, out) {
 		s.refuse(now, r, refusal, out)
-		return
-	}
-	if to != nil {
-		s.forwardToFallbackPeer(now, r.group, r, to, out)
-		return
 	}
-	s.forwardToMember(now, r.group, r, m, out)
 }
 
 // hasAttemptsLeft reports whether a request may have another attempt. It may not after
