Publish the number of queued events, and drop an unused logger

What it was: dhloop.Loop.QueueLength and dhentry.Options.Log had no use.

Change: the length of the control loop's mailbox and of the queue for the traffic state are gauges, dogwoodhitch_queued_events by queue. TestOperatorAPI asks for it; red before:

operator_test.go:108: GET /metrics with body : got status 200 and body dogwoodhitch_version 1 dogwoodhitch_version_in_force 1

dhentry.Options.Log is gone: the entry logs by DecisionLog alone.

--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -38,7 +38,6 @@
 	TrafficState *dhtrafficstate.Owner
 	Clock        dhtime.Clock
 	PeerSecret   string
-	Log          *logrus.Entry
 	// DecisionLog logs failed attempts, at a limited rate.
 	DecisionLog *dhlogs.Limiter
 	// MaxBodyBytes bounds the body of one request.
--- a/io/dhentry/server_test.go
+++ b/io/dhentry/server_test.go
@@ -13,8 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
@@ -100,10 +98,8 @@
 			})
 		})
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	s := New(Options{
-		Instance: "i", TrafficState: e.trafficState, Clock: clock, Log: logrus.NewEntry(log),
+		Instance: "i", TrafficState: e.trafficState, Clock: clock,
 		MaxBodyBytes: 1 << 10, MaxHeldBytes: 1 << 12, ResponseBufferBytes: 1 << 10, MaxConnections: 16,
 	})
 	e.server = s
--- a/io/dhmetrics/metrics.go
+++ b/io/dhmetrics/metrics.go
@@ -63,6 +63,11 @@
 	metrics.GetOrRegisterGauge(labelledName(name, pairs...), m.registry).Update(value)
 }
 
+// SetGaugeFunc makes a gauge of a function, which is called whenever the metrics are written.
+func (m *Metrics) SetGaugeFunc(value func() int64, name string, pairs ...string) {
+	m.registry.GetOrRegister(labelledName(name, pairs...), metrics.NewFunctionalGauge(value))
+}
+
 // RecordRequest counts a request that ended, by its refusal kind if it was
 // refused, and its attempts at upstreams that report a limit, and records its
 // latency.
--- a/io/dhprocess/operator_test.go
+++ b/io/dhprocess/operator_test.go
@@ -100,6 +100,7 @@
 		{"GET", "/healthz", "", "", 200, "{}"},
 		{"GET", "/readyz", "", "", 200, "{}"},
 		{"GET", "/metrics", "", "", 200, "dogwoodhitch_version 1"},
+		{"GET", "/metrics", "", "", 200, `dogwoodhitch_queued_events{to="control"}`},
 	}
 	for _, c := range cases {
 		status, body := o.call(c.method, c.path, c.secret, c.body)
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -205,6 +205,7 @@
 		seams.Record = j.ControlRecorder(o)
 	}
 	p.loop = dhloop.New(dhreducer.NewControl(o), seams)
+	p.metrics.SetGaugeFunc(func() int64 { return int64(p.loop.QueueLength()) }, "dogwoodhitch_queued_events", "to", "control")
 }
 
 // consensusOptions returns the options of a voter, with the state that its data
@@ -233,9 +234,10 @@
 		seams.Record = j.TrafficRecorder(o)
 	}
 	p.trafficState = dhtrafficstate.New(dhreducer.NewTraffic(o), seams)
+	p.metrics.SetGaugeFunc(func() int64 { return int64(len(p.trafficEvents)) }, "dogwoodhitch_queued_events", "to", "traffic")
 	p.entry = dhentry.New(dhentry.Options{
 		Instance: p.options.Name, TrafficState: p.trafficState, Clock: p.options.Clock, PeerSecret: p.options.Secrets.Peers,
-		Log: p.options.Logs.Logger("entry"), DecisionLog: p.decisionLog, MaxBodyBytes: p.options.MaxBodyBytes, MaxHeldBytes: p.options.MaxHeldBytes,
+		DecisionLog: p.decisionLog, MaxBodyBytes: p.options.MaxBodyBytes, MaxHeldBytes: p.options.MaxHeldBytes,
 		ResponseBufferBytes: p.options.ResponseBufferBytes, MaxConnections: p.options.MaxConnections, PeerTLS: p.clientTLS(), Dialect: p.options.Dialect,
 	})
 }
