--- a/core/dhtraffic/crash.go
+++ b/core/dhtraffic/crash.go
@@ -35,7 +35,7 @@
 type crashDetector struct {
 	suspected map[upstreamName]*suspectedCrash
 	// announced are the announced upstreams that have crashed. Their announcements don't
-	// tell one process from the next.
+	// tell one process from the next, and pools forget an upstream whose restart takes long.
 	announced map[upstreamName]*announcedProcess
 }
 
@@ -201,8 +201,7 @@
 // isolated instance can't distinguish crashes from the failure of its own links.
 func (s *State) recordBroken(now dhclock.Millis, r *request, out *dheffect.List) {
 	u, ok := s.upstreamOf(r)
-	fingerprint := r.fingerprint()
-	if !ok || fingerprint == nil || s.reachability.isolated || !s.crashes.recordBroken(now, u, *fingerprint) {
+	if !ok || r.fingerprint == nil || s.reachability.isolated || !s.crashes.recordBroken(now, u, *r.fingerprint) {
 		return
 	}
 	s.probeCrashed(u, out)
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"encoding/binary"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -61,7 +62,9 @@
 	failures chan error
 	servers  []*http.Server
 	// decisionLog logs single requests, limited for each kind of line.
-	decisionLog    *dhlogs.Limiter
+	decisionLog *dhlogs.Limiter
+	// serverLog gets the messages of the HTTP servers.
+	serverLog      *log.Logger
 	boundAddresses Addresses
 	leaving        atomic.Bool
 	// callerListener accepts connections of callers; nil without a listener for them.
@@ -80,6 +83,7 @@
 		suspectsToSave: make(chan *dheffect.SaveSuspects, 1),
 	}
 	p.decisionLog = dhlogs.NewLimiter(o.Logs.Logger("decisions"), o.Clock)
+	p.serverLog = o.Logs.StandardLogger(o.Clock)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	voterAddresses := map[string]string{}
 	for _, v := range o.Voters {
@@ -207,6 +211,7 @@
 		seams.Record = j.ControlRecorder(o)
 	}
 	p.loop = dhloop.New(dhreducer.NewControl(o), seams)
+	p.metrics.SetGaugeFunc(func() int64 { return int64(p.loop.QueueLength()) }, "dogwoodhitch_queued_events", "to", "control")
 }
 
 // consensusOptions returns the options of a voter, with the state that its data
@@ -235,9 +240,10 @@
 		seams.Record = j.TrafficRecorder(o)
 	}
 	p.trafficState = dhtrafficstate.New(dhreducer.NewTraffic(o), seams)
+	p.metrics.SetGaugeFunc(func() int64 { return int64(len(p.trafficEvents)) }, "dogwoodhitch_queued_events", "to", "traffic")
 	p.entry = dhentry.New(dhentry.Options{
 		Instance: p.options.Name, TrafficState: p.trafficState, Clock: p.options.Clock, PeerSecret: p.options.Secrets.Peers,
-		Log: p.options.Logs.Logger("entry"), DecisionLog: p.decisionLog, MaxBodyBytes: p.options.MaxBodyBytes, MaxHeldBytes: p.options.MaxHeldBytes,
+		DecisionLog: p.decisionLog, MaxBodyBytes: p.options.MaxBodyBytes, MaxHeldBytes: p.options.MaxHeldBytes,
 		ResponseBufferBytes: p.options.ResponseBufferBytes, MaxConnections: p.options.MaxConnections, PeerTLS: p.clientTLS(), Dialect: p.options.Dialect,
 	})
 }
