Never send an empty answer to a caller that is taken for gone

What callers saw: one that ends its output after a request (shutdown of its side of the connection) got status 200 with an empty body, as if that were the upstream's answer.

Cause: net/http takes the end of a caller's output for a closed connection and ends the request's context. The handler then returned without an answer, for which net/http writes an empty response with status 200.

Change: such a request ends with an aborted handler, which closes the connection.

--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -228,7 +228,7 @@
 		select {
 		case <-ctx.Done():
 			x.cancel()
-			return
+			x.abandon()
 		case d := <-x.waiter.Decisions():
 			if x.execute(ctx, d) {
 				return
@@ -237,6 +237,10 @@
 	}
 }
 
+// abandon closes the connection of a caller that net/http takes for gone. Otherwise net/http
+// would write an empty response with status 200, which the caller may still receive.
+func (x *exchange) abandon() { panic(http.ErrAbortHandler) }
+
 // cancel reports to the reducer that the caller closed its connection. If a decision
 // to forward the request is still queued, the attempt ends as not sent.
 func (x *exchange) cancel() {
@@ -323,7 +327,10 @@
 			o.RetryAfter = reportedRetryAfter(a.response)
 		}
 		x.postAttemptEnded(o, d.At())
-		return a.end == dhevent.EndCallerGone
+		if a.end == dhevent.EndCallerGone {
+			x.abandon()
+		}
+		return false
 	}
 	defer a.close()
 	x.writeResponse(a, d, claimed)
