Refuse requests that arrive after open ones were aborted

Cause: an abort sets a deadline for reading the connection. For a request without a body, or one whose body is complete, net/http already waits for the connection's end there; it takes the deadline for the end and cancels the request.

Change: only the reading of bodies is interrupted, and a request that meets the abort there is refused as not run.

--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -75,9 +75,7 @@
 		return in, dheffect.RefuseMalformed
 	}
 	in.extractKey(dialect.KeyHeader)
-	stopInterrupt := s.interruptOnAbort(w)
-	body, err := readBody(http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes), r.ContentLength)
-	stopInterrupt()
+	body, err := s.readBodyUntilAbort(w, r)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err != nil && s.aborted.Err() != nil:
@@ -94,14 +92,24 @@
 	return in, ""
 }
 
-// interruptOnAbort makes reading a request's body fail once Abort is called. The returned
-// function ends that.
-func (s *Server) interruptOnAbort(w http.ResponseWriter) (stop func() bool) {
+// readBodyUntilAbort reads a request's body. It returns an error if Abort is called
+// meanwhile.
+func (s *Server) readBodyUntilAbort(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
 	controller := http.NewResponseController(w)
-	return context.AfterFunc(s.aborted, func() {
+	stop := context.AfterFunc(s.aborted, func() {
 		// Without support for deadlines the body is read until its connection closes.
 		_ = controller.SetReadDeadline(time.Now())
 	})
+	body, err := readBody(http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes), r.ContentLength)
+	if !stop() {
+		// The request can't go on, because net/http takes a connection with an expired
+		// deadline for closed.
+		return nil, context.Cause(s.aborted)
+	}
+	return body, err
 }
 
 // readBody reads a body. If its length is declared and at most
