Wait at a stop until answers are written

What callers saw: an entry that stopped cut an answer which a caller was still reading, although there was time left: a second after the request had ended at its upstream, or less since the time to close depends on the time to stop.

Cause: a request counted as open until its upstream had answered, not until the answer was written.

Change: the end of a stop goes by the requests whose answer isn't written yet.

--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -208,7 +208,7 @@
 		p.log.WithFields(fields).Info("leaving")
 		return
 	}
-	fields["open"] = p.trafficState.OpenRequests()
+	fields["open"] = p.entry.OpenRequests()
 	p.log.WithFields(fields).Info("leaving")
 	p.loop.TryPost(dhevent.NewLeaveStarted(p.options.Clock.Now()))
 	p.entry.CloseConnections()
@@ -218,7 +218,7 @@
 		return dhevent.NewStopScheduled(at, dhevent.StopScheduledOptions{RefuseFrom: refuseFrom, StopAt: stopAt})
 	})
 	p.waitForCallers(refuseFrom+minRefusalTime, stopAt)
-	if open := p.trafficState.OpenRequests(); open > 0 {
+	if open := p.entry.OpenRequests(); open > 0 {
 		p.log.WithField("open", open).Warn("timeout for open requests reached; aborting them")
 	}
 	p.entry.Abort()
@@ -237,7 +237,7 @@
 				isListening = false
 				p.callerListener.Close()
 			}
-			if p.trafficState.OpenRequests() == 0 && !p.mayGetRequests(now) {
+			if p.entry.OpenRequests() == 0 && !p.mayGetRequests(now) {
 				return
 			}
 		}
