Refuse requests that still wait at the end of a stop

What callers saw: a request that waited for a slot or a claim when a stop began got a closed connection at its end, if its queue wait or timeout was longer.

Cause: a scheduled stop limits the deadline of a request, but the queue of a pool and the proposal of a claim have copies of the earlier one.

Change: at the stop all requests that wait are refused as not run; claims under way are released.

--- a/core/dhtraffic/events.go
+++ b/core/dhtraffic/events.go
@@ -33,11 +33,12 @@
 }
 
 // Tick processes what is due by now: token requests, claim retries, queue
-// deadlines, free slots and load balancing.
+// deadlines, free slots, a stop and load balancing.
 func (s *State) Tick(now dhclock.Millis, out *dheffect.List) {
 	s.tickRateLimiters(now, out)
 	s.retryDueClaims(now, out)
 	s.tickPools(now, out)
+	s.tickStop(now, out)
 	s.tickReachability(now, out)
 	s.tickCrashes(now, out)
 	s.tickSuspects(now, out)
