Go on to serve when nobody reads the log any more

What callers would see: when the reader of a process's standard output has ended, the next log line ends the process, with requests at work.

Cause: a write to a closed pipe raises SIGPIPE, which ends a Go program if it is standard output or standard error.

--- a/io/dhcommand/serve.go
+++ b/io/dhcommand/serve.go
@@ -57,7 +57,7 @@
 }
 
 func serve(ctx context.Context, c *cli.Command, role dhsettings.Role) error {
-	hangups := dhprocess.ReceiveHangups()
+	hangups := dhprocess.ReceiveSignals()
 	s, err := readSettings(c.String("settings"))
 	if err != nil {
 		return err
--- a/io/dhprocess/hangup.go
+++ b/io/dhprocess/signal.go
@@ -12,8 +12,11 @@
 // process has to receive it too, because requests are still open.
 type Hangups struct{ received chan os.Signal }
 
-// ReceiveHangups returns Hangups that receive SIGHUP from now until the process exits.
-func ReceiveHangups() *Hangups {
+// ReceiveSignals receives from now until the process exits the signals that would end it
+// without need: it returns the receiver of SIGHUP, and ignores SIGPIPE, which a process gets
+// that writes its log when nobody reads it any more.
+func ReceiveSignals() *Hangups {
+	signal.Ignore(syscall.SIGPIPE)
 	h := &Hangups{received: make(chan os.Signal, 1)}
 	signal.Notify(h.received, syscall.SIGHUP)
 	return h
