Count interrupts by themselves

What an operator would see: after SIGTERM the first SIGINT ended an entry at once, with requests at work. The help says that a second SIGINT does.

Cause: SIGINT got its default back after the first signal of either kind.

Change: it gets it back after the first SIGINT.

--- a/io/dhcommand/main.go
+++ b/io/dhcommand/main.go
@@ -39,11 +39,12 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// SIGTERM may be repeated by the program that sends it, which must not cut the requests
+	// that the stop completes. The second SIGINT ends the process at once.
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt)
 	go func() {
-		// After the first signal a second SIGINT ends the process at once. Further
-		// SIGTERMs are ignored: they come from programs that send the signal again, and
-		// must not cut the requests that the stop completes.
-		<-ctx.Done()
+		<-interrupted
 		signal.Reset(os.Interrupt)
 	}()
 	root := New(stdout, stderr)
