Receive SIGTERM until the process exits

What an operator would see: a SIGTERM that is repeated in the last steps of a stop ends the process by the signal, and the line "stopped" is lost, as if it had been killed.

Cause: the receiver was given back when Main returned, before the log was written.

--- a/io/dhcommand/main.go
+++ b/io/dhcommand/main.go
@@ -37,10 +37,10 @@
 
 // Main runs the command that args name and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	// SIGTERM may be repeated by the program that sends it, which must not cut the requests
-	// that the stop completes. The second SIGINT ends the process at once.
+	// SIGTERM is received until the process exits: the program that sends it may repeat it,
+	// which must not cut the requests that the stop completes. The second SIGINT ends the
+	// process at once.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt)
 	go func() {
