End a process also if nobody reads its log

What an operator would see: a process whose standard output is a pipe that nobody reads doesn't end after SIGTERM, until it is killed.

Cause: closing the log waited without limit for the output to take the last lines.

Change: it waits 200 ms at most.

--- a/io/dhlogs/writer.go
+++ b/io/dhlogs/writer.go
@@ -4,10 +4,16 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 )
 
-// maxQueuedLines is the maximum number of lines that wait for the output.
-const maxQueuedLines = 2048
+const (
+	// maxQueuedLines is the maximum number of lines that wait for the output.
+	maxQueuedLines = 2048
+	// closeTimeout is how long Close waits for the output. A process that ends must not
+	// depend on the reader of its log.
+	closeTimeout = 200 * time.Millisecond
+)
 
 // Writer writes lines to an output in the background, so that a slow output
 // doesn't block the caller. When the queue is full, it drops lines and writes
@@ -37,11 +43,15 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and stops the writer. Lines written afterwards are
-// lost: connections that net/http still closes may write some.
+// Close writes the queued lines and stops the writer. Lines that the output doesn't take
+// within closeTimeout are lost, and so are lines written afterwards: connections that
+// net/http still closes may write some.
 func (w *Writer) Close() {
 	close(w.closing)
-	<-w.done
+	select {
+	case <-w.done:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func (w *Writer) run() {
