Release the lock of the traffic state after a panic

What callers would see: a panic while an event of one request is reduced, from which net/http recovers, blocks all requests of the instance for good, and its stop too. No such panic is known.

Cause: the lock was released on the normal way only.

Change: it is released by defer, in the one function that takes it to reduce events.

--- a/io/dhtrafficstate/owner.go
+++ b/io/dhtrafficstate/owner.go
@@ -80,13 +80,13 @@
 // StartRequest assigns an ID to a request and reduces its first event, which the
 // function creates from a clock reading and that ID.
 func (o *Owner) StartRequest(event func(at dhclock.Millis, requestID uint64) dhevent.Event) *Waiter {
-	o.mutex.Lock()
-	o.lastRequestID++
-	w := &Waiter{requestID: o.lastRequestID, decisions: make(chan Decision, decisionBuffer)}
-	o.waiters[w.requestID] = w
-	rest := o.reduce(func(at dhclock.Millis) dhevent.Event { return event(at, w.requestID) })
-	o.mutex.Unlock()
-	o.execute(rest)
+	w := &Waiter{decisions: make(chan Decision, decisionBuffer)}
+	o.Handle(func(at dhclock.Millis) dhevent.Event {
+		o.lastRequestID++
+		w.requestID = o.lastRequestID
+		o.waiters[w.requestID] = w
+		return event(at, w.requestID)
+	})
 	return w
 }
 
@@ -102,14 +102,14 @@
 // the event gets a clock reading taken under the lock, so that the time spent
 // waiting for the lock is included.
 func (o *Owner) Handle(event func(at dhclock.Millis) dhevent.Event) {
-	o.mutex.Lock()
-	rest := o.reduce(event)
-	o.mutex.Unlock()
-	o.execute(rest)
+	for _, e := range o.Query(event) {
+		o.seams.Execute(e)
+	}
 }
 
 // Query reduces an event that requests information, and returns its effects
-// without executing them.
+// without executing them. After a panic, from which net/http recovers, the Owner goes on
+// with the state as it is.
 func (o *Owner) Query(event func(at dhclock.Millis) dhevent.Event) []dheffect.Effect {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -155,9 +155,3 @@
 		return 0, false
 	}
 }
-
-func (o *Owner) execute(list []dheffect.Effect) {
-	for _, e := range list {
-		o.seams.Execute(e)
-	}
-}
