Keep answering callers while a stopping process closes its other connections

What callers would see: the time to close a process was spent on connections of peers that wait for updates; the servers closed one after the other, in order of their start. What was left for callers was nothing. After a pause of the process, its end could also come before it had read requests that were there.

Cause: one timeout for all servers in turn, and quiet time that was measured by the clock.

Change: the other servers close at the same time in the first half, while callers still get answers; callers' connections close in the second. Quiet time is counted in ticks of the process.

dhprocess TestStopCutsRequestsWithoutAnAnswer had no margin: its instance may take 600 + 600 ms and a second to close, and the bound is 2200 ms (2202 ms once, beside load 45 with the race detector). Its time to close is 400 ms now, the bound is as before.

--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -60,7 +60,9 @@
 	goroutines sync.WaitGroup
 	// failures contains the first error, which ends Run.
 	failures chan error
-	servers  []*http.Server
+	// servers are all servers but those for callers.
+	servers       []*http.Server
+	callerServers []*http.Server
 	// decisionLog logs single requests, limited for each kind of line.
 	decisionLog *dhlogs.Limiter
 	// serverLog gets the messages of the HTTP servers.
@@ -71,8 +73,8 @@
 	callerListener net.Listener
 	// callerConnections is the number of open connections of callers.
 	callerConnections atomic.Int64
-	// lastCallerActivity is when one of them was last used, in milliseconds.
-	lastCallerActivity atomic.Int64
+	// callerActivity is how often one of them was used after it was idle.
+	callerActivity atomic.Int64
 }
 
 // New returns a process that has not been started.
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,10 +37,11 @@
 	// requests before it closes its listeners, so that late callers get a
 	// refusal instead of a connection error, in milliseconds.
 	minRefusalTime dhclock.Millis = 500
-	// quietTime is how long no caller must have sent anything before a stopping instance
-	// closes connections that callers keep open, in milliseconds. It is longer than the
-	// time that a request takes on its way between distant regions.
-	quietTime dhclock.Millis = 250
+	// quietTicks is for how many intervals of traffic ticks no caller must have sent anything
+	// before a stopping instance closes connections that callers keep open: longer than a
+	// request takes on its way between distant regions. They are counted, because time also
+	// passes while the process is paused and reads nothing.
+	quietTicks = 25
 )
 
 var emptyCatalog = dhcatalog.New()
@@ -130,8 +132,10 @@
 		if l.name == callerListener {
 			s.ConnState = p.recordCallerConnection
 			p.callerListener = l.Listener
+			p.callerServers = append(p.callerServers, s)
+		} else {
+			p.servers = append(p.servers, s)
 		}
-		p.servers = append(p.servers, s)
 		serve := s.Serve
 		if p.options.TLS != nil {
 			s.TLSConfig = p.options.TLS.ServerConfig()
@@ -184,14 +188,14 @@
 	return err
 }
 
-// recordCallerConnection counts the open connections of callers, and records when one was
-// last used. It is called for each change of a connection's state.
+// recordCallerConnection counts the open connections of callers, and how often one is used
+// after it was idle. It is called for each change of a connection's state.
 func (p *Process) recordCallerConnection(_ net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		p.callerConnections.Add(1)
 	case http.StateActive:
-		p.lastCallerActivity.Store(int64(p.options.Clock.Now()))
+		p.callerActivity.Add(1)
 	case http.StateClosed, http.StateHijacked:
 		p.callerConnections.Add(-1)
 	case http.StateIdle:
@@ -231,13 +235,19 @@
 	ticker := time.NewTicker(trafficTickInterval)
 	defer ticker.Stop()
 	isListening := p.callerListener != nil
+	quiet, activity := 0, int64(0)
 	for now := p.options.Clock.Now(); now < latest; now = p.options.Clock.Now() {
+		quiet++
+		if a := p.callerActivity.Load(); a != activity {
+			quiet, activity = 0, a
+		}
 		if now >= earliest {
 			if isListening {
 				isListening = false
 				p.callerListener.Close()
 			}
-			if p.entry.OpenRequests() == 0 && !p.mayGetRequests(now) {
+			isQuiet := p.callerConnections.Load() == 0 || quiet >= quietTicks
+			if isQuiet && p.entry.OpenRequests() == 0 {
 				return
 			}
 		}
@@ -245,22 +255,16 @@
 	}
 }
 
-// mayGetRequests reports whether callers with open connections have sent something recently.
-func (p *Process) mayGetRequests(now dhclock.Millis) bool {
-	lastActivity := dhclock.Millis(p.lastCallerActivity.Load())
-	return p.callerConnections.Load() > 0 && now.Since(lastActivity) < quietTime
-}
-
 // Stop stops the process without waiting for open requests, except that
-// responses being written have CloseTimeout to finish.
+// responses being written have CloseTimeout to finish. Callers get answers while the other
+// servers close, which peers that wait for updates delay.
 func (p *Process) Stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), dhtime.Duration(p.options.CloseTimeout))
-	defer cancel()
-	for _, s := range p.servers {
-		if s.Shutdown(ctx) != nil {
-			s.Close()
-		}
+	timeout := dhtime.Duration(p.options.CloseTimeout)
+	if len(p.callerServers) > 0 {
+		timeout /= 2
 	}
+	shutDown(timeout, p.servers)
+	shutDown(timeout, p.callerServers)
 	p.cancel()
 	p.goroutines.Wait()
 	p.sender.Wait()
@@ -274,3 +278,19 @@
 	}
 	p.log.Info("stopped")
 }
+
+// shutDown closes servers at the same time. Connections that are in use after the timeout are
+// cut.
+func shutDown(timeout time.Duration, servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var closing sync.WaitGroup
+	for _, s := range servers {
+		closing.Go(func() {
+			if s.Shutdown(ctx) != nil {
+				s.Close()
+			}
+		})
+	}
+	closing.Wait()
+}
--- a/io/dhprocess/stop_test.go
+++ b/io/dhprocess/stop_test.go
@@ -45,7 +45,7 @@
 		upstream.Close()
 	})
 	o := s.options("z00-000", "z00", "entry")
-	o.Listen.Callers, o.LeaveWait, o.FinishTimeout = "127.0.0.1:0", 600, 600
+	o.Listen.Callers, o.LeaveWait, o.FinishTimeout, o.CloseTimeout = "127.0.0.1:0", 600, 600, 400
 	s.entry = s.start(o)
 	s.entries = append(s.entries, s.entry)
 	s.applyChange(
