Check the time of a stop without waiting for it

TestStopTakesLongerThanTheTimeForIt ran a process and compared its end with 4 s, which it had to reach in 3.76 s: red with the race detector, whose runtime sleeps for a second at exit, and in 2 of 4 runs at a load of 45.

--- a/io/dhprocess/stop_test.go
+++ b/io/dhprocess/stop_test.go
@@ -207,6 +207,27 @@
 	}
 }
 
+// TestClosingTakesLongerThanItsTime stops an instance while a caller's and a peer's request never
+// become complete.
+func TestClosingTakesLongerThanItsTime(t *testing.T) {
+	s := newStopTest(t)
+	s.entry.options.CloseTimeout = 200
+	for _, address := range []string{s.entry.BoundAddresses().Callers, s.entry.BoundAddresses().Peers} {
+		connection, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		fmt.Fprint(connection, "GET / HTTP/1.1\r\nHost: a.exa")
+	}
+	time.Sleep(50 * time.Millisecond)
+	startedAt := time.Now()
+	s.entry.Stop()
+	if took := time.Since(startedAt); took > 700*time.Millisecond {
+		t.Errorf("closing took %v, want 200 ms and at most 500 ms for the rest of the stop", took)
+	}
+}
+
 // TestFailedListenerCutsOpenRequests lets a part of an instance fail while a request runs.
 // The instance must stop as on a signal: the request gets an answer.
 func TestFailedListenerCutsOpenRequests(t *testing.T) {
