Check commands before they leave the process

What an operator would see: after one call whose text isn't UTF-8 (Evacuations.Start/%ff, Evacuations.End/%ff, or a configuration with such a byte in any string) the leader ends with an error. The call is sent again to the next process, which becomes the next leader. At a process that doesn't lead the call has no outcome, and everything else in the same message to the leader is lost.

Cause: an edit was checked when it was applied, after it had been encoded for the log, and Protobuf encodes no text that isn't UTF-8. encoding/json replaces such bytes in strings, so the configuration decoded, but its text is stored as it was sent. Numbers had a related fault: messages hold 32 bits of a timeout, a rate and a cold rate, and the check came after that. 4294968.296 s became 1 s at a process that doesn't lead, and was refused at the leader.

Fix: a process checks the objects and references of an edit or a declaration before it proposes them. The checks are those that were made when it is applied, so older processes agree on each result.

--- a/core/dhcatalog/check.go
+++ b/core/dhcatalog/check.go
@@ -115,6 +115,26 @@
 	return InvalidError{problems: p.list}
 }
 
+// CheckObjects validates objects without regard to other objects. It returns an
+// InvalidError or nil.
+func CheckObjects(list ...Object) error {
+	p := &problems{}
+	for _, o := range list {
+		p.requireName(o.Ref(), "name", o.Ref().Name())
+		o.check(p)
+	}
+	return p.err()
+}
+
+// CheckRefs validates the names in references. It returns an InvalidError or nil.
+func CheckRefs(list ...Ref) error {
+	p := &problems{}
+	for _, r := range list {
+		p.requireName(r, "name", r.Name())
+	}
+	return p.err()
+}
+
 func (p *problems) requireName(ref Ref, field, value string) {
 	if !ValidName(value) {
 		p.add(ref, field, strconv.Quote(value), "use 1 to 128 letters, digits, '-', '_' or '.'")
--- a/core/dhcatalog/declaration.go
+++ b/core/dhcatalog/declaration.go
@@ -1,5 +1,7 @@
 package dhcatalog
 
+import "unicode/utf8"
+
 // DeclarationName is the name of the only declaration in a catalog.
 const DeclarationName = "current"
 
@@ -28,7 +30,11 @@
 
 func (d Declaration) references() []Ref { return nil }
 
-func (d Declaration) check(*problems) {}
+func (d Declaration) check(p *problems) {
+	if !utf8.ValidString(d.text) {
+		p.add(d.Ref(), "text", "bytes that are not UTF-8", "encode the configuration in UTF-8")
+	}
+}
 
 // Declaration returns the current declaration; false if there is none.
 func (c *Catalog) Declaration() (Declaration, bool) {
--- a/core/dhcatalog/upstream.go
+++ b/core/dhcatalog/upstream.go
@@ -142,9 +142,4 @@
 
 // CheckUpstream validates an upstream without regard to other objects. It
 // returns an InvalidError or nil.
-func CheckUpstream(u Upstream) error {
-	p := &problems{}
-	p.requireName(u.Ref(), "name", u.Name())
-	u.check(p)
-	return p.err()
-}
+func CheckUpstream(u Upstream) error { return CheckObjects(u) }
--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
@@ -37,15 +38,36 @@
 	return proposals{lastID: startID, voters: voters, outstanding: map[uint64]*proposal{}}
 }
 
-// propose starts a local component's proposal.
+// propose starts a local component's proposal. It completes one with an invalid value
+// at once: neither messages nor the log can hold every value that a caller may send.
 func (s *State) propose(e *dhevent.ProposalRequested, out *dheffect.List) {
 	s.proposals.lastID++
 	s.proposals.outstanding[s.proposals.lastID] = &proposal{
 		correlationID: e.CorrelationID(), command: e.Command(), deadline: s.now + e.Timeout(),
 	}
+	if err := checkCommand(e.Command()); err != nil {
+		s.proposals.complete(s.proposals.lastID, s.now, dhmessage.NewResult(dhmessage.ResultOptions{Err: err}), out)
+		return
+	}
 	s.proposals.send(s.proposals.lastID, s.now, s.leader(), out)
 }
 
+// checkCommand returns an InvalidError if an edit or a declaration has a value that is
+// invalid in any configuration.
+func checkCommand(c dhmessage.Command) error {
+	switch c := c.(type) {
+	case dhmessage.Edit:
+		if err := dhcatalog.CheckObjects(c.Puts()...); err != nil {
+			return err
+		}
+		return dhcatalog.CheckRefs(c.Deletes()...)
+	case dhmessage.Declare:
+		return dhcatalog.CheckObjects(append(slices.Clone(c.Objects()), c.Declaration())...)
+	default:
+		return nil
+	}
+}
+
 // proposeUnattended proposes a command whose result no component waits for.
 func (s *State) proposeUnattended(c dhmessage.Command, out *dheffect.List) {
 	s.propose(dhevent.NewProposalRequested(s.now, dhevent.ProposalRequestedOptions{Command: c, Timeout: unattendedTimeout}), out)
--- a/core/dhcontrol/propose_test.go
+++ b/core/dhcontrol/propose_test.go
@@ -1,9 +1,11 @@
 package dhcontrol
 
 import (
+	"errors"
 	"slices"
 	"testing"
 
+	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
@@ -64,3 +66,33 @@
 		})
 	}
 }
+
+// TestValuesThatMessagesCantHoldAreProposed proposes commands with values that a message
+// would truncate or couldn't carry. No message may leave the process.
+func TestValuesThatMessagesCantHoldAreProposed(t *testing.T) {
+	const beyond32Bits = 1 << 32
+	declare := func(list ...dhcatalog.Object) dhmessage.Command {
+		return dhmessage.NewDeclare(dhcatalog.NewDeclaration(1, "text"), list)
+	}
+	for name, command := range map[string]dhmessage.Command{
+		"timeout":   declare(dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Timeout: beyond32Bits + 1000})),
+		"cold rate": declare(dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s", ColdRate: beyond32Bits + 19_000})),
+		"rate":      declare(dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "l", Organisation: "o", Rate: beyond32Bits + 1, Burst: 1})),
+		"text":      dhmessage.NewDeclare(dhcatalog.NewDeclaration(1, "\xff"), nil),
+		"put":       dhmessage.NewEdit("test", []dhcatalog.Object{dhcatalog.NewEvacuation("\xff")}, nil),
+		"delete":    dhmessage.NewEdit("test", nil, []dhcatalog.Ref{dhcatalog.NewRef(dhcatalog.KindEvacuation, "\xff")}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(Options{Self: dhmessage.NewPeer("a1-1", ""), Zone: "a1", Voters: []string{"c1"}, StartID: 1, Now: 1000})
+			var out dheffect.List
+			s.Handle(dhevent.NewProposalRequested(1000, dhevent.ProposalRequestedOptions{CorrelationID: 7, Command: command, Timeout: 1000}), &out)
+			if receivers := proposalReceivers(&out); len(receivers) > 0 {
+				t.Fatal("the command was sent to ", receivers)
+			}
+			var invalid dhcatalog.InvalidError
+			if r, ok := out.Items()[0].(*dheffect.Reply); !ok || r.CorrelationID() != 7 || !errors.As(r.Result().Err(), &invalid) {
+				t.Errorf("got %+v, want a reply with an InvalidError", out.Items()[0])
+			}
+		})
+	}
+}
