Refuse addresses that name no host and port

What callers would see: an entry of another writer with a port that has a sign (`10.0.0.1:+80`), a name (`cafe:80`, all of its letters are hexadecimal digits), or an address of no host (0.0.0.0, multicast, broadcast) becomes an upstream. Requests are tried there first, until that fails and the upstream is ejected; a name is looked up for each connection. Announcements with port 0 and addresses that only one machine knows were accepted too.

Cause: the catalog checks an address by its characters, since core imports no net package, and nothing else looked at it.

The catalog's own check stays as it is: all processes must apply a record of an older release alike. TestUnusableRecordsOfAnOlderReleaseStopRequests shows that requests go to the other upstreams while such a record is there (green before).

--- a/io/dhannounce/announce.go
+++ b/io/dhannounce/announce.go
@@ -7,12 +7,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/netip"
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhsteer"
+	"dogwoodhitch/io/dhnet"
 	"dogwoodhitch/io/dhtrafficstate"
 )
 
@@ -56,12 +56,12 @@
 	if !h.authenticateAndDecode(w, r, &body) {
 		return
 	}
-	_, err := netip.ParseAddrPort(body.Address)
+	err := dhnet.CheckHostAddress(body.Address)
 	switch {
 	case !dhcatalog.ValidName(body.Name) || !dhcatalog.ValidName(body.Service):
 		refuse(w, http.StatusBadRequest, "name and service must be 1 to 128 letters, digits, '-', '_' or '.'")
 	case err != nil:
-		refuse(w, http.StatusBadRequest, "address must be an IP address and a port, such as 10.0.0.1:8080")
+		refuse(w, http.StatusBadRequest, err.Error())
 	case body.Slots < 1 || body.Slots > dhsteer.MaxSlots || body.Running < 0:
 		refuse(w, http.StatusBadRequest, "slots must be from 1 to 10000, and running at least 0")
 	default:
--- a/io/dhnet/socket.go
+++ b/io/dhnet/socket.go
@@ -1,5 +1,5 @@
-// Package dhnet sets socket options that the standard library leaves at the
-// system's defaults.
+// Package dhnet checks addresses and sets socket options that the standard library
+// leaves at the system's defaults.
 package dhnet
 
 import (
