Keep upstreams whose place an unknown service takes

What callers would see: an entry of another writer with a service that isn't configured takes the place of an upstream, if it comes under its name with a later start time, or at its address with the same or a later one.

Cause: an upstream may register before its service is configured, so any service was accepted, wherever the record belongs.

dhreducer TestUnknownServiceTakesAnUpstreamsPlace, red before: {Name:v Service:unknown Address:10.0.1.1:80 ...} took the place of the upstream

Fix: the process that gets such a heartbeat acknowledges and ignores it if the record of its name, or one at its address, belongs to a configured service and has not left. It doesn't count as a heartbeat of the upstream either, so that an upstream that is silent still expires. What the ledger does with records is unchanged, since processes of older releases must do the same.

--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -91,6 +91,13 @@
 		s.reply(e.CorrelationID(), dhmessage.NewResult(dhmessage.ResultOptions{Err: err}), out)
 		return
 	}
+	if s.displacesConfigured(u) {
+		out.Add(dheffect.NewLog(dheffect.LogOptions{
+			Layer: "registry", Text: "ignores a heartbeat of an unknown service in place of another upstream", Peer: u.Name(),
+		}))
+		s.reply(e.CorrelationID(), s.ackResult(), out)
+		return
+	}
 	old, found := s.distribution.Catalog().Get(u.Ref()).(dhcatalog.Upstream)
 	if !found || u.Incarnation() >= old.Incarnation() {
 		s.registry.lastHeartbeat[u.Name()] = s.now
@@ -110,6 +117,22 @@
 	}
 }
 
+// displacesConfigured reports whether a record of a service that isn't configured would
+// take the place of an upstream whose service is. Such a record may register elsewhere,
+// since its service may be configured later.
+func (s *State) displacesConfigured(u dhcatalog.Upstream) bool {
+	c := s.distribution.Catalog()
+	isConfigured := func(v dhcatalog.Upstream) bool {
+		_, found := c.Service(v.Service())
+		return found && v.State() != dhcatalog.UpstreamGone
+	}
+	if _, found := c.Service(u.Service()); found {
+		return false
+	}
+	old, _ := c.Get(u.Ref()).(dhcatalog.Upstream)
+	return isConfigured(old) || slices.ContainsFunc(c.UpstreamsAt(u.Address()), isConfigured)
+}
+
 func registrationEdit(list ...dhcatalog.Object) dhmessage.Command {
 	return dhmessage.NewEdit(registryAuthor, list, nil)
 }
--- a/core/dhreducer/entries_test.go
+++ b/core/dhreducer/entries_test.go
@@ -6,6 +6,7 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
 )
 
 // isReady reports whether a machine has an upstream in its catalog as ready, with the given
@@ -54,3 +55,43 @@
 		})
 	}
 }
+
+// TestUnknownServiceTakesAnUpstreamsPlace sends heartbeats of a service that isn't configured
+// under the name and at the address of an upstream whose service is. The upstream must stay
+// registered. Elsewhere such a heartbeat registers an upstream, whose service may be configured
+// later.
+func TestUnknownServiceTakesAnUpstreamsPlace(t *testing.T) {
+	n := newManagedNetwork(t, 3, "a1-1")
+	n.run(5000)
+	entry, record := n.find("a1-1"), upstreamRecord("u", dhcatalog.UpstreamReady)
+	n.propose(n.leader(), dhmessage.NewDeclare(dhcatalog.NewDeclaration(1, "1"), []dhcatalog.Object{
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: record.Service}),
+	}))
+	n.sendHeartbeat(n.machines[1], record)
+	n.run(1000)
+	early := record
+	early.Name, early.Address, early.Service = "early", "10.0.1.2:80", "later"
+	n.sendHeartbeat(n.machines[1], early)
+	for i, change := range []func(u *dhcatalog.UpstreamOptions){
+		func(*dhcatalog.UpstreamOptions) {},
+		func(u *dhcatalog.UpstreamOptions) { u.State = dhcatalog.UpstreamDraining },
+		func(u *dhcatalog.UpstreamOptions) { u.Address = "10.0.1.3:80" },
+		func(u *dhcatalog.UpstreamOptions) { u.Name = "v" },
+		func(u *dhcatalog.UpstreamOptions) { u.Name, u.Incarnation = "w", record.Incarnation },
+	} {
+		odd := record
+		odd.Service, odd.Incarnation = "unknown", record.Incarnation+1
+		change(&odd)
+		n.sendHeartbeat(n.machines[i%3], odd)
+		n.run(1000)
+		if !entry.isReady(record) {
+			t.Errorf("%+v took the place of the upstream", odd)
+		}
+		if entry.isReady(odd) {
+			t.Errorf("%+v is registered", odd)
+		}
+	}
+	if !entry.isReady(early) {
+		t.Error("the upstream of a service that may be configured later isn't registered")
+	}
+}
