Decode the other messages of a call that holds an odd one

What could be seen: one message that can't be decoded, such as one of a later release, loses all messages behind it in the same call: votes, log entries, updates of the configuration, grants. If it is sent with every call, the receiver gets nothing of its sender any more.

Cause: the receiver refused the whole call at the first error, and the sender of a call dropped the rest of its response.

dhpeer TestOddMessageLosesTheOthersOfItsCall, red before: call: invalid_argument: message: found an unknown kind call and response: received 0 messages, want 2

Fix: a message that can't be decoded counts as lost by itself, which every protocol between the processes tolerates, and is logged.

--- a/io/dhpeer/receiver.go
+++ b/io/dhpeer/receiver.go
@@ -90,13 +90,14 @@
 }
 
 // receive decodes messages and passes them to Receive. It reports whether one
-// of them expects a response.
+// of them expects a response. A message that can't be decoded, such as one of a later
+// release, counts as lost and doesn't affect the others.
 func (r *Receiver) receive(from dhmessage.Peer, list []*dhproto.Message) (responseExpected bool, err error) {
 	for _, x := range list {
 		m, err := dhwire.MessageFromWire(x)
 		if err != nil {
-			r.options.Log.WithError(err).WithField("peer", from.Name()).Warn("peer message can't be decoded")
-			return false, connect.NewError(connect.CodeInvalidArgument, err)
+			r.options.Log.WithError(err).WithField("peer", from.Name()).Warn("peer message can't be decoded; it is dropped")
+			continue
 		}
 		if !r.options.Receive(from, m) {
 			return false, connect.NewError(connect.CodeResourceExhausted, errors.New("the receiver's mailbox is full; messages are dropped"))
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -259,8 +259,12 @@
 	from := dhmessage.NewPeer(response.GetFrom().GetName(), response.GetFrom().GetFolder())
 	for _, x := range response.GetMessages() {
 		m, err := dhwire.MessageFromWire(x)
-		if err != nil || !s.options.Receive(from, m) {
-			s.options.Log.WithField("peer", to).Debug("response of the peer dropped: it can't be decoded or the mailbox is full")
+		if err != nil {
+			s.options.Log.WithError(err).WithField("peer", to).Warn("response of the peer can't be decoded; it is dropped")
+			continue
+		}
+		if !s.options.Receive(from, m) {
+			s.options.Log.WithField("peer", to).Debug("responses of the peer dropped: the mailbox is full")
 			return
 		}
 	}
