Bound the load that an upstream can report

With another odd number it looks busy for 51 to 154 further true reports, offloads most of its objects meanwhile, refuses a part of the requests that are late, and moves objects out of its region.

Fix: the sum is computed in floating point and bounded by 16 times the slots.

--- a/core/dhsteer/balance.go
+++ b/core/dhsteer/balance.go
@@ -19,9 +19,13 @@
 	return LoadReport{running: running, waiting: waiting, slots: slots}
 }
 
+// maxUtilisation bounds a reported utilisation, so that a false report doesn't outweigh
+// many true ones in the average.
+const maxUtilisation = 16
+
 // utilisation returns the running and waiting requests as a share of the slots.
 func (l LoadReport) utilisation() float64 {
-	return float64(l.running+l.waiting) / float64(max(1, l.slots))
+	return min(maxUtilisation, (float64(l.running)+float64(l.waiting))/float64(max(1, l.slots)))
 }
 
 // Constants of load balancing. Load is moved by object rather than by request,
--- a/core/dhsteer/group_test.go
+++ b/core/dhsteer/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -400,3 +401,28 @@
 		}
 	}
 }
+
+// TestOddLoadReportsShiftObjects lets an upstream report loads that no upstream can have, and
+// then its true, low load. It must not look idle after the first ones, and its offloaded share
+// and the local region's share must not depend on them longer than on a report of full load.
+func TestOddLoadReportsShiftObjects(t *testing.T) {
+	for _, odd := range []LoadReport{
+		NewLoadReport(math.MaxInt, math.MaxInt, 1), NewLoadReport(math.MaxInt, 0, 1), NewLoadReport(1, math.MaxInt, 0), NewLoadReport(1_000_000, 0, 1),
+	} {
+		reported := map[LoadReport]int{odd: 0, fullLoad: 0}
+		for first := range reported {
+			var s loadStats
+			s.recordLoad(1000, first)
+			if s.utilisation <= highUtilisation {
+				t.Errorf("after the report %+v the utilisation is %v", first, s.utilisation)
+			}
+			for s.utilisation > lowUtilisation && reported[first] < 1000 {
+				reported[first]++
+				s.recordLoad(1000, NewLoadReport(0, 0, 8))
+			}
+		}
+		if reported[odd] > reported[fullLoad]+8 {
+			t.Errorf("the report %+v counts for %d further reports, one of full load for %d", odd, reported[odd], reported[fullLoad])
+		}
+	}
+}
