Add the other instances beside one that can't be added

What callers would see: one entry instance whose settings name a zone that the deployment doesn't have, or no valid zone, keeps all others out. No zone and no new instance gets into the configuration as long as it runs: look-ups name nobody, and at a first start nothing is served at all.

Cause: the leader adds zones and instances in one edit, which is refused as a whole if one of them is invalid, and repeats it every half second.

dhreducer TestInstanceOfAnUnknownZoneKeepsOthersOut, red before: instance a1-1 isn't in the configuration instance b1-1 isn't in the configuration instance zz-1 found: false, zones: [], want 2 zones without the instance

Fix: the leader leaves out what the configuration can't hold, and logs each once. The registry's batches of upstreams have no such fault: each record is checked before it is queued, and refers to nothing.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -68,6 +68,8 @@
 	lastEdit   dhclock.Millis
 	joinCount  int
 	candidates map[string]candidate
+	// invalid are the objects that the leader left out and logged.
+	invalid map[dhcatalog.Ref]bool
 }
 
 // candidate is a control process that has sent a join request.
@@ -82,7 +84,7 @@
 	if o == nil {
 		return nil
 	}
-	return &automation{options: *o, candidates: map[string]candidate{}}
+	return &automation{options: *o, candidates: map[string]candidate{}, invalid: map[dhcatalog.Ref]bool{}}
 }
 
 // handleJoinRequest records, at the leader, a control process that requests
@@ -282,16 +284,7 @@
 	if _, confirmed := s.voter.node.ConfirmedAt(); !confirmed || s.now.Since(s.automation.lastEdit) < editInterval {
 		return
 	}
-	c := s.distribution.Catalog()
-	var puts []dhcatalog.Object
-	for _, z := range s.automation.options.Zones {
-		if old, found := c.Zone(z.Name()); !found || old != z {
-			puts = append(puts, z)
-		}
-	}
-	for _, i := range s.distribution.UnrecordedInstances(s.now) {
-		puts = append(puts, i)
-	}
+	puts := s.planRecords(out)
 	var deletes []dhcatalog.Ref
 	for _, name := range s.distribution.UnresponsiveInstances(s.now, instanceRemovalTimeout) {
 		deletes = append(deletes, dhcatalog.NewRef(dhcatalog.KindInstance, name))
@@ -302,3 +295,42 @@
 	s.automation.lastEdit = s.now
 	s.proposeUnattended(dhmessage.NewEdit(automationAuthor, puts, deletes), out)
 }
+
+// logInvalid logs once that an object can't be added.
+func (a *automation) logInvalid(o dhcatalog.Object, out *dheffect.List) {
+	if a.invalid[o.Ref()] {
+		return
+	}
+	a.invalid[o.Ref()] = true
+	out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "fleet", Text: "leaves out an object with an invalid field or an unknown zone", Peer: o.Ref().String()}))
+}
+
+// planRecords returns the zones and instances to add or update. It leaves out those that the
+// configuration can't hold: with one of them the whole edit would be refused.
+func (s *State) planRecords(out *dheffect.List) []dhcatalog.Object {
+	c := s.distribution.Catalog()
+	zones := map[string]bool{}
+	for _, z := range c.Zones() {
+		zones[z.Name()] = true
+	}
+	var puts []dhcatalog.Object
+	for _, z := range s.automation.options.Zones {
+		if old, found := c.Zone(z.Name()); found && old == z {
+			continue
+		}
+		if dhcatalog.CheckObjects(z) != nil {
+			s.automation.logInvalid(z, out)
+			continue
+		}
+		zones[z.Name()] = true
+		puts = append(puts, z)
+	}
+	for _, i := range s.distribution.UnrecordedInstances(s.now) {
+		if dhcatalog.CheckObjects(i) != nil || !zones[i.Zone()] {
+			s.automation.logInvalid(i, out)
+			continue
+		}
+		puts = append(puts, i)
+	}
+	return puts
+}
--- a/core/dhreducer/entries_test.go
+++ b/core/dhreducer/entries_test.go
@@ -95,3 +95,19 @@
 		t.Error("the upstream of a service that may be configured later isn't registered")
 	}
 }
+
+// TestInstanceOfAnUnknownZoneKeepsOthersOut starts entry instances of which one is set to a zone
+// that the deployment doesn't have. The others and the zones must be added all the same.
+func TestInstanceOfAnUnknownZoneKeepsOthersOut(t *testing.T) {
+	n := newManagedNetwork(t, 3, "a1-1", "zz-1", "b1-1")
+	n.run(6000)
+	c := n.find("a1-1").view.Catalog()
+	for _, name := range []string{"a1-1", "b1-1"} {
+		if _, found := c.Instance(name); !found {
+			t.Errorf("instance %s isn't in the configuration", name)
+		}
+	}
+	if _, found := c.Instance("zz-1"); found || len(c.Zones()) != 2 {
+		t.Errorf("instance zz-1 found: %v, zones: %v, want 2 zones without the instance", found, c.Zones())
+	}
+}
