Keep texts that aren't UTF-8 out of claims

What callers would see, on routes that require a claim: one request with an Idempotency-Key that isn't UTF-8 takes 503 after its wait, and every message that its entry instance sends together with the claim to the leader is lost: claims of other requests, grants, polls. The claim is sent again every 300 ms. One upstream that responds with a header field in Latin-1 (a file name) does the same for the 60 s for which the outcome is proposed, and the outcome is never stored.

Cause: header fields are bytes, and the messages between processes hold UTF-8 only. Encoding the message fails, and with it the whole call.

Fix: such a key counts as missing, so the request is refused at once on routes that require one and served on others as before. A response with such a field is recorded as one that is too large: the claim says that the request ran.

--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
@@ -68,7 +69,10 @@
 	if kind := in.readTimeout(dialect.TimeoutHeader); kind != "" {
 		return in, kind
 	}
-	in.idempotencyKey = r.Header.Get(HeaderIdempotencyKey)
+	// Messages between processes can hold no other key.
+	if key := r.Header.Get(HeaderIdempotencyKey); utf8.ValidString(key) {
+		in.idempotencyKey = key
+	}
 	if len(in.idempotencyKey) > maxIdempotencyKeyBytes {
 		return in, dheffect.RefuseMalformed
 	}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 
@@ -424,7 +425,8 @@
 	})
 }
 
-// responseToRecord returns a complete response in the form that a claim records.
+// responseToRecord returns a complete response in the form that a claim records. It returns
+// nil if a header field isn't UTF-8, which messages between processes can't hold.
 func responseToRecord(a *attempt) *dhmessage.Response {
 	var fields []dhmessage.HeaderField
 	removeHopByHopHeaders(a.response.Header)
@@ -433,6 +435,9 @@
 			continue
 		}
 		for _, v := range values {
+			if !utf8.ValidString(name) || !utf8.ValidString(v) {
+				return nil
+			}
 			fields = append(fields, dhmessage.NewHeaderField(name, v))
 		}
 	}
