Refuse settings files that exhaust the stack

What an operator would see: the product's own process or command ends with "fatal error: stack overflow" and a gigabyte of memory on a settings file of 1 MB that is nested without end (a damaged or foreign file), instead of naming the file. The platform's settings don't go through this parser.

Cause: hujson recurses into nested values without a limit. encoding/json and protojson stop at 10,000 levels.

Fix: a settings file has at most 64 KiB, in which no nesting reaches a tenth of that stack. Change sets that the command reads from an operator's file have no such bound, since they may list millions of blocks.

--- a/io/dhsettings/settings.go
+++ b/io/dhsettings/settings.go
@@ -8,6 +8,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -38,6 +39,9 @@
 	maxBytes                   = 1 << 30
 	maxWaitMs                  = 3_600_000
 	minSecretLength            = 16
+	// maxFileBytes bounds a settings file. The parser recurses into nested values without a
+	// limit.
+	maxFileBytes = 64 << 10
 )
 
 // settingsFile is the content of a settings file.
@@ -201,6 +205,9 @@
 // refers to. Paths of secret and TLS files are resolved against the folder of path.
 // It returns an Error if there are problems.
 func Parse(path string, raw []byte) (*Settings, error) {
+	if len(raw) > maxFileBytes {
+		return nil, Error{file: path, problems: []Problem{{"file", strconv.Itoa(len(raw)) + " bytes", "use a settings file of at most 64 KiB"}}}
+	}
 	standard, err := hujson.Standardize(raw) //nolint:misspell // the library spells it so
 	if err != nil {
 		return nil, Error{file: path, problems: []Problem{{"file", err.Error(), "write JSON; comments and trailing commas are allowed"}}}
--- a/io/dhsettings/settings_test.go
+++ b/io/dhsettings/settings_test.go
@@ -73,3 +73,15 @@
 		t.Errorf("reading a missing file: got error %v, want one that refers to examples/", err)
 	}
 }
+
+// TestNestedSettingsExhaustTheStack parses deeply nested files. They must be refused with an
+// error; an exhausted stack would end the process.
+func TestNestedSettingsExhaustTheStack(t *testing.T) {
+	for _, text := range []string{"[", `{"a":`, "/**/[", " [\n"} {
+		for _, depth := range []int{20_000, 4_000_000} {
+			if _, err := Parse("settings.jsonc", []byte(strings.Repeat(text, depth))); err == nil {
+				t.Errorf("%d times %q was accepted", depth, text)
+			}
+		}
+	}
+}
