Follow the configuration past upstream records of other releases

Fix: what the voters have accepted is followed with any upstream record in it, and the traffic state leaves out those that don't pass the check. The voters themselves still check entries of the log, since all releases must agree on them; dhledger TestStricterChecksSplitTheVoters holds these checks where they are.

--- a/core/dhcatalog/catalog.go
+++ b/core/dhcatalog/catalog.go
@@ -90,14 +90,28 @@
 // version. Either all changes are applied or none. It returns a ConflictError
 // if the change set's base is not this version, and an InvalidError with the
 // problems found if the result would be invalid.
-func (c *Catalog) Apply(s ChangeSet) (*Catalog, error) {
+func (c *Catalog) Apply(s ChangeSet) (*Catalog, error) { return c.apply(s, checkObject) }
+
+// Follow returns the next version, like Apply, after a change set that the voters have
+// accepted. It accepts every record of an upstream: upstreams report their records
+// themselves, and one that another release accepted must not keep this process from
+// following the configuration. Users of such a record call CheckUpstream.
+func (c *Catalog) Follow(s ChangeSet) (*Catalog, error) {
+	return c.apply(s, func(o Object, p *problems) {
+		if o.Ref().kind != KindUpstream {
+			checkObject(o, p)
+		}
+	})
+}
+
+func (c *Catalog) apply(s ChangeSet, check func(o Object, p *problems)) (*Catalog, error) {
 	if s.Base() != c.version {
 		return nil, ConflictError{base: s.Base(), current: c.version}
 	}
 	p := &problems{}
 	next := &Catalog{version: c.version + 1, objects: maps.Clone(c.objects)}
 	checkHeader(s, p)
-	next.applyObjects(s, p)
+	next.applyObjects(s, check, p)
 	next.refs = c.refs.updated(s, next.objects)
 	next.checkReferences(s, p)
 	next.assignSiteNumbers(c)
@@ -125,9 +139,10 @@
 	}
 }
 
-// applyObjects applies deletions, then puts. It reports an object that the
-// change set names twice and a deleted object that doesn't exist.
-func (c *Catalog) applyObjects(s ChangeSet, p *problems) {
+// applyObjects applies deletions, then puts, and checks the objects that are put. It
+// reports an object that the change set names twice and a deleted object that doesn't
+// exist.
+func (c *Catalog) applyObjects(s ChangeSet, check func(o Object, p *problems), p *problems) {
 	seen := map[Ref]bool{}
 	for _, r := range s.Deletes() {
 		if seen[r] {
@@ -145,8 +160,7 @@
 			p.add(r, "puts", "the object twice", "name each object once")
 		}
 		seen[r] = true
-		p.requireName(r, "name", r.name)
-		o.check(p)
+		check(o, p)
 		c.objects[r] = o
 	}
 }
@@ -276,7 +290,7 @@
 		empty.version = version
 		return empty, nil
 	}
-	next, err := empty.Apply(NewChangeSet(ChangeSetOptions{
+	next, err := empty.Follow(NewChangeSet(ChangeSetOptions{
 		ID: "restore", Author: "restore", Puts: objects, Blocks: blocks,
 	}))
 	if err != nil {
--- a/core/dhcatalog/check.go
+++ b/core/dhcatalog/check.go
@@ -120,12 +120,17 @@
 func CheckObjects(list ...Object) error {
 	p := &problems{}
 	for _, o := range list {
-		p.requireName(o.Ref(), "name", o.Ref().Name())
-		o.check(p)
+		checkObject(o, p)
 	}
 	return p.err()
 }
 
+// checkObject adds the problems of an object that show without regard to other objects.
+func checkObject(o Object, p *problems) {
+	p.requireName(o.Ref(), "name", o.Ref().name)
+	o.check(p)
+}
+
 // CheckRefs validates the names in references. It returns an InvalidError or nil.
 func CheckRefs(list ...Ref) error {
 	p := &problems{}
--- a/core/dhcatalog/upstream.go
+++ b/core/dhcatalog/upstream.go
@@ -125,6 +125,8 @@
 // configured.
 func (u Upstream) references() []Ref { return nil }
 
+// check must have the same result in all releases, because voters apply it to entries of
+// the log. What enters the system may be checked more strictly.
 func (u Upstream) check(p *problems) {
 	p.requireName(u.Ref(), "service", u.options.Service)
 	p.requireName(u.Ref(), "zone", u.options.Zone)
--- a/core/dhdistribution/distribution_test.go
+++ b/core/dhdistribution/distribution_test.go
@@ -258,3 +258,29 @@
 		t.Errorf("%d changes were sent to a child that lacks one; want 1", n)
 	}
 }
+
+// TestRecordThatThisReleaseRefusesStopsAnInstance sends an instance changes with records of
+// upstreams that a voter of another release has accepted, and further changes. The instance must
+// follow them.
+func TestRecordThatThisReleaseRefusesStopsAnInstance(t *testing.T) {
+	s := New(Options{Self: "i", Zone: "z", Voters: []string{"c1"}})
+	c := dhcatalog.New()
+	var list []dhcatalog.ChangeSet
+	for i, u := range []dhcatalog.UpstreamOptions{
+		{Name: "slots", Service: "s", Address: "10.0.0.1:80", Zone: "z"},
+		{Name: "address", Service: "s", Address: "host:0", Zone: "z", Slots: 1},
+		{Name: "na/me", Service: "", Address: "", Zone: "", Slots: -1, State: 9, ColdRemaining: -1},
+	} {
+		list = append(list, dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+			ID: fmt.Sprint("odd-", i), Base: c.Version() + uint64(i), Author: "test", Puts: []dhcatalog.Object{dhcatalog.NewUpstream(u)},
+		}))
+	}
+	list = append(list, dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
+		ID: "last", Base: uint64(len(list)), Author: "test", Puts: []dhcatalog.Object{dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "o"})},
+	}))
+	var out dheffect.List
+	s.HandleUpdate(5, "c1", dhmessage.NewUpdate(dhmessage.UpdateOptions{Version: uint64(len(list)), EverConfirmed: true, Changes: list}), &out)
+	if _, found := s.Catalog().Organisation("o"); !found {
+		t.Errorf("the instance is at version %d, want %d", s.Catalog().Version(), len(list))
+	}
+}
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -263,7 +263,7 @@
 		if c.Base() != s.catalog.Version() {
 			continue
 		}
-		next, err := s.catalog.Apply(c)
+		next, err := s.catalog.Follow(c)
 		if err != nil {
 			return
 		}
--- a/core/dhledger/ledger_test.go
+++ b/core/dhledger/ledger_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"math"
+	"strings"
 	"testing"
 
 	"dogwoodhitch/core/dhcatalog"
@@ -171,3 +173,43 @@
 		apply(at, dhmessage.NewOutcome(k, claimant, dhmessage.ClaimDone, nil))
 	}
 }
+
+// TestStricterChecksSplitTheVoters applies edits with records of upstreams that earlier releases
+// accept or refuse in the log. Voters of all releases must agree on each: a check that becomes
+// stricter or looser here gives them different configurations under one version.
+func TestStricterChecksSplitTheVoters(t *testing.T) {
+	record := dhcatalog.UpstreamOptions{Name: "u", Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 1}
+	for name, c := range map[string]struct {
+		accepted bool
+		change   func(u *dhcatalog.UpstreamOptions)
+	}{
+		"port with a sign":  {true, func(u *dhcatalog.UpstreamOptions) { u.Address = "10.0.0.1:+80" }},
+		"name of a host":    {true, func(u *dhcatalog.UpstreamOptions) { u.Address = "cafe:80" }},
+		"no host":           {true, func(u *dhcatalog.UpstreamOptions) { u.Address = "0.0.0.0:65535" }},
+		"latest start":      {true, func(u *dhcatalog.UpstreamOptions) { u.Incarnation = math.MaxInt64 }},
+		"earliest start":    {true, func(u *dhcatalog.UpstreamOptions) { u.Incarnation = math.MinInt64 }},
+		"overflowed report": {true, func(u *dhcatalog.UpstreamOptions) { u.ColdReportID = math.MinInt64 }},
+		"most slots":        {true, func(u *dhcatalog.UpstreamOptions) { u.Slots = 10_000 }},
+		"longest start":     {true, func(u *dhcatalog.UpstreamOptions) { u.ColdRemaining = 3_600_000 }},
+		"longest name":      {true, func(u *dhcatalog.UpstreamOptions) { u.Name = strings.Repeat("a", 128) }},
+		"port 0":            {false, func(u *dhcatalog.UpstreamOptions) { u.Address = "10.0.0.1:0" }},
+		"port too high":     {false, func(u *dhcatalog.UpstreamOptions) { u.Address = "10.0.0.1:65536" }},
+		"letters":           {false, func(u *dhcatalog.UpstreamOptions) { u.Address = "localhost:80" }},
+		"too many slots":    {false, func(u *dhcatalog.UpstreamOptions) { u.Slots = 10_001 }},
+		"no slot":           {false, func(u *dhcatalog.UpstreamOptions) { u.Slots = 0 }},
+		"unknown state":     {false, func(u *dhcatalog.UpstreamOptions) { u.State = 3 }},
+		"too long a start":  {false, func(u *dhcatalog.UpstreamOptions) { u.ColdRemaining = 3_600_001 }},
+		"no service":        {false, func(u *dhcatalog.UpstreamOptions) { u.Service = "" }},
+		"slash":             {false, func(u *dhcatalog.UpstreamOptions) { u.Name = "a/b" }},
+	} {
+		odd := record
+		c.change(&odd)
+		l := New(dhmessage.Snapshot{})
+		good := record
+		good.Name, good.Address = "good", "10.0.0.2:80"
+		r := l.Apply(dhmessage.NewEntry(1, 1, 0, dhmessage.NewEdit("test", []dhcatalog.Object{dhcatalog.NewUpstream(odd), dhcatalog.NewUpstream(good)}, nil)))
+		if accepted := r.Err() == nil; accepted != c.accepted || (len(l.Catalog().UpstreamsOf("s")) == 2) != c.accepted {
+			t.Errorf("%s: accepted %v with %d upstreams, want %v", name, accepted, len(l.Catalog().UpstreamsOf("s")), c.accepted)
+		}
+	}
+}
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -37,7 +37,7 @@
 		topology.ColdRate = coldRateShares(service, position, instances)
 		var registrations []dhsteer.Registration
 		for _, u := range c.UpstreamsOf(name) {
-			if u.State() != dhcatalog.UpstreamGone {
+			if u.State() != dhcatalog.UpstreamGone && dhcatalog.CheckUpstream(u) == nil {
 				registrations = append(registrations, dhsteer.NewRegistration(u, c.RegionOf(u.Zone()), c.Evacuated(u.Zone())))
 			}
 		}
--- a/io/dhdisk/folder_test.go
+++ b/io/dhdisk/folder_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"testing"
@@ -233,3 +234,30 @@
 		})
 	}
 }
+
+// TestRecordThatThisReleaseRefusesEndsAVoter reopens a folder with a snapshot that holds records
+// of upstreams that an older release accepted. A voter that can't open it would end at each start.
+func TestRecordThatThisReleaseRefusesEndsAVoter(t *testing.T) {
+	path := foundFolder(t)
+	f := openFolder(t, path)
+	c, err := dhcatalog.New().Follow(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: []dhcatalog.Object{
+		dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{Name: "odd", Service: "s", Address: "host:+80", Zone: "z", Slots: -1, Incarnation: math.MaxInt64}),
+		dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{Name: "good", Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 1}),
+	}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	persist(t, f, 1, newEntry(1, 1))
+	if err := f.SaveSnapshot(dheffect.NewSaveSnapshot(dheffect.SaveSnapshotOptions{
+		Snapshot: dhmessage.NewSnapshot(dhmessage.SnapshotOptions{Index: 1, Term: 1, Catalog: c}), Term: 1,
+	})); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.WaitForSnapshot(); err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	if got := openFolder(t, path).State().Snapshot().Catalog(); len(got.UpstreamsOf("s")) != 2 {
+		t.Errorf("the snapshot has the upstreams %v, want 2", got.UpstreamsOf("s"))
+	}
+}
