Ignore appended entries that don't follow each other

What could be seen: a voter that gets log entries with a gap, from a damaged process of the system, stores them under other indexes than their own and commits them there, or panics. No release sends such entries; a process without the shared secret can't.

Fix: a voter ignores such a request, as if it were lost.

--- a/core/dhconsensus/follow.go
+++ b/core/dhconsensus/follow.go
@@ -29,7 +29,12 @@
 	}), out)
 }
 
+// handleAppend appends the entries of a leader. It ignores a request whose entries don't
+// follow each other, which the log can't hold.
 func (n *Node) handleAppend(from dhmessage.Peer, m *dhmessage.AppendRequest, out *dheffect.List) {
+	if !isContiguous(m) {
+		return
+	}
 	if !n.acceptLeader(from, m.Term(), m.Round(), out) {
 		return
 	}
@@ -45,6 +50,17 @@
 	n.sendAppendResponse(from, true, last, m.Round(), out)
 }
 
+// isContiguous reports whether the entries of a request follow each other and the entry that
+// precedes them.
+func isContiguous(m *dhmessage.AppendRequest) bool {
+	for i, e := range m.Entries() {
+		if e.Index() != m.PreviousIndex()+uint64(i)+1 {
+			return false
+		}
+	}
+	return true
+}
+
 // matchPrevious reports whether the log holds the entry that precedes an
 // AppendRequest; otherwise it returns the index after which the leader
 // should retry.
--- a/core/dhconsensus/node_test.go
+++ b/core/dhconsensus/node_test.go
@@ -1,6 +1,7 @@
 package dhconsensus
 
 import (
+	"math"
 	"testing"
 
 	"dogwoodhitch/core/dheffect"
@@ -148,3 +149,25 @@
 		t.Error("a second change was allowed before the first was committed")
 	}
 }
+
+// TestAppendedGapEndsAVoter sends a voter entries that don't follow each other or the entry
+// before them. It must neither panic nor store them at other indexes than their own.
+func TestAppendedGapEndsAVoter(t *testing.T) {
+	leader := dhmessage.NewPeer("b", "b1")
+	for _, indexes := range [][]uint64{{3}, {4}, {1, 3}, {2, 2}, {2, 4}, {2, 3, 1}, {0}, {math.MaxUint64}, {1 << 63}, {2, 1 << 63}} {
+		n := newVoter()
+		var out dheffect.List
+		n.Step(10_000, leader, dhmessage.NewAppendRequest(dhmessage.AppendRequestOptions{Term: 1, Entries: noopEntries(1, 1)}), &out)
+		n.Step(10_010, leader, dhmessage.NewAppendRequest(dhmessage.AppendRequestOptions{
+			Term: 1, PreviousIndex: 1, PreviousTerm: 1, Entries: noopEntries(2, indexes...), CommitIndex: math.MaxUint64,
+		}), &out)
+		for i := uint64(1); i < 5; i++ {
+			if e, found := n.Entry(i); found && e.Index() != i {
+				t.Errorf("%d: entry %d is stored at index %d", indexes, e.Index(), i)
+			}
+		}
+		if n.CommitIndex() > 1 {
+			t.Errorf("%d: the commit index is %d, want at most 1", indexes, n.CommitIndex())
+		}
+	}
+}
