--- a/core/dhreducer/entries_test.go
+++ b/core/dhreducer/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"dogwoodhitch/core/dhcatalog"
@@ -111,3 +112,41 @@
 		t.Errorf("instance zz-1 found: %v, zones: %v, want 2 zones without the instance", found, c.Zones())
 	}
 }
+
+// TestOddHeartbeatLosesItsBatch sends heartbeats that must be refused between those of upstreams,
+// whose records share one proposal. All upstreams must be registered by it, and nothing else.
+func TestOddHeartbeatLosesItsBatch(t *testing.T) {
+	n := newManagedNetwork(t, 3, "a1-1")
+	n.run(5000)
+	odd := map[string]func(u *dhcatalog.UpstreamOptions){
+		"slots":   func(u *dhcatalog.UpstreamOptions) { u.Slots = 0 },
+		"most":    func(u *dhcatalog.UpstreamOptions) { u.Slots = math.MaxInt },
+		"address": func(u *dhcatalog.UpstreamOptions) { u.Address = "10.0.1.1:65536" },
+		"service": func(u *dhcatalog.UpstreamOptions) { u.Service = "\xff" },
+		"zone":    func(u *dhcatalog.UpstreamOptions) { u.Zone = "" },
+		"state":   func(u *dhcatalog.UpstreamOptions) { u.State = 7 },
+		"cold":    func(u *dhcatalog.UpstreamOptions) { u.ColdRemaining = math.MinInt64 },
+		"na/me":   func(*dhcatalog.UpstreamOptions) {},
+	}
+	before, good := n.status(n.leader()).Version(), 0
+	for name, change := range odd {
+		for _, prefix := range []string{"", "a-", "z-"} {
+			record := upstreamRecord(prefix+name, dhcatalog.UpstreamReady)
+			record.Address = fmt.Sprint("10.0.1.1:", 1000+good)
+			if prefix == "" {
+				change(&record)
+			} else {
+				record.Name = fmt.Sprint(prefix, good)
+				good++
+			}
+			n.sendHeartbeat(n.machines[1], record)
+		}
+	}
+	n.run(1000)
+	if got := n.status(n.leader()).Version() - before; got > 2 {
+		t.Errorf("the records took %d versions, want at most 2", got)
+	}
+	if list := n.find("a1-1").view.Catalog().List(dhcatalog.KindUpstream); len(list) != good {
+		t.Errorf("registered %v, want %d upstreams", list, good)
+	}
+}
