Register upstreams in place of records of unknown services

What callers would see: an entry of another writer with a service that isn't configured comes first, at the address or under the name of an upstream that starts then. If its start time is later, the upstream doesn't register as long as the entry is repeated (tested: 30 s), and for 8 s after that.

Cause: the ledger rejects a record while one with a later start is in its place, and has to, since late heartbeats of ended processes look the same.

dhreducer TestUnknownServiceKeepsAnUpstreamOut, red before: the upstream isn't registered after 1 s

Fix: the process that gets the heartbeat of an upstream whose service is configured deletes such records of unknown services with an edit of its own and registers the upstream after it. A late heartbeat of an ended process can do that to an upstream of a service that isn't configured yet; it gets no requests then, and registers again once the service is.

A draining heartbeat that is ignored for its unknown service isn't acknowledged any more: the process may just not have the newest configuration.

--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -95,10 +95,19 @@
 		out.Add(dheffect.NewLog(dheffect.LogOptions{
 			Layer: "registry", Text: "ignores a heartbeat of an unknown service in place of another upstream", Peer: u.Name(),
 		}))
-		s.reply(e.CorrelationID(), s.ackResult(), out)
+		result := s.ackResult()
+		if u.State() != dhcatalog.UpstreamReady {
+			// This process may not know yet that the service is configured.
+			result = dhmessage.NewResult(dhmessage.ResultOptions{OutcomeUnknown: true})
+		}
+		s.reply(e.CorrelationID(), result, out)
 		return
 	}
 	old, found := s.distribution.Catalog().Get(u.Ref()).(dhcatalog.Upstream)
+	if list := s.obstacles(u); len(list) > 0 {
+		s.proposeUnattended(dhmessage.NewEdit(registryAuthor, nil, list), out)
+		found = found && !slices.Contains(list, u.Ref())
+	}
 	if !found || u.Incarnation() >= old.Incarnation() {
 		s.registry.lastHeartbeat[u.Name()] = s.now
 		s.registry.unreported[u.Name()] = true
@@ -117,20 +126,45 @@
 	}
 }
 
+// rivals returns the records of which an upstream's record may take the place, or which may
+// keep it out: those of its name and those at its address.
+func (s *State) rivals(u dhcatalog.Upstream) []dhcatalog.Upstream {
+	c := s.distribution.Catalog()
+	list := slices.Clone(c.UpstreamsAt(u.Address()))
+	if old, found := c.Get(u.Ref()).(dhcatalog.Upstream); found && old.Address() != u.Address() {
+		list = append(list, old)
+	}
+	return list
+}
+
+// isConfigured reports whether an upstream's service is configured. A record of another
+// service may register where it has no rival, since its service may be configured later.
+func (s *State) isConfigured(u dhcatalog.Upstream) bool {
+	_, found := s.distribution.Catalog().Service(u.Service())
+	return found
+}
+
 // displacesConfigured reports whether a record of a service that isn't configured would
-// take the place of an upstream whose service is. Such a record may register elsewhere,
-// since its service may be configured later.
+// take the place of an upstream whose service is.
 func (s *State) displacesConfigured(u dhcatalog.Upstream) bool {
-	c := s.distribution.Catalog()
-	isConfigured := func(v dhcatalog.Upstream) bool {
-		_, found := c.Service(v.Service())
-		return found && v.State() != dhcatalog.UpstreamGone
+	return !s.isConfigured(u) && slices.ContainsFunc(s.rivals(u), func(v dhcatalog.Upstream) bool {
+		return v.State() != dhcatalog.UpstreamGone && s.isConfigured(v)
+	})
+}
+
+// obstacles returns the records that keep out an upstream of a configured service although
+// their own service isn't configured.
+func (s *State) obstacles(u dhcatalog.Upstream) []dhcatalog.Ref {
+	if !s.isConfigured(u) {
+		return nil
 	}
-	if _, found := c.Service(u.Service()); found {
-		return false
+	var list []dhcatalog.Ref
+	for _, v := range s.rivals(u) {
+		if v.Incarnation() > u.Incarnation() && !s.isConfigured(v) {
+			list = append(list, v.Ref())
+		}
 	}
-	old, _ := c.Get(u.Ref()).(dhcatalog.Upstream)
-	return isConfigured(old) || slices.ContainsFunc(c.UpstreamsAt(u.Address()), isConfigured)
+	return list
 }
 
 func registrationEdit(list ...dhcatalog.Object) dhmessage.Command {
--- a/core/dhreducer/entries_test.go
+++ b/core/dhreducer/entries_test.go
@@ -83,8 +83,11 @@
 		odd := record
 		odd.Service, odd.Incarnation = "unknown", record.Incarnation+1
 		change(&odd)
-		n.sendHeartbeat(n.machines[i%3], odd)
+		correlationID := n.sendHeartbeat(n.machines[i%3], odd)
 		n.run(1000)
+		if r, answered := n.replies[correlationID]; !answered || r.Err() != nil || r.OutcomeUnknown() != (odd.State == dhcatalog.UpstreamDraining) {
+			t.Errorf("%+v was answered with %+v", odd, r)
+		}
 		if !entry.isReady(record) {
 			t.Errorf("%+v took the place of the upstream", odd)
 		}
@@ -150,3 +153,35 @@
 		t.Errorf("registered %v, want %d upstreams", list, good)
 	}
 }
+
+// TestUnknownServiceKeepsAnUpstreamOut sends heartbeats of a service that isn't configured, with a
+// later start time, before an upstream registers under the same name or at the same address. The
+// upstream must get requests at once, and keep them while those heartbeats go on.
+func TestUnknownServiceKeepsAnUpstreamOut(t *testing.T) {
+	for _, name := range []string{"u", "v"} {
+		t.Run(name, func(t *testing.T) {
+			n := newManagedNetwork(t, 3, "a1-1")
+			n.run(5000)
+			entry, record := n.find("a1-1"), upstreamRecord("u", dhcatalog.UpstreamReady)
+			n.propose(n.leader(), dhmessage.NewDeclare(dhcatalog.NewDeclaration(1, "1"), []dhcatalog.Object{
+				dhcatalog.NewService(dhcatalog.ServiceOptions{Name: record.Service}),
+			}))
+			odd := record
+			odd.Name, odd.Service, odd.Incarnation = name, "unknown", record.Incarnation+1
+			n.sendHeartbeat(n.machines[0], odd)
+			n.run(1000)
+			if !entry.isReady(odd) {
+				t.Fatal("the heartbeat of the unknown service took no effect")
+			}
+			for i := range 30 {
+				n.sendHeartbeat(n.machines[i%3], record)
+				n.run(500)
+				n.sendHeartbeat(n.machines[(i+1)%3], odd)
+				n.run(500)
+				if !entry.isReady(record) {
+					t.Fatalf("the upstream isn't registered after %d s", i+1)
+				}
+			}
+		})
+	}
+}
