--- a/core/dhcatalog/upstream.go
+++ b/core/dhcatalog/upstream.go
@@ -125,6 +125,8 @@
 // configured.
 func (u Upstream) references() []Ref { return nil }
 
+// check must have the same result in all releases, because voters apply it to entries of
+// the log. What enters the system may be checked more strictly.
 func (u Upstream) check(p *problems) {
 	p.requireName(u.Ref(), "service", u.options.Service)
 	p.requireName(u.Ref(), "zone", u.options.Zone)
@@ -142,9 +144,4 @@
 
 // CheckUpstream validates an upstream without regard to other objects. It
 // returns an InvalidError or nil.
-func CheckUpstream(u Upstream) error {
-	p := &problems{}
-	p.requireName(u.Ref(), "name", u.Name())
-	u.check(p)
-	return p.err()
-}
+func CheckUpstream(u Upstream) error { return CheckObjects(u) }
--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
@@ -70,7 +71,10 @@
 	if kind := in.readTimeout(dialect.TimeoutHeader); kind != "" {
 		return in, kind
 	}
-	in.idempotencyKey = r.Header.Get(HeaderIdempotencyKey)
+	// Messages between processes can hold no other key.
+	if key := r.Header.Get(HeaderIdempotencyKey); utf8.ValidString(key) {
+		in.idempotencyKey = key
+	}
 	if len(in.idempotencyKey) > maxIdempotencyKeyBytes {
 		return in, dheffect.RefuseMalformed
 	}
