Move the test cluster of separate processes into a package that other tests can use

TestMain, the cluster, its processes and links were test files of cmd/dogwoodhitch. The soak needs them too. A process may now be started again while its former run is still looked at.

--- a/cmd/dogwoodhitch/call_test.go
+++ b/cmd/dogwoodhitch/call_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"dogwoodhitch/io/dhtestcluster"
 )
 
 // reply is the response that a caller received, or an error. The field run is the
@@ -17,11 +19,11 @@
 	err      error
 }
 
-var callerClient = &http.Client{Timeout: waitTimeout}
+var callerClient = &http.Client{Timeout: dhtestcluster.WaitTimeout}
 
 // sendRequest sends a request to an entry instance as a caller does.
-func sendRequest(e *process, method, path, key, idempotencyKey, body string) reply {
-	r, err := http.NewRequest(method, "http://"+e.callers+path, strings.NewReader(body))
+func sendRequest(e *dhtestcluster.Process, method, path, key, idempotencyKey, body string) reply {
+	r, err := http.NewRequest(method, "http://"+e.Callers()+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
 	}
--- a/cmd/dogwoodhitch/fault_test.go
+++ b/cmd/dogwoodhitch/fault_test.go
@@ -13,19 +13,9 @@
 
 	"dogwoodhitch/core/dhview"
 	"dogwoodhitch/io/dherrors"
+	"dogwoodhitch/io/dhtestcluster"
 )
 
-// votersExcept returns the voters other than p.
-func (c *cluster) votersExcept(p *process) []*process {
-	var list []*process
-	for _, v := range c.voters {
-		if v != p {
-			list = append(list, v)
-		}
-	}
-	return list
-}
-
 func organisationObject(name string) string {
 	return fmt.Sprintf(`{"organisation": {"name": %q}}`, name)
 }
@@ -35,21 +25,21 @@
 // change.
 func TestKilledLeader(t *testing.T) {
 	c := newCluster(t, 3, "a1")
-	first := c.leader(c.voters...)
-	c.kill(first)
-	c.applyChange(organisationObject("after-the-kill"))
-	c.start(first)
-	for _, v := range c.voters {
-		c.kill(v)
+	first := c.Leader(c.Voters()...)
+	first.Kill()
+	c.ApplyChange(organisationObject("after-the-kill"))
+	c.Start(first)
+	for _, v := range c.Voters() {
+		v.Kill()
 	}
-	for _, v := range c.voters {
-		c.start(v)
+	for _, v := range c.Voters() {
+		c.Start(v)
 	}
-	c.applyChange(organisationObject("after-the-restart"))
-	for _, v := range c.voters {
-		eventually(t, v.name+" has every change", func() bool {
-			s, err := c.client(v).Status(t.Context())
-			return err == nil && s.Version == c.version
+	c.ApplyChange(organisationObject("after-the-restart"))
+	for _, v := range c.Voters() {
+		dhtestcluster.Eventually(t, v.Name()+" has every change", func() bool {
+			s, err := c.Client(v).Status(t.Context())
+			return err == nil && s.Version == c.Version()
 		})
 	}
 }
@@ -60,41 +50,41 @@
 // the loss of another voter must not lose a change.
 func TestLostDisk(t *testing.T) {
 	c := newCluster(t, 3, "a1")
-	leader := c.leader(c.voters...)
-	lost := c.votersExcept(leader)[0]
-	other := c.votersExcept(leader)[1]
-	c.kill(lost)
-	os.RemoveAll(lost.folder)
-	c.start(lost)
+	leader := c.Leader(c.Voters()...)
+	lost := c.VotersExcept(leader)[0]
+	other := c.VotersExcept(leader)[1]
+	lost.Kill()
+	os.RemoveAll(lost.Folder())
+	c.Start(lost)
 	// Without the third voter, the leader and the empty folder are no majority.
-	c.kill(other)
+	other.Kill()
 	raw := `{"id": "no-majority", "author": "test", "base": 1, "puts": [` + organisationObject("no-majority") + `]}`
-	if _, err := c.client(leader).SubmitJSON(t.Context(), []byte(raw), false, false); dherrors.KindOf(err) != dherrors.KindOutcomeUnknown {
+	if _, err := c.Client(leader).SubmitJSON(t.Context(), []byte(raw), false, false); dherrors.KindOf(err) != dherrors.KindOutcomeUnknown {
 		t.Fatalf("a change without a majority returned error %v, want kind unsure; the empty folder may have voted", err)
 	}
-	c.start(other)
-	eventually(t, "the change is accepted once a majority is back", func() bool {
-		changed, err := c.client(c.voters...).SubmitJSON(t.Context(), []byte(raw), false, true)
+	c.Start(other)
+	dhtestcluster.Eventually(t, "the change is accepted once a majority is back", func() bool {
+		changed, err := c.Client(c.Voters()...).SubmitJSON(t.Context(), []byte(raw), false, true)
 		return err == nil && changed.Version == 2
 	})
-	c.version = 2
-	eventually(t, "the empty folder replaces the lost one", func() bool {
-		return c.client(c.leader(c.voters...)).EditVoter(t.Context(), "replace", lost.name, "", "") == nil
+	c.SetVersion(2)
+	dhtestcluster.Eventually(t, "the empty folder replaces the lost one", func() bool {
+		return c.Client(c.Leader(c.Voters()...)).EditVoter(t.Context(), "replace", lost.Name(), "", "") == nil
 	})
-	eventually(t, "the empty folder has a vote", func() bool {
-		s, err := c.client(c.leader(c.voters...)).Status(t.Context())
+	dhtestcluster.Eventually(t, "the empty folder has a vote", func() bool {
+		s, err := c.Client(c.Leader(c.Voters()...)).Status(t.Context())
 		if err != nil {
 			return false
 		}
 		for _, v := range s.Voters {
-			if v.Name == lost.name {
+			if v.Name == lost.Name() {
 				return !v.Learner && v.FolderID == v.RespondingFolderID && v.Advice == ""
 			}
 		}
 		return false
 	})
-	c.kill(c.leader(c.voters...))
-	c.applyChange(organisationObject("after-the-second-loss"))
+	c.Leader(c.Voters()...).Kill()
+	c.ApplyChange(organisationObject("after-the-second-loss"))
 }
 
 // TestPartitionedInstance cuts an entry instance off from all other processes.
@@ -104,18 +94,18 @@
 // refuse the revoked key.
 func TestPartitionedInstance(t *testing.T) {
 	c := newCluster(t, 1, "a1", "b1")
-	e := c.entries[1]
-	c.startUpstream("gate-b1-1", e, nil)
-	c.setCut(e.name, true)
-	c.version++
-	raw := fmt.Sprintf(`{"id": "while-cut", "author": "test", "base": %d, "deletes": [{"kind": "key", "name": "key-1"}]}`, c.version-1)
+	e := c.Entries()[1]
+	c.StartUpstream("gate-b1-1", nil, e)
+	c.SetCut(e.Name(), true)
+	c.SetVersion(c.Version() + 1)
+	raw := fmt.Sprintf(`{"id": "while-cut", "author": "test", "base": %d, "deletes": [{"kind": "key", "name": "key-1"}]}`, c.Version()-1)
 	started := time.Now()
-	changed, err := c.client(c.voters...).SubmitJSON(t.Context(), []byte(raw), false, true)
+	changed, err := c.Client(c.Voters()...).SubmitJSON(t.Context(), []byte(raw), false, true)
 	if err != nil || !changed.InForce {
 		t.Fatalf("a change while the instance is cut off returned %+v and error %v, want it in force", changed, err)
 	}
 	// "In force everywhere" covers the instance that is cut off: it refuses.
-	if r := sendRequest(e, http.MethodGet, "/gate/1", keyOne, "", ""); r.refusal != "configurationStale" || r.run != "not-run" {
+	if r := sendRequest(e, http.MethodGet, "/gate/1", dhtestcluster.KeyOne, "", ""); r.refusal != "configurationStale" || r.run != "not-run" {
 		t.Errorf("a request with the revoked key, at an instance cut off for %v, got %+v; want configurationStale and not-run", time.Since(started), r)
 	}
 	if lease := time.Duration(dhview.FreshnessLease) * time.Millisecond; time.Since(started) < lease {
@@ -124,11 +114,11 @@
 	if r := sendRequest(e, http.MethodGet, "/open/1", "", "", ""); r.status != http.StatusOK {
 		t.Errorf("a request to the open route of the instance that is cut off got %+v, want status 200", r)
 	}
-	c.setCut(e.name, false)
-	eventually(t, "the instance serves again", func() bool {
-		return sendRequest(e, http.MethodGet, "/gate/1", keyTwo, "", "").status == http.StatusOK
+	c.SetCut(e.Name(), false)
+	dhtestcluster.Eventually(t, "the instance serves again", func() bool {
+		return sendRequest(e, http.MethodGet, "/gate/1", dhtestcluster.KeyTwo, "", "").status == http.StatusOK
 	})
-	if r := sendRequest(e, http.MethodGet, "/gate/1", keyOne, "", ""); r.refusal != "keyUnknown" {
+	if r := sendRequest(e, http.MethodGet, "/gate/1", dhtestcluster.KeyOne, "", ""); r.refusal != "keyUnknown" {
 		t.Errorf("a request with the revoked key got %+v, want keyUnknown", r)
 	}
 }
@@ -138,25 +128,25 @@
 // the others' change.
 func TestPartitionedLeader(t *testing.T) {
 	c := newCluster(t, 3, "a1")
-	old := c.leader(c.voters...)
-	c.setCut(old.name, true)
+	old := c.Leader(c.Voters()...)
+	c.SetCut(old.Name(), true)
 	raw := fmt.Sprintf(`{"id": "lost", "author": "test", "base": 1, "puts": [%s]}`, organisationObject("lost"))
 	result := make(chan error)
 	go func() {
-		_, err := c.client(old).SubmitJSON(t.Context(), []byte(raw), false, false)
+		_, err := c.Client(old).SubmitJSON(t.Context(), []byte(raw), false, false)
 		result <- err
 	}()
-	eventually(t, "the others accept a change", func() bool {
+	dhtestcluster.Eventually(t, "the others accept a change", func() bool {
 		raw := fmt.Sprintf(`{"id": "kept", "author": "test", "base": 1, "puts": [%s]}`, organisationObject("kept"))
-		changed, err := c.client(c.votersExcept(old)...).SubmitJSON(t.Context(), []byte(raw), false, true)
+		changed, err := c.Client(c.VotersExcept(old)...).SubmitJSON(t.Context(), []byte(raw), false, true)
 		return err == nil && changed.Version == 2
 	})
-	c.setCut(old.name, false)
+	c.SetCut(old.Name(), false)
 	if err := <-result; err == nil {
 		t.Error("the leader that was cut off accepted a change")
 	}
-	eventually(t, "the old leader has the others' change", func() bool {
-		list, err := c.client(old).Objects(t.Context(), "organisation", "kept", true)
+	dhtestcluster.Eventually(t, "the old leader has the others' change", func() bool {
+		list, err := c.Client(old).Objects(t.Context(), "organisation", "kept", true)
 		return err == nil && list.Version == 2
 	})
 }
@@ -166,20 +156,20 @@
 // with a stale base as a conflict, and later changes must reach every process.
 func TestFrozenLeader(t *testing.T) {
 	c := newCluster(t, 3, "a1")
-	old := c.leader(c.voters...)
-	old.command.Process.Signal(syscall.SIGSTOP)
-	eventually(t, "the others accept a change", func() bool {
+	old := c.Leader(c.Voters()...)
+	old.Signal(syscall.SIGSTOP)
+	dhtestcluster.Eventually(t, "the others accept a change", func() bool {
 		raw := fmt.Sprintf(`{"id": "kept", "author": "test", "base": 1, "puts": [%s]}`, organisationObject("kept"))
-		changed, err := c.client(c.votersExcept(old)...).SubmitJSON(t.Context(), []byte(raw), false, false)
+		changed, err := c.Client(c.VotersExcept(old)...).SubmitJSON(t.Context(), []byte(raw), false, false)
 		return err == nil && changed.Version == 2
 	})
-	old.command.Process.Signal(syscall.SIGCONT)
+	old.Signal(syscall.SIGCONT)
 	raw := fmt.Sprintf(`{"id": "late", "author": "test", "base": 1, "puts": [%s]}`, organisationObject("late"))
-	if _, err := c.client(old).SubmitJSON(t.Context(), []byte(raw), false, false); dherrors.KindOf(err) != dherrors.KindConflict {
+	if _, err := c.Client(old).SubmitJSON(t.Context(), []byte(raw), false, false); dherrors.KindOf(err) != dherrors.KindConflict {
 		t.Errorf("a change with a stale base at the leader that was frozen returned error %v, want kind conflict", err)
 	}
-	c.version = 2
-	c.applyChange(organisationObject("after"))
+	c.SetVersion(2)
+	c.ApplyChange(organisationObject("after"))
 }
 
 // TestRacingOperators submits change sets of two operators with the same base at
@@ -193,7 +183,7 @@
 	for i := range 2 {
 		group.Go(func() {
 			raw := fmt.Sprintf(`{"id": "race-%d", "author": "test", "base": 1, "puts": [%s]}`, i, organisationObject(fmt.Sprint("race-", i)))
-			_, err := c.client(c.voters[i]).SubmitJSON(t.Context(), []byte(raw), false, false)
+			_, err := c.Client(c.Voters()[i]).SubmitJSON(t.Context(), []byte(raw), false, false)
 			switch {
 			case err == nil:
 				accepted.Add(1)
@@ -211,7 +201,7 @@
 	// A resend, as after a lost response, returns the same version.
 	for range 2 {
 		raw := fmt.Sprintf(`{"id": "again", "author": "test", "base": 2, "puts": [%s]}`, organisationObject("again"))
-		if changed, err := c.client(c.voters[2]).SubmitJSON(t.Context(), []byte(raw), false, false); err != nil || changed.Version != 3 {
+		if changed, err := c.Client(c.Voters()[2]).SubmitJSON(t.Context(), []byte(raw), false, false); err != nil || changed.Version != 3 {
 			t.Errorf("a submission or its resend returned %+v and error %v, want version 3", changed, err)
 		}
 	}
@@ -226,8 +216,8 @@
 		time.Sleep(100 * time.Millisecond)
 		w.Write([]byte("complete"))
 	}
-	c.startUpstream("gate-a1-1", c.entries[0], slow)
-	leaving := c.entries[0]
+	c.StartUpstream("gate-a1-1", slow, c.Entries()[0])
+	leaving := c.Entries()[0]
 	var stop atomic.Bool
 	var served, refused atomic.Int64
 	var group sync.WaitGroup
@@ -235,7 +225,7 @@
 		group.Go(func() {
 			for !stop.Load() {
 				// POST, because the test's HTTP client resends a GET by itself.
-				r := sendRequest(leaving, http.MethodPost, "/gate/1", keyOne, "", "x")
+				r := sendRequest(leaving, http.MethodPost, "/gate/1", dhtestcluster.KeyOne, "", "x")
 				switch {
 				case r.status == http.StatusOK && r.body == "complete":
 					served.Add(1)
@@ -250,18 +240,18 @@
 		})
 	}
 	time.Sleep(300 * time.Millisecond)
-	leaving.command.Process.Signal(syscall.SIGTERM)
-	eventually(t, "look-ups return the other instance", func() bool {
-		r := sendRequest(c.entries[1], http.MethodGet, "/dogwoodhitch/v1/lookup?address=192.0.2.1", "", "", "")
-		return strings.Contains(r.body, c.entries[1].callers)
+	leaving.Signal(syscall.SIGTERM)
+	dhtestcluster.Eventually(t, "look-ups return the other instance", func() bool {
+		r := sendRequest(c.Entries()[1], http.MethodGet, "/dogwoodhitch/v1/lookup?address=192.0.2.1", "", "", "")
+		return strings.Contains(r.body, c.Entries()[1].Callers())
 	})
-	<-leaving.done
+	<-leaving.Done()
 	stop.Store(true)
 	group.Wait()
 	if refused.Load() != 4 {
 		t.Errorf("%d of 4 callers were refused with instanceLeaving", refused.Load())
 	}
-	if served.Load() == 0 || leaving.command.ProcessState.ExitCode() != 0 {
-		t.Errorf("the instance served %d requests and ended with exit code %d, want at least 1 request and 0", served.Load(), leaving.command.ProcessState.ExitCode())
+	if served.Load() == 0 || leaving.ExitCode() != 0 {
+		t.Errorf("the instance served %d requests and ended with exit code %d, want at least 1 request and 0", served.Load(), leaving.ExitCode())
 	}
 }
--- a/cmd/dogwoodhitch/member_test.go
+++ b/cmd/dogwoodhitch/member_test.go
@@ -5,11 +5,12 @@
 
 	"dogwoodhitch/io/dherrors"
 	"dogwoodhitch/io/dhoperator"
+	"dogwoodhitch/io/dhtestcluster"
 )
 
 // voterStatus returns the status of a voter as the leader reports it.
-func (c *cluster) voterStatus(name string) (dhoperator.VoterStatus, bool) {
-	s, err := c.client(c.leader(c.voters...)).Status(c.t.Context())
+func voterStatus(t *testing.T, c *dhtestcluster.Cluster, name string) (dhoperator.VoterStatus, bool) {
+	s, err := c.Client(c.Leader(c.Voters()...)).Status(t.Context())
 	if err != nil {
 		return dhoperator.VoterStatus{}, false
 	}
@@ -27,35 +28,31 @@
 // must accept a change without the removed one.
 func TestAddAndRemoveVoters(t *testing.T) {
 	c := newCluster(t, 3, "a1")
-	added := c.newProcess("c4", "control", "")
-	c.voters = append(c.voters, added)
-	c.writeSettings(added)
-	c.start(added)
+	added := c.AddVoter("c4")
 	var folderID string
-	eventually(t, "the new process logs its folder ID", func() bool {
-		folderID = c.folderIDOf(added)
+	dhtestcluster.Eventually(t, "the new process logs its folder ID", func() bool {
+		folderID = added.FolderID()
 		return folderID != ""
 	})
-	eventually(t, "the voter is added", func() bool {
-		err := c.client(c.leader(c.voters...)).EditVoter(t.Context(), "add", added.name, added.peers, folderID)
+	dhtestcluster.Eventually(t, "the voter is added", func() bool {
+		err := c.Client(c.Leader(c.Voters()...)).EditVoter(t.Context(), "add", added.Name(), added.Peers(), folderID)
 		return err == nil
 	})
-	eventually(t, "the new voter has its vote", func() bool {
-		v, found := c.voterStatus(added.name)
+	dhtestcluster.Eventually(t, "the new voter has its vote", func() bool {
+		v, found := voterStatus(t, c, added.Name())
 		return found && !v.Learner && v.Advice == ""
 	})
 	for range 2 {
-		leader := c.leader(c.voters...)
-		removed := c.votersExcept(leader)[0]
+		leader := c.Leader(c.Voters()...)
+		removed := c.VotersExcept(leader)[0]
 		if removed == added {
-			removed = c.votersExcept(leader)[1]
+			removed = c.VotersExcept(leader)[1]
 		}
-		eventually(t, removed.name+" is removed", func() bool {
-			err := c.client(c.leader(c.voters...)).EditVoter(t.Context(), "remove", removed.name, "", "")
+		dhtestcluster.Eventually(t, removed.Name()+" is removed", func() bool {
+			err := c.Client(c.Leader(c.Voters()...)).EditVoter(t.Context(), "remove", removed.Name(), "", "")
 			return err == nil || dherrors.KindOf(err) == "memberUnknown"
 		})
-		c.kill(removed)
-		c.voters = c.votersExcept(removed)
-		c.applyChange(organisationObject("without-" + removed.name))
+		c.KillVoter(removed)
+		c.ApplyChange(organisationObject("without-" + removed.Name()))
 	}
 }
--- a/cmd/dogwoodhitch/tls_test.go
+++ b/cmd/dogwoodhitch/tls_test.go
@@ -16,6 +16,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"dogwoodhitch/io/dhtestcluster"
 )
 
 // writeCertificate writes a self-signed certificate for the loopback address,
@@ -29,7 +31,7 @@
 	}
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.ParseIP(host)}, IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.ParseIP(dhtestcluster.Host())}, IsCA: true, BasicConstraintsValid: true,
 		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
 	}
 	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
@@ -57,39 +59,39 @@
 func TestTLS(t *testing.T) {
 	folder := t.TempDir()
 	writeCertificate(t, folder, 1)
-	c := newTLSCluster(t, folder, 1, "a1", "b1")
-	c.startUpstream("gate-a1-1", c.entries[0], nil)
+	c := dhtestcluster.New(t, dhtestcluster.Options{Voters: 1, Zones: []string{"a1", "b1"}, Certificates: folder})
+	c.StartUpstream("gate-a1-1", nil, c.Entries()[0])
 	get := func(url string) (*http.Response, error) {
 		pool := x509.NewCertPool()
 		raw, _ := os.ReadFile(filepath.Join(folder, "ca.pem"))
 		pool.AppendCertsFromPEM(raw)
 		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, ForceAttemptHTTP2: true}}
 		r, _ := http.NewRequest(http.MethodGet, url, nil)
-		r.Header.Set("Authorization", "Bearer "+keyOne)
+		r.Header.Set("Authorization", "Bearer "+dhtestcluster.KeyOne)
 		return client.Do(r)
 	}
-	for _, e := range c.entries {
-		r, err := get("https://" + e.callers + "/gate/1")
+	for _, e := range c.Entries() {
+		r, err := get("https://" + e.Callers() + "/gate/1")
 		if err != nil || r.StatusCode != http.StatusOK || r.ProtoMajor != 2 {
-			t.Fatalf("a request to %s over TLS got %v and error %v, want status 200 over HTTP/2", e.name, r, err)
+			t.Fatalf("a request to %s over TLS got %v and error %v, want status 200 over HTTP/2", e.Name(), r, err)
 		}
 	}
-	if out, err := exec.Command(program, "status", "--server", c.voters[0].operators,
-		"--secret-file", filepath.Join(c.folder, "operators"), "--ca-file", filepath.Join(folder, "ca.pem")).CombinedOutput(); err != nil {
+	if out, err := exec.Command(dhtestcluster.Program(), "status", "--server", c.Voters()[0].Operators(),
+		"--secret-file", filepath.Join(c.Folder(), "operators"), "--ca-file", filepath.Join(folder, "ca.pem")).CombinedOutput(); err != nil {
 		t.Errorf("the status command over TLS failed: %v: %s", err, out)
 	}
 	writeCertificate(t, folder, 2)
-	eventually(t, "the entry instance presents the new certificate", func() bool {
-		r, err := get("https://" + c.entries[1].callers + "/gate/1")
+	dhtestcluster.Eventually(t, "the entry instance presents the new certificate", func() bool {
+		r, err := get("https://" + c.Entries()[1].Callers() + "/gate/1")
 		return err == nil && r.StatusCode == http.StatusOK && r.TLS.PeerCertificates[0].SerialNumber.Int64() == 2
 	})
-	if _, err := http.Get("http://" + c.entries[0].callers + "/gate/1"); err == nil {
-		r, _ := http.Get("http://" + c.entries[0].callers + "/gate/1")
+	if _, err := http.Get("http://" + c.Entries()[0].Callers() + "/gate/1"); err == nil {
+		r, _ := http.Get("http://" + c.Entries()[0].Callers() + "/gate/1")
 		if r.StatusCode == http.StatusOK {
 			t.Error("a request without TLS was served")
 		}
 	}
-	if strings.Contains(c.entries[0].log.String(), "PRIVATE") {
+	if strings.Contains(c.Entries()[0].Log(), "PRIVATE") {
 		t.Error("a private key was logged")
 	}
 }
--- a/cmd/dogwoodhitch/link_test.go
+++ b/io/dhtestcluster/link.go
@@ -1,15 +1,16 @@
-package main
+package dhtestcluster
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
 	"testing"
 )
 
-// link is a TCP proxy that can be cut: it then closes all connections, and closes
+// Link is a TCP proxy that can be cut: it then closes all connections, and closes
 // new ones at once until it is restored.
-type link struct {
+type Link struct {
 	listener net.Listener
 	target   string
 	mutex    sync.Mutex
@@ -17,15 +18,15 @@
 	open     map[net.Conn]bool
 }
 
-// startLink starts a link to a target address, which stops at the end of the
+// StartLink starts a link to a target address, which stops at the end of the
 // test.
-func startLink(t *testing.T, target string) *link {
+func StartLink(t *testing.T, target string) *Link {
 	t.Helper()
-	listener, err := net.Listen("tcp", host+":0")
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", host+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &link{listener: listener, target: target, open: map[net.Conn]bool{}}
+	l := &Link{listener: listener, target: target, open: map[net.Conn]bool{}}
 	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
@@ -39,9 +40,12 @@
 	return l
 }
 
+// Address returns the address that the link listens on.
+func (l *Link) Address() string { return l.listener.Addr().String() }
+
 // forward copies the data of a connection to the target and back, until one side
 // closes or the link is cut.
-func (l *link) forward(incoming net.Conn) {
+func (l *Link) forward(incoming net.Conn) {
 	defer incoming.Close()
 	l.mutex.Lock()
 	cut := l.cut
@@ -49,7 +53,7 @@
 	if cut {
 		return
 	}
-	outgoing, err := net.Dial("tcp", l.target)
+	outgoing, err := new(net.Dialer).DialContext(context.Background(), "tcp", l.target)
 	if err != nil {
 		return
 	}
@@ -58,18 +62,18 @@
 	l.open[incoming], l.open[outgoing] = true, true
 	l.mutex.Unlock()
 	go func() {
-		io.Copy(outgoing, incoming)
+		_, _ = io.Copy(outgoing, incoming)
 		outgoing.Close()
 	}()
-	io.Copy(incoming, outgoing)
+	_, _ = io.Copy(incoming, outgoing)
 	l.mutex.Lock()
 	delete(l.open, incoming)
 	delete(l.open, outgoing)
 	l.mutex.Unlock()
 }
 
-// setCut cuts or restores the link.
-func (l *link) setCut(cut bool) {
+// SetCut cuts or restores the link.
+func (l *Link) SetCut(cut bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.cut = cut
--- a/cmd/dogwoodhitch/norace_test.go
+++ b/io/dhtestcluster/norace.go
@@ -1,7 +1,7 @@
 //go:build !race
 
-package main
+package dhtestcluster
 
 // raceDetector reports whether to build the program with the race detector. The
-// program is built without it, as these tests are.
+// program is built without it, as the tests are.
 const raceDetector = false
--- /dev/null
+++ b/io/dhtestcluster/process.go
@@ -0,0 +1,139 @@
+package dhtestcluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one process of the program, which may be started several times. It embeds
+// its last run.
+type Process struct {
+	*Run
+	name, role, zone string
+	folder           string
+	callers          string
+	upstreams        string
+	peers            string
+	operators        string
+}
+
+// Name returns the name of the instance.
+func (p *Process) Name() string { return p.name }
+
+// Zone returns the availability zone of an entry instance.
+func (p *Process) Zone() string { return p.zone }
+
+// Folder returns the path of the data folder, and without a suffix that of the other files.
+func (p *Process) Folder() string { return p.folder }
+
+// Callers returns the address for callers.
+func (p *Process) Callers() string { return p.callers }
+
+// Upstreams returns the address for upstreams.
+func (p *Process) Upstreams() string { return p.upstreams }
+
+// Peers returns the address for other processes.
+func (p *Process) Peers() string { return p.peers }
+
+// Operators returns the address for operators.
+func (p *Process) Operators() string { return p.operators }
+
+// FolderID returns the ID of the data folder from the log, or "" if it isn't logged yet.
+func (p *Process) FolderID() string {
+	for line := range strings.Lines(p.Log()) {
+		var started struct {
+			Folder string `json:"folder"`
+		}
+		if json.Unmarshal([]byte(line), &started) == nil && started.Folder != "" {
+			return started.Folder
+		}
+	}
+	return ""
+}
+
+// Run is one operating-system process, from its start to its end.
+type Run struct {
+	command *exec.Cmd
+	done    chan struct{}
+	log     logBuffer
+	endedAt time.Time // set when done is closed
+}
+
+// startRun starts the program.
+func startRun(args ...string) (*Run, error) {
+	r := &Run{command: exec.CommandContext(context.Background(), program, args...), done: make(chan struct{})}
+	r.command.Stdout, r.command.Stderr = &r.log, &r.log
+	if err := r.command.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		_ = r.command.Wait() // ExitCode and EndedBy return the result
+		r.endedAt = time.Now()
+		close(r.done)
+	}()
+	return r, nil
+}
+
+// Signal sends a signal. It returns an error if the process has ended.
+func (r *Run) Signal(s os.Signal) error { return r.command.Process.Signal(s) }
+
+// Kill ends the process at once and waits for its end.
+func (r *Run) Kill() {
+	_ = r.Signal(syscall.SIGCONT) // fails if the process has ended
+	_ = r.Signal(syscall.SIGKILL)
+	<-r.done
+}
+
+// Done returns a channel that is closed when the process has ended.
+func (r *Run) Done() <-chan struct{} { return r.done }
+
+// EndedAt returns when the process ended, once Done is closed.
+func (r *Run) EndedAt() time.Time { return r.endedAt }
+
+// ExitCode returns the exit code once Done is closed; -1 if a signal ended the process.
+func (r *Run) ExitCode() int { return r.command.ProcessState.ExitCode() }
+
+// EndedBy returns the signal that ended the process, once Done is closed; 0 if it exited.
+func (r *Run) EndedBy() syscall.Signal {
+	s, _ := r.command.ProcessState.Sys().(syscall.WaitStatus)
+	return max(s.Signal(), 0)
+}
+
+// Log returns what the process has written so far.
+func (r *Run) Log() string { return r.log.String() }
+
+// saveLog stores the log in a new file of a folder.
+func (r *Run) saveLog(folder, name string) (string, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return "", err
+	}
+	path := filepath.Join(folder, name+".log")
+	return path, os.WriteFile(path, []byte(r.Log()), 0o600)
+}
+
+// logBuffer collects the log of a process. It may be read while the process
+// runs.
+type logBuffer struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
+}
--- /dev/null
+++ b/io/dhtestcluster/program.go
@@ -0,0 +1,98 @@
+// Package dhtestcluster runs a system of separate processes of the real program on
+// loopback addresses, for tests. Their peer connections run over links that can be cut.
+package dhtestcluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+)
+
+// WaitTimeout limits every wait for an expected condition.
+const WaitTimeout = 30 * time.Second
+
+// pollInterval is the time between two checks of an expected condition.
+const pollInterval = 20 * time.Millisecond
+
+// program is the path of the binary under test, which RunTests builds once.
+var program string
+
+// RunTests builds the program, runs the tests of a package, and returns the exit code.
+func RunTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "dogwoodhitch")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	program = filepath.Join(folder, "dogwoodhitch")
+	args := []string{"build", "-o", program}
+	if raceDetector {
+		args = append(args, "-race")
+	}
+	args = append(args, "dogwoodhitch/cmd/dogwoodhitch")
+	if out, err := exec.CommandContext(context.Background(), "go", args...).CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	return m.Run()
+}
+
+// Program returns the path of the binary under test.
+func Program() string { return program }
+
+// RaceDetector reports whether the program is built with the race detector.
+func RaceDetector() bool { return raceDetector }
+
+// host is a loopback address that only this test run uses, and lastPort the last
+// port that was allocated. The ports are below the kernel's ephemeral range, so
+// that nothing else binds a port between its allocation and its use.
+var (
+	host      = fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+	portMutex sync.Mutex
+	lastPort  = firstPort
+)
+
+// firstPort and maxPort bound the allocated ports.
+const (
+	firstPort = 20_000
+	maxPort   = 30_000
+)
+
+// Host returns the loopback address that only this test run uses.
+func Host() string { return host }
+
+// freeAddress returns a loopback address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	portMutex.Lock()
+	defer portMutex.Unlock()
+	for {
+		lastPort++
+		address := fmt.Sprintf("%s:%d", host, lastPort)
+		l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", address)
+		if err == nil {
+			l.Close()
+			return address
+		}
+		if lastPort > maxPort {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Eventually polls a condition until it is met, and fails the test if that takes
+// longer than WaitTimeout.
+func Eventually(t *testing.T, condition string, met func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(WaitTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		if met() {
+			return
+		}
+	}
+	t.Fatal("condition not met within WaitTimeout: " + condition)
+}
