Add a fault soak of the real program, beginning with planned stops

The fake upstream waits 5 s for a header in place of 1 s: beside load an instance took 1.4 s between connection and header.

--- a/io/dhfakeupstream/upstream.go
+++ b/io/dhfakeupstream/upstream.go
@@ -21,6 +21,9 @@
 	"dogwoodhitch/io/dhtime"
 )
 
+// headerTimeout bounds the time until a request's header has arrived.
+const headerTimeout = 5 * time.Second
+
 // Options configure a FakeUpstream.
 type Options struct {
 	Name    string
@@ -60,7 +63,7 @@
 		return nil, fmt.Errorf("listen for upstream %s on %s: %w; free the address", o.Name, o.Address, err)
 	}
 	u := &FakeUpstream{options: o, listener: l, client: &http.Client{Timeout: time.Second, Transport: &http.Transport{TLSClientConfig: o.TLS}}}
-	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: time.Second}
+	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: headerTimeout}
 	return u, nil
 }
 
--- a/io/dhtestcluster/cluster.go
+++ b/io/dhtestcluster/cluster.go
@@ -41,6 +41,10 @@
 	Certificates string
 	// LeaveWait and Finish are the settings of a planned stop; 0 for the default.
 	LeaveWait, Finish time.Duration
+	// WithoutJournals keeps entry instances from recording journals.
+	WithoutJournals bool
+	// WithoutLinks makes processes connect to each other directly.
+	WithoutLinks bool
 	// LogFolder is where the logs are stored if the test fails; "" to print them.
 	LogFolder string
 }
@@ -151,14 +155,17 @@
 	}
 }
 
-// linkTo returns the link that carries the connections of one process to another
-// one, which listens on address.
-func (c *Cluster) linkTo(from, to string, address string) *Link {
+// linkTo returns the address of the link that carries the connections of one process to
+// another one, which listens on address.
+func (c *Cluster) linkTo(from, to string, address string) string {
+	if c.options.WithoutLinks {
+		return address
+	}
 	key := [2]string{from, to}
 	if c.links[key] == nil {
 		c.links[key] = StartLink(c.t, address)
 	}
-	return c.links[key]
+	return c.links[key].Address()
 }
 
 // SetCut cuts or restores every link from and to a process.
@@ -179,7 +186,7 @@
 	for _, v := range c.voters {
 		address := v.peers
 		if v != p {
-			address = c.linkTo(p.name, v.name, v.peers).Address()
+			address = c.linkTo(p.name, v.name, v.peers)
 		}
 		voters = append(voters, voter{v.name, address})
 	}
@@ -200,7 +207,9 @@
 		s["zone"] = p.zone
 		listen["callers"], listen["upstreams"] = p.callers, p.upstreams
 		secrets["upstreamsFile"] = "upstreams"
-		s["journalFile"] = p.folder + ".journal"
+		if !c.options.WithoutJournals {
+			s["journalFile"] = p.folder + ".journal"
+		}
 	}
 	raw, err := json.Marshal(s)
 	if err != nil {
@@ -293,7 +302,7 @@
 			put("site", `{"name": "site-%s", "zone": %q, "timeToLiveMs": 1000, "default": %t}`, e.zone, e.zone, i == 0)
 		}
 		put("instance", `{"name": %q, "zone": %q, "callerAddress": %q, "peerAddress": %q}`,
-			e.name, e.zone, e.callers, c.linkTo("*", e.name, e.peers).Address())
+			e.name, e.zone, e.callers, c.linkTo("*", e.name, e.peers))
 	}
 	put("organisation", `{"name": "glenmorven"}`)
 	put("key", `{"name": "key-1", "organisation": "glenmorven", "secret": "key-one-of-glenmorven"}`)
--- a/io/dhtestcluster/process.go
+++ b/io/dhtestcluster/process.go
@@ -28,6 +28,9 @@
 // Name returns the name of the instance.
 func (p *Process) Name() string { return p.name }
 
+// Role returns the role of the settings: control or entry.
+func (p *Process) Role() string { return p.role }
+
 // Zone returns the availability zone of an entry instance.
 func (p *Process) Zone() string { return p.zone }
 
@@ -71,6 +74,8 @@
 func startRun(args ...string) (*Run, error) {
 	r := &Run{command: exec.CommandContext(context.Background(), program, args...), done: make(chan struct{})}
 	r.command.Stdout, r.command.Stderr = &r.log, &r.log
+	// The race detector's runtime otherwise sleeps for a second before the process exits.
+	r.command.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
 	if err := r.command.Start(); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/soak/fault_test.go
@@ -0,0 +1,280 @@
+package dhsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"dogwoodhitch/core/dhview"
+	"dogwoodhitch/io/dherrors"
+	"dogwoodhitch/io/dhtestcluster"
+)
+
+// clockFormat shows times in the time line.
+const clockFormat = "15:04:05.000"
+
+// stopSlack is the time beyond leaveWaitMs and finishMs within which a process ends.
+const stopSlack = time.Second
+
+// stuckAfter is how long a stop may exceed its bound before the soak kills the process.
+const stuckAfter = 5 * time.Second
+
+// timeLine lists the faults.
+type timeLine struct {
+	mutex sync.Mutex
+	lines []string
+}
+
+func (l *timeLine) add(format string, args ...any) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.lines = append(l.lines, time.Now().Format(clockFormat)+" "+fmt.Sprintf(format, args...))
+}
+
+func (l *timeLine) String() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return strings.Join(l.lines, "\n")
+}
+
+// period is a time in which an unplanned fault may affect callers.
+type period struct {
+	what     string
+	from, to time.Time // to is zero until it has ended
+}
+
+// overlaps reports whether the period has a part of a time between two others.
+func (p *period) overlaps(from, to time.Time) bool {
+	return p.from.Before(to) && (p.to.IsZero() || p.to.After(from))
+}
+
+// life is one run of a process and what the soak did to it.
+type life struct {
+	*dhtestcluster.Run
+	name       string
+	startedAt  time.Time
+	stoppedAt  time.Time // when it got SIGTERM; zero before
+	wasStarted bool      // it had logged that it has started before SIGTERM
+	isKilled   bool      // it got SIGKILL, or SIGTERM twice
+	isPaused   bool      // it got SIGSTOP at some time
+}
+
+func (l *life) hasLogged(text string) bool { return strings.Contains(l.Log(), `"msg":"`+text+`"`) }
+
+// action is a kind of fault.
+type action string
+
+const (
+	stopAction   action = "stop"    // SIGTERM
+	hangUpAction action = "hang up" // SIGHUP
+	killAction   action = "kill"    // SIGKILL
+	pauseAction  action = "pause"   // SIGSTOP and SIGCONT
+)
+
+// director injects faults into one process, one after the other.
+type director struct {
+	soak    *soak
+	process *dhtestcluster.Process
+	actions []action
+	random  *rand.Rand
+	life    *life
+}
+
+// run injects faults until the context ends. Then the process runs.
+func (d *director) run(ctx context.Context) {
+	for len(d.actions) > 0 {
+		sleep(ctx, between(d.random, 100, 1500))
+		if ctx.Err() != nil {
+			return
+		}
+		switch d.actions[d.random.IntN(len(d.actions))] {
+		case stopAction:
+			d.stop()
+		case hangUpAction:
+			d.hangUp(1 + d.random.IntN(4))
+		case killAction:
+			d.kill()
+		case pauseAction:
+			d.pause()
+		}
+		if d.life.hasEnded() {
+			sleep(context.Background(), between(d.random, 0, 600))
+			d.start()
+		}
+	}
+}
+
+func (d *director) may(a action) bool { return slices.Contains(d.actions, a) }
+
+func (l *life) hasEnded() bool {
+	select {
+	case <-l.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+// start starts the process, and sometimes stops it before it has started.
+func (d *director) start() {
+	d.soak.timeLine.add("%s: start", d.process.Name())
+	startedAt := time.Now()
+	d.soak.cluster.Start(d.process)
+	d.follow(startedAt)
+	if d.random.IntN(8) == 0 {
+		sleep(context.Background(), between(d.random, 0, 100))
+		d.stop()
+		d.start()
+	}
+}
+
+// follow records the life that has begun.
+func (d *director) follow(startedAt time.Time) {
+	d.life = &life{Run: d.process.Run, name: d.process.Name(), startedAt: startedAt}
+	d.soak.addLife(d.life)
+}
+
+func (d *director) signal(s syscall.Signal) {
+	err := d.life.Signal(s)
+	d.soak.timeLine.add("%s: %v (error %v)", d.process.Name(), s, err)
+}
+
+func (d *director) hangUp(times int) {
+	for range times {
+		d.signal(syscall.SIGHUP)
+		sleep(context.Background(), between(d.random, 0, 50))
+	}
+}
+
+// stop sends SIGTERM, SIGHUP around it if the scenario has it, and sometimes a second SIGTERM, which
+// ends the process at once. It waits until the process has ended.
+func (d *director) stop() {
+	if d.may(hangUpAction) {
+		d.hangUp(d.random.IntN(3))
+	}
+	d.life.wasStarted = d.life.hasLogged("started")
+	d.signal(syscall.SIGTERM)
+	d.life.stoppedAt = time.Now()
+	bound := d.soak.leaveWait + d.soak.finish + stopSlack
+	if d.may(killAction) && d.random.IntN(8) == 0 {
+		end := d.soak.disturb(d.process.Name() + " gets SIGTERM twice")
+		defer end()
+		sleep(context.Background(), between(d.random, 0, int(bound.Milliseconds())))
+		d.life.isKilled = true
+		d.signal(syscall.SIGTERM)
+	}
+	deadline := time.NewTimer(bound + stuckAfter)
+	defer deadline.Stop()
+	for {
+		var pause <-chan time.Time
+		if d.may(hangUpAction) {
+			pause = time.After(between(d.random, 0, 500))
+		}
+		select {
+		case <-d.life.Done():
+			d.soak.timeLine.add("%s: ended with exit code %d", d.process.Name(), d.life.ExitCode())
+			return
+		case <-pause:
+			d.hangUp(1)
+		case <-deadline.C:
+			d.soak.timeLine.add("%s: killed, since it doesn't end", d.process.Name())
+			d.life.Kill()
+			return
+		}
+	}
+}
+
+func (d *director) kill() {
+	end := d.soak.disturb(d.process.Name() + " is killed")
+	defer end()
+	d.life.isKilled = true
+	d.signal(syscall.SIGKILL)
+	<-d.life.Done()
+}
+
+func (d *director) pause() {
+	end := d.soak.disturb(d.process.Name() + " is paused")
+	defer end()
+	d.life.isPaused = true
+	d.signal(syscall.SIGSTOP)
+	sleep(context.Background(), between(d.random, 50, 2500))
+	d.signal(syscall.SIGCONT)
+}
+
+// disturb records that an unplanned fault begins. The returned function records its end.
+func (s *soak) disturb(what string) func() {
+	p := &period{what: what, from: time.Now()}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.disturbances = append(s.disturbances, p)
+	return func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		p.to = time.Now().Add(recovery)
+	}
+}
+
+// recovery is the time after an unplanned fault in which its consequences are allowed: until
+// then instances may use each other's former state.
+const recovery = time.Duration(dhview.FreshnessLease) * time.Millisecond
+
+// operator changes the configuration, and records what was accepted.
+type operator struct {
+	soak     *soak
+	random   *rand.Rand
+	accepted []string // names of organisations, by version
+	faults   []string
+}
+
+// run submits change sets until the context ends. Each is sent again until it is accepted.
+func (o *operator) run(ctx context.Context) {
+	c := o.soak.cluster
+	for n := 0; ctx.Err() == nil; n++ {
+		sleep(ctx, between(o.random, 50, 800))
+		name := fmt.Sprintf("organisation-%d", n)
+		raw := fmt.Sprintf(`{"id": %q, "author": "soak", "base": %d, "puts": [{"organisation": {"name": %q}}]}`, name, c.Version(), name)
+		waits := o.random.IntN(3) == 0
+		for ctx.Err() == nil {
+			changed, err := c.Client(c.Voters()...).SubmitJSON(ctx, []byte(raw), false, waits)
+			if err == nil {
+				if changed.Version != c.Version()+1 {
+					o.faults = append(o.faults, fmt.Sprintf("%s was accepted as version %d, want %d", name, changed.Version, c.Version()+1))
+				}
+				c.SetVersion(changed.Version)
+				o.accepted = append(o.accepted, name)
+				o.soak.timeLine.add("version %d is accepted, in force everywhere: %t", changed.Version, changed.InForce)
+				break
+			}
+			if dherrors.KindOf(err) == dherrors.KindConflict && ctx.Err() == nil {
+				o.faults = append(o.faults, fmt.Sprintf("%s against version %d: %v", name, c.Version(), err))
+				return
+			}
+			sleep(ctx, retryInterval)
+		}
+	}
+}
+
+// watchInterval is the time between two looks at the version of a process.
+const watchInterval = 100 * time.Millisecond
+
+// watch reports a process whose version decreases while it runs.
+func (s *soak) watch(ctx context.Context, p *dhtestcluster.Process) {
+	var last uint64
+	var lastLife *life
+	for ctx.Err() == nil {
+		l := s.lifeAt(p.Name(), time.Now())
+		status, err := s.cluster.Client(p).Status(ctx)
+		if err == nil && !l.hasEnded() {
+			if l == lastLife && status.Version < last {
+				s.fail("%v reverted from version %d to %d", l, last, status.Version)
+			}
+			last, lastLife = status.Version, l
+		}
+		sleep(ctx, watchInterval)
+	}
+}
