--- a/io/dhfakeupstream/upstream.go
+++ b/io/dhfakeupstream/upstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -30,6 +31,8 @@
 	Service string
 	// Address is the IP address and port to listen on; port 0 picks a free port.
 	Address string
+	// AnnouncedAddress is the address to announce, if it isn't Address.
+	AnnouncedAddress string
 	// EntryAddresses are the addresses of the entry instances to announce to.
 	EntryAddresses []string
 	// Secret is the secret that upstreams authenticate with.
@@ -146,7 +149,7 @@
 			Slots           int    `json:"slots"`
 			Running         int64  `json:"running"`
 			EchoesAttemptID bool   `json:"echoes"`
-		}{u.options.Name, u.options.Service, u.Address(), u.options.Slots, u.running.Load(), true})
+		}{u.options.Name, u.options.Service, cmp.Or(u.options.AnnouncedAddress, u.Address()), u.options.Slots, u.running.Load(), true})
 	}
 }
 
--- a/io/dhtestcluster/cluster.go
+++ b/io/dhtestcluster/cluster.go
@@ -168,6 +168,9 @@
 	return c.links[key].Address()
 }
 
+// Links returns all links.
+func (c *Cluster) Links() map[[2]string]*Link { return c.links }
+
 // SetCut cuts or restores every link from and to a process.
 func (c *Cluster) SetCut(name string, cut bool) {
 	for key, l := range c.links {
@@ -386,8 +389,9 @@
 	for _, e := range entries {
 		addresses = append(addresses, e.upstreams)
 	}
+	address := freeAddress(c.t)
 	u, err := dhfakeupstream.New(dhfakeupstream.Options{
-		Name: name, Service: "gate", Address: host + ":0", EntryAddresses: addresses,
+		Name: name, Service: "gate", Address: address, AnnouncedAddress: c.linkTo("*", name, address), EntryAddresses: addresses,
 		Secret: secretPrefix + "upstreams", Slots: UpstreamSlots, Handler: serve, TLS: c.tls(),
 	})
 	if err != nil {
--- a/io/dhtestcluster/link.go
+++ b/io/dhtestcluster/link.go
@@ -2,19 +2,35 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"testing"
+	"time"
 )
 
+// Direction is the way that data takes on a link.
+type Direction int
+
+// The directions of a link.
+const (
+	ToTarget Direction = iota
+	FromTarget
+)
+
+// linkBufferBytes is the most that a link forwards at once.
+const linkBufferBytes = 32 << 10
+
 // Link is a TCP proxy that can be cut: it then closes all connections, and closes
-// new ones at once until it is restored.
+// new ones at once until it is restored. It can also delay data, or hold it back in one
+// direction while connections stay open.
 type Link struct {
 	listener net.Listener
 	target   string
 	mutex    sync.Mutex
+	changed  *sync.Cond // broadcast when data may be forwarded again
 	cut      bool
+	delay    time.Duration
+	isSilent [2]bool // by Direction
 	open     map[net.Conn]bool
 }
 
@@ -27,7 +43,13 @@
 		t.Fatal(err)
 	}
 	l := &Link{listener: listener, target: target, open: map[net.Conn]bool{}}
-	t.Cleanup(func() { listener.Close() })
+	l.changed = sync.NewCond(&l.mutex)
+	t.Cleanup(func() {
+		listener.Close()
+		l.SetCut(true)
+		l.SetSilent(ToTarget, false)
+		l.SetSilent(FromTarget, false)
+	})
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -62,16 +84,41 @@
 	l.open[incoming], l.open[outgoing] = true, true
 	l.mutex.Unlock()
 	go func() {
-		_, _ = io.Copy(outgoing, incoming)
+		l.copy(outgoing, incoming, ToTarget)
 		outgoing.Close()
 	}()
-	_, _ = io.Copy(incoming, outgoing)
+	l.copy(incoming, outgoing, FromTarget)
 	l.mutex.Lock()
 	delete(l.open, incoming)
 	delete(l.open, outgoing)
 	l.mutex.Unlock()
 }
 
+// copy forwards data in one direction until one side closes.
+func (l *Link) copy(to, from net.Conn, d Direction) {
+	buffer := make([]byte, linkBufferBytes)
+	for {
+		n, err := from.Read(buffer)
+		l.hold(d)
+		if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
+			return
+		}
+	}
+}
+
+// hold waits until data may be forwarded in a direction.
+func (l *Link) hold(d Direction) {
+	l.mutex.Lock()
+	for l.isSilent[d] {
+		l.changed.Wait()
+	}
+	delay := l.delay
+	l.mutex.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+}
+
 // SetCut cuts or restores the link.
 func (l *Link) SetCut(cut bool) {
 	l.mutex.Lock()
@@ -83,3 +130,30 @@
 		}
 	}
 }
+
+// SetDelay delays data in both directions; 0 for no delay.
+func (l *Link) SetDelay(delay time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.delay = delay
+}
+
+// SetSilent holds data back in one direction, or forwards what was held back.
+func (l *Link) SetSilent(d Direction, silent bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.isSilent[d] = silent
+	l.changed.Broadcast()
+}
+
+// Reset closes all connections by a TCP reset.
+func (l *Link) Reset() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for c := range l.open {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails if the connection is closed already
+		}
+		c.Close()
+	}
+}
