--- a/io/dhfakeupstream/upstream.go
+++ b/io/dhfakeupstream/upstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -21,12 +22,17 @@
 	"dogwoodhitch/io/dhtime"
 )
 
+// headerTimeout bounds the time until a request's header has arrived.
+const headerTimeout = 5 * time.Second
+
 // Options configure a FakeUpstream.
 type Options struct {
 	Name    string
 	Service string
 	// Address is the IP address and port to listen on; port 0 picks a free port.
 	Address string
+	// AnnouncedAddress is the address to announce, if it isn't Address.
+	AnnouncedAddress string
 	// EntryAddresses are the addresses of the entry instances to announce to.
 	EntryAddresses []string
 	// Secret is the secret that upstreams authenticate with.
@@ -60,7 +66,7 @@
 		return nil, fmt.Errorf("listen for upstream %s on %s: %w; free the address", o.Name, o.Address, err)
 	}
 	u := &FakeUpstream{options: o, listener: l, client: &http.Client{Timeout: time.Second, Transport: &http.Transport{TLSClientConfig: o.TLS}}}
-	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: time.Second}
+	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: headerTimeout}
 	return u, nil
 }
 
@@ -143,7 +149,7 @@
 			Slots           int    `json:"slots"`
 			Running         int64  `json:"running"`
 			EchoesAttemptID bool   `json:"echoes"`
-		}{u.options.Name, u.options.Service, u.Address(), u.options.Slots, u.running.Load(), true})
+		}{u.options.Name, u.options.Service, cmp.Or(u.options.AnnouncedAddress, u.Address()), u.options.Slots, u.running.Load(), true})
 	}
 }
 
