Interrupt the reading of a body only while its request is handled

Cause: the interrupt of a body's reading ran beside the end of its handler, after which net/http has released what it uses.

Change: the handler waits for it.

--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -103,14 +103,17 @@
 		return nil, nil
 	}
 	controller := http.NewResponseController(w)
+	interrupted := make(chan struct{})
 	stop := context.AfterFunc(s.aborted, func() {
+		defer close(interrupted)
 		// Without support for deadlines the body is read until its connection closes.
 		_ = controller.SetReadDeadline(time.Now())
 	})
 	body, err := readBody(http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes), r.ContentLength)
 	if !stop() {
 		// The request can't go on, because net/http takes a connection with an expired
-		// deadline for closed.
+		// deadline for closed. The controller must not be used after the handler's end.
+		<-interrupted
 		return nil, context.Cause(s.aborted)
 	}
 	return body, err
