Deliver a refusal that is decided when its caller ends its output

What callers saw: one that ends its output after a request got either its refusal or a closed connection, by chance.

Cause: the handler chose at random between a decision that is there and the end of the request's context.

Change: a decision goes first.

--- a/io/dhentry/cancelled_test.go
+++ b/io/dhentry/cancelled_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -32,3 +33,53 @@
 		t.Errorf("got status %d with a body of %d bytes, want the upstream's answer or none", r.StatusCode, r.ContentLength)
 	}
 }
+
+// TestRequestThatOutlastsTheReadTimeoutIsCut has an upstream answer a request after the server's
+// time to read it. That must not end the request.
+func TestRequestThatOutlastsTheReadTimeoutIsCut(t *testing.T) {
+	upstream := startUpstream(t, func(*http.Request, int64) (string, bool) {
+		time.Sleep(250 * time.Millisecond)
+		return okResponse("answer"), false
+	})
+	e := startEntry(t, upstream.Addr().String())
+	e.Config.ReadTimeout = 100 * time.Millisecond
+	for _, body := range []string{"", "x"} {
+		r, err := http.NewRequest(http.MethodPut, e.URL+"/read/", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatalf("a request with the body %q got no answer: %v", body, err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Errorf("a request with the body %q got status %d, want 200", body, response.StatusCode)
+		}
+	}
+}
+
+// TestDecidedRequestOfACancelledCallerIsCut sends requests that are refused at once, and ends the
+// caller's output with each. The refusal must reach the caller.
+func TestDecidedRequestOfACancelledCallerIsCut(t *testing.T) {
+	e := startEntry(t)
+	for i := range 300 {
+		c, err := net.Dial("tcp", e.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(c, "GET /unknown/ HTTP/1.1\r\nHost: a.example\r\n\r\n")
+		if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("request %d got no answer: %v", i, err)
+		}
+		if r.StatusCode != http.StatusNotFound {
+			t.Fatalf("request %d got status %d, want 404", i, r.StatusCode)
+		}
+		c.Close()
+	}
+}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -235,8 +235,10 @@
 	for {
 		select {
 		case <-ctx.Done():
-			x.cancel()
-			x.abandon()
+			if !x.cancel(ctx) {
+				x.abandon()
+			}
+			return
 		case d := <-x.waiter.Decisions():
 			if x.execute(ctx, d) {
 				return
@@ -250,8 +252,9 @@
 func (x *exchange) abandon() { panic(http.ErrAbortHandler) }
 
 // cancel reports to the reducer that the caller closed its connection. If a decision
-// to forward the request is still queued, the attempt ends as not sent.
-func (x *exchange) cancel() {
+// to forward the request is still queued, the attempt ends as not sent. It carries out any
+// other decision, and reports whether the request has ended with it.
+func (x *exchange) cancel(ctx context.Context) bool {
 	x.server.options.TrafficState.Handle(func(at dhclock.Millis) dhevent.Event {
 		return dhevent.NewRequestCancelled(at, dhevent.RequestCancelledOptions{RequestID: x.waiter.RequestID()})
 	})
@@ -261,9 +264,11 @@
 			switch d.Effect().(type) {
 			case *dheffect.ForwardToUpstream, *dheffect.ForwardToPeer:
 				x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndNotSent}, d.At())
+			default:
+				return x.execute(ctx, d)
 			}
 		default:
-			return
+			return false
 		}
 	}
 }
