Name the parts of a stop after what they do

From a second review: the receiver of signals, the listener and the server for callers, and the requests whose answer isn't written yet.

--- a/io/dhcommand/serve.go
+++ b/io/dhcommand/serve.go
@@ -57,7 +57,7 @@
 }
 
 func serve(ctx context.Context, c *cli.Command, role dhsettings.Role) error {
-	hangups := dhprocess.ReceiveSignals()
+	signals := dhprocess.ReceiveSignals()
 	s, err := readSettings(c.String("settings"))
 	if err != nil {
 		return err
@@ -94,7 +94,7 @@
 			return dherrors.Wrap(dherrors.KindDataFolder, err)
 		}
 	}
-	stopLogging := hangups.Handle(func() {
+	stopLogging := signals.HandleHangups(func() {
 		logs.Logger("process").Info("SIGHUP changes nothing; settings take effect at the next start")
 	})
 	defer stopLogging()
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -63,10 +63,10 @@
 	clients   clients
 	closing   atomic.Bool  // each connection closes after its next response
 	heldBytes atomic.Int64 // reserved for request bodies
-	// openRequests are those whose answer isn't written yet.
-	openRequests atomic.Int64
-	aborted      context.Context // done once Abort was called
-	abort        context.CancelFunc
+	// unanswered is the number of requests whose answer isn't written yet.
+	unanswered atomic.Int64
+	aborted    context.Context // done once Abort was called
+	abort      context.CancelFunc
 }
 
 // New returns a Server.
@@ -89,8 +89,8 @@
 // no caller sends a request on an idle connection while the process stops.
 func (s *Server) CloseConnections() { s.closing.Store(true) }
 
-// OpenRequests returns the number of requests whose answer isn't written yet.
-func (s *Server) OpenRequests() int64 { return s.openRequests.Load() }
+// UnansweredRequests returns the number of requests whose answer isn't written yet.
+func (s *Server) UnansweredRequests() int64 { return s.unanswered.Load() }
 
 // setClose marks a response as the last one on its connection after CloseConnections.
 func (s *Server) setClose(h http.Header) {
@@ -215,8 +215,8 @@
 		return dhevent.NewRequestReceived(at, o)
 	})
 	defer s.options.TrafficState.RemoveWaiter(waiter)
-	s.openRequests.Add(1)
-	defer s.openRequests.Add(-1)
+	s.unanswered.Add(1)
+	defer s.unanswered.Add(-1)
 	x := &exchange{server: s, in: in, waiter: waiter, writer: w, fromPeer: forwarded != nil}
 	x.run(r.Context())
 }
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -60,9 +60,9 @@
 	goroutines sync.WaitGroup
 	// failures contains the first error, which ends Run.
 	failures chan error
-	// servers are all servers but those for callers.
-	servers       []*http.Server
-	callerServers []*http.Server
+	// servers are all servers but the one for callers, which is nil without one.
+	servers      []*http.Server
+	callerServer *http.Server
 	// decisionLog logs single requests, limited for each kind of line.
 	decisionLog *dhlogs.Limiter
 	// serverLog gets the messages of the HTTP servers.
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -22,8 +22,8 @@
 	"dogwoodhitch/io/dhtime"
 )
 
-// callerListener is the name of the listener for callers.
-const callerListener = "callers"
+// callerListenerName is the name of the listener for callers.
+const callerListenerName = "callers"
 
 // Timeouts and limits of the HTTP servers.
 const (
@@ -69,7 +69,7 @@
 	)
 	if p.entry != nil {
 		err = errors.Join(err,
-			open(callerListener, listen.Callers, &p.boundAddresses.Callers, p.entry.CallerHandler()),
+			open(callerListenerName, listen.Callers, &p.boundAddresses.Callers, p.entry.CallerHandler()),
 			open("upstreams", listen.Upstreams, &p.boundAddresses.Upstreams,
 				dhannounce.New(dhannounce.Options{TrafficState: p.trafficState, Secret: p.options.Secrets.Upstreams}).Mux()),
 		)
@@ -129,10 +129,10 @@
 			Handler: l.handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout,
 			ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: p.serverLog,
 		}
-		if l.name == callerListener {
+		if l.name == callerListenerName {
 			s.ConnState = p.recordCallerConnection
 			p.callerListener = l.Listener
-			p.callerServers = append(p.callerServers, s)
+			p.callerServer = s
 		} else {
 			p.servers = append(p.servers, s)
 		}
@@ -212,7 +212,7 @@
 		p.log.WithFields(fields).Info("leaving")
 		return
 	}
-	fields["open"] = p.entry.OpenRequests()
+	fields["open"] = p.entry.UnansweredRequests()
 	p.log.WithFields(fields).Info("leaving")
 	p.loop.TryPost(dhevent.NewLeaveStarted(p.options.Clock.Now()))
 	p.entry.CloseConnections()
@@ -222,7 +222,7 @@
 		return dhevent.NewStopScheduled(at, dhevent.StopScheduledOptions{RefuseFrom: refuseFrom, StopAt: stopAt})
 	})
 	p.waitForCallers(refuseFrom+minRefusalTime, stopAt)
-	if open := p.entry.OpenRequests(); open > 0 {
+	if open := p.entry.UnansweredRequests(); open > 0 {
 		p.log.WithField("open", open).Warn("timeout for open requests reached; aborting them")
 	}
 	p.entry.Abort()
@@ -247,7 +247,7 @@
 				p.callerListener.Close()
 			}
 			isQuiet := p.callerConnections.Load() == 0 || quiet >= quietTicks
-			if isQuiet && p.entry.OpenRequests() == 0 {
+			if isQuiet && p.entry.UnansweredRequests() == 0 {
 				return
 			}
 		}
@@ -260,11 +260,12 @@
 // servers close, which peers that wait for updates delay.
 func (p *Process) Stop() {
 	timeout := dhtime.Duration(p.options.CloseTimeout)
-	if len(p.callerServers) > 0 {
-		timeout /= 2
+	if p.callerServer == nil {
+		shutDown(timeout, p.servers...)
+	} else {
+		shutDown(timeout/2, p.servers...)
+		shutDown(timeout/2, p.callerServer)
 	}
-	shutDown(timeout, p.servers)
-	shutDown(timeout, p.callerServers)
 	p.cancel()
 	p.goroutines.Wait()
 	p.sender.Wait()
@@ -281,7 +282,7 @@
 
 // shutDown closes servers at the same time. Connections that are in use after the timeout are
 // cut.
-func shutDown(timeout time.Duration, servers []*http.Server) {
+func shutDown(timeout time.Duration, servers ...*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var closing sync.WaitGroup
