Let records of other releases be removed

What would be seen: one record whose name this release refuses keeps all others that have expired in the configuration, since they are removed in one edit.

Cause: the check of commands asked for valid names in references too.

Change: only names that messages can't hold are refused there.

Test: dhcontrol TestOddRecordOfAnotherReleaseStaysForGood failed before: "the removal was sent to [], want c1".

--- a/core/dhcatalog/check.go
+++ b/core/dhcatalog/check.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // maxProblems bounds the problems that one InvalidError lists.
@@ -131,11 +132,15 @@
 	o.check(p)
 }
 
-// CheckRefs validates the names in references. It returns an InvalidError or nil.
+// CheckRefs validates the names in references to existing objects. It accepts each name that
+// messages can hold: a record of another release must stay removable. It returns an
+// InvalidError or nil.
 func CheckRefs(list ...Ref) error {
 	p := &problems{}
 	for _, r := range list {
-		p.requireName(r, "name", r.Name())
+		if !utf8.ValidString(r.name) {
+			p.add(r, "name", strconv.Quote(r.name), "use UTF-8")
+		}
 	}
 	return p.err()
 }
--- a/core/dhcontrol/propose_test.go
+++ b/core/dhcontrol/propose_test.go
@@ -96,3 +96,18 @@
 		})
 	}
 }
+
+// TestOddRecordOfAnotherReleaseStaysForGood proposes to remove a record whose name this release
+// would refuse, together with another one. The removal must be sent.
+func TestOddRecordOfAnotherReleaseStaysForGood(t *testing.T) {
+	s := New(Options{Self: dhmessage.NewPeer("a1-1", ""), Zone: "a1", Voters: []string{"c1"}, StartID: 1, Now: 1000})
+	var out dheffect.List
+	s.Handle(dhevent.NewProposalRequested(1000, dhevent.ProposalRequestedOptions{
+		CorrelationID: 1, Timeout: 5000, Command: dhmessage.NewEdit("test", nil, []dhcatalog.Ref{
+			dhcatalog.NewRef(dhcatalog.KindUpstream, "na/me"), dhcatalog.NewRef(dhcatalog.KindUpstream, "good"),
+		}),
+	}), &out)
+	if receivers := proposalReceivers(&out); !slices.Equal(receivers, []string{"c1"}) {
+		t.Errorf("the removal was sent to %q, want c1", receivers)
+	}
+}
