Send one request at a time to an upstream whose response was missed

Its 503 with Retry-After had arrived after the attempt had ended, so nobody read it, and as all other upstreams of the service were paused, the next requests went to that one together, within 130 ms.

Cause: what a response says about its upstream is lost when the one who waited for it has gone. Reading on for a while after the end of an attempt finds no answer for certain, and keeps the upstream at work on a request that nobody waits for.

Change: an attempt reports that its request was sent and the head of its response not read. The upstream is half-open then: it gets one request at a time, or one a second if that takes longer, until one is answered, which also shows whether the upstream leaves. It isn't limited if another of its responses has arrived since the request was sent, so callers that leave don't throttle a busy upstream.

Evidence: dhtraffic TestRequestsFollowAMissedAnswerTogether, red before: 14 of 40 requests were sent together after a missed answer (13 to an announced upstream). dhentry TestPauseInAnAnswerAfterTheAttempt, red before: 10 of 10 reached it. TestCallersThatLeaveThrottleAnUpstream and TestLongTrialHoldsUpRequests bound the limit. Pool.Acquire takes the time now; its tests are changed in that only.

--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -284,6 +284,9 @@
 	// Connected is whether the upstream accepted the attempt's new connection; nil if
 	// the attempt used a pooled one, or ended before that was known.
 	Connected *bool
+	// ResponseMissed is whether the request was sent and the attempt ended before the head
+	// of its response was read; nil if unknown.
+	ResponseMissed *bool
 }
 
 // AttemptEnded reports how an attempt at an upstream or another instance ended.
@@ -334,6 +337,12 @@
 // if the attempt used a pooled one, or ended before that was known.
 func (e *AttemptEnded) Connected() *bool { return e.options.Connected }
 
+// ResponseMissed reports whether the request was sent and the attempt ended before the
+// head of its response was read.
+func (e *AttemptEnded) ResponseMissed() bool {
+	return e.options.ResponseMissed != nil && *e.options.ResponseMissed
+}
+
 // StopScheduledOptions are the fields of a StopScheduled.
 type StopScheduledOptions struct {
 	// RefuseFrom is when the instance begins to refuse all requests.
--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -237,6 +237,7 @@
 // Acquire counts the start of a request at a member.
 func (g *Group) Acquire(now dhclock.Millis, m *Member) {
 	m.running++
+	m.recordTrial(now)
 	m.recordSent(now)
 	m.spendLimit(now)
 }
@@ -251,12 +252,15 @@
 	// asked for no pause. Random spreads its end.
 	Pause  dhclock.Millis
 	Random uint64
+	// Arrival tells whether the response arrived at all.
+	Arrival Arrival
 }
 
 // Release counts the end of a request at a member and records its outcome and what
 // the response reported.
 func (g *Group) Release(now dhclock.Millis, m *Member, o AttemptOutcome, latency dhclock.Millis, r Response) {
 	m.running--
+	m.recordEnd(now, now-latency, r.Arrival)
 	if r.Load != nil {
 		m.recordLoad(now, *r.Load)
 	}
--- a/core/dhsteer/health.go
+++ b/core/dhsteer/health.go
@@ -13,6 +13,7 @@
 	backoffPeriod  dhclock.Millis // duration of the last backoff
 	pausedUntil    dhclock.Millis // end of the pause that the upstream asked for; 0 if none
 	slowStart      slowStart
+	halfOpen
 }
 
 // slowStart raises the number of requests that may run at an upstream from one to its
--- a/core/dhsteer/member.go
+++ b/core/dhsteer/member.go
@@ -81,7 +81,7 @@
 	if !m.available() || m.Ejected(now) || now < m.backoffUntil || m.Paused(now) {
 		return false
 	}
-	return m.running < m.slowStart.allowed(now, m.maxRunning) && m.coldRateAllows(now)
+	return m.throttle(now, m.slowStart.allowed(now, m.maxRunning)-m.running) > 0 && m.coldRateAllows(now)
 }
 
 // coldRateAllows reports whether this instance may send one more request to the
--- a/core/dhsteer/policy_test.go
+++ b/core/dhsteer/policy_test.go
@@ -126,7 +126,7 @@
 				refused++
 				continue
 			}
-			p.Acquire(u, false)
+			p.Acquire(now, u, false)
 			r := running{u: u, started: now, ends: now + 20 + dhclock.Millis(next()%20)}
 			if scenario == "three slow" && u.Name() < "u03" {
 				r.ends += 3 * (r.ends - now)
--- a/core/dhsteer/pool.go
+++ b/core/dhsteer/pool.go
@@ -45,7 +45,7 @@
 	}
 	if !u.available(now) || u.announcement.Address() != a.Address() {
 		u.slowStart = slowStart{from: now, duration: cold}
-		u.leaving, u.pausedUntil = false, 0
+		u.leaving, u.pausedUntil, u.halfOpen = false, 0, halfOpen{}
 	}
 	u.announcement = a
 	u.lastAnnounced = now
@@ -161,8 +161,9 @@
 
 // Acquire takes a slot of an upstream for a request; remote means that the
 // request comes from another instance.
-func (p *Pool) Acquire(u *Upstream, remote bool) {
+func (p *Pool) Acquire(now dhclock.Millis, u *Upstream, remote bool) {
 	u.running++
+	u.recordTrial(now)
 	if remote {
 		p.remoteRunning++
 	}
@@ -193,6 +194,7 @@
 // pause that the response asked for.
 func (p *Pool) Release(now dhclock.Millis, u *Upstream, remote bool, o AttemptOutcome, latency dhclock.Millis, r Response) {
 	u.running--
+	u.recordEnd(now, now-latency, r.Arrival)
 	if remote {
 		p.remoteRunning--
 	}
--- a/core/dhsteer/pool_test.go
+++ b/core/dhsteer/pool_test.go
@@ -20,7 +20,7 @@
 func TestSlotsAreNeverExceeded(t *testing.T) {
 	p := newTestPool(3, 2)
 	for range 6 {
-		p.Acquire(p.Select(0, nil), false)
+		p.Acquire(0, p.Select(0, nil), false)
 	}
 	if u := p.Select(0, nil); u != nil {
 		t.Errorf("%s was selected with %d requests running on %d slots", u.Name(), u.Running(), u.Slots())
@@ -39,7 +39,7 @@
 	p := newTestPool(4, 2)
 	for _, u := range p.Upstreams() {
 		for range ejectAfterFailures {
-			p.Acquire(u, false)
+			p.Acquire(0, u, false)
 			p.Release(0, u, false, Failed, 0, Response{})
 		}
 	}
@@ -66,7 +66,7 @@
 		p.Announce(now, 0, NewAnnouncement(AnnouncementOptions{Name: busy.Name(), Address: "10.0.0.1:80", Slots: 4, Running: 1 << 30}))
 		p.Announce(now, 0, NewAnnouncement(AnnouncementOptions{Name: idle.Name(), Address: "10.0.0.1:80", Slots: 4, Running: 0}))
 		if u := p.Select(now, nil); u != nil {
-			p.Acquire(u, false)
+			p.Acquire(now, u, false)
 		}
 	}
 	if busy.Running() != 4 || idle.Running() != 4 {
@@ -156,7 +156,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				u := p.Select(1, nil)
-				p.Acquire(u, false)
+				p.Acquire(1, u, false)
 				p.Release(1, u, false, Answered, 5, Response{})
 			}
 		})
--- a/core/dhsteer/upstream.go
+++ b/core/dhsteer/upstream.go
@@ -124,7 +124,7 @@
 	if !u.available(now) || now < u.backoffUntil || u.Ejected(now) || u.Paused(now) {
 		return false
 	}
-	return u.running < u.allowedSlots(now)
+	return u.freeSlots(now) > 0
 }
 
 // probeSlotsDivisor is the part of its slots that an ejected upstream may use for
@@ -134,7 +134,7 @@
 // mayProbe reports whether an ejected upstream may get one more request as a
 // probe.
 func (u *Upstream) mayProbe(now dhclock.Millis) bool {
-	return u.available(now) && now >= u.backoffUntil && !u.Paused(now) && u.running < max(1, u.Slots()/probeSlotsDivisor)
+	return u.available(now) && now >= u.backoffUntil && !u.Paused(now) && u.throttle(now, max(1, u.Slots()/probeSlotsDivisor)-u.running) > 0
 }
 
 // allowedSlots returns how many requests may run at the upstream now: all slots,
@@ -145,7 +145,7 @@
 
 // freeSlots returns how many more requests may start at the upstream now.
 func (u *Upstream) freeSlots(now dhclock.Millis) int {
-	return max(0, u.allowedSlots(now)-u.running)
+	return u.throttle(now, max(0, u.allowedSlots(now)-u.running))
 }
 
 // load returns a value for comparing upstreams: the share of the slots that
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -100,13 +100,25 @@
 
 // responseOf returns what the response to an attempt of a request reported.
 func responseOf(r *request, e *dhevent.AttemptEnded) dhsteer.Response {
-	response := dhsteer.Response{Load: e.ReportedLoad(), Limit: e.ReportedLimit(), Random: r.random}
+	response := dhsteer.Response{Load: e.ReportedLoad(), Limit: e.ReportedLimit(), Random: r.random, Arrival: arrivalOf(e)}
 	if e.RetryAfter() != nil {
 		response.Pause = *e.RetryAfter()
 	}
 	return response
 }
 
+// arrivalOf returns whether the response to an ended attempt arrived.
+func arrivalOf(e *dhevent.AttemptEnded) dhsteer.Arrival {
+	switch {
+	case e.ResponseMissed():
+		return dhsteer.ResponseMissed
+	case e.End() == dhevent.EndNotSent || e.End() == dhevent.EndMisplaced:
+		return dhsteer.NoResponse
+	default:
+		return dhsteer.ResponseArrived
+	}
+}
+
 // logLimitChange logs that a registered upstream has begun or ceased to report a
 // limit.
 func logLimitChange(before *dhsteer.RateLimit, m *dhsteer.Member, out *dheffect.List) {
--- a/core/dhtraffic/pause_test.go
+++ b/core/dhtraffic/pause_test.go
@@ -215,3 +215,90 @@
 		})
 	}
 }
+
+// flood sends 40 requests at once, which stay open, and returns the IDs of those that go to an
+// upstream.
+func (s *pauseTest) flood(now dhclock.Millis, upstream string) []uint64 {
+	var list []uint64
+	for range 40 {
+		if forward, ok := s.send(now, "/any/", false).(*dheffect.ForwardToUpstream); ok && forward.Upstream() == upstream {
+			list = append(list, forward.RequestID())
+		}
+	}
+	return list
+}
+
+// endRequest ends the attempt of a request.
+func (s *pauseTest) endRequest(now dhclock.Millis, requestID uint64, o dhevent.AttemptEndedOptions) {
+	o.RequestID = requestID
+	s.HandleAttemptEnd(dhevent.NewAttemptEnded(now, o), &dheffect.List{})
+}
+
+// TestRequestsFollowAMissedAnswerTogether lets an attempt end without the response of the
+// upstream, which may have asked for a pause. Only one request at a time may go there until one
+// is answered.
+func TestRequestsFollowAMissedAnswerTogether(t *testing.T) {
+	ends := []dhevent.AttemptEnd{dhevent.EndTimedOut, dhevent.EndCallerGone, dhevent.EndBroken, dhevent.EndUnattributed}
+	for _, end := range ends {
+		for _, isRegistered := range []bool{true, false} {
+			t.Run(fmt.Sprint(end, ", registered ", isRegistered), func(t *testing.T) {
+				s := newPauseTest(t, isRegistered)
+				forward, ok := s.send(1000, "/any/", false).(*dheffect.ForwardToUpstream)
+				if !ok {
+					t.Fatal("the first request isn't sent to an upstream")
+				}
+				s.end(1900, dhevent.AttemptEndedOptions{End: end, Latency: 900, ResponseMissed: new(true)})
+				trials := s.flood(2000, forward.Upstream())
+				if len(trials) != 1 {
+					t.Fatalf("%d requests were sent after the missed answer, want 1", len(trials))
+				}
+				s.endRequest(2500, trials[0], dhevent.AttemptEndedOptions{End: dhevent.EndTimedOut, Latency: 500, ResponseMissed: new(true)})
+				if trials = s.flood(2600, forward.Upstream()); len(trials) != 1 {
+					t.Fatalf("%d requests were sent after a second missed answer, want 1", len(trials))
+				}
+				s.endRequest(2601, trials[0], dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: 200, Latency: 1})
+				if n := len(s.flood(2700, forward.Upstream())); n < 2 {
+					t.Errorf("%d requests were sent after an answer, want more", n)
+				}
+			})
+		}
+	}
+}
+
+// TestCallersThatLeaveThrottleAnUpstream lets a caller leave while the upstream answers
+// others. Its requests must not be limited.
+func TestCallersThatLeaveThrottleAnUpstream(t *testing.T) {
+	for _, isRegistered := range []bool{true, false} {
+		t.Run(fmt.Sprint("registered ", isRegistered), func(t *testing.T) {
+			s := newPauseTest(t, isRegistered)
+			for _, name := range []string{"u0", "u1", "u2"} {
+				open := s.flood(1000, name)
+				if len(open) < 2 {
+					t.Fatalf("%d requests were sent to %s, want more", len(open), name)
+				}
+				s.endRequest(1100, open[0], dhevent.AttemptEndedOptions{End: dhevent.EndAnswered, Status: 200, Latency: 100})
+				s.endRequest(1200, open[1], dhevent.AttemptEndedOptions{End: dhevent.EndCallerGone, Latency: 200, ResponseMissed: new(true)})
+			}
+			if n := len(s.flood(1300, "u1")); n < 2 {
+				t.Errorf("%d requests were sent after a caller has left, want more", n)
+			}
+		})
+	}
+}
+
+// TestLongTrialHoldsUpRequests lets the first request after a missed answer run for a long
+// time. Other requests must not wait for its end.
+func TestLongTrialHoldsUpRequests(t *testing.T) {
+	s := newPauseTest(t, true)
+	forward, ok := s.send(1000, "/any/", false).(*dheffect.ForwardToUpstream)
+	if !ok {
+		t.Fatal("the first request isn't sent to an upstream")
+	}
+	s.end(1900, dhevent.AttemptEndedOptions{End: dhevent.EndTimedOut, Latency: 900, ResponseMissed: new(true)})
+	for now, want := dhclock.Millis(2000), 1; now < 5000; now += 500 {
+		if n := len(s.flood(now, forward.Upstream())); n != want {
+			t.Errorf("%d requests were sent at %d ms, want %d", n, now, want)
+		}
+		want = 1 - want
+	}
+}
--- a/core/dhtraffic/slot.go
+++ b/core/dhtraffic/slot.go
@@ -131,7 +131,7 @@
 	r.waiter = nil
 	r.attempts++
 	p.creditRetries(now)
-	p.Acquire(u, r.fromPeer)
+	p.Acquire(now, u, r.fromPeer)
 	r.recordSent(now, u.Name(), nil)
 	out.Add(dheffect.NewForwardToUpstream(dheffect.ForwardToUpstreamOptions{
 		RequestID: r.id, Service: p.Service(), Upstream: u.Name(), Address: u.Address(), Organisation: r.organisation,
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -123,6 +123,7 @@
 	complete   bool        // bodyPrefix is the complete body
 	err        error       // why the attempt failed; nil if end is EndAnswered
 	connected  *bool       // whether a new connection succeeded; nil if none was tried to its end
+	missed     bool        // the request was sent, and the head of its response not read
 }
 
 // attemptCounter is the number of the latest attempt of this process.
@@ -165,6 +166,7 @@
 			}
 			return a.fail(s.classifyFailure(ctx, a, dhevent.EndNotSent), err)
 		}
+		a.missed = true
 		return a.fail(s.classifyFailure(ctx, a, dhevent.EndBroken), err)
 	}
 	field, value := s.options.Dialect.expectedEcho(in, attemptID)
@@ -173,6 +175,7 @@
 		if isReused := a.connected == nil; end == dhevent.EndRefused && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
 			end = dhevent.EndUnattributed
 		}
+		a.missed = end == dhevent.EndUnattributed || errors.Is(err, errWrongAttempt)
 		return a.fail(end, err)
 	}
 	if err := a.readBodyPrefix(bufferBytes); err != nil {
--- a/io/dhentry/pause_test.go
+++ b/io/dhentry/pause_test.go
@@ -119,3 +119,28 @@
 		t.Errorf("%d requests arrived during the pause, want none", late.Load())
 	}
 }
+
+// TestPauseInAnAnswerAfterTheAttempt lets an upstream answer a request after its attempt has
+// ended and ask for a pause. At most one of the following requests may reach it.
+func TestPauseInAnAnswerAfterTheAttempt(t *testing.T) {
+	u := startUpstream(t, func(r *http.Request, n int64) (string, bool) {
+		if n == 1 {
+			time.Sleep(500 * time.Millisecond) // longer than the timeout of the route
+		}
+		time.Sleep(50 * time.Millisecond)
+		return fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\n%s: %s\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n",
+			HeaderAttempt, r.Header.Get(HeaderAttempt), HeaderRun, NotRun), false
+	})
+	e := startEntryWithRegistered(t, u.Addr().String())
+	if got := e.send(http.MethodPost, "/write/1", "x"); got.run != MayHaveRun {
+		t.Fatalf("got %+v, want a time-out", got)
+	}
+	var callers sync.WaitGroup
+	for range 10 {
+		callers.Go(func() { e.send(http.MethodPost, "/write/1", "x") })
+	}
+	callers.Wait()
+	if n := u.requests.Load(); n != 2 {
+		t.Errorf("%d requests reached the upstream, want the one that was missed and one more", n)
+	}
+}
