Learn pauses and departures from truncated responses

Cause: as with a missed response, what it says about the upstream was dropped with the attempt: if the connection broke in the body, a pause or the word that the upstream leaves in the head, which had been read and checked, didn't count.

Evidence: dhentry TestPauseInATruncatedAnswer, red before in both cases: the upstream got the next request.

Change: the head of a response to this request, from its upstream, counts whatever becomes of the body.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -124,6 +124,7 @@
 	err        error       // why the attempt failed; nil if end is EndAnswered
 	connected  *bool       // whether a new connection succeeded; nil if none was tried to its end
 	missed     bool        // the request was sent, and the head of its response not read
+	accepted   bool        // the response is to this request and from its upstream, though it may be truncated
 }
 
 // attemptCounter is the number of the latest attempt of this process.
@@ -178,6 +179,7 @@
 		a.missed = end == dhevent.EndUnattributed || errors.Is(err, errWrongAttempt)
 		return a.fail(end, err)
 	}
+	a.accepted = true
 	if err := a.readBodyPrefix(bufferBytes); err != nil {
 		return a.fail(s.classifyFailure(ctx, a, dhevent.EndBroken), err)
 	}
--- a/io/dhentry/pause_test.go
+++ b/io/dhentry/pause_test.go
@@ -144,3 +144,22 @@
 		t.Errorf("%d requests reached the upstream, want the one that was missed and one more", n)
 	}
 }
+
+// TestPauseInATruncatedAnswer lets the connection break in the body of a response that asks for
+// a pause, or says that the upstream is about to stop. The upstream must not get the next request.
+func TestPauseInATruncatedAnswer(t *testing.T) {
+	for name, head := range map[string]string{"paused": "503 X\r\nRetry-After: 30", "leaving": "200 OK\r\n" + HeaderLeaving + ": 1"} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, func(r *http.Request, _ int64) (string, bool) {
+				return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\nContent-Length: 10\r\n\r\nshort", head, HeaderAttempt, r.Header.Get(HeaderAttempt)), true
+			})
+			e := startEntryWithRegistered(t, u.Addr().String())
+			for range 2 {
+				e.send(http.MethodPost, "/write/1", "x")
+			}
+			if n := u.requests.Load(); n != 1 {
+				t.Errorf("the upstream got %d requests, want 1", n)
+			}
+		})
+	}
+}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -314,7 +314,7 @@
 			End: a.end, ReportedLoad: s.options.Dialect.reportedLoad(a.response), ReportedLimit: s.options.Dialect.reportedLimit(a.response),
 			Connected: a.connected, ResponseMissed: new(a.missed),
 		}
-		if a.end == dhevent.EndRefused || a.end == dhevent.EndUnattributed {
+		if a.accepted || a.end == dhevent.EndRefused || a.end == dhevent.EndUnattributed {
 			o.RetryAfter = reportedRetryAfter(a.response)
 		}
 		x.postAttemptEnded(o, d.At())
@@ -328,7 +328,7 @@
 // reportLeaving reports to the reducer that the upstream which refused an attempt or
 // responded to it is about to stop.
 func (x *exchange) reportLeaving(a *attempt, d dhtrafficstate.Decision, t target) {
-	if a.end != dhevent.EndAnswered && a.end != dhevent.EndRefused || !x.server.options.Dialect.isLeaving(a.response) {
+	if !a.accepted && a.end != dhevent.EndRefused || !x.server.options.Dialect.isLeaving(a.response) {
 		return
 	}
 	o := dhevent.UpstreamLeavingOptions{RequestID: x.waiter.RequestID()}
