--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -123,6 +123,8 @@
 	complete   bool        // bodyPrefix is the complete body
 	err        error       // why the attempt failed; nil if end is EndAnswered
 	connected  *bool       // whether a new connection succeeded; nil if none was tried to its end
+	missed     bool        // the request was sent, and the head of its response not read
+	accepted   bool        // the response is to this request and from its upstream, though it may be truncated
 }
 
 // attemptCounter is the number of the latest attempt of this process.
@@ -165,6 +167,7 @@
 			}
 			return a.fail(s.classifyFailure(ctx, a, dhevent.EndNotSent), err)
 		}
+		a.missed = true
 		return a.fail(s.classifyFailure(ctx, a, dhevent.EndBroken), err)
 	}
 	field, value := s.options.Dialect.expectedEcho(in, attemptID)
@@ -173,8 +176,10 @@
 		if isReused := a.connected == nil; end == dhevent.EndRefused && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
 			end = dhevent.EndUnattributed
 		}
+		a.missed = end == dhevent.EndUnattributed || errors.Is(err, errWrongAttempt)
 		return a.fail(end, err)
 	}
+	a.accepted = true
 	if err := a.readBodyPrefix(bufferBytes); err != nil {
 		return a.fail(s.classifyFailure(ctx, a, dhevent.EndBroken), err)
 	}
--- a/io/dhentry/pause_test.go
+++ b/io/dhentry/pause_test.go
@@ -119,3 +119,47 @@
 		t.Errorf("%d requests arrived during the pause, want none", late.Load())
 	}
 }
+
+// TestPauseInAnAnswerAfterTheAttempt lets an upstream answer a request after its attempt has
+// ended and ask for a pause. At most one of the following requests may reach it.
+func TestPauseInAnAnswerAfterTheAttempt(t *testing.T) {
+	u := startUpstream(t, func(r *http.Request, n int64) (string, bool) {
+		if n == 1 {
+			time.Sleep(500 * time.Millisecond) // longer than the timeout of the route
+		}
+		time.Sleep(50 * time.Millisecond)
+		return fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\n%s: %s\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n",
+			HeaderAttempt, r.Header.Get(HeaderAttempt), HeaderRun, NotRun), false
+	})
+	e := startEntryWithRegistered(t, u.Addr().String())
+	if got := e.send(http.MethodPost, "/write/1", "x"); got.run != MayHaveRun {
+		t.Fatalf("got %+v, want a time-out", got)
+	}
+	var callers sync.WaitGroup
+	for range 10 {
+		callers.Go(func() { e.send(http.MethodPost, "/write/1", "x") })
+	}
+	callers.Wait()
+	if n := u.requests.Load(); n != 2 {
+		t.Errorf("%d requests reached the upstream, want the one that was missed and one more", n)
+	}
+}
+
+// TestPauseInATruncatedAnswer lets the connection break in the body of a response that asks for
+// a pause, or says that the upstream is about to stop. The upstream must not get the next request.
+func TestPauseInATruncatedAnswer(t *testing.T) {
+	for name, head := range map[string]string{"paused": "503 X\r\nRetry-After: 30", "leaving": "200 OK\r\n" + HeaderLeaving + ": 1"} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, func(r *http.Request, _ int64) (string, bool) {
+				return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\nContent-Length: 10\r\n\r\nshort", head, HeaderAttempt, r.Header.Get(HeaderAttempt)), true
+			})
+			e := startEntryWithRegistered(t, u.Addr().String())
+			for range 2 {
+				e.send(http.MethodPost, "/write/1", "x")
+			}
+			if n := u.requests.Load(); n != 1 {
+				t.Errorf("the upstream got %d requests, want 1", n)
+			}
+		})
+	}
+}
