--- a/io/dhprocess/stop_test.go
+++ b/io/dhprocess/stop_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -245,3 +247,78 @@
 		t.Errorf("the process ended with %v, want %v", err, errTest)
 	}
 }
+
+// TestStopCutsAnAnswerThatIsBeingWritten has a caller read an answer slowly when an instance
+// stops. There is time left for the stop, so the answer must become complete.
+func TestStopCutsAnAnswerThatIsBeingWritten(t *testing.T) {
+	s := newStopTest(t)
+	o := s.entry.options
+	o.Name, o.LeaveWait, o.FinishTimeout, o.CloseTimeout, o.ResponseBufferBytes = "z00-001", 100, 20_000, 300, 2*answerBytes
+	s.entry = s.start(o)
+	for s.entry.Ready() != nil {
+		time.Sleep(time.Millisecond)
+	}
+	connection := s.dial()
+	fmt.Fprint(connection, "POST /once/early HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n\r\nx")
+	<-s.arrivals
+	stopped := make(chan struct{})
+	go func() { s.entry.leave(errTest); s.entry.Stop(); close(stopped) }()
+	body := strings.Repeat("x", answerBytes)
+	s.answers <- body
+	time.Sleep(2 * time.Second)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(response.Body)
+	if err != nil || len(got) != len(body) {
+		t.Errorf("got %d bytes and error %v, want all %d", len(got), err, len(body))
+	}
+	<-stopped
+}
+
+// answerBytes is more than the buffers of a connection on this machine hold.
+const answerBytes = 32 << 20
+
+// TestCallersGetEmptyAnswersWhileConnectionsClose sends requests on open connections while an
+// instance closes those of its peers at the end of its stop, one of which is new and unused. No
+// request may get status 200, because none runs.
+func TestCallersGetEmptyAnswersWhileConnectionsClose(t *testing.T) {
+	s := newStopTest(t)
+	s.entry.options.LeaveWait, s.entry.options.FinishTimeout = 100, 700
+	connections := make(chan net.Conn, 600)
+	for range cap(connections) {
+		connections <- s.dial()
+	}
+	close(connections)
+	peer, err := net.Dial("tcp", s.entry.BoundAddresses().Peers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	s.entry.leave(errTest)
+	stopped := make(chan struct{})
+	go func() { s.entry.Stop(); close(stopped) }()
+	var callers sync.WaitGroup
+	var refused, empty atomic.Int64
+	for range 16 {
+		callers.Go(func() {
+			for c := range connections {
+				fmt.Fprint(c, "POST /once/late HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n\r\nx")
+				response, err := http.ReadResponse(bufio.NewReader(c), nil)
+				switch {
+				case err != nil:
+				case response.StatusCode == http.StatusOK:
+					empty.Add(1)
+				case response.StatusCode == http.StatusServiceUnavailable:
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	<-stopped
+	if empty.Load() > 0 || refused.Load() == 0 {
+		t.Errorf("got %d refusals and %d empty answers with status 200, want only refusals", refused.Load(), empty.Load())
+	}
+}
