--- a/io/dhentry/cancelled_test.go
+++ b/io/dhentry/cancelled_test.go
@@ -41,8 +41,7 @@
 		time.Sleep(250 * time.Millisecond)
 		return okResponse("answer"), false
 	})
-	e := startEntry(t, upstream.Addr().String())
-	e.Config.ReadTimeout = 100 * time.Millisecond
+	e := startConfiguredEntry(t, func(s *http.Server) { s.ReadTimeout = 100 * time.Millisecond }, upstream.Addr().String())
 	for _, body := range []string{"", "x"} {
 		r, err := http.NewRequest(http.MethodPut, e.URL+"/read/", strings.NewReader(body))
 		if err != nil {
--- a/io/dhentry/server_test.go
+++ b/io/dhentry/server_test.go
@@ -66,6 +66,12 @@
 
 // startEntry starts a server in front of upstreams at the given addresses.
 func startEntry(t testing.TB, addresses ...string) *testEntry {
+	t.Helper()
+	return startConfiguredEntry(t, func(*http.Server) {}, addresses...)
+}
+
+// startConfiguredEntry is like startEntry for an HTTP server that a function configures.
+func startConfiguredEntry(t testing.TB, configure func(s *http.Server), addresses ...string) *testEntry {
 	t.Helper()
 	e := &testEntry{}
 	clock := dhtime.System()
@@ -108,6 +114,7 @@
 	e.Config.Protocols.SetHTTP1(true)
 	e.Config.Protocols.SetUnencryptedHTTP2(true)
 	e.Config.ErrorLog = nil
+	configure(e.Config)
 	e.Start()
 	t.Cleanup(e.Close)
 	return e
