Let calls between processes finish on congested links

Cause: a call between processes was given up after 1.5 s and a connection after 1 s, and the response was lost with it, so on a link whose round trip is longer nothing arrived at all. Each next call began with a new handshake. The timeout was to leave connections that a cut has broken.

Change: after 1 s a call no longer counts among the four to a peer, so that the next one opens another connection, as after a cut before; the call itself goes on for up to 6 s and the handshake for 3 s.

Evidence: dhpeer TestResponsesMissedOnCongestedLinks, red before: with 1 s of delay in each direction no response arrived within 4 s.

--- a/io/dhpeer/peer_test.go
+++ b/io/dhpeer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -28,6 +29,13 @@
 // newPair returns a pair whose sender uses the given secret. Process b answers a
 // GrantRequest with a Redirect, and knows no address of process a.
 func newPair(t testing.TB, secret string) *pair {
+	t.Helper()
+	return newPairOverLink(t, secret, 0)
+}
+
+// newPairOverLink returns a pair like newPair. Data takes the given time from one process to
+// the other, in each direction.
+func newPairOverLink(t testing.TB, secret string, delay time.Duration) *pair {
 	t.Helper()
 	p := &pair{received: make(chan dhmessage.Message, 4096), responses: make(chan dhmessage.Message, 16)}
 	log := logrus.New()
@@ -53,6 +61,10 @@
 	_, handler := receiver.Handler()
 	s := httptest.NewServer(handler)
 	t.Cleanup(s.Close)
+	address := strings.TrimPrefix(s.URL, "http://")
+	if delay > 0 {
+		address = startSlowLink(t, address, delay)
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	p.sender = NewSender(ctx, SenderOptions{
 		Self: dhmessage.NewPeer("a", "folder"), Address: "10.0.0.1:1", Secret: secret, Log: logrus.NewEntry(log),
@@ -65,7 +77,7 @@
 			if name != "b" {
 				return ""
 			}
-			return strings.TrimPrefix(s.URL, "http://")
+			return address
 		},
 	})
 	t.Cleanup(func() {
@@ -75,6 +87,60 @@
 	return p
 }
 
+// startSlowLink listens for connections, which it forwards to an address with a delay of the
+// data, and returns its own address.
+func startSlowLink(t testing.TB, to string, delay time.Duration) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", to)
+			if err != nil {
+				near.Close()
+				return
+			}
+			go copySlowly(far, near, delay)
+			go copySlowly(near, far, delay)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// copySlowly writes what it reads after a delay, and closes the writer at the end.
+func copySlowly(to io.WriteCloser, from io.Reader, delay time.Duration) {
+	type chunk struct {
+		data []byte
+		due  time.Time
+	}
+	chunks := make(chan chunk, 1024)
+	go func() {
+		defer close(chunks)
+		for {
+			data := make([]byte, 4096)
+			n, err := from.Read(data)
+			if err != nil {
+				return
+			}
+			chunks <- chunk{data[:n], time.Now().Add(delay)}
+		}
+	}()
+	defer to.Close()
+	for c := range chunks {
+		time.Sleep(time.Until(c.due))
+		if _, err := to.Write(c.data); err != nil {
+			return
+		}
+	}
+}
+
 func newPoll(version uint64) dhmessage.Message {
 	return dhmessage.NewPoll(dhmessage.PollOptions{Version: version})
 }
@@ -116,6 +182,21 @@
 	}
 }
 
+// TestResponsesMissedOnCongestedLinks sends request messages over a link on which data waits
+// for a second in each direction. The responses must arrive.
+func TestResponsesMissedOnCongestedLinks(t *testing.T) {
+	p := newPairOverLink(t, "secret", time.Second)
+	for i := range uint64(8) {
+		p.sender.Send("b", dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{StartID: i}))
+		time.Sleep(100 * time.Millisecond)
+	}
+	select {
+	case <-p.responses:
+	case <-time.After(4 * time.Second):
+		t.Error("no response arrived within 4 s")
+	}
+}
+
 // TestWrongSecretRejected checks that no message of a sender with another secret
 // is delivered.
 func TestWrongSecretRejected(t *testing.T) {
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -32,14 +32,19 @@
 	// one, so that a message doesn't wait for the round trip of the previous
 	// call.
 	maxConcurrentCalls = 4
-	// callTimeout ends a call without a response. Its connection is closed too,
-	// so that the next call opens a new one and uses a repaired link at once.
-	callTimeout = 1500 * time.Millisecond
+	// slotTimeout is how long a call counts among maxConcurrentCalls. The next call
+	// uses another connection, which works at once on a repaired link, while a call
+	// over a congested one goes on.
+	slotTimeout = 1 * time.Second
+	// callTimeout ends a call without a response. It covers the round trips of a
+	// handshake and of the call over a congested link.
+	callTimeout = 6 * time.Second
 	// bulkTimeout is the timeout of calls with a complete snapshot or
 	// configuration.
 	bulkTimeout = 30 * time.Second
-	// dialTimeout bounds the time to connect.
-	dialTimeout = 1 * time.Second
+	// dialTimeout bounds the time to connect. It covers a round trip over a congested
+	// link.
+	dialTimeout = 3 * time.Second
 	// connectionIdleTimeout is how long an unused connection is kept open.
 	connectionIdleTimeout = 30 * time.Second
 	// queueIdleTimeout is how long the queue and goroutine of a peer are kept
@@ -186,8 +191,11 @@
 		case m := <-q:
 			calls <- struct{}{}
 			list := collectBatch(m, q)
+			release := sync.OnceFunc(func() { <-calls })
+			timer := time.AfterFunc(slotTimeout, release)
 			s.goroutines.Go(func() {
-				defer func() { <-calls }()
+				defer release()
+				defer timer.Stop()
 				s.deliver(to, list)
 			})
 		}
