Keep late parents, and poll voters before further relays

Cause: an instance left its parent after 0.9 s without a response, or with a confirmation older than 1.2 s, also where every parent is late because its own link is full. It went through all instances of the zone, each two full links further from the voters, before it came to a voter, and after 10 s back to the first.

Change: a late response with a newer confirmation than the own one makes the instance keep its sender as the parent. Voters come after the zone's relay and before its other instances. Tried first: to wait for twice the last round trip; views were as young in the tests, but a parent that has died is left up to 4 s late then.

Evidence: dhreducer TestChangeWaitsOnTheLinksOfRelays, red before: with 15 instances in a zone and 1 s of delay at the link of each a change took up to 3.1 s (1.1 s after), or hadn't arrived when the leader ceased to wait. Each part alone left it red.

--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -21,11 +21,11 @@
 	suspectsSentTo   string // the candidate that suspects describes
 }
 
-// parentCandidates lists the processes to poll in order of preference. First
-// come the instances of the zone that precede this one by name, so that the
-// first is the zone's relay and no cycle can form; then the voters, starting at
-// an index derived from the process's name, which distributes the load. A voter
-// or learner polls only the leader.
+// parentCandidates lists the processes to poll in order of preference: the zone's
+// relay; the voters, starting at an index derived from the process's name, which
+// distributes the load; then the other instances of the zone that precede this one by
+// name, so that no cycle can form. On full links each hop through an instance delays
+// changes, so the voters come before them. A voter or learner polls only the leader.
 func (s *State) parentCandidates() []string {
 	if s.isVoter {
 		if s.leader == "" || s.leader == s.self {
@@ -33,7 +33,8 @@
 		}
 		return []string{s.leader}
 	}
-	list := s.relays()
+	relays := s.relays()
+	list := slices.Clone(relays[:min(1, len(relays))])
 	start := 0
 	for _, c := range []byte(s.self) {
 		start = start*31 + int(c)
@@ -42,12 +43,20 @@
 	for i := range members {
 		list = append(list, members[(start+i)%len(members)])
 	}
-	return list
+	return append(list, relays[min(1, len(relays)):]...)
 }
 
 // largeZone is the number of instances from which a zone has two relays.
 const largeZone = 12
 
+// keep selects the candidate with an index again, whose response was late. On a slow
+// network path every parent responds late.
+func (p *parent) keep(now dhclock.Millis, index int) {
+	if index >= 0 && p.awaitingResponse {
+		p.candidateIndex, p.selectedAt, p.awaitingResponse = index, now, false
+	}
+}
+
 // relays lists the available instances of the zone that precede this one by
 // name. In a large zone every other instance polls the second one first, which
 // halves the load of the first.
@@ -193,6 +202,9 @@
 	if !m.EverConfirmed() || s.catalog.Version() < m.Version() {
 		return
 	}
+	if m.PollSentAt()-m.Age() > s.confirmedAt {
+		s.parent.keep(now, slices.Index(s.parentCandidates(), from))
+	}
 	s.RecordConfirmation(m.PollSentAt() - m.Age())
 	s.SetInForce(m.InForce())
 	s.SetLimitsChangedAt(now - m.LimitsAge())
--- a/core/dhreducer/distribution_test.go
+++ b/core/dhreducer/distribution_test.go
@@ -66,3 +66,26 @@
 	}
 	return times, confirmed
 }
+
+// TestChangeWaitsOnTheLinksOfRelays fills the links of all entry instances of a zone, so that
+// each packet waits there for 1 s. Changes must reach every instance within 2.5 s.
+func TestChangeWaitsOnTheLinksOfRelays(t *testing.T) {
+	var names []string
+	for i := range 15 {
+		names = append(names, fmt.Sprintf("a1-%02d", i))
+	}
+	n := newNetwork(t, 3, names...)
+	n.messageDelay = 20
+	n.run(3000)
+	measureDistribution(n, 0, instanceObjects(names...))
+	n.run(3000)
+	n.entryLinkDelay = 1000
+	n.run(6000)
+	for round := range uint64(10) {
+		n.run(dhclock.Millis(1000 + round*137)) // another phase of the poll interval in each round
+		times, _ := measureDistribution(n, round+1, []dhcatalog.Object{dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "o"})})
+		if len(times) < len(names) || slices.Max(times) > 2500 {
+			t.Errorf("round %d: %d of %d instances applied a change, the last ones after %v ms", round, len(times), len(names), times[max(0, len(times)-3):])
+		}
+	}
+}
--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -84,6 +84,9 @@
 	postToTraffic     func(m *machine, e dhevent.Event)
 	// messageDelay is the delay of every packet, in milliseconds.
 	messageDelay dhclock.Millis
+	// entryLinkDelay is how long packets wait for the link of each entry instance that they
+	// leave or reach, in milliseconds.
+	entryLinkDelay dhclock.Millis
 	// compactEntries is the least number of log entries between two snapshots of a
 	// voter; 0 for the production default.
 	compactEntries int
@@ -202,7 +205,7 @@
 		case *dheffect.SaveSnapshot:
 			m.disk.saveSnapshot(e)
 		case *dheffect.Send:
-			n.packets = append(n.packets, packet{from: m.self(), to: e.To(), body: e.Message(), due: n.now + n.messageDelay})
+			n.packets = append(n.packets, packet{from: m.self(), to: e.To(), body: e.Message(), due: n.now + n.delay(m, e.To())})
 		case *dheffect.Reply:
 			n.replies[e.CorrelationID()] = e.Result()
 		case *dheffect.Publish:
@@ -216,6 +219,17 @@
 	return events
 }
 
+// delay returns how long a packet from a machine to another one takes.
+func (n *network) delay(from *machine, to string) dhclock.Millis {
+	d := n.messageDelay
+	for _, m := range []*machine{from, n.find(to)} {
+		if m != nil && m.disk == nil {
+			d += n.entryLinkDelay
+		}
+	}
+	return d
+}
+
 // recordView stores a machine's view and checks that its version never decreases.
 func (n *network) recordView(m *machine, v *dhview.View) {
 	if v.Catalog().Version() < m.version {
