Send fewer copies of changes over full links

Cause: updates fill the links. In a trial that logs sizes an entry got six catch-ups of 305 to 368 KB from four voters within 1.4 s, on a link of 0.3 MB a second. Parents send changes again after 0.3 s, whatever the round trip, and an instance without a response asks a further parent every 0.9 s, which sends all.

Change: a parent waits twice the child's round trip, 2 s at most, and an instance doubles the time for each further candidate in a row without a response.

Evidence: dhdistribution TestChangesAreResentWithinARoundTrip, red before: 3 copies.

--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -25,7 +25,11 @@
 	inFlightSince dhclock.Millis
 	// resendTimeout is the time for which updates in flight are not sent again.
 	resendTimeout dhclock.Millis
-	suspects      dhquarantine.Replication
+	// firstSentAt is when the oldest of the updates in flight was sent for the first time,
+	// and roundTrip the time from there to the child's poll with them, when last measured.
+	firstSentAt dhclock.Millis
+	roundTrip   dhclock.Millis
+	suspects    dhquarantine.Replication
 }
 
 // Time constants of resending changes that a child still lacks, in milliseconds.
@@ -34,6 +38,9 @@
 	// doubles with each resend, so that resends don't add to the load of an
 	// overloaded parent or network path.
 	minResendTimeout dhclock.Millis = 300
+	// maxFirstResendTimeout bounds the time until the first resend, which depends on the
+	// child's round trip.
+	maxFirstResendTimeout dhclock.Millis = 2000
 	// maxResendTimeout bounds the time between two resends.
 	maxResendTimeout dhclock.Millis = 4000
 	// fullResendTimeout is the time after which a full configuration is sent
@@ -47,15 +54,24 @@
 // messages can arrive out of order, and a child can't apply changes before
 // those that they follow.
 func (c *child) recordPoll(now dhclock.Millis, m *dhmessage.Poll) {
+	if c.sentVersion > c.ackedVersion && m.Version() >= c.sentVersion {
+		c.roundTrip = now.Since(c.firstSentAt)
+	}
 	switch {
 	case m.Version() < c.ackedVersion || m.Version() >= c.sentVersion:
 		c.sentVersion, c.resendTimeout = m.Version(), 0
 	case m.Version() > c.ackedVersion:
-		c.inFlightSince, c.resendTimeout = now, minResendTimeout
+		c.inFlightSince, c.firstSentAt, c.resendTimeout = now, now, c.firstResendTimeout()
 	}
 	c.ackedVersion, c.lastContact, c.replica = m.Version(), now, m.Replica()
 }
 
+// firstResendTimeout returns the time until updates are sent again for the first time,
+// which allows for twice the child's round trip.
+func (c *child) firstResendTimeout() dhclock.Millis {
+	return min(maxFirstResendTimeout, max(minResendTimeout, 2*c.roundTrip))
+}
+
 // missingSince returns the version after which changes are sent: the child's
 // own version, or the one that is in flight to it; false if there is nothing to
 // send.
@@ -70,9 +86,12 @@
 // recordSent records that a child was sent the changes between two versions, or
 // a full configuration.
 func (c *child) recordSent(now dhclock.Millis, from, to uint64, full bool) {
+	if c.sentVersion <= c.ackedVersion {
+		c.firstSentAt = now
+	}
 	if from == c.ackedVersion {
 		c.inFlightSince = now
-		c.resendTimeout = min(maxResendTimeout, max(minResendTimeout, 2*c.resendTimeout))
+		c.resendTimeout = min(maxResendTimeout, max(c.firstResendTimeout(), 2*c.resendTimeout))
 	}
 	if full {
 		c.resendTimeout = fullResendTimeout
--- a/core/dhdistribution/distribution_test.go
+++ b/core/dhdistribution/distribution_test.go
@@ -258,3 +258,26 @@
 		t.Errorf("%d changes were sent to a child that lacks one; want 1", n)
 	}
 }
+
+// TestChangesAreResentWithinARoundTrip polls as a child whose acknowledgements take 1.8 s. Once
+// that has been seen, a change must not be sent again before its acknowledgement could arrive.
+func TestChangesAreResentWithinARoundTrip(t *testing.T) {
+	const roundTrip, interval = 1800, 100
+	s := newLeader(20, 20)
+	now := dhclock.Millis(1000)
+	poll(s, now, "i", 20)
+	for round := range 4 {
+		c, a := nextChange(s.Catalog())
+		s.SetCatalog(now, c, append(s.History(), a))
+		var out dheffect.List
+		s.EndBatch(now, &out)
+		copies := 1
+		for end := now + roundTrip; now < end; now += interval {
+			copies += len(poll(s, now, "i", c.Version()-1).Changes())
+		}
+		poll(s, now, "i", c.Version())
+		if round > 0 && copies > 1 {
+			t.Errorf("round %d: a change was sent %d times, want once", round, copies)
+		}
+	}
+}
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -16,6 +16,7 @@
 	oldestUnanswered dhclock.Millis // when the oldest poll without a response was sent
 	awaitingResponse bool
 	lastPoll         dhclock.Millis
+	timeouts         int  // candidates left since the last response
 	polled           bool // false makes the next poll due immediately
 	suspects         dhquarantine.Replication
 	suspectsSentTo   string // the candidate that suspects describes
@@ -49,6 +50,16 @@
 // largeZone is the number of instances from which a zone has two relays.
 const largeZone = 12
 
+// maxTimeoutDoublings bounds how often parentTimeout is doubled.
+const maxTimeoutDoublings = 2
+
+// timeout returns the time without a response after which another parent is tried. It
+// doubles with each one in a row, because each of them sends the changes that this process
+// lacks.
+func (p *parent) timeout() dhclock.Millis {
+	return parentTimeout << min(p.timeouts, maxTimeoutDoublings)
+}
+
 // keep selects the candidate with an index again, whose response was late. On a slow
 // network path every parent responds late.
 func (p *parent) keep(now dhclock.Millis, index int) {
@@ -95,8 +106,9 @@
 		return
 	}
 	p := &s.parent
-	if p.awaitingResponse && now.Since(p.oldestUnanswered) > parentTimeout {
+	if p.awaitingResponse && now.Since(p.oldestUnanswered) > p.timeout() {
 		p.candidateIndex++
+		p.timeouts++
 		p.selectedAt, p.awaitingResponse = now, false
 		s.PollNow()
 	}
@@ -196,6 +208,7 @@
 	if m.PollSentAt() == 0 {
 		return
 	}
+	s.parent.timeouts = 0
 	if m.PollSentAt() >= s.parent.oldestUnanswered {
 		s.parent.awaitingResponse = false
 	}
