Record the end of a test's process when it ends

By their logs those processes had stopped in time (1.1 to 1.8 s after SIGTERM of 2.7 s allowed), at different times, but all four of a cluster were seen to end within 11 ms of each other, 2 s later.

Likely cause: a process counted as ended when its output had reached its end, and a process that is being started elsewhere in the test holds that pipe open too until it runs the program.

Change: the end is recorded when the process has been waited for. The bounds are as before.

--- a/io/dhtestcluster/process.go
+++ b/io/dhtestcluster/process.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -72,19 +74,38 @@
 
 // startRun starts the program.
 func startRun(args ...string) (*Run, error) {
+	output, input, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	defer input.Close()
 	r := &Run{command: exec.CommandContext(context.Background(), program, args...), done: make(chan struct{})}
-	r.command.Stdout, r.command.Stderr = &r.log, &r.log
+	r.command.Stdout, r.command.Stderr = input, input
 	// The race detector's runtime otherwise sleeps for a second before the process exits.
 	r.command.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
 	if err := r.command.Start(); err != nil {
+		output.Close()
 		return nil, err
 	}
+	go r.wait(output)
+	return r, nil
+}
+
+// wait collects the log of the process until it has ended. The end is recorded first: a process
+// that is being started elsewhere holds the pipe open too, until it runs the program.
+func (r *Run) wait(output *os.File) {
+	defer close(r.done)
+	defer output.Close()
+	copied := make(chan error, 1)
 	go func() {
-		_ = r.command.Wait() // ExitCode and EndedBy return the result
-		r.endedAt = time.Now()
-		close(r.done)
+		_, err := io.Copy(&r.log, output)
+		copied <- err
 	}()
-	return r, nil
+	_ = r.command.Wait() // ExitCode and EndedBy return the result
+	r.endedAt = time.Now()
+	if err := <-copied; err != nil {
+		fmt.Fprintln(&r.log, "reading the output failed:", err)
+	}
 }
 
 // Signal sends a signal. It returns an error if the process has ended.
