Tell stalls of the start and end of processes apart in the soak

Change: the soak starts a process that does nothing every 50 ms, and exempts the time of a stop when that takes over 500 ms longer, as for stalls of the disk. The bounds of stops are as before.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,7 +1,6 @@
 package dhsoak
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -50,18 +49,24 @@
 	}
 }
 
+// lastLine returns the last line of the log, apart from those on SIGHUP, which may come until
+// the process has ended.
+func (l *life) lastLine() string {
+	lines := strings.Split(strings.TrimSpace(l.Log()), "\n")
+	for len(lines) > 1 && strings.Contains(lines[len(lines)-1], `"msg":"SIGHUP changes nothing`) {
+		lines = lines[:len(lines)-1]
+	}
+	return lines[len(lines)-1]
+}
+
 // checkStop checks a planned stop.
 func (s *soak) checkStop(l *life) {
 	if l.ExitCode() != 0 {
 		s.fail("%s was stopped and ended with exit code %d, by signal %v; want 0", l, l.ExitCode(), l.EndedBy())
 		return
 	}
-	lines := strings.Split(strings.TrimSpace(l.Log()), "\n")
-	var last struct {
-		Message string `json:"msg"`
-	}
-	if err := json.Unmarshal([]byte(lines[len(lines)-1]), &last); err != nil || last.Message != "stopped" {
-		s.fail("the last log line of %s is %q, want stopped", l, lines[len(lines)-1])
+	if line := l.lastLine(); !strings.Contains(line, `"msg":"stopped"`) {
+		s.fail("the last log line of %s is %q, want stopped", l, line)
 	}
 	bound := s.leaveWait + s.finish + stopSlack
 	if took := l.EndedAt().Sub(l.stoppedAt); took > bound && !s.isDisturbed(l.name, l.stoppedAt, l.EndedAt()) {
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -211,31 +212,46 @@
 	d.signal(syscall.SIGCONT)
 }
 
-// A stall of the machine is a time in which a timer and a write to the disk together are late by more
-// than stallLimit.
+// A stall of the machine is a time in which a timer together with a write to the disk, or with a
+// process that does nothing, is late by more than a limit.
 const (
-	stallInterval = 50 * time.Millisecond
-	stallLimit    = 100 * time.Millisecond
+	stallInterval     = 50 * time.Millisecond
+	diskStallLimit    = 100 * time.Millisecond
+	processStallLimit = 500 * time.Millisecond
 )
 
-// watchStalls records stalls of the machine, which delay all processes.
-func (s *soak) watchStalls(ctx context.Context) {
+// watchDisk records stalls of writes to the disk.
+func (s *soak) watchDisk(ctx context.Context) {
 	file, err := os.Create(filepath.Join(s.cluster.Folder(), "stalls"))
 	if err != nil {
 		s.fail("the watch of the disk: %v", err)
 		return
 	}
 	defer file.Close()
+	s.recordStalls(ctx, "disk", diskStallLimit, func() error {
+		_, err := file.WriteAt([]byte(time.Now().String()), 0)
+		return errors.Join(err, file.Sync())
+	})
+}
+
+// watchProcesses records stalls of the start and the end of processes.
+func (s *soak) watchProcesses(ctx context.Context) {
+	s.recordStalls(ctx, "start or end of processes", processStallLimit, func() error {
+		return exec.CommandContext(context.WithoutCancel(ctx), "true").Run()
+	})
+}
+
+// recordStalls records when a probe of the machine is late, which delays all processes.
+func (s *soak) recordStalls(ctx context.Context, what string, limit time.Duration, probe func() error) {
 	for ctx.Err() == nil {
 		startedAt := time.Now()
 		sleep(ctx, stallInterval)
-		_, err := file.WriteAt([]byte(startedAt.String()), 0)
-		if err := errors.Join(err, file.Sync()); err != nil {
-			s.fail("the watch of the disk: %v", err)
+		if err := probe(); err != nil {
+			s.fail("the watch of the %s: %v", what, err)
 			return
 		}
-		if late := time.Since(startedAt) - stallInterval; late > stallLimit {
-			s.timeLine.add("the machine stalled for %v", late)
+		if late := time.Since(startedAt) - stallInterval; late > limit {
+			s.timeLine.add("the machine (%s) stalled for %v", what, late)
 			s.disturb("", startedAt)()
 			s.mutex.Lock()
 			s.stalls++
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -116,7 +116,8 @@
 	}
 	stalls, endStalls := context.WithCancel(s.t.Context())
 	defer endStalls()
-	watching.Go(func() { s.watchStalls(stalls) })
+	watching.Go(func() { s.watchDisk(stalls) })
+	watching.Go(func() { s.watchProcesses(stalls) })
 	for n := range linkDirectors {
 		d := &linkDirector{soak: s, random: newRandom(s.seed, fmt.Sprint("link ", n))}
 		injecting.Go(func() { d.run(faults) })
