--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -40,6 +40,10 @@
 	snapshotSentAt dhclock.Millis
 	folderID       string
 	responded      bool
+	// rewoundTo is the value to which nextIndex was last set back after a rejection, and
+	// rewoundRound the round in which that happened.
+	rewoundTo    uint64
+	rewoundRound uint64
 }
 
 // MemberProgress is the replication progress of a member in the leader's view.
@@ -208,7 +212,14 @@
 	p.ackedRound = max(p.ackedRound, m.Round())
 	n.confirmRound()
 	if !m.Accepted() {
-		p.nextIndex = min(p.nextIndex, max(m.MatchIndex(), p.matchIndex)+1)
+		next := max(m.MatchIndex(), p.matchIndex) + 1
+		if m.Round() <= p.rewoundRound && next >= p.rewoundTo {
+			// The request was sent before the entries that an earlier rejection led to. To
+			// send them again for each such rejection would multiply the load of a busy leader.
+			return
+		}
+		p.nextIndex = min(p.nextIndex, next)
+		p.rewoundTo, p.rewoundRound = p.nextIndex, n.leaderState.round
 		n.sendAppend(from.Name(), out)
 		return
 	}
--- a/core/dhconsensus/node_test.go
+++ b/core/dhconsensus/node_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
+	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhmessage"
 )
@@ -171,3 +173,51 @@
 		}
 	}
 }
+
+// sentEntries returns the previous index of each AppendRequest with entries to a member.
+func sentEntries(out *dheffect.List, to string) []uint64 {
+	var list []uint64
+	for _, e := range out.Items() {
+		if s, ok := e.(*dheffect.Send); ok && s.To() == to {
+			if m, ok := s.Message().(*dhmessage.AppendRequest); ok && len(m.Entries()) > 0 {
+				list = append(list, m.PreviousIndex())
+			}
+		}
+	}
+	return list
+}
+
+// TestStaleRejectionsRepeatNoEntries rejects heartbeats that were under way to a member when
+// the leader sent it the entries that it lacks. The leader must not send them again for each.
+// A rejection that asks for earlier entries, and one of a later heartbeat, must be served.
+func TestStaleRejectionsRepeatNoEntries(t *testing.T) {
+	n := newLeader(t)
+	c := dhmessage.NewPeer("c", "c1")
+	reject := func(now dhclock.Millis, hint, round uint64) []uint64 {
+		var out dheffect.List
+		n.Step(now, c, dhmessage.NewAppendResponse(dhmessage.AppendResponseOptions{Term: 1, MatchIndex: hint, Round: round}), &out)
+		return sentEntries(&out, "c")
+	}
+	var out dheffect.List
+	for i := range dhclock.Millis(5) {
+		n.Propose(dhmessage.Noop{}, &out)
+		n.Tick(20_100+i*HeartbeatInterval, 1, &out)
+		n.Flush(&out)
+	}
+	round := n.leaderState.round
+	if got := reject(20_600, 2, round-2); !slices.Equal(got, []uint64{2}) {
+		t.Errorf("the first rejection is answered with entries after %v, want [2]", got)
+	}
+	for _, stale := range []uint64{round - 1, round} {
+		if got := reject(20_610, 2, stale); len(got) > 0 {
+			t.Errorf("a rejection of the earlier round %d is answered with entries after %v, want none", stale, got)
+		}
+	}
+	if got := reject(20_620, 0, round); !slices.Equal(got, []uint64{0}) {
+		t.Errorf("a rejection that asks for earlier entries is answered with entries after %v, want [0]", got)
+	}
+	n.Tick(20_700, 1, &out)
+	if got := reject(20_710, 0, round+1); !slices.Equal(got, []uint64{0}) {
+		t.Errorf("a rejection of a later heartbeat is answered with entries after %v, want [0]", got)
+	}
+}
