--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -63,6 +63,7 @@
 	// servers are all servers but the one for callers, which is nil without one.
 	servers      []*http.Server
 	callerServer *http.Server
+	handlers     *handlers
 	// decisionLog logs single requests, limited for each kind of line.
 	decisionLog *dhlogs.Limiter
 	// serverLog gets the messages of the HTTP servers.
@@ -82,6 +83,7 @@
 	p := &Process{
 		options: o, log: o.Logs.Logger("process"), metrics: dhmetrics.New(),
 		trafficEvents: make(chan dhevent.Event, trafficQueueSize), failures: make(chan error, 1),
+		handlers:       newHandlers(),
 		suspectsToSave: make(chan *dheffect.SaveSuspects, 1),
 	}
 	p.decisionLog = dhlogs.NewLimiter(o.Logs.Logger("decisions"), o.Clock)
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -126,7 +126,7 @@
 	protocols.SetHTTP2(p.options.TLS != nil)
 	for _, l := range list {
 		s := &http.Server{
-			Handler: l.handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout,
+			Handler: p.handlers.wrap(l.handler), Protocols: protocols, ReadHeaderTimeout: headerTimeout,
 			ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: p.serverLog,
 		}
 		if l.name == callerListenerName {
@@ -256,7 +256,8 @@
 }
 
 // Stop stops the process without waiting for open requests, except that
-// responses being written have CloseTimeout to finish. Callers get answers while the other
+// responses being written have CloseTimeout to finish, and handlers whose connections are cut
+// handlerTimeout. Callers get answers while the other
 // servers close, which peers that wait for updates delay.
 func (p *Process) Stop() {
 	timeout := dhtime.Duration(p.options.CloseTimeout)
@@ -266,6 +267,9 @@
 		shutDown(timeout/2, p.servers...)
 		shutDown(timeout/2, p.callerServer)
 	}
+	if running := p.handlers.stop(handlerTimeout); running > 0 {
+		p.log.WithField("running", running).Warn("stopping while handlers of cut connections run")
+	}
 	p.cancel()
 	p.goroutines.Wait()
 	p.sender.Wait()
--- a/io/dhprocess/stop_test.go
+++ b/io/dhprocess/stop_test.go
@@ -322,3 +322,36 @@
 		t.Errorf("got %d refusals and %d empty answers with status 200, want only refusals", refused.Load(), empty.Load())
 	}
 }
+
+// TestStopWaitsForHandlersOfCutConnections stops a voter while a handler runs whose connection
+// is cut. The handler must have returned before Stop does, and no other may start.
+func TestStopWaitsForHandlersOfCutConnections(t *testing.T) {
+	c := newCluster(t, 1)
+	o := c.options("c9", "", "control")
+	address := freeAddress(t)
+	o.CloseTimeout = 50
+	started := make(chan struct{})
+	var returned atomic.Bool
+	o.ExtraListeners = func(*Process) []ExtraListener {
+		return []ExtraListener{{Name: "slow", Address: address, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-r.Context().Done()
+			time.Sleep(50 * time.Millisecond)
+			returned.Store(true)
+		})}}
+	}
+	p := c.start(o)
+	go func() {
+		if r, err := http.Get("http://" + address); err == nil {
+			r.Body.Close()
+		}
+	}()
+	<-started
+	p.Stop()
+	if !returned.Load() {
+		t.Error("Stop returned before a handler")
+	}
+	if p.handlers.begin() {
+		t.Error("a handler may start after Stop")
+	}
+}
