--- a/core/dhconsensus/members.go
+++ b/core/dhconsensus/members.go
@@ -90,7 +90,7 @@
 		}
 		p := n.progressOf(member.Peer().Name())
 		if p.folderID == member.Peer().FolderID() && p.matchIndex >= n.commitIndex {
-			next[i] = dhmessage.NewMember(member.Peer(), member.Address(), false)
+			next[i] = member.WithLearner(false)
 			changed = true
 			out.Add(dheffect.NewLog(dheffect.LogOptions{
 				Layer: layer, Text: "promoted a learner that has caught up", Peer: member.Peer().Name(), Number: p.matchIndex,
@@ -115,7 +115,7 @@
 		if folder == "" {
 			continue
 		}
-		next[i] = dhmessage.NewMember(dhmessage.NewPeer(member.Peer().Name(), folder), member.Address(), member.Learner())
+		next[i] = member.WithPeer(dhmessage.NewPeer(member.Peer().Name(), folder))
 		changed = true
 	}
 	return changed
--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -73,15 +73,13 @@
 		s.distributeCatalog()
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "ledger", Text: "accepted a change set", Number: version}))
 	}
-	p, found := v.pending[e.Index()]
-	if !found {
-		return
+	for _, p := range v.pending[e.Index()] {
+		delete(v.pendingIndex, p.key)
+		if p.term == e.Term() {
+			s.sendProposeResponse(p, result, out)
+		}
 	}
 	delete(v.pending, e.Index())
-	delete(v.pendingIndex, p.key)
-	if p.term == e.Term() {
-		s.sendProposeResponse(p, result, out)
-	}
 }
 
 func (r *leadership) recordAccepted(version uint64, now dhclock.Millis, c *dhcatalog.Catalog) {
--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -63,6 +63,7 @@
 // by itself and, as leader, manages members, zones and instances.
 type automation struct {
 	options    ManagedOptions
+	zone       string
 	lastJoin   dhclock.Millis
 	lastCheck  dhclock.Millis
 	lastEdit   dhclock.Millis
@@ -77,14 +78,15 @@
 	folderID    string
 	address     string
 	region      string
+	zone        string
 	lastContact dhclock.Millis
 }
 
-func newAutomation(o *ManagedOptions) *automation {
+func newAutomation(o *ManagedOptions, zone string) *automation {
 	if o == nil {
 		return nil
 	}
-	return &automation{options: *o, candidates: map[string]candidate{}, invalid: map[dhcatalog.Ref]bool{}}
+	return &automation{options: *o, zone: zone, candidates: map[string]candidate{}, invalid: map[dhcatalog.Ref]bool{}}
 }
 
 // handleJoinRequest records, at the leader, a control process that requests
@@ -101,7 +103,7 @@
 		return
 	}
 	s.automation.candidates[from.Name()] = candidate{
-		folderID: from.FolderID(), address: m.Address(), region: m.Region(), lastContact: s.now,
+		folderID: from.FolderID(), address: m.Address(), region: m.Region(), zone: m.Zone(), lastContact: s.now,
 	}
 }
 
@@ -148,7 +150,7 @@
 // sendJoinRequestTo requests membership from one process.
 func (s *State) sendJoinRequestTo(to string, out *dheffect.List) {
 	out.Add(dheffect.NewSend(dheffect.SendOptions{
-		To: to, Message: dhmessage.NewJoinRequest(s.automation.options.Address, s.automation.options.Region),
+		To: to, Message: dhmessage.NewJoinRequest(s.automation.options.Address, s.automation.options.Region, s.automation.zone),
 	}))
 }
 
@@ -168,28 +170,61 @@
 
 // planMembers returns the next list of members, a description of the change and
 // the name of the member that it concerns; nil if no change is needed. In order
-// of precedence: a voter whose data folder was lost becomes a learner, new
-// processes become learners, unresponsive voters are demoted, learners are
-// promoted up to the configured number of votes, and unresponsive learners are
-// removed.
+// of precedence: a voter whose data folder was lost becomes a learner, all new
+// processes become learners and the zones of members are recorded, unresponsive
+// voters are demoted, learners are promoted up to the configured number of votes,
+// and unresponsive learners are removed.
 func (s *State) planMembers() (next []dhmessage.Member, text, name string) {
 	members := s.voter.node.MemberProgress()
 	for i, m := range members {
 		member := m.Member()
 		c, found := s.automation.candidates[member.Peer().Name()]
 		if found && member.Peer().FolderID() != "" && c.folderID != member.Peer().FolderID() && s.isRunning(c) {
-			return withReplacement(members, i, dhmessage.NewMember(dhmessage.NewPeer(member.Peer().Name(), c.folderID), c.address, true)),
+			return withReplacement(members, i, dhmessage.NewMember(dhmessage.NewPeer(member.Peer().Name(), c.folderID), c.address, true).WithZone(c.zone)),
 				"takes the vote from a lost data folder", member.Peer().Name()
 		}
 	}
+	if next, name := s.withNewLearners(s.withZones(membersOf(members))); name != "" {
+		return next, "adds learners", name
+	}
+	if next := s.withZones(membersOf(members)); !slices.Equal(next, membersOf(members)) {
+		return next, "records the zones of members", s.self.Name()
+	}
+	return s.planVotes(members)
+}
+
+// withZones returns the members with the zones that their join requests stated.
+func (s *State) withZones(members []dhmessage.Member) []dhmessage.Member {
+	for i, m := range members {
+		c := s.automation.candidates[m.Peer().Name()]
+		zone := c.zone
+		if m.Peer().Name() == s.self.Name() {
+			zone = s.automation.zone
+		} else if c.folderID != m.Peer().FolderID() {
+			continue
+		}
+		if zone != "" {
+			members[i] = m.WithZone(zone)
+		}
+	}
+	return members
+}
+
+// withNewLearners returns the members and every running candidate that is none yet, and the
+// name of the last one added. Learners don't count for a majority, so a change may add any
+// number of them.
+func (s *State) withNewLearners(members []dhmessage.Member) (next []dhmessage.Member, added string) {
+	isMember := map[string]bool{}
+	for _, m := range members {
+		isMember[m.Peer().Name()] = true
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.automation.candidates)) {
-		c := s.automation.candidates[name]
-		isMember := slices.ContainsFunc(members, func(m dhconsensus.MemberProgress) bool { return m.Member().Peer().Name() == name })
-		if !isMember && s.isRunning(c) {
-			return append(membersOf(members), dhmessage.NewMember(dhmessage.NewPeer(name, c.folderID), c.address, true)), "adds a learner", name
+		if c := s.automation.candidates[name]; !isMember[name] && s.isRunning(c) {
+			members = append(members, dhmessage.NewMember(dhmessage.NewPeer(name, c.folderID), c.address, true).WithZone(c.zone))
+			added = name
 		}
 	}
-	return s.planVotes(members)
+	return members, added
 }
 
 // isRunning reports whether a candidate sent a join request within joinTTL.
@@ -208,12 +243,12 @@
 		}
 		votes++
 		if learner >= 0 && s.unresponsive(m, voterTimeout) {
-			return withReplacement(members, i, dhmessage.NewMember(member.Peer(), member.Address(), true)), "takes the vote from a silent voter", member.Peer().Name()
+			return withReplacement(members, i, member.WithLearner(true)), "takes the vote from a silent voter", member.Peer().Name()
 		}
 	}
 	if learner >= 0 && votes < s.automation.options.Votes {
 		member := members[learner].Member()
-		return withReplacement(members, learner, dhmessage.NewMember(member.Peer(), member.Address(), false)), "gives a learner a vote", member.Peer().Name()
+		return withReplacement(members, learner, member.WithLearner(false)), "gives a learner a vote", member.Peer().Name()
 	}
 	for i, m := range members {
 		if m.Member().Learner() && s.unresponsive(m, learnerTimeout) {
--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -194,9 +194,15 @@
 		s.sendProposeResponse(p, result, out)
 		return
 	}
+	if edit, ok := command.(dhmessage.Edit); ok && isRegistration(edit) {
+		v.pendingIndex[p.key] = true
+		v.registrations.add(p, edit)
+		v.proposeRegistrations(s.now, out)
+		return
+	}
 	index, _ := v.node.Propose(command, out)
-	v.pending[index] = p
-	v.pendingIndex[p.key] = index
+	v.pending[index] = []pendingProposal{p}
+	v.pendingIndex[p.key] = true
 }
 
 func (s *State) sendProposeResponse(p pendingProposal, r dhmessage.Result, out *dheffect.List) {
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -22,7 +22,7 @@
 type Options struct {
 	// Self is the process's name and the identity of its data folder.
 	Self dhmessage.Peer
-	// Zone is the availability zone of an entry instance.
+	// Zone is the availability zone of the process; empty on a voter without one.
 	Zone string
 	// Voters are the names of the voters in the settings.
 	Voters []string
@@ -64,8 +64,9 @@
 	node           *dhconsensus.Node
 	ledger         *dhledger.Ledger
 	appliedMembers []dhmessage.Member // as of the last applied entry
-	pending        map[uint64]pendingProposal
-	pendingIndex   map[proposalKey]uint64
+	pending        map[uint64][]pendingProposal
+	pendingIndex   map[proposalKey]bool
+	registrations  registrations
 	limits         *limits
 	wasLeader      bool
 	knownTerm      uint64
@@ -85,7 +86,7 @@
 		}),
 		proposals:  newProposals(o.StartID, o.Voters),
 		registry:   newRegistry(),
-		automation: newAutomation(o.Managed),
+		automation: newAutomation(o.Managed, o.Zone),
 	}
 	if o.Consensus == nil {
 		return s
@@ -99,8 +100,8 @@
 		node:           dhconsensus.New(*o.Consensus),
 		ledger:         dhledger.New(snapshot),
 		appliedMembers: members,
-		pending:        map[uint64]pendingProposal{},
-		pendingIndex:   map[proposalKey]uint64{},
+		pending:        map[uint64][]pendingProposal{},
+		pendingIndex:   map[proposalKey]bool{},
 
 		compactEntries: cmp.Or(o.CompactEntries, defaultCompactEntries),
 	}
@@ -155,6 +156,9 @@
 	s.syncLeadership()
 	s.logConnectivity(out)
 	s.tickRegistry(out)
+	if s.voter != nil {
+		s.voter.proposeRegistrations(s.now, out)
+	}
 	s.tickAutomation(out)
 	s.distribution.Tick(s.now, out)
 	s.proposals.retry(s.now, s.leader(), out)
--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -30,8 +30,24 @@
 	firstSentAt dhclock.Millis
 	roundTrip   dhclock.Millis
 	suspects    dhquarantine.Replication
+	// zone is the child's availability zone, or "" if unknown.
+	zone string
+	// referral is whether the child was told to poll a member in its zone instead.
+	referral referral
 }
 
+// referral is the state of a child for which members of the consensus group run in its zone.
+type referral int
+
+const (
+	// notReferred is the state of a child that wasn't told the members in its zone.
+	notReferred referral = iota
+	// referred is the state of a child that was told them.
+	referred
+	// returned is the state of a child that polled again: it doesn't reach them.
+	returned
+)
+
 // Time constants of resending changes that a child still lacks, in milliseconds.
 const (
 	// minResendTimeout is the time after which changes are sent again. It
@@ -108,6 +124,7 @@
 		s.children[from] = c
 	}
 	c.recordPoll(now, m)
+	s.refer(from, c, m)
 	s.receiveSuspects(now, &c.suspects, m.Suspects())
 	for _, a := range m.Acks() {
 		if old, found := s.ackRecords[a.Instance()]; !found || old.ack != a {
@@ -118,6 +135,50 @@
 	out.Add(dheffect.NewSend(dheffect.SendOptions{To: from, Message: s.newUpdate(now, c, m.SentAt())}))
 }
 
+// refer updates the referral of a child that has polled. The first poll of a child that has
+// members of the consensus group in its zone gets no changes: when a fleet starts, every
+// instance polls the few processes of its settings, and a full copy for each of them would
+// fill their links and memory.
+func (s *State) refer(name string, c *child, m *dhmessage.Poll) {
+	for _, a := range m.Acks() {
+		if i, advertised := a.AdvertisedInstance(); advertised && a.Instance() == name {
+			c.zone = i.Zone()
+		}
+	}
+	if i, found := s.catalog.Instance(name); found {
+		c.zone = i.Zone()
+	}
+	switch {
+	case !s.hasOtherMemberIn(c.zone):
+		c.referral = notReferred
+	case c.referral == notReferred:
+		c.referral = referred
+	default:
+		c.referral = returned
+	}
+}
+
+// serves reports whether a child gets changes from this process.
+func (s *State) serves(c *child) bool {
+	return c.referral == returned || !s.hasOtherMemberIn(c.zone)
+}
+
+// hasOtherMemberIn reports whether members of the consensus group run in a zone and this
+// process isn't one of them.
+func (s *State) hasOtherMemberIn(zone string) bool {
+	found := false
+	for _, m := range s.members {
+		if zone == "" || m.Zone() != zone {
+			continue
+		}
+		if m.Peer().Name() == s.self {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // newUpdate returns an update with the changes that a child lacks. The
 // clock reading pollSentAt is the one of the child's poll, or 0 if the update
 // answers none.
@@ -125,9 +186,12 @@
 	o := dhmessage.UpdateOptions{
 		PollSentAt: pollSentAt, Version: s.catalog.Version(), EverConfirmed: s.everConfirmed, Age: now.Since(s.confirmedAt),
 		Unavailable: s.unavailable, Leader: s.leader, InForce: s.inForce, DrainAges: s.drainAges(now),
-		Members: s.members, LimitsAge: now.Since(s.limitsChangedAt), Suspects: c.suspects.NextReport(now, s.suspects),
+		LimitsAge: now.Since(s.limitsChangedAt), Suspects: c.suspects.NextReport(now, s.suspects),
+	}
+	if !c.replica {
+		o.Members = s.members
 	}
-	if from, missing := c.missingSince(now, s.catalog.Version()); missing {
+	if from, missing := c.missingSince(now, s.catalog.Version()); missing && s.serves(c) {
 		var retained bool
 		if o.Changes, retained = s.changeSetsSince(from); !retained {
 			o.Full = s.catalog
@@ -154,7 +218,7 @@
 			delete(s.children, name)
 			continue
 		}
-		if _, missing := c.missingSince(now, s.catalog.Version()); missing {
+		if _, missing := c.missingSince(now, s.catalog.Version()); missing && s.serves(c) {
 			out.Add(dheffect.NewSend(dheffect.SendOptions{To: name, Message: s.newUpdate(now, c, 0)}))
 		}
 	}
--- a/core/dhdistribution/distribution_test.go
+++ b/core/dhdistribution/distribution_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"dogwoodhitch/core/dhcatalog"
@@ -307,3 +308,77 @@
 		}
 	}
 }
+
+// memberIn returns a member of the consensus group that runs in a zone.
+func memberIn(name, zone string) dhmessage.Member {
+	return dhmessage.NewMember(dhmessage.NewPeer(name, name+"-folder"), name+":1", true).WithZone(zone)
+}
+
+// TestInstancePollsMembersOfItsZoneFirst lists the parents of an instance whose zone has two
+// members of the consensus group: these, then its relay, then the other members.
+func TestInstancePollsMembersOfItsZoneFirst(t *testing.T) {
+	s := New(Options{Self: "i2", Zone: "a1", Voters: []string{"c1"}})
+	if got := s.parentCandidates(); !slices.Equal(got, []string{"c1"}) {
+		t.Errorf("without members: the parents are %v, want the voter of the settings", got)
+	}
+	s.SetMembers([]dhmessage.Member{memberIn("c1", "a1"), memberIn("c2", "b1"), memberIn("c3", "a1"), memberIn("c4", "")})
+	set := dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: []dhcatalog.Object{
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
+		dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "i1", Zone: "a1", CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:81"}),
+	}})
+	s.applyUpdate(1, nil, []dhcatalog.ChangeSet{set})
+	got := s.parentCandidates()
+	slices.Sort(got[:2])
+	slices.Sort(got[3:])
+	if want := []string{"c1", "c3", "i1", "c2", "c4"}; !slices.Equal(got, want) {
+		t.Errorf("the parents are %v, want %v", got, want)
+	}
+}
+
+// TestFirstPollOfAnInstanceWithMembersInItsZoneIsReferred polls a leader from an instance of
+// another zone. The first response and pushes must name the members and hold no changes. An
+// instance that polls again doesn't reach the members in its zone and must be served.
+func TestFirstPollOfAnInstanceWithMembersInItsZoneIsReferred(t *testing.T) {
+	s := newLeader(20, 20)
+	s.SetMembers([]dhmessage.Member{memberIn("c1", "a1"), memberIn("c2", "b1")})
+	pollFrom := func(now dhclock.Millis, name, zone string) *dhmessage.Update {
+		i := dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: name, Zone: zone})
+		var out dheffect.List
+		s.HandlePoll(now, name, dhmessage.NewPoll(dhmessage.PollOptions{
+			SentAt: now, Acks: []dhmessage.Ack{dhmessage.NewAck(name, 0, false).WithAdvertisedInstance(i)},
+		}), &out)
+		return out.Items()[0].(*dheffect.Send).Message().(*dhmessage.Update)
+	}
+	for _, x := range []struct {
+		zone    string
+		changes int
+	}{{"a1", 20}, {"c1", 20}, {"b1", 0}} {
+		if u := pollFrom(10, "i-"+x.zone, x.zone); len(u.Changes()) != x.changes || len(u.Members()) != 2 {
+			t.Errorf("zone %s: the first response has %d changes and %d members, want %d and 2", x.zone, len(u.Changes()), len(u.Members()), x.changes)
+		}
+	}
+	var out dheffect.List
+	s.pushUpdates(20, &out)
+	if len(out.Items()) != 0 {
+		t.Errorf("%d updates were pushed, want none", len(out.Items()))
+	}
+	if u := pollFrom(1000, "i-b1", "b1"); len(u.Changes()) != 20 {
+		t.Errorf("the second response has %d changes, want 20", len(u.Changes()))
+	}
+}
+
+// TestInstanceFollowsAReferral sends an instance without a configuration the response of a
+// parent that names a member in its zone. Its next poll must go there.
+func TestInstanceFollowsAReferral(t *testing.T) {
+	s := New(Options{Self: "i1", Zone: "a1", Voters: []string{"c9"}, Now: 1000})
+	var out dheffect.List
+	s.Tick(1000, &out)
+	s.HandleUpdate(1020, "c9", dhmessage.NewUpdate(dhmessage.UpdateOptions{
+		PollSentAt: 1000, Version: 5, EverConfirmed: true, Members: []dhmessage.Member{memberIn("c9", "b1"), memberIn("c1", "a1")},
+	}), &out)
+	var next dheffect.List
+	s.Tick(1040, &next)
+	if len(next.Items()) != 1 || next.Items()[0].(*dheffect.Send).To() != "c1" {
+		t.Errorf("after the referral the effects are %v, want a poll of c1", next.Items())
+	}
+}
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -22,11 +22,12 @@
 	suspectsSentTo   string // the candidate that suspects describes
 }
 
-// parentCandidates lists the processes to poll in order of preference: the zone's
-// relay; the voters, starting at an index derived from the process's name, which
-// distributes the load; then the other instances of the zone that precede this one by
-// name, so that no cycle can form. On full links each hop through an instance delays
-// changes, so the voters come before them. A voter or learner polls only the leader.
+// parentCandidates lists the processes to poll in order of preference: the members of the
+// consensus group in the zone, whose links carry no requests; the zone's relay; the other
+// members; then the other instances of the zone that precede this one by name, so that no
+// cycle can form. On full links each hop through an instance delays changes, so the members
+// come before them. Members are listed from an index derived from the process's name, which
+// distributes the load. A voter or learner polls only the leader.
 func (s *State) parentCandidates() []string {
 	if s.isVoter {
 		if s.leader == "" || s.leader == s.self {
@@ -35,16 +36,37 @@
 		return []string{s.leader}
 	}
 	relays := s.relays()
-	list := slices.Clone(relays[:min(1, len(relays))])
+	near, far := s.membersByZone()
+	first := min(1, len(relays))
+	return slices.Concat(s.rotated(near), relays[:first], s.rotated(far), relays[first:])
+}
+
+// membersByZone lists the members of the consensus group in this process's zone, and the
+// others.
+func (s *State) membersByZone() (near, far []string) {
+	if len(s.members) == 0 {
+		return nil, s.configuredVoters
+	}
+	for _, m := range s.members {
+		if m.Zone() != "" && m.Zone() == s.zone {
+			near = append(near, m.Peer().Name())
+		} else {
+			far = append(far, m.Peer().Name())
+		}
+	}
+	return near, far
+}
+
+// rotated returns a list from an index derived from this process's name on.
+func (s *State) rotated(list []string) []string {
+	if len(list) == 0 {
+		return nil
+	}
 	start := 0
 	for _, c := range []byte(s.self) {
-		start = start*31 + int(c)
-	}
-	members := s.MemberNames()
-	for i := range members {
-		list = append(list, members[(start+i)%len(members)])
+		start = (start*31 + int(c)) % len(list)
 	}
-	return append(list, relays[min(1, len(relays)):]...)
+	return slices.Concat(list[start:], list[:start])
 }
 
 // largeZone is the number of instances from which a zone has two relays.
@@ -112,8 +134,8 @@
 		p.selectedAt, p.awaitingResponse = now, false
 		s.PollNow()
 	}
-	if s.everConfirmed && now.Since(s.confirmedAt) > maxConfirmationAge && now.Since(p.selectedAt) > maxConfirmationAge {
-		// The parent responds, but it has lost its own parent.
+	if (!s.everConfirmed || now.Since(s.confirmedAt) > maxConfirmationAge) && now.Since(p.selectedAt) > maxConfirmationAge {
+		// The parent responds, but it has lost its own parent or never had one.
 		p.candidateIndex++
 		p.selectedAt, p.awaitingResponse = now, false
 		s.PollNow()
@@ -131,12 +153,22 @@
 }
 
 // currentPollInterval returns the time between two polls. A process whose
-// configuration was never confirmed can't serve yet and polls more often.
+// configuration was never confirmed can't serve yet and polls more often, unless a
+// response is outstanding: a parent that many processes poll when they start answers late.
+// Voters and learners poll at the shortest interval, because their children's
+// confirmations are older than their own.
 func (s *State) currentPollInterval() dhclock.Millis {
 	if !s.everConfirmed {
+		if s.parent.awaitingResponse {
+			return startupRetryInterval
+		}
 		return startupPollInterval
 	}
-	extra := max(0, len(s.catalog.InstancesIn(s.zone))-smallZone)
+	if s.isVoter {
+		return pollInterval
+	}
+	near, _ := s.membersByZone()
+	extra := max(0, len(s.catalog.InstancesIn(s.zone))/max(1, len(near))-smallZone)
 	return min(maxPollInterval, pollInterval+dhclock.Millis(extra)*pollIntervalStep)
 }
 
@@ -192,6 +224,17 @@
 	return a.WithAdvertisedInstance(*s.advertised)
 }
 
+// followReferral records the members that a parent with a newer version names, and selects
+// the preferred parent again if they have changed.
+func (s *State) followReferral(now dhclock.Millis, members []dhmessage.Member) {
+	if s.isVoter || len(members) == 0 || slices.Equal(members, s.members) {
+		return
+	}
+	s.SetMembers(members)
+	s.parent.candidateIndex, s.parent.selectedAt, s.parent.awaitingResponse = 0, now, false
+	s.PollNow()
+}
+
 // HandleUpdate applies a parent's response to a poll or its push of a new
 // version. The confirmation that the configuration is current counts only if
 // this process has at least the version that it was issued for.
@@ -212,7 +255,11 @@
 	if m.PollSentAt() >= s.parent.oldestUnanswered {
 		s.parent.awaitingResponse = false
 	}
-	if !m.EverConfirmed() || s.catalog.Version() < m.Version() {
+	if s.catalog.Version() < m.Version() {
+		s.followReferral(now, m.Members())
+		return
+	}
+	if !m.EverConfirmed() {
 		return
 	}
 	if m.PollSentAt()-m.Age() > s.confirmedAt {
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -1,7 +1,8 @@
 // Package dhdistribution distributes the configuration from the leader to every
 // process and returns to the leader which instance has which version.
 //
-// A process polls one parent: an instance of its zone, or a voter. The response
+// A process polls one parent: a member of the consensus group in its zone, an
+// instance of its zone, or another member. The response
 // holds the change sets that the process lacks and the age of the confirmation
 // that the configuration is current. Ages are sums of durations that each
 // poller measures on its own clock, so that no two clocks are compared. When
@@ -26,13 +27,17 @@
 const (
 	// pollInterval is the time between two polls of the parent in a small zone.
 	// Each instance beyond smallZone adds pollIntervalStep, up to
-	// maxPollInterval, so that the load of a zone's relay stays bounded.
+	// maxPollInterval, so that the load of the zone's parents stays bounded. Where
+	// members of the consensus group run in the zone, they share its instances.
 	pollInterval     dhclock.Millis = 400
 	pollIntervalStep dhclock.Millis = 25
 	maxPollInterval  dhclock.Millis = 800
 	// startupPollInterval is the time between two polls of a process whose
 	// configuration was never confirmed.
 	startupPollInterval dhclock.Millis = 100
+	// startupRetryInterval is the time after which such a process polls again
+	// without a response.
+	startupRetryInterval dhclock.Millis = 400
 	// ackTTL is how long an acknowledgement is forwarded to the parent.
 	ackTTL dhclock.Millis = 1800
 	// ackInterval is the least time between two polls that forward new
--- a/core/dhmessage/command.go
+++ b/core/dhmessage/command.go
@@ -103,6 +103,7 @@
 	peer    Peer
 	address string
 	learner bool
+	zone    string `journal:"zone,omitZero"`
 }
 
 // NewMember returns a member. A learner receives the log and has no vote. A peer
@@ -121,6 +122,27 @@
 // Learner reports whether the member has no vote yet.
 func (m Member) Learner() bool { return m.learner }
 
+// Zone returns the availability zone in which the member runs, or "" if unknown.
+func (m Member) Zone() string { return m.zone }
+
+// WithPeer returns the member with another data folder.
+func (m Member) WithPeer(p Peer) Member {
+	m.peer = p
+	return m
+}
+
+// WithLearner returns the member without a vote, or with one.
+func (m Member) WithLearner(learner bool) Member {
+	m.learner = learner
+	return m
+}
+
+// WithZone returns the member in an availability zone.
+func (m Member) WithZone(zone string) Member {
+	m.zone = zone
+	return m
+}
+
 // Members replaces the members of the consensus group. A valid Members command
 // changes at most one vote.
 type Members struct {
--- a/core/dhmessage/join.go
+++ b/core/dhmessage/join.go
@@ -5,14 +5,18 @@
 type JoinRequest struct {
 	address string
 	region  string
+	zone    string `journal:"zone,omitZero"`
 }
 
 // NewJoinRequest returns a JoinRequest. The address is where the sender listens
-// for the system's own processes.
-func NewJoinRequest(address, region string) *JoinRequest {
-	return &JoinRequest{address: address, region: region}
+// for the system's own processes; the zone is "" if the sender has none.
+func NewJoinRequest(address, region, zone string) *JoinRequest {
+	return &JoinRequest{address: address, region: region, zone: zone}
 }
 
+// Zone returns the availability zone in which the sender runs, or "".
+func (m *JoinRequest) Zone() string { return m.zone }
+
 // Region returns the region in which the sender runs.
 func (m *JoinRequest) Region() string { return m.region }
 
--- /dev/null
+++ b/core/dhreducer/founding_test.go
@@ -0,0 +1,156 @@
+package dhreducer
+
+import (
+	"fmt"
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhcontrol"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// Sizes of messages on a simulated link, in bytes.
+const (
+	messageBytes = 400
+	recordBytes  = 150
+)
+
+// linkRate is the rate of an entry instance's link, in bytes a millisecond.
+const linkRate = 250
+
+// size returns the approximate size of a message, in bytes.
+func size(m dhmessage.Message) int {
+	records := 0
+	switch m := m.(type) {
+	case *dhmessage.Update:
+		for _, c := range m.Changes() {
+			records += len(c.Puts())
+		}
+		if m.Full() != nil {
+			records += m.Full().Len()
+		}
+	case *dhmessage.AppendRequest:
+		for _, e := range m.Entries() {
+			if edit, ok := e.Command().(dhmessage.Edit); ok {
+				records += len(edit.Puts())
+			}
+		}
+	}
+	return messageBytes + records*recordBytes
+}
+
+// fleet is a managed cluster of three control processes and some entry instances in each of
+// nine zones in three regions.
+type fleet struct {
+	*network
+	controls  []*machine
+	entries   []*machine
+	upstreams []dhcatalog.UpstreamOptions
+	// sent is the number of bytes that each machine has sent.
+	sent map[string]int
+	// linkFree is when the link of an entry instance has sent everything that waits for it.
+	linkFree map[string]dhclock.Millis
+}
+
+// newFleet returns a fleet that has just started, with 20 ms between any two machines and
+// links of 250 bytes a millisecond at entry instances.
+func newFleet(t fatalReporter, entriesEach, upstreams int) *fleet {
+	n := newNetwork(t, 3)
+	n.managed = &dhcontrol.ManagedOptions{Votes: 5}
+	n.messageDelay = 20
+	f := &fleet{network: n, sent: map[string]int{}, linkFree: map[string]dhclock.Millis{}}
+	n.linkDelay = func(from *machine, m dhmessage.Message) dhclock.Millis {
+		f.sent[from.name] += size(m)
+		if from.disk != nil {
+			return 0
+		}
+		f.linkFree[from.name] = max(f.linkFree[from.name], n.now) + dhclock.Millis(size(m)/linkRate)
+		return f.linkFree[from.name] - n.now
+	}
+	var zones []string
+	for z := range 9 {
+		zone := fmt.Sprintf("%c%d", 'a'+z%3, z/3)
+		zones = append(zones, zone)
+		n.managed.Zones = append(n.managed.Zones, dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: zone, Region: zone[:1]}))
+	}
+	for i := 3; i < 27; i++ {
+		name := fmt.Sprintf("c%d", i+1)
+		n.machines = append(n.machines, &machine{name: name, offset: dhclock.Millis(i * 7919), disk: &disk{folder: name + "-folder"}})
+	}
+	for i, m := range n.machines {
+		m.zone = zones[i%len(zones)]
+	}
+	f.controls = n.machines
+	for z, zone := range zones {
+		for i := range entriesEach {
+			m := &machine{name: fmt.Sprintf("%s-%d", zone, i), zone: zone, offset: dhclock.Millis(500_000 + (z*entriesEach+i)*7919)}
+			f.entries = append(f.entries, m)
+		}
+	}
+	n.machines = append(append([]*machine{}, f.controls...), f.entries...)
+	for _, m := range n.machines {
+		n.start(m)
+	}
+	for i := range upstreams {
+		o := upstreamRecord(fmt.Sprint("u", i), dhcatalog.UpstreamReady)
+		o.Address = fmt.Sprintf("10.1.%d.%d:80", i/250, i%250)
+		f.upstreams = append(f.upstreams, o)
+	}
+	return f
+}
+
+// runWithHeartbeats advances the time while each upstream sends a heartbeat a second to one of
+// the control processes.
+func (f *fleet) runWithHeartbeats(span dhclock.Millis) {
+	const step dhclock.Millis = 20
+	for end := f.now + span; f.now < end; {
+		for i, u := range f.upstreams {
+			if dhclock.Millis(i%50) == f.now/step%50 {
+				f.sendHeartbeat(f.controls[(i+int(f.now/dhclock.Second))%len(f.controls)], u)
+			}
+		}
+		f.run(step)
+	}
+}
+
+// TestFleetOf300FormsWithin10Seconds starts 300 processes and 890 upstreams at once. After
+// 10 s every control process must be a member, and every instance must know all upstreams,
+// after at most ten changes a second. The records must not be sent more than three times to
+// each member and to each instance that starts at the leader, and an instance must leave nine
+// tenths of its link to requests.
+func TestFleetOf300FormsWithin10Seconds(t *testing.T) {
+	f := newFleet(t, 30, 890)
+	f.runWithHeartbeats(10 * dhclock.Second)
+	lead := f.leader()
+	if lead == nil {
+		t.Fatal("there is no leader after 10 s")
+	}
+	if got := len(f.status(lead).Members()); got != len(f.controls) {
+		t.Errorf("%d control processes are members, want %d", got, len(f.controls))
+	}
+	incomplete := 0
+	for _, m := range f.entries {
+		if m.view == nil || len(m.view.Catalog().List(dhcatalog.KindUpstream)) != len(f.upstreams) || m.view.Catalog().InstanceCount() != len(f.entries) {
+			incomplete++
+		}
+	}
+	if incomplete > 0 {
+		t.Errorf("%d of %d instances lack upstreams or instances", incomplete, len(f.entries))
+	}
+	most := 0
+	for _, m := range f.entries {
+		most = max(most, f.sent[m.name])
+	}
+	t.Logf("version %d; the leader sent %d bytes, an entry instance at most %d", f.status(lead).Version(), f.sent[lead.name], most)
+	if got := f.status(lead).Version(); got > 100 {
+		t.Errorf("the fleet formed with %d changes, want at most 100", got)
+	}
+	copies := len(f.controls) - 1 + len(f.entries)/3
+	if limit := 3 * copies * len(f.upstreams) * recordBytes; f.sent[lead.name] > limit {
+		t.Errorf("the leader sent %d bytes, want at most %d", f.sent[lead.name], limit)
+	}
+	if limit := 10 * int(dhclock.Second) * linkRate / 10; most > limit {
+		t.Errorf("an entry instance sent %d bytes, want at most %d", most, limit)
+	}
+}
--- a/core/dhreducer/managed_test.go
+++ b/core/dhreducer/managed_test.go
@@ -330,7 +330,7 @@
 		}
 	}
 	if v := f.votes(); len(v) != 5 {
-		t.Fatalf("the votes are %v, want 5", v)
+		t.Fatalf("the votes are %v, want 5; %s", v, f.describeControl())
 	}
 }
 
--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -87,6 +87,8 @@
 	// entryLinkDelay is how long packets wait for the link of each entry instance that they
 	// leave or reach, in milliseconds.
 	entryLinkDelay dhclock.Millis
+	// linkDelay returns how long a message waits for its sender's link; nil for not at all.
+	linkDelay func(from *machine, m dhmessage.Message) dhclock.Millis
 	// compactEntries is the least number of log entries between two snapshots of a
 	// voter; 0 for the production default.
 	compactEntries int
@@ -205,7 +207,7 @@
 		case *dheffect.SaveSnapshot:
 			m.disk.saveSnapshot(e)
 		case *dheffect.Send:
-			n.packets = append(n.packets, packet{from: m.self(), to: e.To(), body: e.Message(), due: n.now + n.delay(m, e.To())})
+			n.packets = append(n.packets, packet{from: m.self(), to: e.To(), body: e.Message(), due: n.now + n.delay(m, e.To(), e.Message())})
 		case *dheffect.Reply:
 			n.replies[e.CorrelationID()] = e.Result()
 		case *dheffect.Publish:
@@ -220,8 +222,11 @@
 }
 
 // delay returns how long a packet from a machine to another one takes.
-func (n *network) delay(from *machine, to string) dhclock.Millis {
+func (n *network) delay(from *machine, to string, message dhmessage.Message) dhclock.Millis {
 	d := n.messageDelay
+	if n.linkDelay != nil {
+		d += n.linkDelay(from, message)
+	}
 	for _, m := range []*machine{from, n.find(to)} {
 		if m != nil && m.disk == nil {
 			d += n.entryLinkDelay
--- a/io/dhjournal/codec.go
+++ b/io/dhjournal/codec.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"strings"
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/io/dhwire"
@@ -37,12 +38,21 @@
 // journal tag, else its Go name. A field that is renamed in core keeps its old
 // name in the tag.
 func storedName(f reflect.StructField) string {
-	if name := f.Tag.Get("journal"); name != "" {
+	if name, _, _ := strings.Cut(f.Tag.Get("journal"), ","); name != "" {
 		return name
 	}
 	return f.Name
 }
 
+// omitZero is the option of a journal tag by which a field is left out while it has its zero
+// value, so that the effects in journals of releases without the field stay equal.
+const omitZero = "omitZero"
+
+func isOmitted(f reflect.StructField, v reflect.Value) bool {
+	_, option, _ := strings.Cut(f.Tag.Get("journal"), ",")
+	return option == omitZero && v.IsZero()
+}
+
 func (c *codec) encode(v any) (json.RawMessage, error) {
 	encoded, err := c.encodeValue(reflect.ValueOf(v))
 	if err != nil {
@@ -148,6 +158,9 @@
 func (c *codec) encodeStruct(v reflect.Value) (any, error) {
 	m := map[string]any{}
 	for i := range v.NumField() {
+		if isOmitted(v.Type().Field(i), v.Field(i)) {
+			continue
+		}
 		encoded, err := c.encodeValue(v.Field(i))
 		if err != nil {
 			return nil, err
--- a/io/dhwire/log.go
+++ b/io/dhwire/log.go
@@ -131,7 +131,7 @@
 	out := make([]*dhproto.Voter, 0, len(list))
 	for _, v := range list {
 		out = append(out, &dhproto.Voter{
-			Name: v.Peer().Name(), Folder: v.Peer().FolderID(), Address: v.Address(), Learner: v.Learner(),
+			Name: v.Peer().Name(), Folder: v.Peer().FolderID(), Address: v.Address(), Learner: v.Learner(), Zone: v.Zone(),
 		})
 	}
 	return out
@@ -141,7 +141,7 @@
 func MembersFromWire(list []*dhproto.Voter) []dhmessage.Member {
 	var out []dhmessage.Member
 	for _, v := range list {
-		out = append(out, dhmessage.NewMember(dhmessage.NewPeer(v.GetName(), v.GetFolder()), v.GetAddress(), v.GetLearner()))
+		out = append(out, dhmessage.NewMember(dhmessage.NewPeer(v.GetName(), v.GetFolder()), v.GetAddress(), v.GetLearner()).WithZone(v.GetZone()))
 	}
 	return out
 }
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -64,7 +64,7 @@
 			Service: m.Service(), SentMs: m.RequestSentAt().Milliseconds(), LifeMs: m.TTL().Milliseconds(), Slots: int32(m.Slots()),
 		}}}
 	case *dhmessage.JoinRequest:
-		return &dhproto.Message{Message: &dhproto.Message_Join{Join: &dhproto.Join{Address: m.Address(), Region: m.Region()}}}
+		return &dhproto.Message{Message: &dhproto.Message_Join{Join: &dhproto.Join{Address: m.Address(), Region: m.Region(), Zone: m.Zone()}}}
 	case *dhmessage.UpstreamHeartbeats:
 		return &dhproto.Message{Message: &dhproto.Message_Heard{Heard: &dhproto.Heard{Upstreams: m.Upstreams()}}}
 	default:
@@ -176,7 +176,7 @@
 			CorrelationID: m.Proposed.GetTicket(), Result: resultFromWire(m.Proposed.GetResult()),
 		}), nil
 	case *dhproto.Message_Join:
-		return dhmessage.NewJoinRequest(m.Join.GetAddress(), m.Join.GetRegion()), nil
+		return dhmessage.NewJoinRequest(m.Join.GetAddress(), m.Join.GetRegion(), m.Join.GetZone()), nil
 	case *dhproto.Message_Heard:
 		return dhmessage.NewUpstreamHeartbeats(m.Heard.GetUpstreams()), nil
 	case *dhproto.Message_Redirect:
