--- a/core/dhgrant/demand.go
+++ b/core/dhgrant/demand.go
@@ -52,19 +52,23 @@
 const maxClosedWindows = 64
 
 // expectedDemand returns the tokens needed within demandHorizon at the current
-// estimate.
+// estimate. A single request in a window foretells none: where many instances share a small
+// limit, tokens for one more at each of them would exceed the burst.
 func (d *demandEstimator) expectedDemand(now dhclock.Millis) dhmessage.Tokens {
 	d.closeWindows(now)
 	rate := max(d.estimate, d.count*16)
+	if rate <= 16 {
+		return 0
+	}
 	return dhmessage.Tokens(rate) * dhmessage.Token / 16 * dhmessage.Tokens(demandHorizon/demandWindow)
 }
 
 // TokensToRequest returns how many tokens to request from the owner now, given
-// the number of requests that wait for a token. It returns 0 if none are needed
+// the number of requests that wait for a token. Those of the floor need no owner. It returns 0 if none are needed
 // or an earlier request is in flight, unless the need has at least doubled since.
 func (h *Holder) TokensToRequest(now dhclock.Millis, waiting int) dhmessage.Tokens {
 	target := h.demand.expectedDemand(now) + dhmessage.Tokens(waiting)*dhmessage.Token
-	held := h.Held(now)
+	held := h.Held(now) + h.floor.available(now)
 	if held >= target/2 && waiting == 0 || target <= held {
 		return 0
 	}
--- a/core/dhgrant/grant_test.go
+++ b/core/dhgrant/grant_test.go
@@ -1,6 +1,7 @@
 package dhgrant
 
 import (
+	"fmt"
 	"testing"
 
 	"dogwoodhitch/core/dhcatalog"
@@ -129,3 +130,60 @@
 		_, positions[holder] = o.Grant(now, names[holder], 1, 10*dhmessage.Token)
 	}
 }
+
+// TestManyHoldersShareASmallLimit sends eight tenths of a small limit's rate for one minute,
+// each request to another of 273 instances, 20 ms from the owner. No request may wait for its
+// token for longer than 200 ms: tokens that instances hold for requests that don't come are
+// missing elsewhere.
+func TestManyHoldersShareASmallLimit(t *testing.T) {
+	const instances, rate, delay, maxWait = 273, 20, 20, 200
+	share, floor := Split(newLimit(rate, rate/2), instances)
+	owner := NewOwner(0, share)
+	holders := make([]*Holder, instances)
+	waiting := make([][]dhclock.Millis, instances)
+	for i := range holders {
+		holders[i] = NewHolder(0)
+		holders[i].SetFloor(0, floor, 0)
+	}
+	var inFlight []delivery
+	send := func(now dhclock.Millis, i int, tokens dhmessage.Tokens) {
+		name, demand := fmt.Sprint(i), holders[i].TokenDemand("o", tokens)
+		inFlight = append(inFlight, delivery{now + delay, func(at dhclock.Millis) {
+			owner.Report(at, name, 1, demand.Consumed(), demand.Dropped())
+			amount, end := owner.Grant(at, name, 1, demand.Amount())
+			inFlight = append(inFlight, delivery{at + delay, func(at dhclock.Millis) {
+				holders[i].AddGrant(1, dhmessage.NewTokenGrant("o", amount, end, amount < tokens), now, TTL)
+				holders[i].RecordResponse()
+			}})
+		}})
+	}
+	total, late := 0, 0
+	for now := dhclock.Millis(5000); now < 65_000; now++ {
+		for len(inFlight) > 0 && inFlight[0].due <= now {
+			d := inFlight[0]
+			inFlight = inFlight[1:]
+			d.deliver(now)
+		}
+		if now%50 == 0 && now/50%5 > 0 { // 16 a second
+			i := total * 61 % instances
+			total++
+			holders[i].CountRequest(now)
+			waiting[i] = append(waiting[i], now)
+		}
+		for i, h := range holders {
+			for len(waiting[i]) > 0 && h.Spend(now) {
+				waiting[i] = waiting[i][1:]
+			}
+			if len(waiting[i]) > 0 && now-waiting[i][0] > maxWait {
+				late++
+				waiting[i] = waiting[i][1:]
+			}
+			if tokens := h.TokensToRequest(now, len(waiting[i])); tokens > 0 || now%100 == 0 && h.Position() > 0 {
+				send(now, i, tokens)
+			}
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d of %d requests waited for longer than %d ms", late, total, maxWait)
+	}
+}
--- a/core/dhgrant/holder.go
+++ b/core/dhgrant/holder.go
@@ -179,6 +179,12 @@
 	return true
 }
 
+// available returns the whole tokens in the bucket.
+func (b *bucket) available(now dhclock.Millis) dhmessage.Tokens {
+	b.refill(now)
+	return b.level - b.level%dhmessage.Token
+}
+
 func (b *bucket) isFull(now dhclock.Millis) bool {
 	b.refill(now)
 	return b.level >= b.burst && b.level >= dhmessage.Token
