--- /dev/null
+++ b/core/dhcontrol/grantpath_test.go
@@ -0,0 +1,31 @@
+package dhcontrol
+
+import "testing"
+
+// TestGrantPathLeavesUnresponsiveMembers asks the members of a zone and the leader for tokens.
+// A process that doesn't respond must be replaced by the next one, and the first must be
+// asked again later.
+func TestGrantPathLeavesUnresponsiveMembers(t *testing.T) {
+	var p grantPath
+	near := []string{"c1", "c2"}
+	expect := func(step string, got, want string) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: %q is asked, want %q", step, got, want)
+		}
+	}
+	expect("at first", p.next(1000, near, "c9"), "c1")
+	p.recordRequest(1000)
+	expect("while a response is outstanding", p.next(1200, near, "c9"), "c1")
+	p.recordResponse()
+	expect("after a response", p.next(2000, near, "c9"), "c1")
+	p.recordRequest(2000)
+	expect("after a time-out", p.next(2301, near, "c9"), "c2")
+	p.recordRequest(2301)
+	expect("after a second time-out", p.next(2602, near, "c9"), "c9")
+	p.recordRequest(2602)
+	p.recordResponse()
+	expect("after the leader's response", p.next(9000, near, "c9"), "c9")
+	expect("10 s later", p.next(12_603, near, "c9"), "c1")
+	expect("without members in the zone", p.next(12_700, nil, "c9"), "c9")
+}
--- a/core/dhcontrol/limits.go
+++ b/core/dhcontrol/limits.go
@@ -1,6 +1,8 @@
 package dhcontrol
 
 import (
+	"slices"
+
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
@@ -23,44 +25,80 @@
 	lastSweep dhclock.Millis
 }
 
-// sendGrantRequest sends a holder's token demands to the leader.
+// sendGrantRequest sends a holder's token demands to a member of the consensus group in its
+// zone, which passes them on, or to the leader.
 func (s *State) sendGrantRequest(e *dhevent.GrantsRequested, out *dheffect.List) {
-	to := s.leader()
+	to := s.grantPath.next(s.now, s.distribution.NearMembers(), s.leader())
 	if to == "" {
 		return
 	}
+	if slices.ContainsFunc(e.Demands(), func(d dhmessage.TokenDemand) bool { return d.Amount() > 0 }) {
+		s.grantPath.recordRequest(s.now)
+	}
 	out.Add(dheffect.NewSend(dheffect.SendOptions{To: to, Message: dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{
 		StartID: e.StartID(), OwnerTerm: e.OwnerTerm(), SentAt: s.now, Demands: e.Demands(),
 	})}))
 }
 
-// handleGrantRequest responds to a holder. Only a leader that holds its lease
-// may grant: no other leader can have been elected yet.
+// handleGrantRequest responds to a holder. A process that doesn't lead passes the request on
+// to the leader, or names the leader where operators manage the members.
 func (s *State) handleGrantRequest(from dhmessage.Peer, m *dhmessage.GrantRequest, out *dheffect.List) {
 	v := s.voter
 	if v == nil {
 		return
 	}
 	if !v.node.IsLeader() {
+		if s.automation != nil && v.node.Leader() != "" {
+			out.Add(dheffect.NewSend(dheffect.SendOptions{To: v.node.Leader(), Message: dhmessage.NewRelayedGrantRequest(from.Name(), m)}))
+			return
+		}
 		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRedirect(dhmessage.RedirectOptions{
 			Leader: v.node.Leader(),
 		})}))
 		return
 	}
-	if v.limits == nil || !v.node.HoldsLease(s.now) {
+	if r := s.grant(from.Name(), m); r != nil {
+		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: r}))
+	}
+}
+
+// handleRelayedGrantRequest responds to a holder's request through the process that passed it
+// on. A process that doesn't lead drops it: the holder repeats it.
+func (s *State) handleRelayedGrantRequest(from dhmessage.Peer, m *dhmessage.RelayedGrantRequest, out *dheffect.List) {
+	if s.voter == nil || !s.voter.node.IsLeader() {
 		return
 	}
+	if r := s.grant(m.Holder(), m.Request()); r != nil {
+		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRelayedGrantResponse(m.Holder(), r)}))
+	}
+}
+
+// grant returns the response to a holder, or nil for none. Only a leader that holds its lease
+// may grant: no other leader can have been elected yet.
+func (s *State) grant(holder string, m *dhmessage.GrantRequest) *dhmessage.GrantResponse {
+	v := s.voter
+	if v.limits == nil || !v.node.HoldsLease(s.now) {
+		return nil
+	}
 	var grants []dhmessage.TokenGrant
 	for _, demand := range m.Demands() {
-		if grant, ok := v.grantTokens(s.now, from.Name(), m, demand); ok {
+		if grant, ok := v.grantTokens(s.now, holder, m, demand); ok {
 			grants = append(grants, grant)
 		}
 	}
 	if len(grants) == 0 {
-		return
+		return nil
 	}
-	out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewGrantResponse(dhmessage.GrantResponseOptions{
+	return dhmessage.NewGrantResponse(dhmessage.GrantResponseOptions{
 		StartID: m.StartID(), OwnerTerm: v.node.Term(), RequestSentAt: m.SentAt(), TTL: dhgrant.TTL, Grants: grants,
+	})
+}
+
+// handleGrantResponse passes the owner's response to the traffic state.
+func (s *State) handleGrantResponse(m *dhmessage.GrantResponse, out *dheffect.List) {
+	s.grantPath.recordResponse()
+	out.Add(dheffect.NewPostToTraffic(dheffect.PostToTrafficOptions{Event: dhevent.NewGrantsReceived(s.now, dhevent.GrantsReceivedOptions{
+		OwnerTerm: m.OwnerTerm(), RequestSentAt: m.RequestSentAt(), TTL: m.TTL(), Grants: m.Grants(),
 	})}))
 }
 
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -54,6 +54,7 @@
 	reads        []pendingRead
 	registry     registry
 	automation   *automation // nil where operators manage members
+	grantPath    grantPath
 	// hasMajority reports whether the configuration was confirmed as current
 	// within the last freshness lease.
 	hasMajority bool
@@ -204,9 +205,11 @@
 	case *dhmessage.GrantRequest:
 		s.handleGrantRequest(from, m, out)
 	case *dhmessage.GrantResponse:
-		out.Add(dheffect.NewPostToTraffic(dheffect.PostToTrafficOptions{Event: dhevent.NewGrantsReceived(s.now, dhevent.GrantsReceivedOptions{
-			OwnerTerm: m.OwnerTerm(), RequestSentAt: m.RequestSentAt(), TTL: m.TTL(), Grants: m.Grants(),
-		})}))
+		s.handleGrantResponse(m, out)
+	case *dhmessage.RelayedGrantRequest:
+		s.handleRelayedGrantRequest(from, m, out)
+	case *dhmessage.RelayedGrantResponse:
+		out.Add(dheffect.NewSend(dheffect.SendOptions{To: m.Holder(), Message: m.Response()}))
 	case *dhmessage.ReservationRequest:
 		out.Add(dheffect.NewPostToTraffic(dheffect.PostToTrafficOptions{Event: dhevent.NewReservationRequested(s.now, dhevent.ReservationRequestedOptions{
 			Instance: from.Name(), Request: m,
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -57,6 +57,13 @@
 	return near, far
 }
 
+// NearMembers lists the members of the consensus group in this process's zone, from an index
+// derived from the process's name on.
+func (s *State) NearMembers() []string {
+	near, _ := s.membersByZone()
+	return s.rotated(near)
+}
+
 // rotated returns a list from an index derived from this process's name on.
 func (s *State) rotated(list []string) []string {
 	if len(list) == 0 {
--- a/core/dhreducer/founding_test.go
+++ b/core/dhreducer/founding_test.go
@@ -7,6 +7,7 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhcontrol"
+	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
 )
 
@@ -154,3 +155,53 @@
 		t.Errorf("an entry instance sent %d bytes, want at most %d", most, limit)
 	}
 }
+
+// TestGrantsReachInstancesThroughMembersOfTheirZone lets every instance of a fleet ask for a
+// token ten times a second. All must get them, and must get them again within a second after the
+// members of the consensus group in a zone have stopped, other than the leader.
+func TestGrantsReachInstancesThroughMembersOfTheirZone(t *testing.T) {
+	f := newFleet(t, 5, 0)
+	f.run(4000)
+	f.propose(f.leader(), dhmessage.NewEdit("test", []dhcatalog.Object{
+		dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "o"}),
+		dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "o", Organisation: "o", Rate: 10_000, Burst: 10_000}),
+	}, nil))
+	f.run(5000)
+	granted := map[string]dhmessage.Tokens{}
+	f.postToTraffic = func(m *machine, e dhevent.Event) {
+		if g, ok := e.(*dhevent.GrantsReceived); ok {
+			granted[m.name] += g.Grants()[0].Amount()
+		}
+	}
+	ask := func(rounds int) {
+		for range rounds {
+			for _, m := range f.entries {
+				f.handle(m, dhevent.NewGrantsRequested(f.clock(m), dhevent.GrantsRequestedOptions{
+					StartID: 1, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", dhmessage.Token, 0, 0)},
+				}))
+			}
+			f.run(100)
+		}
+		f.run(200)
+	}
+	lead := f.leader()
+	ask(10)
+	for _, m := range f.entries {
+		if granted[m.name] != 10*dhmessage.Token {
+			t.Errorf("%s got %d millionths of a token, want 10 tokens", m.name, granted[m.name])
+		}
+	}
+	for _, m := range f.controls {
+		if m != lead && m.zone == f.entries[0].zone {
+			f.stop(m)
+		}
+	}
+	ask(10)
+	clear(granted)
+	ask(1)
+	for _, m := range f.entries {
+		if granted[m.name] != dhmessage.Token {
+			t.Errorf("%s got %d millionths of a token after the members in its zone stopped, want one token", m.name, granted[m.name])
+		}
+	}
+}
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -65,6 +65,14 @@
 		}}}
 	case *dhmessage.JoinRequest:
 		return &dhproto.Message{Message: &dhproto.Message_Join{Join: &dhproto.Join{Address: m.Address(), Region: m.Region(), Zone: m.Zone()}}}
+	case *dhmessage.RelayedGrantRequest:
+		return &dhproto.Message{Message: &dhproto.Message_RelayedAsk{RelayedAsk: &dhproto.RelayedAsk{
+			Holder: m.Holder(), Ask: grantRequestToWire(m.Request()),
+		}}}
+	case *dhmessage.RelayedGrantResponse:
+		return &dhproto.Message{Message: &dhproto.Message_RelayedGive{RelayedGive: &dhproto.RelayedGive{
+			Holder: m.Holder(), Give: grantResponseToWire(m.Response()),
+		}}}
 	case *dhmessage.UpstreamHeartbeats:
 		return &dhproto.Message{Message: &dhproto.Message_Heard{Heard: &dhproto.Heard{Upstreams: m.Upstreams()}}}
 	default:
@@ -177,6 +185,10 @@
 		}), nil
 	case *dhproto.Message_Join:
 		return dhmessage.NewJoinRequest(m.Join.GetAddress(), m.Join.GetRegion(), m.Join.GetZone()), nil
+	case *dhproto.Message_RelayedAsk:
+		return dhmessage.NewRelayedGrantRequest(m.RelayedAsk.GetHolder(), grantRequestFromWire(m.RelayedAsk.GetAsk())), nil
+	case *dhproto.Message_RelayedGive:
+		return dhmessage.NewRelayedGrantResponse(m.RelayedGive.GetHolder(), grantResponseFromWire(m.RelayedGive.GetGive())), nil
 	case *dhproto.Message_Heard:
 		return dhmessage.NewUpstreamHeartbeats(m.Heard.GetUpstreams()), nil
 	case *dhproto.Message_Redirect:
@@ -259,7 +271,7 @@
 	return dhmessage.NewUpdate(o), nil
 }
 
-func grantRequestFromWire(w *dhproto.GrantAsk) dhmessage.Message {
+func grantRequestFromWire(w *dhproto.GrantAsk) *dhmessage.GrantRequest {
 	o := dhmessage.GrantRequestOptions{StartID: w.GetStream(), OwnerTerm: w.GetOwner(), SentAt: dhclock.Millis(w.GetSentMs())}
 	for _, a := range w.GetAsks() {
 		o.Demands = append(o.Demands, dhmessage.NewTokenDemand(a.GetOrganisation(),
@@ -268,7 +280,7 @@
 	return dhmessage.NewGrantRequest(o)
 }
 
-func grantResponseFromWire(w *dhproto.GrantGive) dhmessage.Message {
+func grantResponseFromWire(w *dhproto.GrantGive) *dhmessage.GrantResponse {
 	o := dhmessage.GrantResponseOptions{
 		StartID: w.GetStream(), OwnerTerm: w.GetOwner(),
 		RequestSentAt: dhclock.Millis(w.GetSentMs()), TTL: dhclock.Millis(w.GetLifeMs()),
