--- a/core/dhcontrol/grantpath_test.go
+++ b/core/dhcontrol/grantpath_test.go
@@ -1,6 +1,13 @@
 package dhcontrol
 
-import "testing"
+import (
+	"slices"
+	"testing"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhmessage"
+)
 
 // TestGrantPathLeavesUnresponsiveMembers asks the members of a zone and the leader for tokens.
 // A process that doesn't respond must be replaced by the next one, and the first must be
@@ -29,3 +36,33 @@
 	expect("10 s later", p.next(12_603, near, "c9"), "c1")
 	expect("without members in the zone", p.next(12_700, nil, "c9"), "c9")
 }
+
+// TestRelayedRequestsShareCalls passes on a request each millisecond. The first must leave at
+// once and the others together, once in an interval; without a leader none may be kept.
+func TestRelayedRequestsShareCalls(t *testing.T) {
+	var r grantRelay
+	request := dhmessage.NewRelayedGrantRequest("i1", dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{}))
+	var calls []int
+	for now := dhclock.Millis(1000); now < 1000+2*grantRelayInterval; now++ {
+		var out dheffect.List
+		r.add(request)
+		r.flush(now, "c1", &out)
+		if n := len(out.Items()); n > 0 {
+			calls = append(calls, n)
+		}
+	}
+	if want := []int{1, int(grantRelayInterval)}; !slices.Equal(calls, want) {
+		t.Errorf("the calls carry %v requests, want %v", calls, want)
+	}
+	for range 2 * maxRelayedRequests {
+		r.add(request)
+	}
+	if len(r.waiting) != maxRelayedRequests {
+		t.Errorf("%d requests wait, want at most %d", len(r.waiting), maxRelayedRequests)
+	}
+	var out dheffect.List
+	r.flush(2000, "", &out)
+	if len(out.Items()) > 0 || len(r.waiting) > 0 {
+		t.Errorf("without a leader %d requests are sent and %d wait, want none", len(out.Items()), len(r.waiting))
+	}
+}
--- a/core/dhcontrol/limits.go
+++ b/core/dhcontrol/limits.go
@@ -49,7 +49,8 @@
 	}
 	if !v.node.IsLeader() {
 		if s.automation != nil && v.node.Leader() != "" {
-			out.Add(dheffect.NewSend(dheffect.SendOptions{To: v.node.Leader(), Message: dhmessage.NewRelayedGrantRequest(from.Name(), m)}))
+			s.grantRelay.add(dhmessage.NewRelayedGrantRequest(from.Name(), m))
+			s.grantRelay.flush(s.now, v.node.Leader(), out)
 			return
 		}
 		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRedirect(dhmessage.RedirectOptions{
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -55,6 +55,7 @@
 	registry     registry
 	automation   *automation // nil where operators manage members
 	grantPath    grantPath
+	grantRelay   grantRelay
 	// hasMajority reports whether the configuration was confirmed as current
 	// within the last freshness lease.
 	hasMajority bool
@@ -159,6 +160,7 @@
 	s.tickRegistry(out)
 	if s.voter != nil {
 		s.voter.proposeRegistrations(s.now, out)
+		s.grantRelay.flush(s.now, s.voter.node.Leader(), out)
 	}
 	s.tickAutomation(out)
 	s.distribution.Tick(s.now, out)
