--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -360,6 +360,9 @@
 		zones[z.Name()] = true
 		puts = append(puts, z)
 	}
+	if s.voter.isForming(s.now) {
+		return puts
+	}
 	for _, i := range s.distribution.UnrecordedInstances(s.now) {
 		if dhcatalog.CheckObjects(i) != nil || !zones[i.Zone()] {
 			s.automation.logInvalid(i, out)
--- a/core/dhcontrol/registration.go
+++ b/core/dhcontrol/registration.go
@@ -19,7 +19,7 @@
 	lastBatch dhclock.Millis
 }
 
-// formationTime is how long the leader of a group without upstreams waits for control
+// formationTime is how long the leader of a group without instances waits for control
 // processes to join, in milliseconds.
 const formationTime = joinInterval + 2*automationInterval
 
@@ -42,7 +42,7 @@
 // may not have joined it yet. Instances that know no member in their zone would get the first
 // records from the few founders.
 func (v *voter) isForming(now dhclock.Millis) bool {
-	return now.Since(v.node.ElectedAt()) < formationTime && len(v.ledger.Catalog().List(dhcatalog.KindUpstream)) == 0
+	return now.Since(v.node.ElectedAt()) < formationTime && v.ledger.Catalog().InstanceCount() == 0
 }
 
 // proposeRegistrations proposes the received registrations as one edit, unless others were
--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -33,9 +33,15 @@
 	// zone is the child's availability zone, or "" if unknown.
 	zone string
 	// referral is whether the child was told to poll a member in its zone instead.
-	referral referral
+	referral   referral
+	referredAt dhclock.Millis
 }
 
+// referralTime is the time after which a child that polls again isn't served by the members in
+// its zone, in milliseconds. Polls that it sent before it got the list of members arrive
+// earlier.
+const referralTime dhclock.Millis = 600
+
 // referral is the state of a child for which members of the consensus group run in its zone.
 type referral int
 
@@ -124,7 +130,7 @@
 		s.children[from] = c
 	}
 	c.recordPoll(now, m)
-	s.refer(from, c, m)
+	s.refer(now, from, c, m)
 	s.receiveSuspects(now, &c.suspects, m.Suspects())
 	for _, a := range m.Acks() {
 		if old, found := s.ackRecords[a.Instance()]; !found || old.ack != a {
@@ -139,7 +145,7 @@
 // members of the consensus group in its zone gets no changes: when a fleet starts, every
 // instance polls the few processes of its settings, and a full copy for each of them would
 // fill their links and memory.
-func (s *State) refer(name string, c *child, m *dhmessage.Poll) {
+func (s *State) refer(now dhclock.Millis, name string, c *child, m *dhmessage.Poll) {
 	for _, a := range m.Acks() {
 		if i, advertised := a.AdvertisedInstance(); advertised && a.Instance() == name {
 			c.zone = i.Zone()
@@ -152,8 +158,8 @@
 	case !s.hasOtherMemberIn(c.zone):
 		c.referral = notReferred
 	case c.referral == notReferred:
-		c.referral = referred
-	default:
+		c.referral, c.referredAt = referred, now
+	case now.Since(c.referredAt) > referralTime:
 		c.referral = returned
 	}
 }
