--- a/core/dhcontrol/grantpath_test.go
+++ b/core/dhcontrol/grantpath_test.go
@@ -41,14 +41,14 @@
 // once and the others together, once in an interval; without a leader none may be kept.
 func TestRelayedRequestsShareCalls(t *testing.T) {
 	var r grantRelay
-	request := dhmessage.NewRelayedGrantRequest("i1", dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{}))
+	request := dhmessage.NewHolderRequest("i1", dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{}))
 	var calls []int
 	for now := dhclock.Millis(1000); now < 1000+2*grantRelayInterval; now++ {
 		var out dheffect.List
 		r.add(request)
 		r.flush(now, "c1", &out)
-		if n := len(out.Items()); n > 0 {
-			calls = append(calls, n)
+		for _, e := range out.Items() {
+			calls = append(calls, len(e.(*dheffect.Send).Message().(*dhmessage.RelayedGrantRequests).List()))
 		}
 	}
 	if want := []int{1, int(grantRelayInterval)}; !slices.Equal(calls, want) {
--- a/core/dhcontrol/grantrelay.go
+++ b/core/dhcontrol/grantrelay.go
@@ -15,13 +15,13 @@
 const maxRelayedRequests = 1024
 
 // grantRelay holds the requests for tokens that a member of the consensus group passes on to
-// the leader. A call costs the leader many times what a request in it does.
+// the leader. A call costs the leader many times what a request in it costs.
 type grantRelay struct {
-	waiting   []*dhmessage.RelayedGrantRequest
+	waiting   []dhmessage.HolderRequest
 	lastFlush dhclock.Millis
 }
 
-func (r *grantRelay) add(m *dhmessage.RelayedGrantRequest) {
+func (r *grantRelay) add(m dhmessage.HolderRequest) {
 	if len(r.waiting) < maxRelayedRequests {
 		r.waiting = append(r.waiting, m)
 	}
@@ -34,9 +34,7 @@
 		return
 	}
 	if leader != "" {
-		for _, m := range r.waiting {
-			out.Add(dheffect.NewSend(dheffect.SendOptions{To: leader, Message: m}))
-		}
+		out.Add(dheffect.NewSend(dheffect.SendOptions{To: leader, Message: dhmessage.NewRelayedGrantRequests(r.waiting)}))
 	}
 	r.waiting, r.lastFlush = nil, now
 }
--- a/core/dhcontrol/limits.go
+++ b/core/dhcontrol/limits.go
@@ -49,7 +49,7 @@
 	}
 	if !v.node.IsLeader() {
 		if s.automation != nil && v.node.Leader() != "" {
-			s.grantRelay.add(dhmessage.NewRelayedGrantRequest(from.Name(), m))
+			s.grantRelay.add(dhmessage.NewHolderRequest(from.Name(), m))
 			s.grantRelay.flush(s.now, v.node.Leader(), out)
 			return
 		}
@@ -63,14 +63,20 @@
 	}
 }
 
-// handleRelayedGrantRequest responds to a holder's request through the process that passed it
-// on. A process that doesn't lead drops it: the holder repeats it.
-func (s *State) handleRelayedGrantRequest(from dhmessage.Peer, m *dhmessage.RelayedGrantRequest, out *dheffect.List) {
+// handleRelayedGrantRequests responds to holders through the process that passed their requests
+// on. A process that doesn't lead drops them: the holders repeat them.
+func (s *State) handleRelayedGrantRequests(from dhmessage.Peer, m *dhmessage.RelayedGrantRequests, out *dheffect.List) {
 	if s.voter == nil || !s.voter.node.IsLeader() {
 		return
 	}
-	if r := s.grant(m.Holder(), m.Request()); r != nil {
-		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRelayedGrantResponse(m.Holder(), r)}))
+	var list []dhmessage.HolderResponse
+	for _, r := range m.List() {
+		if response := s.grant(r.Holder(), r.Request()); response != nil {
+			list = append(list, dhmessage.NewHolderResponse(r.Holder(), response))
+		}
+	}
+	if len(list) > 0 {
+		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRelayedGrantResponses(list)}))
 	}
 }
 
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -208,10 +208,12 @@
 		s.handleGrantRequest(from, m, out)
 	case *dhmessage.GrantResponse:
 		s.handleGrantResponse(m, out)
-	case *dhmessage.RelayedGrantRequest:
-		s.handleRelayedGrantRequest(from, m, out)
-	case *dhmessage.RelayedGrantResponse:
-		out.Add(dheffect.NewSend(dheffect.SendOptions{To: m.Holder(), Message: m.Response()}))
+	case *dhmessage.RelayedGrantRequests:
+		s.handleRelayedGrantRequests(from, m, out)
+	case *dhmessage.RelayedGrantResponses:
+		for _, r := range m.List() {
+			out.Add(dheffect.NewSend(dheffect.SendOptions{To: r.Holder(), Message: r.Response()}))
+		}
 	case *dhmessage.ReservationRequest:
 		out.Add(dheffect.NewPostToTraffic(dheffect.PostToTrafficOptions{Event: dhevent.NewReservationRequested(s.now, dhevent.ReservationRequestedOptions{
 			Instance: from.Name(), Request: m,
--- a/core/dhmessage/relay.go
+++ b/core/dhmessage/relay.go
@@ -1,41 +1,63 @@
 package dhmessage
 
-// RelayedGrantRequest is a holder's GrantRequest that a member of the consensus group in its
-// zone passes on to the leader. One call of the member carries the requests of many holders.
-type RelayedGrantRequest struct {
+// HolderRequest is a GrantRequest with the name of the process that sent it.
+type HolderRequest struct {
 	holder  string
 	request *GrantRequest
 }
 
-// NewRelayedGrantRequest returns the request of the holder with a name.
-func NewRelayedGrantRequest(holder string, r *GrantRequest) *RelayedGrantRequest {
-	return &RelayedGrantRequest{holder: holder, request: r}
+// NewHolderRequest returns the request of the holder with a name.
+func NewHolderRequest(holder string, r *GrantRequest) HolderRequest {
+	return HolderRequest{holder: holder, request: r}
 }
 
 // Holder returns the name of the process that sent the request.
-func (m *RelayedGrantRequest) Holder() string { return m.holder }
+func (r HolderRequest) Holder() string { return r.holder }
 
 // Request returns the request.
-func (m *RelayedGrantRequest) Request() *GrantRequest { return m.request }
+func (r HolderRequest) Request() *GrantRequest { return r.request }
 
-func (*RelayedGrantRequest) message() {}
+// RelayedGrantRequests are the requests of holders that a member of the consensus group in
+// their zone passes on to the leader.
+type RelayedGrantRequests struct{ list []HolderRequest }
 
-// RelayedGrantResponse answers a RelayedGrantRequest. Its receiver passes the response on to
-// the holder.
-type RelayedGrantResponse struct {
+// NewRelayedGrantRequests returns the message with some requests.
+func NewRelayedGrantRequests(list []HolderRequest) *RelayedGrantRequests {
+	return &RelayedGrantRequests{list: list}
+}
+
+// List returns the requests, in the order in which they arrived.
+func (m *RelayedGrantRequests) List() []HolderRequest { return m.list }
+
+func (*RelayedGrantRequests) message() {}
+
+// HolderResponse is a GrantResponse with the name of the process that it is for.
+type HolderResponse struct {
 	holder   string
 	response *GrantResponse
 }
 
-// NewRelayedGrantResponse returns the response for the holder with a name.
-func NewRelayedGrantResponse(holder string, r *GrantResponse) *RelayedGrantResponse {
-	return &RelayedGrantResponse{holder: holder, response: r}
+// NewHolderResponse returns the response for the holder with a name.
+func NewHolderResponse(holder string, r *GrantResponse) HolderResponse {
+	return HolderResponse{holder: holder, response: r}
 }
 
 // Holder returns the name of the process that the response is for.
-func (m *RelayedGrantResponse) Holder() string { return m.holder }
+func (r HolderResponse) Holder() string { return r.holder }
 
 // Response returns the response.
-func (m *RelayedGrantResponse) Response() *GrantResponse { return m.response }
+func (r HolderResponse) Response() *GrantResponse { return r.response }
+
+// RelayedGrantResponses answers RelayedGrantRequests. Its receiver passes each response on to
+// its holder.
+type RelayedGrantResponses struct{ list []HolderResponse }
+
+// NewRelayedGrantResponses returns the message with some responses.
+func NewRelayedGrantResponses(list []HolderResponse) *RelayedGrantResponses {
+	return &RelayedGrantResponses{list: list}
+}
+
+// List returns the responses.
+func (m *RelayedGrantResponses) List() []HolderResponse { return m.list }
 
-func (*RelayedGrantResponse) message() {}
+func (*RelayedGrantResponses) message() {}
--- a/io/dhjournal/types.go
+++ b/io/dhjournal/types.go
@@ -87,8 +87,8 @@
 	"*dhmessage.IntakeAsk":    reflect.TypeFor[*dhmessage.ReservationRequest](),
 	"*dhmessage.IntakeGive":   reflect.TypeFor[*dhmessage.ReservationResponse](),
 	"*dhmessage.Join":         reflect.TypeFor[*dhmessage.JoinRequest](),
-	"*dhmessage.RelayedAsk":   reflect.TypeFor[*dhmessage.RelayedGrantRequest](),
-	"*dhmessage.RelayedGive":  reflect.TypeFor[*dhmessage.RelayedGrantResponse](),
+	"*dhmessage.RelayedAsks":  reflect.TypeFor[*dhmessage.RelayedGrantRequests](),
+	"*dhmessage.RelayedGives": reflect.TypeFor[*dhmessage.RelayedGrantResponses](),
 	"*dhmessage.Heard":        reflect.TypeFor[*dhmessage.UpstreamHeartbeats](),
 	// Commands.
 	"dhmessage.Noop":       reflect.TypeFor[dhmessage.Noop](),
--- a/io/dhpeer/receiver.go
+++ b/io/dhpeer/receiver.go
@@ -111,7 +111,7 @@
 // responseWait.
 func expectsResponse(m dhmessage.Message) bool {
 	switch m.(type) {
-	case *dhmessage.VoteRequest, *dhmessage.AppendRequest, *dhmessage.Poll, *dhmessage.GrantRequest, *dhmessage.ProposeRequest, *dhmessage.ReservationRequest:
+	case *dhmessage.VoteRequest, *dhmessage.AppendRequest, *dhmessage.Poll, *dhmessage.GrantRequest, *dhmessage.RelayedGrantRequests, *dhmessage.ProposeRequest, *dhmessage.ReservationRequest:
 		return true
 	default:
 		return false
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -65,14 +65,18 @@
 		}}}
 	case *dhmessage.JoinRequest:
 		return &dhproto.Message{Message: &dhproto.Message_Join{Join: &dhproto.Join{Address: m.Address(), Region: m.Region(), Zone: m.Zone()}}}
-	case *dhmessage.RelayedGrantRequest:
-		return &dhproto.Message{Message: &dhproto.Message_RelayedAsk{RelayedAsk: &dhproto.RelayedAsk{
-			Holder: m.Holder(), Ask: grantRequestToWire(m.Request()),
-		}}}
-	case *dhmessage.RelayedGrantResponse:
-		return &dhproto.Message{Message: &dhproto.Message_RelayedGive{RelayedGive: &dhproto.RelayedGive{
-			Holder: m.Holder(), Give: grantResponseToWire(m.Response()),
-		}}}
+	case *dhmessage.RelayedGrantRequests:
+		w := &dhproto.RelayedAsks{}
+		for _, r := range m.List() {
+			w.Asks = append(w.Asks, &dhproto.HolderAsk{Holder: r.Holder(), Ask: grantRequestToWire(r.Request())})
+		}
+		return &dhproto.Message{Message: &dhproto.Message_RelayedAsks{RelayedAsks: w}}
+	case *dhmessage.RelayedGrantResponses:
+		w := &dhproto.RelayedGives{}
+		for _, r := range m.List() {
+			w.Gives = append(w.Gives, &dhproto.HolderGive{Holder: r.Holder(), Give: grantResponseToWire(r.Response())})
+		}
+		return &dhproto.Message{Message: &dhproto.Message_RelayedGives{RelayedGives: w}}
 	case *dhmessage.UpstreamHeartbeats:
 		return &dhproto.Message{Message: &dhproto.Message_Heard{Heard: &dhproto.Heard{Upstreams: m.Upstreams()}}}
 	default:
@@ -185,10 +189,18 @@
 		}), nil
 	case *dhproto.Message_Join:
 		return dhmessage.NewJoinRequest(m.Join.GetAddress(), m.Join.GetRegion(), m.Join.GetZone()), nil
-	case *dhproto.Message_RelayedAsk:
-		return dhmessage.NewRelayedGrantRequest(m.RelayedAsk.GetHolder(), grantRequestFromWire(m.RelayedAsk.GetAsk())), nil
-	case *dhproto.Message_RelayedGive:
-		return dhmessage.NewRelayedGrantResponse(m.RelayedGive.GetHolder(), grantResponseFromWire(m.RelayedGive.GetGive())), nil
+	case *dhproto.Message_RelayedAsks:
+		var list []dhmessage.HolderRequest
+		for _, a := range m.RelayedAsks.GetAsks() {
+			list = append(list, dhmessage.NewHolderRequest(a.GetHolder(), grantRequestFromWire(a.GetAsk())))
+		}
+		return dhmessage.NewRelayedGrantRequests(list), nil
+	case *dhproto.Message_RelayedGives:
+		var list []dhmessage.HolderResponse
+		for _, g := range m.RelayedGives.GetGives() {
+			list = append(list, dhmessage.NewHolderResponse(g.GetHolder(), grantResponseFromWire(g.GetGive())))
+		}
+		return dhmessage.NewRelayedGrantResponses(list), nil
 	case *dhproto.Message_Heard:
 		return dhmessage.NewUpstreamHeartbeats(m.Heard.GetUpstreams()), nil
 	case *dhproto.Message_Redirect:
