--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -37,9 +37,9 @@
 	referredAt dhclock.Millis
 }
 
-// referralTime is the time after which a child that polls again isn't served by the members in
-// its zone, in milliseconds. Polls that it sent before it got the list of members arrive
-// earlier.
+// referralTime is the time after which a child that polls again is served, in milliseconds.
+// A child of an earlier release follows no referral and reports nothing of its zone. Polls
+// that a child sent before it got the list of members arrive earlier.
 const referralTime dhclock.Millis = 600
 
 // referral is the state of a child for which members of the consensus group run in its zone.
@@ -50,7 +50,7 @@
 	notReferred referral = iota
 	// referred is the state of a child that was told them.
 	referred
-	// returned is the state of a child that polled again: it doesn't reach them.
+	// returned is the state of a child that doesn't reach them, or that polled again.
 	returned
 )
 
@@ -157,6 +157,8 @@
 	switch {
 	case !s.hasOtherMemberIn(c.zone):
 		c.referral = notReferred
+	case m.ZoneUnresponsive():
+		c.referral = returned
 	case c.referral == notReferred:
 		c.referral, c.referredAt = referred, now
 	case now.Since(c.referredAt) > referralTime:
--- a/core/dhdistribution/distribution_test.go
+++ b/core/dhdistribution/distribution_test.go
@@ -337,7 +337,8 @@
 
 // TestFirstPollOfAnInstanceWithMembersInItsZoneIsReferred polls a leader from an instance of
 // another zone. The first response and pushes must name the members and hold no changes. An
-// instance that polls again doesn't reach the members in its zone and must be served.
+// instance that polls again later, or that doesn't reach the members in its zone, must be
+// served.
 func TestFirstPollOfAnInstanceWithMembersInItsZoneIsReferred(t *testing.T) {
 	s := newLeader(20, 20)
 	s.SetMembers([]dhmessage.Member{memberIn("c1", "a1"), memberIn("c2", "b1")})
@@ -362,9 +363,40 @@
 	if len(out.Items()) != 0 {
 		t.Errorf("%d updates were pushed, want none", len(out.Items()))
 	}
+	if u := pollFrom(100, "i-b1", "b1"); len(u.Changes()) != 0 {
+		t.Errorf("a poll that was under way is answered with %d changes, want none", len(u.Changes()))
+	}
 	if u := pollFrom(1000, "i-b1", "b1"); len(u.Changes()) != 20 {
-		t.Errorf("the second response has %d changes, want 20", len(u.Changes()))
+		t.Errorf("a poll of a child that follows no referral is answered with %d changes, want 20", len(u.Changes()))
+	}
+	out = dheffect.List{}
+	s.HandlePoll(1000, "j-b1", dhmessage.NewPoll(dhmessage.PollOptions{
+		SentAt: 1000, ZoneUnresponsive: true, Acks: []dhmessage.Ack{dhmessage.NewAck("j-b1", 0, false).WithAdvertisedInstance(
+			dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "j-b1", Zone: "b1"}))},
+	}), &out)
+	if u := out.Items()[0].(*dheffect.Send).Message().(*dhmessage.Update); len(u.Changes()) != 20 {
+		t.Errorf("the first poll of a child that doesn't reach its zone is answered with %d changes, want 20", len(u.Changes()))
+	}
+}
+
+// TestInstanceReportsThatItsZoneIsUnresponsive starts an instance whose zone's only member
+// doesn't respond. Within a second it must poll another one, and tell it why.
+func TestInstanceReportsThatItsZoneIsUnresponsive(t *testing.T) {
+	s := New(Options{Self: "i1", Zone: "a1", Voters: []string{"c9"}, Now: 1000})
+	s.SetMembers([]dhmessage.Member{memberIn("c9", "b1"), memberIn("c1", "a1")})
+	for now := dhclock.Millis(1000); now < 2000; now += 20 {
+		var out dheffect.List
+		s.Tick(now, &out)
+		for _, e := range out.Items() {
+			poll := e.(*dheffect.Send).Message().(*dhmessage.Poll)
+			if to := e.(*dheffect.Send).To(); poll.ZoneUnresponsive() != (to == "c9") {
+				t.Errorf("a poll of %s reports an unresponsive zone: %t", to, poll.ZoneUnresponsive())
+			} else if to == "c9" {
+				return
+			}
+		}
 	}
+	t.Error("only the unresponsive member was polled within a second")
 }
 
 // TestInstanceFollowsAReferral sends an instance without a configuration the response of a
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -82,11 +82,15 @@
 // maxTimeoutDoublings bounds how often parentTimeout is doubled.
 const maxTimeoutDoublings = 2
 
-// timeout returns the time without a response after which another parent is tried. It
+// parentTimeout returns the time without a response after which another parent is tried. It
 // doubles with each one in a row, because each of them sends the changes that this process
-// lacks.
-func (p *parent) timeout() dhclock.Millis {
-	return parentTimeout << min(p.timeouts, maxTimeoutDoublings)
+// lacks. A process that can't serve yet waits less for the first one.
+func (s *State) parentTimeout() dhclock.Millis {
+	first := parentTimeout
+	if !s.everConfirmed {
+		first = startupParentTimeout
+	}
+	return first << min(s.parent.timeouts, maxTimeoutDoublings)
 }
 
 // keep selects the candidate with an index again, whose response was late. On a slow
@@ -135,7 +139,7 @@
 		return
 	}
 	p := &s.parent
-	if p.awaitingResponse && now.Since(p.oldestUnanswered) > p.timeout() {
+	if p.awaitingResponse && now.Since(p.oldestUnanswered) > s.parentTimeout() {
 		p.candidateIndex++
 		p.timeouts++
 		p.selectedAt, p.awaitingResponse = now, false
@@ -190,7 +194,9 @@
 	if !p.awaitingResponse {
 		p.awaitingResponse, p.oldestUnanswered = true, now
 	}
-	to := candidates[p.candidateIndex%len(candidates)]
+	index := p.candidateIndex % len(candidates)
+	to := candidates[index]
+	near, _ := s.membersByZone()
 	if to != p.suspectsSentTo {
 		p.suspects, p.suspectsSentTo = dhquarantine.Replication{}, to
 	}
@@ -198,7 +204,7 @@
 		To: to,
 		Message: dhmessage.NewPoll(dhmessage.PollOptions{
 			Version: s.catalog.Version(), SentAt: now, Acks: s.collectAcks(now), Replica: s.isVoter,
-			Suspects: p.suspects.NextReport(now, s.suspects),
+			Suspects: p.suspects.NextReport(now, s.suspects), ZoneUnresponsive: len(near) > 0 && index >= len(near) && !s.isVoter,
 		}),
 	}))
 }
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -46,6 +46,9 @@
 	// parentTimeout is the time without a response after which another parent
 	// is tried.
 	parentTimeout dhclock.Millis = 900
+	// startupParentTimeout is that time for a process whose configuration was never
+	// confirmed.
+	startupParentTimeout dhclock.Millis = 500
 	// maxConfirmationAge is the age of the last confirmation at which another
 	// parent is tried although the current one responds.
 	maxConfirmationAge dhclock.Millis = 1200
--- a/core/dhmessage/distribution.go
+++ b/core/dhmessage/distribution.go
@@ -55,6 +55,9 @@
 	Replica bool
 	// Suspects reports requests that may have crashed upstreams; nil for none.
 	Suspects *SuspectReport
+	// ZoneUnresponsive reports whether the sender knows the members of the consensus group
+	// in its zone and polls another process because they don't respond.
+	ZoneUnresponsive bool `journal:"ZoneUnresponsive,omitZero"`
 }
 
 // Poll asks the parent for newer configuration, and to confirm that the
@@ -84,6 +87,10 @@
 // Suspects reports requests that may have crashed upstreams; nil for none.
 func (m *Poll) Suspects() *SuspectReport { return m.options.Suspects }
 
+// ZoneUnresponsive reports whether the sender knows the members of the consensus group in
+// its zone and polls another process because they don't respond.
+func (m *Poll) ZoneUnresponsive() bool { return m.options.ZoneUnresponsive }
+
 func (*Poll) message() {}
 
 // UpdateOptions are the fields of an Update.
