--- a/core/dhview/view.go
+++ b/core/dhview/view.go
@@ -92,6 +92,20 @@
 // Unavailable returns the instances that look-up answers must not contain.
 func (v *View) Unavailable() []dhmessage.UnavailableInstance { return v.options.Unavailable }
 
+// ZoneOf returns the availability zone of an instance or a member of the consensus group, or
+// "" if it is unknown.
+func (v *View) ZoneOf(name string) string {
+	if i, found := v.Catalog().Instance(name); found {
+		return i.Zone()
+	}
+	for _, m := range v.Members() {
+		if m.Peer().Name() == name {
+			return m.Zone()
+		}
+	}
+	return ""
+}
+
 // IsUnavailable reports whether look-up answers must not contain an instance.
 func (v *View) IsUnavailable(instance string) bool {
 	_, found := v.unavailable[instance]
--- a/io/dhmetrics/metrics.go
+++ b/io/dhmetrics/metrics.go
@@ -58,6 +58,17 @@
 	return metrics.GetOrRegisterCounter(labelledName(name, pairs...), m.registry).Count()
 }
 
+// CounterTotal returns the sum of a counter's values over all labels.
+func (m *Metrics) CounterTotal(name string) int64 {
+	total := int64(0)
+	m.registry.Each(func(labelled string, value any) {
+		if c, ok := value.(metrics.Counter); ok && (labelled == name || strings.HasPrefix(labelled, name+"{")) {
+			total += c.Count()
+		}
+	})
+	return total
+}
+
 // SetGauge sets the value of a gauge.
 func (m *Metrics) SetGauge(value int64, name string, pairs ...string) {
 	metrics.GetOrRegisterGauge(labelledName(name, pairs...), m.registry).Update(value)
--- a/io/dhpeer/receiver.go
+++ b/io/dhpeer/receiver.go
@@ -10,7 +10,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhproto"
@@ -35,9 +34,9 @@
 	// CollectResponses collects the messages that this process sends to another
 	// one; see Sender.
 	CollectResponses func(name string) (responses chan dhmessage.Message, end func() []dhmessage.Message)
-	// CountBytes is called with the size of each Deliver response; nil if sizes
-	// are not counted.
-	CountBytes func(bytes int)
+	// CountBytes is called with the receiver, the kind and the size of each message; nil if
+	// sizes are not counted.
+	CountBytes func(to, kind string, bytes int)
 	// Log is the logger of the peer layer.
 	Log *logrus.Entry
 }
@@ -83,9 +82,7 @@
 	for _, m := range list {
 		response.Messages = append(response.Messages, dhwire.MessageToWire(m))
 	}
-	if r.options.CountBytes != nil {
-		r.options.CountBytes(proto.Size(response))
-	}
+	countMessages(r.options.CountBytes, from.Name(), response.GetMessages())
 	return response, nil
 }
 
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -14,7 +14,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhproto"
@@ -71,9 +70,9 @@
 	// Receive is called with each message that a Deliver response carries. It
 	// returns false if the mailbox is full.
 	Receive func(from dhmessage.Peer, m dhmessage.Message) bool
-	// CountBytes is called with the size of each Deliver request; nil if sizes
-	// are not counted.
-	CountBytes func(bytes int)
+	// CountBytes is called with the receiver, the kind and the size of each message; nil if
+	// sizes are not counted.
+	CountBytes func(to, kind string, bytes int)
 	// TLS is the client configuration for connections to other processes; nil
 	// for unencrypted connections.
 	TLS *tls.Config
@@ -250,9 +249,7 @@
 			timeout = bulkTimeout
 		}
 	}
-	if s.options.CountBytes != nil {
-		s.options.CountBytes(proto.Size(request))
-	}
+	countMessages(s.options.CountBytes, to, request.GetMessages())
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	client := dhprotoconnect.NewPeerServiceClient(s.client, s.scheme()+"://"+address,
--- a/io/dhprocess/cluster_test.go
+++ b/io/dhprocess/cluster_test.go
@@ -288,7 +288,7 @@
 func (c *cluster) metricTotal(name string) int64 {
 	total := int64(0)
 	for _, p := range append(append([]*Process{}, c.voters...), c.entries...) {
-		total += p.metrics.CounterValue(name)
+		total += p.metrics.CounterTotal(name)
 	}
 	return total
 }
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -162,11 +162,29 @@
 	return p.options.TLS.ClientConfig()
 }
 
-// countBytes counts one Deliver request or response to another process, and its
-// size.
-func (p *Process) countBytes(bytes int) {
-	p.metrics.AddToCounter(int64(bytes), "dogwoodhitch_peer_bytes_total")
-	p.metrics.AddToCounter(1, "dogwoodhitch_peer_messages_total")
+// countBytes counts one message to another process, and its size, by kind and by how far away
+// its receiver is.
+func (p *Process) countBytes(to, kind string, bytes int) {
+	distance := p.distanceTo(to)
+	p.metrics.AddToCounter(int64(bytes), "dogwoodhitch_peer_bytes_total", "to", distance, "kind", kind)
+	p.metrics.AddToCounter(1, "dogwoodhitch_peer_messages_total", "to", distance, "kind", kind)
+}
+
+// distanceTo returns whether another process runs in this one's zone, elsewhere in its region or
+// in another region, as a label of metrics.
+func (p *Process) distanceTo(name string) string {
+	v := p.View()
+	zone := v.ZoneOf(name)
+	switch own := p.options.Zone; {
+	case zone == "" || own == "":
+		return "unknown"
+	case zone == own:
+		return "zone"
+	case v.Catalog().RegionOf(zone) == v.Catalog().RegionOf(own):
+		return "region"
+	default:
+		return "otherRegion"
+	}
 }
 
 // self returns the process's name and the ID of its data folder, if it has one.
