--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -66,17 +66,9 @@
 	case *dhmessage.JoinRequest:
 		return &dhproto.Message{Message: &dhproto.Message_Join{Join: &dhproto.Join{Address: m.Address(), Region: m.Region(), Zone: m.Zone()}}}
 	case *dhmessage.RelayedGrantRequests:
-		w := &dhproto.RelayedAsks{}
-		for _, r := range m.List() {
-			w.Asks = append(w.Asks, &dhproto.HolderAsk{Holder: r.Holder(), Ask: grantRequestToWire(r.Request())})
-		}
-		return &dhproto.Message{Message: &dhproto.Message_RelayedAsks{RelayedAsks: w}}
+		return &dhproto.Message{Message: &dhproto.Message_RelayedAsks{RelayedAsks: relayedRequestsToWire(m)}}
 	case *dhmessage.RelayedGrantResponses:
-		w := &dhproto.RelayedGives{}
-		for _, r := range m.List() {
-			w.Gives = append(w.Gives, &dhproto.HolderGive{Holder: r.Holder(), Give: grantResponseToWire(r.Response())})
-		}
-		return &dhproto.Message{Message: &dhproto.Message_RelayedGives{RelayedGives: w}}
+		return &dhproto.Message{Message: &dhproto.Message_RelayedGives{RelayedGives: relayedResponsesToWire(m)}}
 	case *dhmessage.UpstreamHeartbeats:
 		return &dhproto.Message{Message: &dhproto.Message_Heard{Heard: &dhproto.Heard{Upstreams: m.Upstreams()}}}
 	default:
@@ -190,17 +182,9 @@
 	case *dhproto.Message_Join:
 		return dhmessage.NewJoinRequest(m.Join.GetAddress(), m.Join.GetRegion(), m.Join.GetZone()), nil
 	case *dhproto.Message_RelayedAsks:
-		var list []dhmessage.HolderRequest
-		for _, a := range m.RelayedAsks.GetAsks() {
-			list = append(list, dhmessage.NewHolderRequest(a.GetHolder(), grantRequestFromWire(a.GetAsk())))
-		}
-		return dhmessage.NewRelayedGrantRequests(list), nil
+		return relayedRequestsFromWire(m.RelayedAsks), nil
 	case *dhproto.Message_RelayedGives:
-		var list []dhmessage.HolderResponse
-		for _, g := range m.RelayedGives.GetGives() {
-			list = append(list, dhmessage.NewHolderResponse(g.GetHolder(), grantResponseFromWire(g.GetGive())))
-		}
-		return dhmessage.NewRelayedGrantResponses(list), nil
+		return relayedResponsesFromWire(m.RelayedGives), nil
 	case *dhproto.Message_Heard:
 		return dhmessage.NewUpstreamHeartbeats(m.Heard.GetUpstreams()), nil
 	case *dhproto.Message_Redirect:
@@ -304,6 +288,38 @@
 	return dhmessage.NewGrantResponse(o)
 }
 
+func relayedRequestsToWire(m *dhmessage.RelayedGrantRequests) *dhproto.RelayedAsks {
+	w := &dhproto.RelayedAsks{}
+	for _, r := range m.List() {
+		w.Asks = append(w.Asks, &dhproto.HolderAsk{Holder: r.Holder(), Ask: grantRequestToWire(r.Request())})
+	}
+	return w
+}
+
+func relayedRequestsFromWire(w *dhproto.RelayedAsks) *dhmessage.RelayedGrantRequests {
+	var list []dhmessage.HolderRequest
+	for _, a := range w.GetAsks() {
+		list = append(list, dhmessage.NewHolderRequest(a.GetHolder(), grantRequestFromWire(a.GetAsk())))
+	}
+	return dhmessage.NewRelayedGrantRequests(list)
+}
+
+func relayedResponsesToWire(m *dhmessage.RelayedGrantResponses) *dhproto.RelayedGives {
+	w := &dhproto.RelayedGives{}
+	for _, r := range m.List() {
+		w.Gives = append(w.Gives, &dhproto.HolderGive{Holder: r.Holder(), Give: grantResponseToWire(r.Response())})
+	}
+	return w
+}
+
+func relayedResponsesFromWire(w *dhproto.RelayedGives) *dhmessage.RelayedGrantResponses {
+	var list []dhmessage.HolderResponse
+	for _, g := range w.GetGives() {
+		list = append(list, dhmessage.NewHolderResponse(g.GetHolder(), grantResponseFromWire(g.GetGive())))
+	}
+	return dhmessage.NewRelayedGrantResponses(list)
+}
+
 func resultToWire(r dhmessage.Result) *dhproto.Result {
 	return &dhproto.Result{
 		Version: r.Version(), Claim: int32(r.ClaimState()), Answer: responseToWire(r.Response()),
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -104,7 +104,7 @@
 		dhmessage.NewAppendRequest(dhmessage.AppendRequestOptions{Term: 1, PreviousIndex: 2, PreviousTerm: 3, Entries: entries, CommitIndex: 4, Round: 5}),
 		dhmessage.NewAppendResponse(dhmessage.AppendResponseOptions{Term: 1, Accepted: true, MatchIndex: 2, Round: 3}),
 		dhmessage.NewInstallSnapshot(dhmessage.InstallSnapshotOptions{Term: 1, Snapshot: snapshot, Round: 2}),
-		dhmessage.NewPoll(dhmessage.PollOptions{Version: 1, SentAt: 2, Acks: []dhmessage.Ack{dhmessage.NewAck("i", 1, true)}, Replica: true, Suspects: suspects}),
+		dhmessage.NewPoll(dhmessage.PollOptions{Version: 1, SentAt: 2, Acks: []dhmessage.Ack{dhmessage.NewAck("i", 1, true)}, Replica: true, Suspects: suspects, ZoneUnresponsive: true}),
 		dhmessage.NewUpdate(dhmessage.UpdateOptions{
 			PollSentAt: 1, Version: 2, EverConfirmed: true, Age: 3, Full: c, Changes: []dhcatalog.ChangeSet{set},
 			Unavailable: []dhmessage.UnavailableInstance{dhmessage.NewUnavailableInstance("i", true)}, Leader: "c", InForce: 4,
@@ -112,6 +112,13 @@
 		}),
 		dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{StartID: 1, OwnerTerm: 2, SentAt: 3, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", 1, 2, 3)}}),
 		dhmessage.NewGrantResponse(dhmessage.GrantResponseOptions{StartID: 1, OwnerTerm: 2, RequestSentAt: 3, TTL: 4, Grants: []dhmessage.TokenGrant{dhmessage.NewTokenGrant("o", 1, 2, true)}}),
+		dhmessage.NewRelayedGrantRequests([]dhmessage.HolderRequest{dhmessage.NewHolderRequest("i", dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{
+			StartID: 1, OwnerTerm: 2, SentAt: 3, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", 1, 2, 3)},
+		}))}),
+		dhmessage.NewRelayedGrantResponses([]dhmessage.HolderResponse{dhmessage.NewHolderResponse("i", dhmessage.NewGrantResponse(dhmessage.GrantResponseOptions{
+			StartID: 1, OwnerTerm: 2, RequestSentAt: 3, TTL: 4, Grants: []dhmessage.TokenGrant{dhmessage.NewTokenGrant("o", 1, 2, true)},
+		}))}),
+		dhmessage.NewJoinRequest("c:1", "r", "z"),
 		dhmessage.NewRedirect(dhmessage.RedirectOptions{CorrelationID: 1, Leader: "c"}),
 		dhmessage.NewReservationRequest(dhmessage.ReservationRequestOptions{Service: "s", SentAt: 1, Slots: 2}),
 		dhmessage.NewReservationResponse(dhmessage.ReservationResponseOptions{Service: "s", RequestSentAt: 1, TTL: 2, Slots: 3}),
