--- a/core/dhcontrol/grantpath.go
+++ b/core/dhcontrol/grantpath.go
@@ -11,18 +11,19 @@
 )
 
 // grantPath selects the process to which an instance sends its requests for tokens: a member
-// of the consensus group in its zone, so that the leader gets one call for the requests of
-// many instances, or the leader.
+// of the consensus group, the nearest first, so that the leader gets one call for the requests
+// of many instances. A leader that responds late must not get a call of each instance then.
 type grantPath struct {
-	index           int            // in the members of the zone and the leader
+	index           int            // in the list of members
 	selectedAt      dhclock.Millis // when index was last changed
 	unansweredSince dhclock.Millis // when the oldest request without a response was sent
 	isAwaiting      bool
 }
 
-// next returns the process to ask, or "" if none is known. It selects another one when the
-// present one doesn't respond, and later returns to the first.
-func (p *grantPath) next(now dhclock.Millis, near []string, leader string) string {
+// next returns the process to ask, or "" if none is known: one of the members, which are listed
+// by distance, or the leader if there are none. It selects another one when the present one
+// doesn't respond, and later returns to the first.
+func (p *grantPath) next(now dhclock.Millis, members []string, leader string) string {
 	switch {
 	case p.isAwaiting && now.Since(p.unansweredSince) > grantPathTimeout:
 		p.index++
@@ -30,10 +31,10 @@
 	case p.index > 0 && now.Since(p.selectedAt) > grantPathRetryInterval:
 		p.index, p.isAwaiting = 0, false
 	}
-	if i := p.index % (len(near) + 1); i < len(near) {
-		return near[i]
+	if len(members) == 0 {
+		return leader
 	}
-	return leader
+	return members[p.index%len(members)]
 }
 
 // recordRequest records that a request which gets a response was sent.
--- a/core/dhcontrol/grantpath_test.go
+++ b/core/dhcontrol/grantpath_test.go
@@ -9,12 +9,12 @@
 	"dogwoodhitch/core/dhmessage"
 )
 
-// TestGrantPathLeavesUnresponsiveMembers asks the members of a zone and the leader for tokens.
+// TestGrantPathLeavesUnresponsiveMembers asks the members of the consensus group for tokens.
 // A process that doesn't respond must be replaced by the next one, and the first must be
 // asked again later.
 func TestGrantPathLeavesUnresponsiveMembers(t *testing.T) {
 	var p grantPath
-	near := []string{"c1", "c2"}
+	near := []string{"c1", "c2", "c9"}
 	expect := func(step string, got, want string) {
 		t.Helper()
 		if got != want {
@@ -32,9 +32,9 @@
 	expect("after a second time-out", p.next(2602, near, "c9"), "c9")
 	p.recordRequest(2602)
 	p.recordResponse()
-	expect("after the leader's response", p.next(9000, near, "c9"), "c9")
+	expect("after a response of the third", p.next(9000, near, "c9"), "c9")
 	expect("10 s later", p.next(12_603, near, "c9"), "c1")
-	expect("without members in the zone", p.next(12_700, nil, "c9"), "c9")
+	expect("without members", p.next(12_700, nil, "c9"), "c9")
 }
 
 // TestRelayedRequestsShareCalls passes on a request each millisecond. The first must leave at
--- a/core/dhcontrol/limits.go
+++ b/core/dhcontrol/limits.go
@@ -25,10 +25,10 @@
 	lastSweep dhclock.Millis
 }
 
-// sendGrantRequest sends a holder's token demands to a member of the consensus group in its
-// zone, which passes them on, or to the leader.
+// sendGrantRequest sends a holder's token demands to a member of the consensus group, which
+// passes them on, or to the leader if no member is known to run in the zone.
 func (s *State) sendGrantRequest(e *dhevent.GrantsRequested, out *dheffect.List) {
-	to := s.grantPath.next(s.now, s.distribution.NearMembers(), s.leader())
+	to := s.grantPath.next(s.now, s.distribution.NearestMembers(), s.leader())
 	if to == "" {
 		return
 	}
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -57,11 +57,15 @@
 	return near, far
 }
 
-// NearMembers lists the members of the consensus group in this process's zone, from an index
-// derived from the process's name on.
-func (s *State) NearMembers() []string {
-	near, _ := s.membersByZone()
-	return s.rotated(near)
+// NearestMembers lists the members of the consensus group, those in this process's zone first,
+// each part from an index derived from the process's name on. It is empty if none is known to
+// run in the zone.
+func (s *State) NearestMembers() []string {
+	near, far := s.membersByZone()
+	if len(near) == 0 {
+		return nil
+	}
+	return slices.Concat(s.rotated(near), s.rotated(far))
 }
 
 // rotated returns a list from an index derived from this process's name on.
--- a/core/dhreducer/founding_test.go
+++ b/core/dhreducer/founding_test.go
@@ -205,3 +205,45 @@
 		}
 	}
 }
+
+// TestSlowLeaderGetsFewCallsOfInstances delays the leader's responses to requests for tokens by
+// 10 s while every instance of a fleet asks, for 3 s. No more than a fifth of the requests may go straight to it: calls of
+// all instances would keep it busy.
+func TestSlowLeaderGetsFewCallsOfInstances(t *testing.T) {
+	f := newFleet(t, 5, 0)
+	f.run(4000)
+	f.propose(f.leader(), dhmessage.NewEdit("test", []dhcatalog.Object{
+		dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "o"}),
+		dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "o", Organisation: "o", Rate: 10_000, Burst: 10_000}),
+	}, nil))
+	f.run(5000)
+	lead := f.leader()
+	straight, total := 0, 0
+	f.linkDelay = func(_ *machine, m dhmessage.Message) dhclock.Millis {
+		switch m.(type) {
+		case *dhmessage.GrantResponse, *dhmessage.RelayedGrantResponses:
+			return 10 * dhclock.Second
+		default:
+			return 0
+		}
+	}
+	f.sentTo = func(from *machine, to string, m dhmessage.Message) {
+		if _, ok := m.(*dhmessage.GrantRequest); ok && from.disk == nil {
+			total++
+			if to == lead.name {
+				straight++
+			}
+		}
+	}
+	for range 30 {
+		for _, m := range f.entries {
+			f.handle(m, dhevent.NewGrantsRequested(f.clock(m), dhevent.GrantsRequestedOptions{
+				StartID: 1, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", dhmessage.Token, 0, 0)},
+			}))
+		}
+		f.run(100)
+	}
+	if straight > total/5 {
+		t.Errorf("%d of %d requests went straight to the leader, want at most a fifth", straight, total)
+	}
+}
