--- a/core/dhreducer/founding_test.go
+++ b/core/dhreducer/founding_test.go
@@ -61,7 +61,7 @@
 	n.managed = &dhcontrol.ManagedOptions{Votes: 5}
 	n.messageDelay = 20
 	f := &fleet{network: n, sent: map[string]int{}, linkFree: map[string]dhclock.Millis{}}
-	n.linkDelay = func(from *machine, m dhmessage.Message) dhclock.Millis {
+	n.linkDelay = func(from *machine, _ string, m dhmessage.Message) dhclock.Millis {
 		f.sent[from.name] += size(m)
 		if from.disk != nil {
 			return 0
@@ -75,10 +75,7 @@
 		zones = append(zones, zone)
 		n.managed.Zones = append(n.managed.Zones, dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: zone, Region: zone[:1]}))
 	}
-	for i := 3; i < 27; i++ {
-		name := fmt.Sprintf("c%d", i+1)
-		n.machines = append(n.machines, &machine{name: name, offset: dhclock.Millis(i * 7919), disk: &disk{folder: name + "-folder"}})
-	}
+	n.addControls(27)
 	for i, m := range n.machines {
 		m.zone = zones[i%len(zones)]
 	}
@@ -156,10 +153,8 @@
 	}
 }
 
-// TestGrantsReachInstancesThroughMembersOfTheirZone lets every instance of a fleet ask for a
-// token ten times a second. All must get them, and must get them again within a second after the
-// members of the consensus group in a zone have stopped, other than the leader.
-func TestGrantsReachInstancesThroughMembersOfTheirZone(t *testing.T) {
+// newLimitedFleet returns a fleet that has formed, with an organisation that has a limit.
+func newLimitedFleet(t fatalReporter) *fleet {
 	f := newFleet(t, 5, 0)
 	f.run(4000)
 	f.propose(f.leader(), dhmessage.NewEdit("test", []dhcatalog.Object{
@@ -167,25 +162,35 @@
 		dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "o", Organisation: "o", Rate: 10_000, Burst: 10_000}),
 	}, nil))
 	f.run(5000)
+	return f
+}
+
+// requestTokens lets every instance ask for a token of the organisation ten times a second.
+func (f *fleet) requestTokens(rounds int) {
+	for range rounds {
+		for _, m := range f.entries {
+			f.handle(m, dhevent.NewGrantsRequested(f.clock(m), dhevent.GrantsRequestedOptions{
+				StartID: 1, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", dhmessage.Token, 0, 0)},
+			}))
+		}
+		f.run(100)
+	}
+}
+
+// TestGrantsReachInstancesThroughMembersOfTheirZone lets every instance of a fleet ask for a
+// token ten times a second. All must get them, and must get them again within a second after the
+// members of the consensus group in a zone have stopped, other than the leader.
+func TestGrantsReachInstancesThroughMembersOfTheirZone(t *testing.T) {
+	f := newLimitedFleet(t)
 	granted := map[string]dhmessage.Tokens{}
 	f.postToTraffic = func(m *machine, e dhevent.Event) {
 		if g, ok := e.(*dhevent.GrantsReceived); ok {
 			granted[m.name] += g.Grants()[0].Amount()
 		}
 	}
-	ask := func(rounds int) {
-		for range rounds {
-			for _, m := range f.entries {
-				f.handle(m, dhevent.NewGrantsRequested(f.clock(m), dhevent.GrantsRequestedOptions{
-					StartID: 1, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", dhmessage.Token, 0, 0)},
-				}))
-			}
-			f.run(100)
-		}
-		f.run(200)
-	}
 	lead := f.leader()
-	ask(10)
+	f.requestTokens(10)
+	f.run(200)
 	for _, m := range f.entries {
 		if granted[m.name] != 10*dhmessage.Token {
 			t.Errorf("%s got %d millionths of a token, want 10 tokens", m.name, granted[m.name])
@@ -196,9 +201,11 @@
 			f.stop(m)
 		}
 	}
-	ask(10)
+	f.requestTokens(10)
+	f.run(200)
 	clear(granted)
-	ask(1)
+	f.requestTokens(1)
+	f.run(200)
 	for _, m := range f.entries {
 		if granted[m.name] != dhmessage.Token {
 			t.Errorf("%s got %d millionths of a token after the members in its zone stopped, want one token", m.name, granted[m.name])
@@ -207,42 +214,29 @@
 }
 
 // TestSlowLeaderGetsFewCallsOfInstances delays the leader's responses to requests for tokens by
-// 10 s while every instance of a fleet asks, for 3 s. No more than a fifth of the requests may go straight to it: calls of
-// all instances would keep it busy.
+// 10 s while every instance of a fleet asks, for 3 s. No more than a fifth of the requests may
+// go straight to it: calls of all instances would keep it busy.
 func TestSlowLeaderGetsFewCallsOfInstances(t *testing.T) {
-	f := newFleet(t, 5, 0)
-	f.run(4000)
-	f.propose(f.leader(), dhmessage.NewEdit("test", []dhcatalog.Object{
-		dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "o"}),
-		dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "o", Organisation: "o", Rate: 10_000, Burst: 10_000}),
-	}, nil))
-	f.run(5000)
+	f := newLimitedFleet(t)
 	lead := f.leader()
 	straight, total := 0, 0
-	f.linkDelay = func(_ *machine, m dhmessage.Message) dhclock.Millis {
+	f.linkDelay = func(from *machine, to string, m dhmessage.Message) dhclock.Millis {
 		switch m.(type) {
+		case *dhmessage.GrantRequest:
+			if from.disk == nil {
+				total++
+				if to == lead.name {
+					straight++
+				}
+			}
+			return 0
 		case *dhmessage.GrantResponse, *dhmessage.RelayedGrantResponses:
 			return 10 * dhclock.Second
 		default:
 			return 0
 		}
 	}
-	f.sentTo = func(from *machine, to string, m dhmessage.Message) {
-		if _, ok := m.(*dhmessage.GrantRequest); ok && from.disk == nil {
-			total++
-			if to == lead.name {
-				straight++
-			}
-		}
-	}
-	for range 30 {
-		for _, m := range f.entries {
-			f.handle(m, dhevent.NewGrantsRequested(f.clock(m), dhevent.GrantsRequestedOptions{
-				StartID: 1, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", dhmessage.Token, 0, 0)},
-			}))
-		}
-		f.run(100)
-	}
+	f.requestTokens(30)
 	if straight > total/5 {
 		t.Errorf("%d of %d requests went straight to the leader, want at most a fifth", straight, total)
 	}
--- a/core/dhreducer/managed_test.go
+++ b/core/dhreducer/managed_test.go
@@ -31,6 +31,14 @@
 	o.Consensus.ExternalPromotion = true
 }
 
+// addControls adds control processes beside the seeds, without starting them, up to a number.
+func (n *network) addControls(number int) {
+	for i := len(n.machines); i < number; i++ {
+		name := fmt.Sprintf("c%d", i+1)
+		n.machines = append(n.machines, &machine{name: name, offset: dhclock.Millis(i * 7919), disk: &disk{folder: name + "-folder"}})
+	}
+}
+
 // newManagedNetwork returns a managed cluster that has just started. The first
 // three control processes are the seeds.
 func newManagedNetwork(t fatalReporter, controls int, entries ...string) *network {
@@ -39,10 +47,7 @@
 		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
 		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "b1", Region: "b"}),
 	}}
-	for i := 3; i < controls; i++ {
-		name := fmt.Sprintf("c%d", i+1)
-		n.machines = append(n.machines, &machine{name: name, offset: dhclock.Millis(i * 7919), disk: &disk{folder: name + "-folder"}})
-	}
+	n.addControls(controls)
 	for i, name := range entries {
 		n.machines = append(n.machines, &machine{name: name, zone: name[:2], offset: dhclock.Millis(500_000 + i*104_729)})
 	}
--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -87,10 +87,9 @@
 	// entryLinkDelay is how long packets wait for the link of each entry instance that they
 	// leave or reach, in milliseconds.
 	entryLinkDelay dhclock.Millis
-	// sentTo is called with each message that is sent; nil for none.
-	sentTo func(from *machine, to string, m dhmessage.Message)
-	// linkDelay returns how long a message waits for its sender's link; nil for not at all.
-	linkDelay func(from *machine, m dhmessage.Message) dhclock.Millis
+	// linkDelay is called with each message that is sent. It returns how long the message
+	// waits for its sender's link; nil for not at all.
+	linkDelay func(from *machine, to string, m dhmessage.Message) dhclock.Millis
 	// compactEntries is the least number of log entries between two snapshots of a
 	// voter; 0 for the production default.
 	compactEntries int
@@ -226,11 +225,8 @@
 // delay returns how long a packet from a machine to another one takes.
 func (n *network) delay(from *machine, to string, message dhmessage.Message) dhclock.Millis {
 	d := n.messageDelay
-	if n.sentTo != nil {
-		n.sentTo(from, to, message)
-	}
 	if n.linkDelay != nil {
-		d += n.linkDelay(from, message)
+		d += n.linkDelay(from, to, message)
 	}
 	for _, m := range []*machine{from, n.find(to)} {
 		if m != nil && m.disk == nil {
