--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -74,7 +74,7 @@
 		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "ledger", Text: "accepted a change set", Number: version}))
 	}
 	for _, p := range v.pending[e.Index()] {
-		delete(v.pendingIndex, p.key)
+		delete(v.pendingKeys, p.key)
 		if p.term == e.Term() {
 			s.sendProposeResponse(p, result, out)
 		}
--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -82,6 +82,11 @@
 	lastContact dhclock.Millis
 }
 
+// learner returns the candidate with a name as a learner.
+func (c candidate) learner(name string) dhmessage.Member {
+	return dhmessage.NewMember(dhmessage.NewPeer(name, c.folderID), c.address, true).WithZone(c.zone)
+}
+
 func newAutomation(o *ManagedOptions, zone string) *automation {
 	if o == nil {
 		return nil
@@ -180,17 +185,19 @@
 		member := m.Member()
 		c, found := s.automation.candidates[member.Peer().Name()]
 		if found && member.Peer().FolderID() != "" && c.folderID != member.Peer().FolderID() && s.isRunning(c) {
-			return withReplacement(members, i, dhmessage.NewMember(dhmessage.NewPeer(member.Peer().Name(), c.folderID), c.address, true).WithZone(c.zone)),
+			return withReplacement(members, i, c.learner(member.Peer().Name())),
 				"takes the vote from a lost data folder", member.Peer().Name()
 		}
 	}
-	if next, name := s.withNewLearners(s.withZones(membersOf(members))); name != "" {
+	next, name = s.withNewLearners(s.withZones(membersOf(members)))
+	switch {
+	case name != "":
 		return next, "adds learners", name
-	}
-	if next := s.withZones(membersOf(members)); !slices.Equal(next, membersOf(members)) {
+	case !slices.Equal(next, membersOf(members)):
 		return next, "records the zones of members", s.self.Name()
+	default:
+		return s.planVotes(members)
 	}
-	return s.planVotes(members)
 }
 
 // withZones returns the members with the zones that their join requests stated.
@@ -220,7 +227,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.automation.candidates)) {
 		if c := s.automation.candidates[name]; !isMember[name] && s.isRunning(c) {
-			members = append(members, dhmessage.NewMember(dhmessage.NewPeer(name, c.folderID), c.address, true).WithZone(c.zone))
+			members = append(members, c.learner(name))
 			added = name
 		}
 	}
--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -186,7 +186,7 @@
 		return
 	}
 	p := pendingProposal{term: v.node.Term(), from: from.Name(), key: proposalKey{from: from.Name(), correlationID: m.CorrelationID()}}
-	if _, repeated := v.pendingIndex[p.key]; repeated {
+	if _, repeated := v.pendingKeys[p.key]; repeated {
 		return
 	}
 	command, result, done := v.prepare(m.Command())
@@ -195,14 +195,14 @@
 		return
 	}
 	if edit, ok := command.(dhmessage.Edit); ok && isRegistration(edit) {
-		v.pendingIndex[p.key] = true
+		v.pendingKeys[p.key] = true
 		v.registrations.add(p, edit)
 		v.proposeRegistrations(s.now, out)
 		return
 	}
 	index, _ := v.node.Propose(command, out)
 	v.pending[index] = []pendingProposal{p}
-	v.pendingIndex[p.key] = true
+	v.pendingKeys[p.key] = true
 }
 
 func (s *State) sendProposeResponse(p pendingProposal, r dhmessage.Result, out *dheffect.List) {
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -67,7 +67,7 @@
 	ledger         *dhledger.Ledger
 	appliedMembers []dhmessage.Member // as of the last applied entry
 	pending        map[uint64][]pendingProposal
-	pendingIndex   map[proposalKey]bool
+	pendingKeys    map[proposalKey]bool
 	registrations  registrations
 	limits         *limits
 	wasLeader      bool
@@ -103,7 +103,7 @@
 		ledger:         dhledger.New(snapshot),
 		appliedMembers: members,
 		pending:        map[uint64][]pendingProposal{},
-		pendingIndex:   map[proposalKey]bool{},
+		pendingKeys:    map[proposalKey]bool{},
 
 		compactEntries: cmp.Or(o.CompactEntries, defaultCompactEntries),
 	}
--- a/core/dhcontrol/status.go
+++ b/core/dhcontrol/status.go
@@ -28,7 +28,7 @@
 	if v.node.IsLeader() != v.wasLeader || v.node.Term() != v.knownTerm {
 		v.wasLeader, v.knownTerm = v.node.IsLeader(), v.node.Term()
 		v.pending = map[uint64][]pendingProposal{}
-		v.pendingIndex = map[proposalKey]bool{}
+		v.pendingKeys = map[proposalKey]bool{}
 		v.registrations = registrations{}
 		v.leadership = leadership{}
 		if v.wasLeader {
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -36,17 +36,14 @@
 		return []string{s.leader}
 	}
 	relays := s.relays()
-	near, far := s.membersByZone()
 	first := min(1, len(relays))
-	return slices.Concat(s.rotated(near), relays[:first], s.rotated(far), relays[first:])
+	return slices.Concat(s.nearMembers, relays[:first], s.farMembers, relays[first:])
 }
 
-// membersByZone lists the members of the consensus group in this process's zone, and the
-// others.
-func (s *State) membersByZone() (near, far []string) {
-	if len(s.members) == 0 {
-		return nil, s.configuredVoters
-	}
+// sortMembers divides the members of the consensus group into those in this process's zone
+// and the others.
+func (s *State) sortMembers() {
+	var near, far []string
 	for _, m := range s.members {
 		if m.Zone() != "" && m.Zone() == s.zone {
 			near = append(near, m.Peer().Name())
@@ -54,19 +51,19 @@
 			far = append(far, m.Peer().Name())
 		}
 	}
-	return near, far
+	if len(s.members) == 0 {
+		far = s.configuredVoters
+	}
+	s.nearMembers, s.farMembers, s.nearestMembers = s.rotated(near), s.rotated(far), nil
+	if len(near) > 0 {
+		s.nearestMembers = slices.Concat(s.nearMembers, s.farMembers)
+	}
 }
 
 // NearestMembers lists the members of the consensus group, those in this process's zone first,
 // each part from an index derived from the process's name on. It is empty if none is known to
-// run in the zone.
-func (s *State) NearestMembers() []string {
-	near, far := s.membersByZone()
-	if len(near) == 0 {
-		return nil
-	}
-	return slices.Concat(s.rotated(near), s.rotated(far))
-}
+// run in the zone. The caller must not change the slice.
+func (s *State) NearestMembers() []string { return s.nearestMembers }
 
 // rotated returns a list from an index derived from this process's name on.
 func (s *State) rotated(list []string) []string {
@@ -182,8 +179,7 @@
 	if s.isVoter {
 		return pollInterval
 	}
-	near, _ := s.membersByZone()
-	extra := max(0, len(s.catalog.InstancesIn(s.zone))/max(1, len(near))-smallZone)
+	extra := max(0, len(s.catalog.InstancesIn(s.zone))/max(1, len(s.nearMembers))-smallZone)
 	return min(maxPollInterval, pollInterval+dhclock.Millis(extra)*pollIntervalStep)
 }
 
@@ -200,7 +196,6 @@
 	}
 	index := p.candidateIndex % len(candidates)
 	to := candidates[index]
-	near, _ := s.membersByZone()
 	if to != p.suspectsSentTo {
 		p.suspects, p.suspectsSentTo = dhquarantine.Replication{}, to
 	}
@@ -208,7 +203,7 @@
 		To: to,
 		Message: dhmessage.NewPoll(dhmessage.PollOptions{
 			Version: s.catalog.Version(), SentAt: now, Acks: s.collectAcks(now), Replica: s.isVoter,
-			Suspects: p.suspects.NextReport(now, s.suspects), ZoneUnresponsive: len(near) > 0 && index >= len(near) && !s.isVoter,
+			Suspects: p.suspects.NextReport(now, s.suspects), ZoneUnresponsive: len(s.nearMembers) > 0 && index >= len(s.nearMembers) && !s.isVoter,
 		}),
 	}))
 }
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -2,12 +2,11 @@
 // process and returns to the leader which instance has which version.
 //
 // A process polls one parent: a member of the consensus group in its zone, an
-// instance of its zone, or another member. The response
-// holds the change sets that the process lacks and the age of the confirmation
-// that the configuration is current. Ages are sums of durations that each
-// poller measures on its own clock, so that no two clocks are compared. When
-// the version rises a process pushes it to its children at once. Versions never
-// decrease.
+// instance of its zone, or another member. The response holds the change sets that
+// the process lacks and the age of the confirmation that the configuration is
+// current. Ages are sums of durations that each poller measures on its own clock, so
+// that no two clocks are compared. When the version rises a process pushes it to its
+// children at once. Versions never decrease.
 package dhdistribution
 
 import (
@@ -109,7 +108,9 @@
 	unavailable   []dhmessage.UnavailableInstance
 	inForce       uint64
 	members       []dhmessage.Member
-	drainStarts   map[string]dhclock.Millis
+	// nearMembers, farMembers and nearestMembers name the members; see sortMembers.
+	nearMembers, farMembers, nearestMembers []string
+	drainStarts                             map[string]dhclock.Millis
 	// limitsChangedAt is when limits, or the instances that share them, last
 	// changed.
 	limitsChangedAt dhclock.Millis
@@ -145,6 +146,7 @@
 		children: map[string]*child{}, ackRecords: map[string]*ackRecord{},
 		parent: parent{selectedAt: o.Now, oldestUnanswered: o.Now}, viewChanged: true,
 	}
+	s.sortMembers()
 	s.RecordSuspects(o.Now, o.Suspects)
 	return s
 }
@@ -222,6 +224,7 @@
 func (s *State) SetMembers(list []dhmessage.Member) {
 	if !slices.Equal(list, s.members) {
 		s.members, s.viewChanged = list, true
+		s.sortMembers()
 	}
 }
 
--- a/io/dhmetrics/metrics.go
+++ b/io/dhmetrics/metrics.go
@@ -53,11 +53,6 @@
 	metrics.GetOrRegisterCounter(labelledName(name, pairs...), m.registry).Inc(n)
 }
 
-// CounterValue returns the value of a counter.
-func (m *Metrics) CounterValue(name string, pairs ...string) int64 {
-	return metrics.GetOrRegisterCounter(labelledName(name, pairs...), m.registry).Count()
-}
-
 // CounterTotal returns the sum of a counter's values over all labels.
 func (m *Metrics) CounterTotal(name string) int64 {
 	total := int64(0)
