Report how long work waits for processor time

Each process now reads the runtime's histogram of scheduling delays once a second, shows the 90 % quantile as dogwoodhitch_scheduling_delay_ms and logs it from 50 ms on.

--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -139,6 +139,7 @@
 		CountBytes: p.countBytes, TLS: p.clientTLS(),
 	})
 	p.goroutines.Go(func() { p.reportFailure(p.loop.Run(p.ctx)) })
+	p.goroutines.Go(p.watchSchedulingDelay)
 	if p.options.DataFolder != nil {
 		p.goroutines.Go(p.runSuspectSaves)
 	}
