--- a/io/dhentry/cancelled_test.go
+++ b/io/dhentry/cancelled_test.go
@@ -82,3 +82,44 @@
 		c.Close()
 	}
 }
+
+// TestRequestsThatWaitedUnreadAreSentOnAfterTheirCallersLeft lets requests wait until their callers
+// have closed the connections, as they do while a process has too little processor time. None of
+// them may reach an upstream. Half of the callers send further bytes before they leave, which hide
+// the end of the connection from net/http.
+func TestRequestsThatWaitedUnreadAreSentOnAfterTheirCallersLeft(t *testing.T) {
+	const count = 100
+	upstream := startUpstream(t, func(*http.Request, int64) (string, bool) { return okResponse("answer"), false })
+	callersLeft, closed := make(chan struct{}), make(chan struct{}, count)
+	e := startConfiguredEntry(t, func(s *http.Server) {
+		// The server accepts no further connection while this function runs.
+		s.ConnState = func(_ net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				<-callersLeft
+			case http.StateClosed:
+				closed <- struct{}{}
+			}
+		}
+	}, upstream.Addr().String())
+	for i := range count {
+		c, err := net.Dial("tcp", e.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		next := strings.Repeat("P", i%2*8192)
+		fmt.Fprintf(c, "POST /write/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\nAuthorization: Bearer "+testKey+"\r\n\r\nbody%s", next)
+		c.Close()
+	}
+	close(callersLeft)
+	for range count {
+		select {
+		case <-closed:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the connections of callers that left are open for 10 s")
+		}
+	}
+	if got := upstream.requests.Load(); got > 0 {
+		t.Errorf("%d of %d requests were sent on after their callers had left", got, count)
+	}
+}
