Drop requests whose callers have left before they are sent on

Cause: where a process has too little processor time, a connection waits for it until the caller gives up and closes it. The request is read then as if it were new: its deadline is counted from the reading, and net/http learns of the end of the connection in another goroutine, which waits in turn. Meanwhile the request is decided and sent.

Change: a request asks the kernel whether its connection has been closed, once when it has been read, so that it spends no token, and once before each attempt. A caller that has only ended its output still gets a refusal that needs no upstream, as before.

TestCallersThatLeftSpendTheTokensOfOthers fails without the check at the admission.

--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -191,6 +191,9 @@
 	// ContentHash is the hash of the request's method, host, target and body; nil if
 	// unknown.
 	ContentHash *dhcatalog.Hash
+	// CallerLeft reports whether the caller had closed its connection when the request was
+	// read; nil if unknown.
+	CallerLeft *bool
 }
 
 // RequestReceived is a caller's request, or one that another instance forwards.
@@ -252,6 +255,12 @@
 // BodyBytes returns the size of the request's body, in bytes.
 func (e *RequestReceived) BodyBytes() int { return e.options.BodyBytes }
 
+// CallerLeft reports whether the caller had closed its connection when the request was
+// read.
+func (e *RequestReceived) CallerLeft() bool {
+	return e.options.CallerLeft != nil && *e.options.CallerLeft
+}
+
 // MinDeclaration returns the number of the declaration that the instance which
 // forwards the request has; nil if it sent none.
 func (e *RequestReceived) MinDeclaration() *uint64 { return e.options.MinDeclaration }
@@ -438,7 +447,7 @@
 
 // String returns the name of the end.
 func (e AttemptEnd) String() string {
-	names := [...]string{"answered", "notSent", "refused", "broken", "timedOut", "misplaced", "callerGone", "unattributed"}
+	names := [...]string{"answered", "notSent", "refused", "broken", "timedOut", "misplaced", "callerGone", "unattributed", "abandoned"}
 	if e < 0 || int(e) >= len(names) {
 		return "unknown"
 	}
@@ -469,4 +478,7 @@
 	// EndUnattributed means that a refusal arrived which may belong to an earlier request
 	// on the connection, so the request may have run.
 	EndUnattributed
+	// EndAbandoned means that the caller disconnected before anything was sent, so the
+	// request certainly did not run.
+	EndAbandoned
 )
--- a/core/dhtraffic/admission.go
+++ b/core/dhtraffic/admission.go
@@ -19,7 +19,8 @@
 // HandleRequest looks up the route of a request, checks the caller's key and the
 // idempotency key, and acquires a rate limit token. It refuses the request if one
 // of these fails. For a request from a peer, which has done all this already, it
-// only looks up the route and acquires a slot.
+// only looks up the route and acquires a slot. A request whose caller has left spends
+// neither.
 func (s *State) HandleRequest(e *dhevent.RequestReceived, out *dheffect.List) {
 	now := e.At()
 	r := &request{
@@ -54,24 +55,35 @@
 	}
 	r.setQueueDeadline(now)
 	s.requests[r.id] = r
+	if refusal, ok := s.admit(now, r, e); !ok {
+		s.refuse(now, r, refusal, out)
+		return
+	}
+	switch {
+	case e.CallerLeft():
+		s.end(now, r, dheffect.CallerGone, 0, out)
+	case r.fromPeer:
+		s.acquireSlot(now, r, out)
+	default:
+		s.acquireToken(now, r, out)
+	}
+}
+
+// admit sets the organisation of a request and its claim key. It returns false and a refusal
+// if the caller's key is not valid, the request is quarantined or its idempotency key is
+// missing. A peer that forwards a request has checked all this already.
+func (s *State) admit(now dhclock.Millis, r *request, e *dhevent.RequestReceived) (dheffect.Refusal, bool) {
 	if r.fromPeer {
 		r.setOrganisation(e.Organisation())
-		s.acquireSlot(now, r, out)
-		return
+		return dheffect.Refusal{}, true
 	}
 	if refusal, ok := s.authenticate(now, r, e.APIKeyHash()); !ok {
-		s.refuse(now, r, refusal, out)
-		return
+		return refusal, false
 	}
 	if remaining := s.quarantine(now, r); remaining > 0 {
-		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseQuarantined, false, remaining), out)
-		return
-	}
-	if refusal, ok := s.setClaimKey(r, e); !ok {
-		s.refuse(now, r, refusal, out)
-		return
+		return dheffect.NewRefusal(dheffect.RefuseQuarantined, false, remaining), false
 	}
-	s.acquireToken(now, r, out)
+	return s.setClaimKey(r, e)
 }
 
 // declarationNumber returns the number of the declaration in force here; 0 for none.
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -38,6 +38,11 @@
 			s.proposeClaimOutcome(now, r, dhmessage.ClaimUnclear, nil, out)
 		}
 		s.end(now, r, dheffect.CallerGone, 0, out)
+	case dhevent.EndAbandoned:
+		if r.claimGranted {
+			s.proposeClaimOutcome(now, r, dhmessage.ClaimReleased, nil, out)
+		}
+		s.end(now, r, dheffect.CallerGone, 0, out)
 	}
 	if p != nil {
 		s.dispatch(now, p, out)
@@ -112,7 +117,7 @@
 	switch {
 	case e.ResponseMissed():
 		return dhsteer.ResponseMissed
-	case e.End() == dhevent.EndNotSent || e.End() == dhevent.EndMisplaced:
+	case e.End() == dhevent.EndNotSent || e.End() == dhevent.EndMisplaced || e.End() == dhevent.EndAbandoned:
 		return dhsteer.NoResponse
 	default:
 		return dhsteer.ResponseArrived
@@ -157,7 +162,7 @@
 		return dhsteer.Unreachable
 	case dhevent.EndMisplaced:
 		return dhsteer.Misplaced
-	case dhevent.EndCallerGone:
+	case dhevent.EndCallerGone, dhevent.EndAbandoned:
 		return dhsteer.Neutral
 	default:
 		return dhsteer.Failed
--- a/core/dhtraffic/token_test.go
+++ b/core/dhtraffic/token_test.go
@@ -82,3 +82,37 @@
 		})
 	}
 }
+
+// TestCallersThatLeftSpendTheTokensOfOthers has 20 callers leave before their requests are read,
+// and then a request of a caller that waits. The organisation's floor holds ten tokens, so it must
+// be forwarded.
+func TestCallersThatLeftSpendTheTokensOfOthers(t *testing.T) {
+	s := newTestState(t, 1<<40,
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
+		dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "a1-1", Zone: "a1", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}),
+		dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: "o"}),
+		dhcatalog.NewKey(dhcatalog.KeyOptions{Name: "o", Organisation: "o", Hash: dhcatalog.Hash{1}}),
+		dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: "o", Organisation: "o", Rate: 10, Burst: 10, FloorPercent: 100}),
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Idempotent: true, Timeout: 1000, Objective: 1000}),
+		dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{Name: "u", Service: "s", Address: "10.0.0.3:1", Zone: "a1", Slots: 4, Incarnation: 1}),
+	)
+	send := func(id uint64, callerLeft bool) string {
+		var out dheffect.List
+		s.HandleRequest(dhevent.NewRequestReceived(5000, dhevent.RequestReceivedOptions{
+			RequestID: id, Path: "/", APIKeyHash: dhcatalog.Hash{1}, CallerLeft: &callerLeft,
+		}), &out)
+		return outcomeOf(out.Items())
+	}
+	for id := range uint64(20) {
+		if got := send(id+1, true); got != "" {
+			t.Fatalf("a request of a caller that left is %s", got)
+		}
+	}
+	if got := send(21, false); got != "forwarded" {
+		t.Errorf("the request of a caller that waits: %q, want forwarded", got)
+	}
+	if got := s.OpenRequests(); got != 1 {
+		t.Errorf("%d requests are open, want 1", got)
+	}
+}
--- a/io/dhentry/entry_test.go
+++ b/io/dhentry/entry_test.go
@@ -112,6 +112,7 @@
 	e.Config.Protocols.SetHTTP1(true)
 	e.Config.Protocols.SetUnencryptedHTTP2(true)
 	e.Config.ErrorLog = nil
+	e.Config.ConnContext = ConnContext
 	configure(e.Config)
 	e.Start()
 	t.Cleanup(e.Close)
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -205,7 +205,11 @@
 	o := dhevent.RequestReceivedOptions{
 		CallerRequestID: in.id, Host: in.hostName(), Path: in.url.Path, ObjectHash: in.objectHash, Random: rand.Uint64(),
 		APIKeyHash: in.apiKeyHash, Timeout: in.timeout, IdempotencyKey: in.idempotencyKey, Digest: in.digest, BodyBytes: len(in.body),
-		ContentHash: new(in.contentHash()),
+	}
+	callerLeft := in.hasCallerLeft()
+	o.CallerLeft = &callerLeft
+	if !callerLeft {
+		o.ContentHash = new(in.contentHash())
 	}
 	if forwarded != nil {
 		o.FromPeer, o.Organisation, o.MinDeclaration = true, forwarded.organisation, forwarded.minDeclaration
@@ -218,6 +222,10 @@
 	s.unanswered.Add(1)
 	defer s.unanswered.Add(-1)
 	x := &exchange{server: s, in: in, waiter: waiter, writer: w, fromPeer: forwarded != nil}
+	if callerLeft {
+		x.cancel(r.Context())
+		return
+	}
 	x.run(r.Context())
 }
 
@@ -235,9 +243,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			if !x.cancel(ctx) {
-				x.abandon()
-			}
+			x.cancel(ctx)
 			return
 		case d := <-x.waiter.Decisions():
 			if x.execute(ctx, d) {
@@ -251,10 +257,10 @@
 // would write an empty response with status 200, which the caller may still receive.
 func (x *exchange) abandon() { panic(http.ErrAbortHandler) }
 
-// cancel reports to the reducer that the caller closed its connection. If a decision
-// to forward the request is still queued, the attempt ends as not sent. It carries out any
-// other decision, and reports whether the request has ended with it.
-func (x *exchange) cancel(ctx context.Context) bool {
+// cancel ends a request whose caller closed its connection. If a decision to forward the
+// request is still queued, the attempt ends as not sent. Any other decision is carried out: a
+// caller that has only ended its output gets it.
+func (x *exchange) cancel(ctx context.Context) {
 	x.server.options.TrafficState.Handle(func(at dhclock.Millis) dhevent.Event {
 		return dhevent.NewRequestCancelled(at, dhevent.RequestCancelledOptions{RequestID: x.waiter.RequestID()})
 	})
@@ -265,10 +271,11 @@
 			case *dheffect.ForwardToUpstream, *dheffect.ForwardToPeer:
 				x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndNotSent}, d.At())
 			default:
-				return x.execute(ctx, d)
+				x.execute(ctx, d)
+				return
 			}
 		default:
-			return false
+			x.abandon()
 		}
 	}
 }
@@ -318,10 +325,14 @@
 		x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndNotSent}, d.At())
 		return false
 	}
-	if claimed {
+	switch {
+	case claimed:
 		// A claimed request runs to completion even if the caller disconnects,
 		// so that a retry by the caller gets the recorded response.
 		ctx = context.WithoutCancel(ctx)
+	case x.in.hasCallerLeft():
+		x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndAbandoned}, d.At())
+		x.abandon()
 	}
 	a := s.sendAttempt(ctx, x.in, t, s.options.ResponseBufferBytes)
 	x.reportLeaving(a, d, t)
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -17,6 +17,7 @@
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhannounce"
+	"dogwoodhitch/io/dhentry"
 	"dogwoodhitch/io/dhoperator"
 	"dogwoodhitch/io/dhpeer"
 	"dogwoodhitch/io/dhtime"
@@ -128,6 +129,7 @@
 		s := &http.Server{
 			Handler: p.handlers.wrap(l.handler), Protocols: protocols, ReadHeaderTimeout: headerTimeout,
 			ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: p.serverLog,
+			ConnContext: dhentry.ConnContext,
 		}
 		if l.name == callerListenerName {
 			s.ConnState = p.recordCallerConnection
