Don't charge upstreams with callers that leave during a connect

Where callers leave while their instance opens a connection to an upstream, or before it carries out a decision, healthy upstreams are ejected, a registered one by the first such caller, and the request is decided again, on the retry budget.

Cause: such an attempt ended as notSent, which says that the upstream can't be reached.

Change: it ends as abandoned. The request ends with it, its claim is released, and the outcome counts for nothing.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -194,11 +194,13 @@
 	return ctx.Err() == nil && errors.As(err, &dialErr) && dialErr.Op == "dial"
 }
 
-// classifyFailure returns the end of a failed attempt: EndNotSent if nothing was
-// sent, else EndCallerGone if the caller closed its connection, EndTimedOut if the
-// attempt's timeout expired, and the given end in all other cases.
+// classifyFailure returns the end of a failed attempt: EndAbandoned or EndCallerGone if the
+// caller closed its connection before or after the request was sent, EndTimedOut if the
+// timeout of a sent request expired, and the given end in all other cases.
 func (s *Server) classifyFailure(ctx context.Context, a *attempt, otherwise dhevent.AttemptEnd) dhevent.AttemptEnd {
 	switch {
+	case otherwise == dhevent.EndNotSent && ctx.Err() != nil:
+		return dhevent.EndAbandoned
 	case otherwise == dhevent.EndNotSent:
 		return otherwise
 	case ctx.Err() != nil:
--- a/io/dhentry/cancelled_test.go
+++ b/io/dhentry/cancelled_test.go
@@ -6,8 +6,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
 )
 
 // TestCallerThatEndsItsOutputGetsAnEmptyAnswer closes a caller's side of its connection after a
@@ -123,3 +128,56 @@
 		t.Errorf("%d of %d requests were sent on after their callers had left", got, count)
 	}
 }
+
+// holdConnects makes the entry's connections to upstreams wait until a function is called. The
+// channel gets a value for each that waits.
+func (e *testEntry) holdConnects() (waiting chan struct{}, release func()) {
+	waiting, released := make(chan struct{}, 100), make(chan struct{})
+	next := e.server.clients.dialer.Control
+	e.server.clients.dialer.Control = func(network, address string, c syscall.RawConn) error {
+		waiting <- struct{}{}
+		<-released
+		return next(network, address, c)
+	}
+	return waiting, func() { close(released) }
+}
+
+// leave sends a request followed by further bytes, and closes the connection once the request
+// waits for its upstream.
+func (e *testEntry) leave(t *testing.T, further string, waiting chan struct{}) {
+	t.Helper()
+	c, err := net.Dial("tcp", e.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(c, "GET /read/ HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer "+testKey+"\r\n\r\n"+further)
+	<-waiting
+	c.Close()
+}
+
+// waitForEnd waits until the entry has no open request.
+func (e *testEntry) waitForEnd(t *testing.T) {
+	t.Helper()
+	for start := time.Now(); e.trafficState.OpenRequests() > 0; time.Sleep(time.Millisecond) {
+		if time.Since(start) > 10*time.Second {
+			t.Fatal("requests of callers that left are open for 10 s")
+		}
+	}
+}
+
+// TestCallersThatLeaveDuringConnectsEjectTheUpstream has callers leave while the connections to
+// their upstream are opened. That is no failure of the upstream.
+func TestCallersThatLeaveDuringConnectsEjectTheUpstream(t *testing.T) {
+	upstream := startUpstream(t, func(*http.Request, int64) (string, bool) { return okResponse("answer"), false })
+	e := startEntry(t, upstream.Addr().String())
+	waiting, release := e.holdConnects()
+	defer release()
+	for range 8 {
+		e.leave(t, "", waiting)
+	}
+	e.waitForEnd(t)
+	reply := e.trafficState.Query(func(at dhclock.Millis) dhevent.Event { return dhevent.NewPoolStatusRequested(at) })[0].(*dheffect.PoolStatusReply)
+	if got := reply.Pools()[0].Upstreams()[0].State(); got != "ok" {
+		t.Errorf("the upstream is %s after its callers have left, want ok", got)
+	}
+}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -258,8 +258,8 @@
 func (x *exchange) abandon() { panic(http.ErrAbortHandler) }
 
 // cancel ends a request whose caller closed its connection. If a decision to forward the
-// request is still queued, the attempt ends as not sent. Any other decision is carried out: a
-// caller that has only ended its output gets it.
+// request is still queued, nothing is sent. Any other decision is carried out: a caller that has
+// only ended its output gets it.
 func (x *exchange) cancel(ctx context.Context) {
 	x.server.options.TrafficState.Handle(func(at dhclock.Millis) dhevent.Event {
 		return dhevent.NewRequestCancelled(at, dhevent.RequestCancelledOptions{RequestID: x.waiter.RequestID()})
@@ -269,7 +269,7 @@
 		case d := <-x.waiter.Decisions():
 			switch d.Effect().(type) {
 			case *dheffect.ForwardToUpstream, *dheffect.ForwardToPeer:
-				x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndNotSent}, d.At())
+				x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndAbandoned}, d.At())
 			default:
 				x.execute(ctx, d)
 				return
@@ -351,7 +351,7 @@
 			o.RetryAfter = reportedRetryAfter(a.response)
 		}
 		x.postAttemptEnded(o, d.At())
-		if a.end == dhevent.EndCallerGone {
+		if a.end == dhevent.EndCallerGone || a.end == dhevent.EndAbandoned {
 			x.abandon()
 		}
 		return false
