Don't send requests over new connections for callers that have left

Change: an attempt that waited for a connection asks the kernel again before anything is written, and leaves the connection unused.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -108,7 +108,9 @@
 	mustEcho      bool // refuse responses that don't repeat the attempt ID or request ID
 	toPeer        bool
 	useTLS        bool
-	extraHeader   http.Header
+	// outlivesCaller is set if the attempt goes on after its caller has left.
+	outlivesCaller bool
+	extraHeader    http.Header
 }
 
 // attempt is one try to run a request on an upstream or through a peer, with its
@@ -137,7 +139,7 @@
 	a := &attempt{}
 	a.context, a.cancel = context.WithTimeout(ctx, time.Duration(t.timeout)*time.Millisecond)
 	a.stopAbort = context.AfterFunc(s.aborted, a.cancel)
-	gotConnection := false
+	gotConnection, abandoned := false, false
 	var connection atomic.Pointer[requestConn]
 	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
@@ -146,6 +148,12 @@
 				a.connected = new(true)
 			}
 			connection.Store(requestConnOf(i.Conn))
+			if !i.WasIdle && !t.outlivesCaller && in.hasCallerLeft() {
+				abandoned = true
+				connection.Load().abandon()
+				a.cancel()
+				return
+			}
 			connection.Load().setUnanswered(true)
 		},
 		GotFirstResponseByte: func() { connection.Load().setUnanswered(false) },
@@ -161,6 +169,9 @@
 	}
 	a.response, err = client.Do(request) //nolint:bodyclose // closed by attempt.close
 	if err != nil {
+		if abandoned {
+			return a.fail(dhevent.EndAbandoned, err)
+		}
 		if !gotConnection {
 			if isDialFailure(a.context, err) {
 				a.connected = new(false)
--- a/io/dhentry/cancelled_test.go
+++ b/io/dhentry/cancelled_test.go
@@ -181,3 +181,20 @@
 		t.Errorf("the upstream is %s after its callers have left, want ok", got)
 	}
 }
+
+// TestRequestsAreSentOnOverNewConnectionsAfterTheirCallersLeft has callers leave while the
+// connections to their upstream are opened, with further bytes that hide the end of theirs from
+// net/http. Once the connections are open, nothing may be sent.
+func TestRequestsAreSentOnOverNewConnectionsAfterTheirCallersLeft(t *testing.T) {
+	upstream := startUpstream(t, func(*http.Request, int64) (string, bool) { return okResponse("answer"), false })
+	e := startEntry(t, upstream.Addr().String())
+	waiting, release := e.holdConnects()
+	for range 8 {
+		e.leave(t, strings.Repeat("G", 8192), waiting)
+	}
+	release()
+	e.waitForEnd(t)
+	if got := upstream.requests.Load(); got > 0 {
+		t.Errorf("%d of 8 requests were sent on after their callers had left", got)
+	}
+}
--- a/io/dhentry/connection.go
+++ b/io/dhentry/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync/atomic"
 )
@@ -13,6 +14,7 @@
 type requestConn struct {
 	*net.TCPConn
 	unanswered atomic.Bool
+	abandoned  atomic.Bool
 }
 
 // dialRequestConn returns a dial function for requestConns.
@@ -43,6 +45,24 @@
 	}
 }
 
+// abandon lets nothing more be written to the connection.
+func (c *requestConn) abandon() {
+	if c != nil {
+		c.abandoned.Store(true)
+	}
+}
+
+// errCallerLeft is the error of writes after abandon.
+var errCallerLeft = errors.New("the caller has closed its connection")
+
+// Write implements net.Conn.
+func (c *requestConn) Write(b []byte) (int, error) {
+	if c.abandoned.Load() {
+		return 0, errCallerLeft
+	}
+	return c.TCPConn.Write(b)
+}
+
 // Close implements net.Conn.
 func (c *requestConn) Close() error {
 	if c.unanswered.Load() {
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -330,6 +330,7 @@
 		// A claimed request runs to completion even if the caller disconnects,
 		// so that a retry by the caller gets the recorded response.
 		ctx = context.WithoutCancel(ctx)
+		t.outlivesCaller = true
 	case x.in.hasCallerLeft():
 		x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndAbandoned}, d.At())
 		x.abandon()
