Show that large configurations arrive late on narrow links

TestLargeDeclarationsArriveLateOnNarrowLinks declares 1,400 routes to 90 instances with links of 2.6 Mbit/s, and another declaration half a second later: none has it after 10 s.

--- /dev/null
+++ b/core/dhreducer/declaration_test.go
@@ -0,0 +1,90 @@
+package dhreducer
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// freeLinkRate is what requests leave of the link of an entry instance with 2.6 Mbit/s, in
+// bytes a millisecond in each direction.
+const freeLinkRate = 160
+
+// applyTimeout is the time in which a configuration must be in force everywhere, in
+// milliseconds.
+const applyTimeout dhclock.Millis = 2500
+
+// narrowLinks lets all messages to and from each entry instance share its link.
+func (f *fleet) narrowLinks() {
+	free := map[string]dhclock.Millis{}
+	f.linkDelay = func(from *machine, to string, m dhmessage.Message) dhclock.Millis {
+		f.sent[from.name] += size(m)
+		delay := dhclock.Millis(0)
+		for _, link := range []string{"from " + from.name, "to " + to} {
+			if x := f.find(strings.Fields(link)[1]); x == nil || x.disk != nil {
+				continue
+			}
+			free[link] = max(free[link], f.now) + dhclock.Millis(size(m)/freeLinkRate)
+			delay = max(delay, free[link]-f.now)
+		}
+		return delay
+	}
+}
+
+// largeDeclaration returns a declaration with a number of routes and a text of 210 bytes for
+// each. The timeout of the first route is the declaration's number in milliseconds.
+func largeDeclaration(number uint64, routes int) dhmessage.Declare {
+	objects := []dhcatalog.Object{dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"})}
+	for i := range routes {
+		o := dhcatalog.RouteOptions{Name: fmt.Sprint("r", i), PathPrefix: fmt.Sprintf("/r%d/", i), Service: "s", Timeout: 1000}
+		if i == 0 {
+			o.Timeout = dhclock.Millis(number)
+		}
+		objects = append(objects, dhcatalog.NewRoute(o))
+	}
+	return dhmessage.NewDeclare(dhcatalog.NewDeclaration(number, strings.Repeat("x", 210*routes)), objects)
+}
+
+// lateInstances returns how many instances don't have a declaration after applyTimeout, and the
+// time after which the last one has it, or 10 s.
+func (f *fleet) lateInstances(number uint64) (late int, last dhclock.Millis) {
+	start := f.now
+	missing := func() int {
+		n := 0
+		for _, m := range f.entries {
+			if d, _ := m.view.Catalog().Declaration(); d.Number() < number {
+				n++
+			}
+		}
+		return n
+	}
+	for f.now < start+10*dhclock.Second && missing() > 0 {
+		f.run(20)
+		if f.now-start <= applyTimeout {
+			late = missing()
+		}
+	}
+	return late, f.now - start
+}
+
+// TestLargeDeclarationsArriveLateOnNarrowLinks declares 1,400 routes, and half a second later the
+// same with another timeout of one. The fleet's instances have links of 2.6 Mbit/s, half of which
+// requests use. Both declarations must be in force at each of them within 2.5 s.
+func TestLargeDeclarationsArriveLateOnNarrowLinks(t *testing.T) {
+	f := newFleet(t, 10, 0)
+	f.run(8 * dhclock.Second)
+	f.narrowLinks()
+	f.run(2 * dhclock.Second)
+	f.propose(f.leader(), largeDeclaration(1, 1400))
+	f.run(500)
+	f.propose(f.leader(), largeDeclaration(2, 1400))
+	late, last := f.lateInstances(2)
+	t.Logf("the last instance has the declaration after %d ms", last)
+	if late > 0 {
+		t.Errorf("%d of %d instances don't have the declaration after %d ms", late, len(f.entries), applyTimeout)
+	}
+}
--- a/core/dhreducer/founding_test.go
+++ b/core/dhreducer/founding_test.go
@@ -22,14 +22,21 @@
 
 // size returns the approximate size of a message, in bytes.
 func size(m dhmessage.Message) int {
-	records := 0
+	records, text := 0, 0
 	switch m := m.(type) {
 	case *dhmessage.Update:
 		for _, c := range m.Changes() {
 			records += len(c.Puts())
+			for _, o := range c.Puts() {
+				if d, ok := o.(dhcatalog.Declaration); ok {
+					text += len(d.Text())
+				}
+			}
 		}
 		if m.Full() != nil {
 			records += m.Full().Len()
+			d, _ := m.Full().Declaration()
+			text += len(d.Text())
 		}
 	case *dhmessage.AppendRequest:
 		for _, e := range m.Entries() {
@@ -38,7 +45,7 @@
 			}
 		}
 	}
-	return messageBytes + records*recordBytes
+	return messageBytes + records*recordBytes + text
 }
 
 // fleet is a managed cluster of three control processes and some entry instances in each of
