Don't send the texts of declarations to instances

Cause, one of three: a declaration holds the operator's text, which is written back unchanged when it is read. Each change of the configuration has a new text, and each went to each instance, which never uses it. With 1,400 routes of the tests' form the text has 294 KB, the objects in a change set 125 KB; with 2,800 routes 575 KB and 220 KB. The next change of one timeout sends 294 KB again.

Change: updates carry declarations without their text; control processes get it with the log. An instance says so where operators read the declaration there, and a change set that puts one without its text is refused, so that a rollback that is computed at an instance can't lose it.

--- a/core/dhcatalog/catalog.go
+++ b/core/dhcatalog/catalog.go
@@ -95,10 +95,11 @@
 // Follow returns the next version, like Apply, after a change set that the voters have
 // accepted. It accepts every record of an upstream: upstreams report their records
 // themselves, and one that another release accepted must not keep this process from
-// following the configuration. Users of such a record call CheckUpstream.
+// following the configuration. Users of such a record call CheckUpstream. It also accepts a
+// declaration without its text.
 func (c *Catalog) Follow(s ChangeSet) (*Catalog, error) {
 	return c.apply(s, func(o Object, p *problems) {
-		if o.Ref().kind != KindUpstream {
+		if kind := o.Ref().kind; kind != KindUpstream && kind != KindDeclaration {
 			checkObject(o, p)
 		}
 	})
--- a/core/dhcatalog/declaration.go
+++ b/core/dhcatalog/declaration.go
@@ -1,6 +1,10 @@
 package dhcatalog
 
-import "unicode/utf8"
+import (
+	"maps"
+	"slices"
+	"unicode/utf8"
+)
 
 // DeclarationName is the name of the only declaration in a catalog.
 const DeclarationName = "current"
@@ -11,6 +15,8 @@
 type Declaration struct {
 	number uint64
 	text   string
+	// textOmitted is set in copies for entry instances, which don't need the text.
+	textOmitted bool `journal:"textOmitted,omitZero"`
 }
 
 // NewDeclaration returns a declaration. The text is stored unchanged, so that
@@ -25,15 +31,28 @@
 // Number returns the number that the operator chose.
 func (d Declaration) Number() uint64 { return d.number }
 
-// Text returns the configuration as the operator uploaded it.
+// Text returns the configuration as the operator uploaded it, or "" if it is omitted.
 func (d Declaration) Text() string { return d.text }
 
+// TextOmitted reports whether this copy of the declaration lacks its text.
+func (d Declaration) TextOmitted() bool { return d.textOmitted }
+
+// WithoutText returns the declaration without its text. The text is several times as large as
+// the objects that it declares, and only read back by operators.
+func (d Declaration) WithoutText() Declaration {
+	d.text, d.textOmitted = "", true
+	return d
+}
+
 func (d Declaration) references() []Ref { return nil }
 
 func (d Declaration) check(p *problems) {
 	if !utf8.ValidString(d.text) {
 		p.add(d.Ref(), "text", "bytes that are not UTF-8", "encode the configuration in UTF-8")
 	}
+	if d.textOmitted {
+		p.add(d.Ref(), "textOmitted", "true", "read the declaration from a control process, which has its text")
+	}
 }
 
 // Declaration returns the current declaration; false if there is none.
@@ -42,6 +61,31 @@
 	return d, found
 }
 
+// WithoutText returns the catalog with its declaration, if it has one, without its text.
+func (c *Catalog) WithoutText() *Catalog {
+	d, found := c.Declaration()
+	if !found || d.textOmitted {
+		return c
+	}
+	next := *c
+	next.objects = maps.Clone(c.objects)
+	next.objects[d.Ref()] = d.WithoutText()
+	return &next
+}
+
+// WithoutText returns the change set with the declaration that it puts, if any, without its
+// text.
+func (s ChangeSet) WithoutText() ChangeSet {
+	i := slices.IndexFunc(s.options.Puts, func(o Object) bool { return o.Ref().kind == KindDeclaration })
+	if i < 0 {
+		return s
+	}
+	d, _ := s.options.Puts[i].(Declaration)
+	s.options.Puts = slices.Clone(s.options.Puts)
+	s.options.Puts[i] = d.WithoutText()
+	return s
+}
+
 // declaredKinds are the kinds of object that a declaration covers completely:
 // an object of these kinds that isn't declared is deleted.
 var declaredKinds = map[Kind]bool{
--- a/core/dhcatalog/declaration_test.go
+++ b/core/dhcatalog/declaration_test.go
@@ -49,3 +49,14 @@
 		t.Errorf("got %d objects, organisation old: %v, declaration %d %q; want the upstream, the evacuation, no organisation old, declaration 7 \"text\"", next.Len(), old, d.Number(), d.Text())
 	}
 }
+
+// TestDeclarationWithoutTextReplacesTheText submits what an entry instance shows of a declaration,
+// as a rollback that was computed there would. It must be refused, or the text would be lost.
+func TestDeclarationWithoutTextReplacesTheText(t *testing.T) {
+	d := NewDeclaration(7, "text").WithoutText()
+	_, err := New().Apply(NewChangeSet(ChangeSetOptions{ID: "x", Author: "test", Puts: []Object{d}}))
+	var invalid InvalidError
+	if !errors.As(err, &invalid) {
+		t.Errorf("got %v, want an InvalidError", err)
+	}
+}
--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -200,9 +200,13 @@
 		o.Members = s.members
 	}
 	if from, missing := c.missingSince(now, s.catalog.Version()); missing && s.serves(c) {
-		var retained bool
-		if o.Changes, retained = s.changeSetsSince(from); !retained {
-			o.Full = s.catalog
+		// Only a replica, which gets the log instead, needs the texts of declarations.
+		sets, retained := s.changeSetsSince(from)
+		if !retained {
+			o.Full = s.catalog.WithoutText()
+		}
+		for _, c := range sets {
+			o.Changes = append(o.Changes, c.WithoutText())
 		}
 		c.recordSent(now, from, s.catalog.Version(), !retained)
 	}
--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -192,8 +192,8 @@
 	// unknown.
 	ContentHash *dhcatalog.Hash
 	// CallerLeft reports whether the caller had closed its connection when the request was
-	// read; nil if unknown.
-	CallerLeft *bool
+	// read.
+	CallerLeft bool `journal:"CallerLeft,omitZero"`
 }
 
 // RequestReceived is a caller's request, or one that another instance forwards.
@@ -257,9 +257,7 @@
 
 // CallerLeft reports whether the caller had closed its connection when the request was
 // read.
-func (e *RequestReceived) CallerLeft() bool {
-	return e.options.CallerLeft != nil && *e.options.CallerLeft
-}
+func (e *RequestReceived) CallerLeft() bool { return e.options.CallerLeft }
 
 // MinDeclaration returns the number of the declaration that the instance which
 // forwards the request has; nil if it sent none.
--- a/core/dhtraffic/token_test.go
+++ b/core/dhtraffic/token_test.go
@@ -100,7 +100,7 @@
 	send := func(id uint64, callerLeft bool) string {
 		var out dheffect.List
 		s.HandleRequest(dhevent.NewRequestReceived(5000, dhevent.RequestReceivedOptions{
-			RequestID: id, Path: "/", APIKeyHash: dhcatalog.Hash{1}, CallerLeft: &callerLeft,
+			RequestID: id, Path: "/", APIKeyHash: dhcatalog.Hash{1}, CallerLeft: callerLeft,
 		}), &out)
 		return outcomeOf(out.Items())
 	}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -205,10 +205,9 @@
 	o := dhevent.RequestReceivedOptions{
 		CallerRequestID: in.id, Host: in.hostName(), Path: in.url.Path, ObjectHash: in.objectHash, Random: rand.Uint64(),
 		APIKeyHash: in.apiKeyHash, Timeout: in.timeout, IdempotencyKey: in.idempotencyKey, Digest: in.digest, BodyBytes: len(in.body),
+		CallerLeft: in.hasCallerLeft(),
 	}
-	callerLeft := in.hasCallerLeft()
-	o.CallerLeft = &callerLeft
-	if !callerLeft {
+	if !o.CallerLeft {
 		o.ContentHash = new(in.contentHash())
 	}
 	if forwarded != nil {
@@ -222,7 +221,7 @@
 	s.unanswered.Add(1)
 	defer s.unanswered.Add(-1)
 	x := &exchange{server: s, in: in, waiter: waiter, writer: w, fromPeer: forwarded != nil}
-	if callerLeft {
+	if o.CallerLeft {
 		x.cancel(r.Context())
 		return
 	}
--- a/io/dhwire/catalog.go
+++ b/io/dhwire/catalog.go
@@ -90,7 +90,7 @@
 		return &dhproto.Object{Object: &dhproto.Object_Evacuation{Evacuation: &dhproto.Evacuation{Zone: o.Zone()}}}
 	case dhcatalog.Declaration:
 		return &dhproto.Object{Object: &dhproto.Object_Declaration{Declaration: &dhproto.Declaration{
-			Number: o.Number(), Text: o.Text(),
+			Number: o.Number(), Text: o.Text(), TextOmitted: o.TextOmitted(),
 		}}}
 	default:
 		return &dhproto.Object{}
@@ -215,7 +215,11 @@
 	case *dhproto.Object_Evacuation:
 		return dhcatalog.NewEvacuation(o.Evacuation.GetZone()), nil
 	case *dhproto.Object_Declaration:
-		return dhcatalog.NewDeclaration(o.Declaration.GetNumber(), o.Declaration.GetText()), nil
+		d := dhcatalog.NewDeclaration(o.Declaration.GetNumber(), o.Declaration.GetText())
+		if o.Declaration.GetTextOmitted() {
+			d = d.WithoutText()
+		}
+		return d, nil
 	default:
 		return nil, FormatError{"object", "no kind", "set exactly one kind, such as {\"zone\": {…}}"}
 	}
