Allow for the size of changes before they are sent again

Change: each 100 objects in flight delay the next copy by 100 ms, what they take on a link of 1 Mbit/s.

--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -23,8 +23,9 @@
 	// last showed that a part of them had arrived.
 	sentVersion   uint64
 	inFlightSince dhclock.Millis
-	// resendTimeout is the time for which updates in flight are not sent again.
-	resendTimeout dhclock.Millis
+	// Updates in flight are not sent again for resendTimeout, and for transferTime, which
+	// allows for their size.
+	resendTimeout, transferTime dhclock.Millis
 	// firstSentAt is when the oldest of the updates in flight was sent for the first time,
 	// and roundTrip the time from there to the child's poll with them, when last measured.
 	firstSentAt dhclock.Millis
@@ -65,11 +66,17 @@
 	maxFirstResendTimeout dhclock.Millis = 2000
 	// maxResendTimeout bounds the time between two resends.
 	maxResendTimeout dhclock.Millis = 4000
+	// batchTransferTime is how much later changes are sent again for each transferBatch
+	// objects in them: what these take on a link of 1 Mbit/s.
+	batchTransferTime dhclock.Millis = 100
 	// fullResendTimeout is the time after which a full configuration is sent
 	// again. Its transfer may be large and slow.
 	fullResendTimeout dhclock.Millis = 10_000
 )
 
+// transferBatch is a number of objects; see batchTransferTime.
+const transferBatch = 100
+
 // recordPoll records a child's version. A child with an older version than
 // before has restarted, and the updates in flight to it are lost. A child that
 // has received only a part of the updates in flight may have lost the rest:
@@ -81,7 +88,7 @@
 	}
 	switch {
 	case m.Version() < c.ackedVersion || m.Version() >= c.sentVersion:
-		c.sentVersion, c.resendTimeout = m.Version(), 0
+		c.sentVersion, c.resendTimeout, c.transferTime = m.Version(), 0, 0
 	case m.Version() > c.ackedVersion:
 		c.inFlightSince, c.firstSentAt, c.resendTimeout = now, now, c.firstResendTimeout()
 	}
@@ -99,22 +106,24 @@
 // send.
 func (c *child) missingSince(now dhclock.Millis, current uint64) (uint64, bool) {
 	from := c.ackedVersion
-	if c.sentVersion > c.ackedVersion && now.Since(c.inFlightSince) < c.resendTimeout {
+	if c.sentVersion > c.ackedVersion && now.Since(c.inFlightSince) < c.resendTimeout+c.transferTime {
 		from = c.sentVersion
 	}
 	return from, !c.replica && from < current
 }
 
-// recordSent records that a child was sent the changes between two versions, or
-// a full configuration.
-func (c *child) recordSent(now dhclock.Millis, from, to uint64, full bool) {
+// recordSent records that a child was sent the changes between two versions, with a number
+// of objects, or a full configuration.
+func (c *child) recordSent(now dhclock.Millis, from, to uint64, objects int, full bool) {
 	if c.sentVersion <= c.ackedVersion {
 		c.firstSentAt = now
 	}
 	if from == c.ackedVersion {
 		c.inFlightSince = now
 		c.resendTimeout = min(maxResendTimeout, max(c.firstResendTimeout(), 2*c.resendTimeout))
+		c.transferTime = 0
 	}
+	c.transferTime += dhclock.Millis(objects/transferBatch) * batchTransferTime
 	if full {
 		c.resendTimeout = fullResendTimeout
 	}
@@ -205,10 +214,12 @@
 		if !retained {
 			o.Full = s.catalog.WithoutText()
 		}
-		for _, c := range sets {
-			o.Changes = append(o.Changes, c.WithoutText())
+		objects := 0
+		for _, set := range sets {
+			o.Changes = append(o.Changes, set.WithoutText())
+			objects += len(set.Puts()) + len(set.Deletes())
 		}
-		c.recordSent(now, from, s.catalog.Version(), !retained)
+		c.recordSent(now, from, s.catalog.Version(), objects, !retained)
 	}
 	return dhmessage.NewUpdate(o)
 }
--- a/core/dhdistribution/declaration_test.go
+++ b/core/dhdistribution/declaration_test.go
@@ -45,3 +45,25 @@
 		t.Errorf("the leader's declaration has the text %q, want %q", d.Text(), "text")
 	}
 }
+// TestLargeChangesAreSentAgainWhileOnTheirWay puts 1,400 objects, which take more than a second
+// on a narrow link. They must not be sent again meanwhile, neither alone nor after the next
+// change, and be sent again later.
+func TestLargeChangesAreSentAgainWhileOnTheirWay(t *testing.T) {
+	s := newLeader(20, 20)
+	poll(s, 10, "i", 20)
+	declare(t, s, 1000, 1400)
+	if n := len(poll(s, 1000, "i", 20).Changes()); n != 1 {
+		t.Fatalf("%d changes were sent, want 1", n)
+	}
+	if n := len(poll(s, 1500, "i", 20).Changes()); n != 0 {
+		t.Errorf("%d changes were sent again after 500 ms, want none", n)
+	}
+	declare(t, s, 1900, 1)
+	if n := len(poll(s, 1900, "i", 20).Changes()); n != 1 {
+		t.Errorf("%d changes were sent after one more, want that one only", n)
+	}
+	if n := len(poll(s, 3000, "i", 20).Changes()); n != 2 {
+		t.Errorf("%d changes were sent again after 2 s, want 2", n)
+	}
+}
+
