--- a/core/dhdistribution/declaration_test.go
+++ b/core/dhdistribution/declaration_test.go
@@ -45,6 +45,7 @@
 		t.Errorf("the leader's declaration has the text %q, want %q", d.Text(), "text")
 	}
 }
+
 // TestLargeChangesAreSentAgainWhileOnTheirWay puts 1,400 objects, which take more than a second
 // on a narrow link. They must not be sent again meanwhile, neither alone nor after the next
 // change, and be sent again later.
@@ -66,4 +67,3 @@
 		t.Errorf("%d changes were sent again after 2 s, want 2", n)
 	}
 }
-
