Ask a new parent for a confirmation before its changes

Change: until the new parent has responded, an instance asks it only for a confirmation. If the first copy was lost, the response comes at once and the changes one round trip later; if the link is congested, the response arrives behind the first copy, and nothing is sent twice. A process of an earlier release sends changes as before.

--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -31,6 +31,8 @@
 	firstSentAt dhclock.Millis
 	roundTrip   dhclock.Millis
 	suspects    dhquarantine.Replication
+	// probing is set while the child asks only for confirmation.
+	probing bool
 	// zone is the child's availability zone, or "" if unknown.
 	zone string
 	// referral is whether the child was told to poll a member in its zone instead.
@@ -92,7 +94,7 @@
 	case m.Version() > c.ackedVersion:
 		c.inFlightSince, c.firstSentAt, c.resendTimeout = now, now, c.firstResendTimeout()
 	}
-	c.ackedVersion, c.lastContact, c.replica = m.Version(), now, m.Replica()
+	c.ackedVersion, c.lastContact, c.replica, c.probing = m.Version(), now, m.Replica(), m.Probe()
 }
 
 // firstResendTimeout returns the time until updates are sent again for the first time,
@@ -177,7 +179,7 @@
 
 // serves reports whether a child gets changes from this process.
 func (s *State) serves(c *child) bool {
-	return c.referral == returned || !s.hasOtherMemberIn(c.zone)
+	return !c.probing && (c.referral == returned || !s.hasOtherMemberIn(c.zone))
 }
 
 // hasOtherMemberIn reports whether members of the consensus group run in a zone and this
--- a/core/dhdistribution/declaration_test.go
+++ b/core/dhdistribution/declaration_test.go
@@ -6,6 +6,7 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhmessage"
 )
 
@@ -67,3 +68,40 @@
 		t.Errorf("%d changes were sent again after 2 s, want 2", n)
 	}
 }
+
+// TestNextParentSendsChangesThatAreOnTheirWay lets a change take 2 s to an instance, so that it
+// leaves its parent. The next one must not send the change before its response, and send it
+// afterwards, in case the first copy is lost.
+func TestNextParentSendsChangesThatAreOnTheirWay(t *testing.T) {
+	s := New(Options{Self: "i", Zone: "z", Voters: []string{"c1", "c2"}, Now: 1})
+	s.applyUpdate(1, newLeader(20, 20).Catalog(), nil)
+	s.RecordConfirmation(1)
+	first := s.parentCandidates()[0]
+	next := newLeader(20, 20)
+	declare(t, next, 10, 1400)
+	sent, responded := 0, false
+	for now := dhclock.Millis(20); now < 2000; now += 20 {
+		var out dheffect.List
+		s.Tick(now, &out)
+		for _, e := range out.Items() {
+			send := e.(*dheffect.Send)
+			if send.To() == first {
+				continue
+			}
+			var answer dheffect.List
+			next.HandlePoll(now, "i", send.Message().(*dhmessage.Poll), &answer)
+			u := answer.Items()[0].(*dheffect.Send).Message().(*dhmessage.Update)
+			if len(u.Changes()) > 0 && !responded {
+				t.Fatalf("%s sends changes after %d ms, before the instance has a response from it", send.To(), now)
+			}
+			sent += len(u.Changes())
+			if now > 1500 {
+				s.HandleUpdate(now, send.To(), u, &out)
+				responded = true
+			}
+		}
+	}
+	if s.Catalog().Version() != 21 || sent != 1 {
+		t.Errorf("the instance has version %d, and its next parent sent %d changes; want version 21 and one change", s.Catalog().Version(), sent)
+	}
+}
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -18,8 +18,11 @@
 	lastPoll         dhclock.Millis
 	timeouts         int  // candidates left since the last response
 	polled           bool // false makes the next poll due immediately
-	suspects         dhquarantine.Replication
-	suspectsSentTo   string // the candidate that suspects describes
+	// probing is set from when another candidate was left until this one responds.
+	probing bool
+	// polledCandidate is the candidate that was polled last, which suspects describes.
+	polledCandidate string
+	suspects        dhquarantine.Replication
 }
 
 // parentCandidates lists the processes to poll in order of preference: the members of the
@@ -94,11 +97,23 @@
 	return first << min(s.parent.timeouts, maxTimeoutDoublings)
 }
 
+// selectCandidate selects the candidate with an index.
+func (p *parent) selectCandidate(now dhclock.Millis, index int) {
+	p.candidateIndex, p.selectedAt, p.awaitingResponse, p.probing = index, now, false, false
+}
+
+// switchTo selects another candidate than before. Until it responds it is asked for no
+// changes: on a congested link those of the previous one may still be on their way.
+func (p *parent) switchTo(now dhclock.Millis, index int) {
+	p.selectCandidate(now, index)
+	p.probing = true
+}
+
 // keep selects the candidate with an index again, whose response was late. On a slow
 // network path every parent responds late.
 func (p *parent) keep(now dhclock.Millis, index int) {
 	if index >= 0 && p.awaitingResponse {
-		p.candidateIndex, p.selectedAt, p.awaitingResponse = index, now, false
+		p.selectCandidate(now, index)
 	}
 }
 
@@ -141,19 +156,17 @@
 	}
 	p := &s.parent
 	if p.awaitingResponse && now.Since(p.oldestUnanswered) > s.parentTimeout() {
-		p.candidateIndex++
 		p.timeouts++
-		p.selectedAt, p.awaitingResponse = now, false
+		p.switchTo(now, p.candidateIndex+1)
 		s.PollNow()
 	}
 	if (!s.everConfirmed || now.Since(s.confirmedAt) > maxConfirmationAge) && now.Since(p.selectedAt) > maxConfirmationAge {
 		// The parent responds, but it has lost its own parent or never had one.
-		p.candidateIndex++
-		p.selectedAt, p.awaitingResponse = now, false
+		p.switchTo(now, p.candidateIndex+1)
 		s.PollNow()
 	}
 	if p.candidateIndex > 0 && now.Since(p.selectedAt) > preferredParentRetryInterval {
-		p.candidateIndex, p.selectedAt, p.awaitingResponse = 0, now, false
+		p.switchTo(now, 0)
 	}
 	interval := s.currentPollInterval()
 	if s.hasNewAcks || p.suspects.HasUnsent(s.suspects) {
@@ -196,14 +209,15 @@
 	}
 	index := p.candidateIndex % len(candidates)
 	to := candidates[index]
-	if to != p.suspectsSentTo {
-		p.suspects, p.suspectsSentTo = dhquarantine.Replication{}, to
+	if to != p.polledCandidate {
+		p.suspects, p.polledCandidate = dhquarantine.Replication{}, to
 	}
 	out.Add(dheffect.NewSend(dheffect.SendOptions{
 		To: to,
 		Message: dhmessage.NewPoll(dhmessage.PollOptions{
 			Version: s.catalog.Version(), SentAt: now, Acks: s.collectAcks(now), Replica: s.isVoter,
 			Suspects: p.suspects.NextReport(now, s.suspects), ZoneUnresponsive: len(s.nearMembers) > 0 && index >= len(s.nearMembers) && !s.isVoter,
+			Probe: p.probing,
 		}),
 	}))
 }
@@ -243,7 +257,7 @@
 		return
 	}
 	s.SetMembers(members)
-	s.parent.candidateIndex, s.parent.selectedAt, s.parent.awaitingResponse = 0, now, false
+	s.parent.selectCandidate(now, 0)
 	s.PollNow()
 }
 
@@ -254,7 +268,7 @@
 	if s.isLeader {
 		return
 	}
-	if from == s.parent.suspectsSentTo {
+	if from == s.parent.polledCandidate {
 		s.receiveSuspects(now, &s.parent.suspects, m.Suspects())
 	}
 	if !s.isVoter {
@@ -267,6 +281,10 @@
 	if m.PollSentAt() >= s.parent.oldestUnanswered {
 		s.parent.awaitingResponse = false
 	}
+	if s.parent.probing && from == s.parent.polledCandidate {
+		s.parent.probing = false
+		s.PollNow()
+	}
 	if s.catalog.Version() < m.Version() {
 		s.followReferral(now, m.Members())
 		return
--- a/core/dhmessage/distribution.go
+++ b/core/dhmessage/distribution.go
@@ -58,6 +58,9 @@
 	// ZoneUnresponsive reports whether the sender knows the members of the consensus group
 	// in its zone and polls another process because they don't respond.
 	ZoneUnresponsive bool `journal:"ZoneUnresponsive,omitZero"`
+	// Probe reports whether the sender asks only for confirmation, because it has left
+	// another process and this one hasn't responded yet.
+	Probe bool `journal:"Probe,omitZero"`
 }
 
 // Poll asks the parent for newer configuration, and to confirm that the
@@ -91,6 +94,10 @@
 // its zone and polls another process because they don't respond.
 func (m *Poll) ZoneUnresponsive() bool { return m.options.ZoneUnresponsive }
 
+// Probe reports whether the sender asks only for confirmation, because it has left another
+// process and this one hasn't responded yet.
+func (m *Poll) Probe() bool { return m.options.Probe }
+
 func (*Poll) message() {}
 
 // UpdateOptions are the fields of an Update.
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -88,7 +88,7 @@
 }
 
 func pollToWire(m *dhmessage.Poll) *dhproto.Poll {
-	w := &dhproto.Poll{Version: m.Version(), SentMs: m.SentAt().Milliseconds(), Replica: m.Replica(), Suspects: SuspectReportToWire(m.Suspects()), ZoneUnresponsive: m.ZoneUnresponsive()}
+	w := &dhproto.Poll{Version: m.Version(), SentMs: m.SentAt().Milliseconds(), Replica: m.Replica(), Suspects: SuspectReportToWire(m.Suspects()), ZoneUnresponsive: m.ZoneUnresponsive(), Probe: m.Probe()}
 	for _, a := range m.Acks() {
 		ack := &dhproto.Ack{Instance: a.Instance(), Version: a.Version(), Leaving: a.Leaving()}
 		if i, found := a.AdvertisedInstance(); found {
@@ -225,7 +225,7 @@
 	if err != nil {
 		return nil, err
 	}
-	o := dhmessage.PollOptions{Version: w.GetVersion(), SentAt: dhclock.Millis(w.GetSentMs()), Replica: w.GetReplica(), Suspects: suspects, ZoneUnresponsive: w.GetZoneUnresponsive()}
+	o := dhmessage.PollOptions{Version: w.GetVersion(), SentAt: dhclock.Millis(w.GetSentMs()), Replica: w.GetReplica(), Suspects: suspects, ZoneUnresponsive: w.GetZoneUnresponsive(), Probe: w.GetProbe()}
 	for _, a := range w.GetAcks() {
 		ack := dhmessage.NewAck(a.GetInstance(), a.GetVersion(), a.GetLeaving())
 		if a.GetIntroduction() != nil {
