--- a/io/dhpeer/peer_test.go
+++ b/io/dhpeer/peer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -12,8 +14,11 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
+	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhwire"
 )
 
 // pair is a sender of process a and the receiver of process b.
@@ -197,6 +202,55 @@
 	}
 }
 
+// recordingTransport records the size of the bodies of all calls and the encoding of the last
+// response.
+type recordingTransport struct {
+	next             http.RoundTripper
+	requestBytes     atomic.Int64
+	responseEncoding atomic.Value
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *recordingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.requestBytes.Add(r.ContentLength)
+	response, err := t.next.RoundTrip(r)
+	if err == nil {
+		t.responseEncoding.Store(response.Header.Get("Content-Encoding"))
+	}
+	return response, err
+}
+
+// TestLargeUpdatesAreSentUncompressed sends a change of 1,400 routes. It must take at most a third
+// of its size in calls, and a small response must not be compressed, which costs more processor
+// time than it saves.
+func TestLargeUpdatesAreSentUncompressed(t *testing.T) {
+	var routes []dhcatalog.Object
+	for i := range 1400 {
+		routes = append(routes, dhcatalog.NewRoute(dhcatalog.RouteOptions{
+			Name: fmt.Sprintf("r-%08x", uint32(i)*2654435761), Host: "a.example", PathPrefix: fmt.Sprintf("/%08x/", uint32(i)*2246822519),
+			Service: "gate-check", Timeout: 5000, MaxAttempts: 2,
+		}))
+	}
+	m := dhmessage.NewUpdate(dhmessage.UpdateOptions{Changes: []dhcatalog.ChangeSet{
+		dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: routes}),
+	}})
+	p := newPair(t, "secret")
+	r := &recordingTransport{next: p.sender.client.Transport}
+	p.sender.client.Transport = r
+	p.sender.Send("b", m)
+	if got := (<-p.received).(*dhmessage.Update).Changes()[0].Puts(); len(got) != len(routes) {
+		t.Fatalf("%d routes arrived, want %d", len(got), len(routes))
+	}
+	if size, got := int64(proto.Size(dhwire.MessageToWire(m))), r.requestBytes.Load(); got > size/3 {
+		t.Errorf("an update of %d bytes was sent in %d bytes, want at most a third", size, got)
+	}
+	p.sender.Send("b", dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{StartID: 7}))
+	<-p.responses
+	if got := r.responseEncoding.Load(); got != "" {
+		t.Errorf("a small response has the encoding %v, want none", got)
+	}
+}
+
 // TestWrongSecretRejected checks that no message of a sender with another secret
 // is delivered.
 func TestWrongSecretRejected(t *testing.T) {
--- a/io/dhpeer/receiver.go
+++ b/io/dhpeer/receiver.go
@@ -49,7 +49,7 @@
 
 // Handler returns the path and the handler of the service.
 func (r *Receiver) Handler() (string, http.Handler) {
-	return dhprotoconnect.NewPeerServiceHandler(r, connect.WithReadMaxBytes(maxRequestBytes),
+	return dhprotoconnect.NewPeerServiceHandler(r, connect.WithReadMaxBytes(maxRequestBytes), connect.WithCompressMinBytes(minCompressedBytes),
 		connect.WithInterceptors(requireSecret(r.options.Secret)))
 }
 
