Keep no texts of declarations in the history, and bound the log by its size

Cause: the ledger's history, 4,096 changes long, holds the text of each declaration, and the log is cut only after 1,024 entries, each of which holds a declaration's text and all of its objects.

Change: the history holds declarations without their text, also when an earlier release stored it. A rollback can't bring back the text of an earlier declaration any more; it is refused, and its configuration can be uploaded under a higher number.

--- a/core/dhcatalog/declaration.go
+++ b/core/dhcatalog/declaration.go
@@ -15,7 +15,7 @@
 type Declaration struct {
 	number uint64
 	text   string
-	// textOmitted is set in copies for entry instances, which don't need the text.
+	// textOmitted is set in the history, and in copies for entry instances.
 	textOmitted bool `journal:"textOmitted,omitZero"`
 }
 
@@ -51,7 +51,7 @@
 		p.add(d.Ref(), "text", "bytes that are not UTF-8", "encode the configuration in UTF-8")
 	}
 	if d.textOmitted {
-		p.add(d.Ref(), "textOmitted", "true", "read the declaration from a control process, which has its text")
+		p.add(d.Ref(), "textOmitted", "true", "upload the complete configuration under a higher number")
 	}
 }
 
@@ -81,6 +81,9 @@
 		return s
 	}
 	d, _ := s.options.Puts[i].(Declaration)
+	if d.textOmitted {
+		return s
+	}
 	s.options.Puts = slices.Clone(s.options.Puts)
 	s.options.Puts[i] = d.WithoutText()
 	return s
--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -10,10 +10,16 @@
 	"dogwoodhitch/core/dhview"
 )
 
-// defaultCompactEntries is the least number of log entries between two
-// snapshots. A large state is written less often, so that the cost of snapshots
-// stays in proportion to the log.
-const defaultCompactEntries = 1024
+// A snapshot is taken once the log has a number of entries or bytes. A large state is
+// written less often, so that the cost of snapshots stays in proportion to the log.
+const (
+	// defaultCompactEntries is the least number of log entries between two
+	// snapshots, unless they exceed minCompactBytes.
+	defaultCompactEntries = 1024
+	// minCompactBytes is the least size of such entries, in bytes. A declaration
+	// alone may have a megabyte.
+	minCompactBytes = 8 << 20
+)
 
 // leadership is what a leader has recorded since its election.
 type leadership struct {
@@ -41,7 +47,7 @@
 	}
 	if snapshot := v.node.Snapshot(); snapshot.Index() > v.ledger.Index() {
 		v.ledger = dhledger.New(snapshot)
-		v.appliedMembers = snapshot.Members()
+		v.appliedMembers, v.appliedBytes = snapshot.Members(), 0
 		s.distributeCatalog()
 	}
 	for v.ledger.Index() < v.node.CommitIndex() {
@@ -57,6 +63,7 @@
 	v := s.voter
 	before := v.ledger.Catalog().Version()
 	result := v.ledger.Apply(e)
+	v.appliedBytes += e.ApproximateBytes()
 	if m, ok := e.Command().(dhmessage.Members); ok {
 		v.appliedMembers = m.List()
 	}
@@ -121,8 +128,9 @@
 	}
 	entries := v.ledger.Index() - v.node.SnapshotIndex()
 	state := v.ledger.Catalog().Len() + v.ledger.Catalog().BlockCount()/16 + v.ledger.ClaimCount() + len(v.ledger.RecentChanges())
-	if entries < uint64(max(v.compactEntries, state/2)) {
+	if entries < uint64(max(v.compactEntries, state/2)) && v.appliedBytes < max(minCompactBytes, state/2*dhmessage.ObjectBytes) {
 		return
 	}
+	v.appliedBytes = 0
 	v.node.Compact(v.ledger.Snapshot(v.appliedMembers), out)
 }
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -75,6 +75,9 @@
 	leadership     leadership
 	// compactEntries is the least number of log entries between two snapshots.
 	compactEntries int
+	// appliedBytes is the approximate size of the entries that were applied since the last
+	// snapshot.
+	appliedBytes int
 }
 
 // New returns the control state of a process that starts.
--- a/core/dhledger/change.go
+++ b/core/dhledger/change.go
@@ -16,11 +16,12 @@
 }
 
 // accept makes next the current catalog and records the change set that led to
-// it together with its inverse.
+// it together with its inverse. The text of a declaration stays in the catalog alone: the
+// history would hold as many texts as changes.
 func (l *Ledger) accept(next *dhcatalog.Catalog, s dhcatalog.ChangeSet) {
 	undo := l.catalog.Undo(s)
 	l.catalog = next
-	a := dhmessage.NewAcceptedChange(next.Version(), l.logTime, s, undo)
+	a := dhmessage.NewAcceptedChange(next.Version(), l.logTime, s, undo).WithoutText()
 	l.recordLimitsChange(a)
 	l.recordAccepted(a)
 }
--- a/core/dhledger/ledger.go
+++ b/core/dhledger/ledger.go
@@ -58,7 +58,9 @@
 	if l.catalog == nil {
 		l.catalog = dhcatalog.New()
 	}
-	for _, a := range l.recentChanges {
+	for i, a := range l.recentChanges {
+		a = a.WithoutText() // an earlier release may have stored the texts
+		l.recentChanges[i] = a
 		l.changesByID[a.ChangeSet().ID()] = a
 		l.recordLimitsChange(a)
 	}
--- a/core/dhmessage/command.go
+++ b/core/dhmessage/command.go
@@ -31,6 +31,27 @@
 // Command returns the command to apply.
 func (e Entry) Command() Command { return e.command }
 
+// ObjectBytes is the approximate size of an object of the configuration, in bytes.
+const ObjectBytes = 200
+
+// ApproximateBytes returns the approximate size of the entry's command, in bytes.
+func (e Entry) ApproximateBytes() int {
+	switch c := e.command.(type) {
+	case Change:
+		set := c.ChangeSet()
+		return ObjectBytes * (1 + len(set.Puts()) + len(set.Deletes()) + len(set.Blocks()))
+	case Edit:
+		return ObjectBytes * (1 + len(c.Puts()) + len(c.Deletes()))
+	case Declare:
+		return ObjectBytes*(1+len(c.Objects())) + len(c.Declaration().Text())
+	case Outcome:
+		if c.Response() != nil {
+			return ObjectBytes + len(c.Response().Body())
+		}
+	}
+	return ObjectBytes
+}
+
 // Command is a command in the replicated log.
 type Command interface{ command() }
 
--- a/core/dhmessage/snapshot.go
+++ b/core/dhmessage/snapshot.go
@@ -64,6 +64,12 @@
 	return AcceptedChange{version: version, logTime: logTime, changeSet: s, undo: undo}
 }
 
+// WithoutText returns the change without the texts of declarations.
+func (a AcceptedChange) WithoutText() AcceptedChange {
+	a.changeSet, a.undo = a.changeSet.WithoutText(), a.undo.WithoutText()
+	return a
+}
+
 // Undo returns the objects, deletions and blocks that restore the version
 // before.
 func (a AcceptedChange) Undo() dhcatalog.ChangeSet { return a.undo }
--- a/core/dhreducer/declaration_test.go
+++ b/core/dhreducer/declaration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -88,3 +89,30 @@
 		t.Errorf("%d of %d instances don't have the declaration after %d ms", late, len(f.entries), applyTimeout)
 	}
 }
+
+// TestManyLargeDeclarationsFillTheMemory uploads 300 declarations of 2,800 routes with a text of
+// 588 KB each, less than a day's changes. A control process may use 64 MB.
+func TestManyLargeDeclarationsFillTheMemory(t *testing.T) {
+	n := newNetwork(t, 1)
+	n.run(2 * dhclock.Second)
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	for number := range uint64(300) {
+		n.propose(n.leader(), largeDeclaration(number+1, 2800))
+		n.run(40)
+	}
+	if d, _ := n.machines[0].view.Catalog().Declaration(); d.Number() != 300 {
+		t.Fatalf("declaration %d is in force, want 300", d.Number())
+	}
+	used := (heap() - before) >> 20
+	t.Logf("%d MB after 300 declarations", used)
+	if used > 64 {
+		t.Errorf("%d MB are in use after 300 declarations, want at most 64", used)
+	}
+	runtime.KeepAlive(n)
+}
