Don't charge upstreams with attempts that this process couldn't make

Cause: an attempt without a connection counted as a failure of the upstream whatever the reason was. So did a decision that is too old to be carried out.

Change: such attempts end as untried if the attempt's time is up within 250 ms, if the decision is too old, or if descriptors, ports or memory are short. They count for nothing. One that waits longer for a connection counts as before, as TestUpstreamThatNeverAcceptsConnectionsIsNotEjected checks.

dhentry TestOwnFailuresToConnectEjectTheUpstream: ejected in both cases before, ok now.

--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -445,7 +445,7 @@
 
 // String returns the name of the end.
 func (e AttemptEnd) String() string {
-	names := [...]string{"answered", "notSent", "refused", "broken", "timedOut", "misplaced", "callerGone", "unattributed", "abandoned"}
+	names := [...]string{"answered", "notSent", "refused", "broken", "timedOut", "misplaced", "callerGone", "unattributed", "abandoned", "untried"}
 	if e < 0 || int(e) >= len(names) {
 		return "unknown"
 	}
@@ -479,4 +479,7 @@
 	// EndAbandoned means that the caller disconnected before anything was sent, so the
 	// request certainly did not run.
 	EndAbandoned
+	// EndUntried means that nothing was sent for a reason on this side, so that the request
+	// certainly did not run and nothing is known of the other side.
+	EndUntried
 )
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -29,7 +29,7 @@
 	case dhevent.EndAnswered:
 		s.acquit(now, r, e.Status(), out)
 		s.handleResponse(now, r, e, out)
-	case dhevent.EndNotSent, dhevent.EndRefused, dhevent.EndMisplaced:
+	case dhevent.EndNotSent, dhevent.EndRefused, dhevent.EndMisplaced, dhevent.EndUntried:
 		s.retry(now, r, s.noCapacityRefusal(now, r, dheffect.NewRefusal(notRunRefusalKind(e.End()), false, shortRetryAfter)), out)
 	case dhevent.EndBroken, dhevent.EndTimedOut, dhevent.EndUnattributed:
 		s.handleUnclearEnd(now, r, e, out)
@@ -114,10 +114,11 @@
 
 // arrivalOf returns whether the response to an ended attempt arrived.
 func arrivalOf(e *dhevent.AttemptEnded) dhsteer.Arrival {
-	switch {
-	case e.ResponseMissed():
+	if e.ResponseMissed() {
 		return dhsteer.ResponseMissed
-	case e.End() == dhevent.EndNotSent || e.End() == dhevent.EndMisplaced || e.End() == dhevent.EndAbandoned:
+	}
+	switch e.End() {
+	case dhevent.EndNotSent, dhevent.EndMisplaced, dhevent.EndAbandoned, dhevent.EndUntried:
 		return dhsteer.NoResponse
 	default:
 		return dhsteer.ResponseArrived
@@ -162,7 +163,7 @@
 		return dhsteer.Unreachable
 	case dhevent.EndMisplaced:
 		return dhsteer.Misplaced
-	case dhevent.EndCallerGone, dhevent.EndAbandoned:
+	case dhevent.EndCallerGone, dhevent.EndAbandoned, dhevent.EndUntried:
 		return dhsteer.Neutral
 	default:
 		return dhsteer.Failed
--- a/core/dhtraffic/peer.go
+++ b/core/dhtraffic/peer.go
@@ -51,17 +51,17 @@
 // hasFreeSlot reports whether the reservation is valid and has a free slot.
 func (p *peer) hasFreeSlot(now dhclock.Millis) bool { return p.running < p.slots && now < p.expiry }
 
-// isByCaller reports whether an attempt ended because its caller disconnected, which says
-// nothing about the other side.
-func isByCaller(end dhevent.AttemptEnd) bool {
-	return end == dhevent.EndCallerGone || end == dhevent.EndAbandoned
+// isNeutral reports whether the end of an attempt says nothing about the other side: the
+// caller disconnected, or this process didn't try.
+func isNeutral(end dhevent.AttemptEnd) bool {
+	return end == dhevent.EndCallerGone || end == dhevent.EndAbandoned || end == dhevent.EndUntried
 }
 
 // releaseSlot releases a reserved slot at the end of an attempt. If the attempt
 // failed, the peer gets no more requests until its next reservation response.
 func (p *peer) releaseSlot(end dhevent.AttemptEnd) {
 	p.running--
-	if end != dhevent.EndAnswered && !isByCaller(end) {
+	if end != dhevent.EndAnswered && !isNeutral(end) {
 		p.slots = 0
 	}
 }
--- a/core/dhtraffic/reachability.go
+++ b/core/dhtraffic/reachability.go
@@ -115,7 +115,7 @@
 		r.lastResponse = now
 		maps.DeleteFunc(r.unreachable, func(_ *dhsteer.Member, f failedConnection) bool { return f.timedOut })
 		r.isolated = r.isolated && r.isSuspected()
-	case dhevent.EndNotSent, dhevent.EndBroken, dhevent.EndTimedOut, dhevent.EndCallerGone, dhevent.EndAbandoned:
+	case dhevent.EndNotSent, dhevent.EndBroken, dhevent.EndTimedOut, dhevent.EndCallerGone, dhevent.EndAbandoned, dhevent.EndUntried:
 	}
 }
 
@@ -127,7 +127,7 @@
 		r.avoidedPeers[peer] = e.At() + peerAvoidance
 	}
 	if e.Connected() == nil || *e.Connected() || e.Latency() <= maxRefusalTime {
-		if e.End() != dhevent.EndTimedOut && !isByCaller(e.End()) {
+		if e.End() != dhevent.EndTimedOut && !isNeutral(e.End()) {
 			clear(r.timedOutPeers)
 		}
 		return
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -10,8 +10,10 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dogwoodhitch/core/dhclock"
@@ -25,6 +27,9 @@
 	// dialTimeout bounds the time to connect to an upstream. TCP retransmits a
 	// lost SYN only after one second, which is too late for most requests.
 	dialTimeout = 500 * time.Millisecond
+	// shortConnectTime is the time in which a connection may still be on its way to a
+	// distant region. A shorter attempt shows nothing about the upstream.
+	shortConnectTime dhclock.Millis = 250
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged before the
 	// connection fails. It covers a few round trips between distant regions and
 	// one retransmission.
@@ -137,6 +142,7 @@
 // that no byte of the request can have been written.
 func (s *Server) sendAttempt(ctx context.Context, in *inbound, t target, bufferBytes int) *attempt {
 	a := &attempt{}
+	startedAt := s.options.Clock.Now()
 	a.context, a.cancel = context.WithTimeout(ctx, time.Duration(t.timeout)*time.Millisecond)
 	a.stopAbort = context.AfterFunc(s.aborted, a.cancel)
 	gotConnection, abandoned := false, false
@@ -161,7 +167,7 @@
 	attemptID := s.options.Instance + "-" + strconv.FormatUint(attemptCounter.Add(1), 36)
 	request, err := s.newOutboundRequest(tracedCtx, in, t, attemptID)
 	if err != nil {
-		return a.fail(dhevent.EndNotSent, err)
+		return a.fail(dhevent.EndUntried, err)
 	}
 	client := s.clients.pooled
 	if t.newConnection {
@@ -173,13 +179,10 @@
 			return a.fail(dhevent.EndAbandoned, err)
 		}
 		if !gotConnection {
-			if isDialFailure(a.context, err) {
-				a.connected = new(false)
-			}
-			return a.fail(s.classifyFailure(ctx, a, dhevent.EndNotSent), err)
+			return a.failUnsent(ctx, err, s.options.Clock.Now().Since(startedAt))
 		}
 		a.missed = true
-		return a.fail(s.classifyFailure(ctx, a, dhevent.EndBroken), err)
+		return a.fail(classifyFailure(ctx, a), err)
 	}
 	field, value := s.options.Dialect.expectedEcho(in, attemptID)
 	if err := s.checkResponse(a.response, t, field, value); err != nil {
@@ -192,34 +195,46 @@
 	}
 	a.accepted = true
 	if err := a.readBodyPrefix(bufferBytes); err != nil {
-		return a.fail(s.classifyFailure(ctx, a, dhevent.EndBroken), err)
+		return a.fail(classifyFailure(ctx, a), err)
 	}
 	a.end = dhevent.EndAnswered
 	return a
 }
 
-// isDialFailure reports whether an attempt got no connection because it was refused
-// or the dialer gave up, rather than because the attempt ended.
-func isDialFailure(ctx context.Context, err error) bool {
+// failUnsent ends an attempt that got no connection. It is a failure of the other side only if
+// that refused the connection, or left the attempt without one for long.
+func (a *attempt) failUnsent(ctx context.Context, err error, latency dhclock.Millis) *attempt {
+	hasEnded := a.context.Err() != nil
+	switch {
+	case ctx.Err() != nil:
+		return a.fail(dhevent.EndAbandoned, err)
+	case hasEnded && latency < shortConnectTime, isShortage(err):
+		return a.fail(dhevent.EndUntried, err)
+	}
 	var dialErr *net.OpError
-	return ctx.Err() == nil && errors.As(err, &dialErr) && dialErr.Op == "dial"
+	if !hasEnded && errors.As(err, &dialErr) && dialErr.Op == "dial" {
+		a.connected = new(false)
+	}
+	return a.fail(dhevent.EndNotSent, err)
+}
+
+// isShortage reports whether a connection failed because this machine has no descriptors, ports
+// or memory left.
+func isShortage(err error) bool {
+	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM},
+		func(shortage error) bool { return errors.Is(err, shortage) })
 }
 
-// classifyFailure returns the end of a failed attempt: EndAbandoned or EndCallerGone if the
-// caller closed its connection before or after the request was sent, EndTimedOut if the
-// timeout of a sent request expired, and the given end in all other cases.
-func (s *Server) classifyFailure(ctx context.Context, a *attempt, otherwise dhevent.AttemptEnd) dhevent.AttemptEnd {
+// classifyFailure returns the end of an attempt that failed after it was sent: EndCallerGone if
+// the caller closed its connection, EndTimedOut if the attempt's timeout expired, else EndBroken.
+func classifyFailure(ctx context.Context, a *attempt) dhevent.AttemptEnd {
 	switch {
-	case otherwise == dhevent.EndNotSent && ctx.Err() != nil:
-		return dhevent.EndAbandoned
-	case otherwise == dhevent.EndNotSent:
-		return otherwise
 	case ctx.Err() != nil:
 		return dhevent.EndCallerGone
 	case errors.Is(a.context.Err(), context.DeadlineExceeded):
 		return dhevent.EndTimedOut
 	default:
-		return otherwise
+		return dhevent.EndBroken
 	}
 }
 
--- a/io/dhentry/cancelled_test.go
+++ b/io/dhentry/cancelled_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -176,12 +177,57 @@
 		e.leave(t, "", waiting)
 	}
 	e.waitForEnd(t)
-	reply := e.trafficState.Query(func(at dhclock.Millis) dhevent.Event { return dhevent.NewPoolStatusRequested(at) })[0].(*dheffect.PoolStatusReply)
-	if got := reply.Pools()[0].Upstreams()[0].State(); got != "ok" {
+	if got := e.upstreamState(); got != "ok" {
 		t.Errorf("the upstream is %s after its callers have left, want ok", got)
 	}
 }
 
+// upstreamState returns the state of the only upstream, as shown to operators.
+func (e *testEntry) upstreamState() string {
+	reply := e.trafficState.Query(func(at dhclock.Millis) dhevent.Event { return dhevent.NewPoolStatusRequested(at) })[0].(*dheffect.PoolStatusReply)
+	return reply.Pools()[0].Upstreams()[0].State()
+}
+
+// TestOwnFailuresToConnectEjectTheUpstream sends requests that get no connection to their upstream
+// because their timeouts are too short, or because this process has no descriptors left. Neither
+// is a failure of the upstream.
+func TestOwnFailuresToConnectEjectTheUpstream(t *testing.T) {
+	for name, control := range map[string]func() error{
+		"timeouts":       func() error { <-t.Context().Done(); return nil },
+		"no descriptors": func() error { return syscall.EMFILE },
+	} {
+		t.Run(name, func(t *testing.T) {
+			upstream := startUpstream(t, func(*http.Request, int64) (string, bool) { return okResponse("answer"), false })
+			e := startEntry(t, upstream.Addr().String())
+			e.server.clients.dialer.Control = func(string, string, syscall.RawConn) error { return control() }
+			for range 8 {
+				if got := e.send(http.MethodGet, "/read/", "", HeaderTimeout, "30"); got.run != NotRun {
+					t.Fatalf("a request without a connection: %+v, want a refusal that states that it did not run", got)
+				}
+			}
+			if got := e.upstreamState(); got != "ok" {
+				t.Errorf("the upstream is %s, want ok", got)
+			}
+		})
+	}
+}
+
+// TestUpstreamThatNeverAcceptsConnectionsIsNotEjected sends requests with a timeout that is shorter
+// than the dialer's, but long enough for a connection to any upstream that works.
+func TestUpstreamThatNeverAcceptsConnectionsIsNotEjected(t *testing.T) {
+	upstream := startUpstream(t, func(*http.Request, int64) (string, bool) { return okResponse("answer"), false })
+	e := startEntry(t, upstream.Addr().String())
+	e.server.clients.dialer.Control = func(string, string, syscall.RawConn) error { <-t.Context().Done(); return nil }
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() { e.send(http.MethodGet, "/read/", "", HeaderTimeout, "300") })
+	}
+	callers.Wait()
+	if got := e.upstreamState(); got != "ejected" {
+		t.Errorf("the upstream is %s, want ejected", got)
+	}
+}
+
 // TestRequestsAreSentOnOverNewConnectionsAfterTheirCallersLeft has callers leave while the
 // connections to their upstream are opened, with further bytes that hide the end of theirs from
 // net/http. Once the connections are open, nothing may be sent.
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -321,7 +321,7 @@
 func (x *exchange) runAttempt(ctx context.Context, d dhtrafficstate.Decision, t target, claimed bool) bool {
 	s := x.server
 	if s.options.Clock.Now().Since(d.At()) > maxDecisionAge {
-		x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndNotSent}, d.At())
+		x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndUntried}, d.At())
 		return false
 	}
 	switch {
