--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -167,7 +167,8 @@
 	attemptID := s.options.Instance + "-" + strconv.FormatUint(attemptCounter.Add(1), 36)
 	request, err := s.newOutboundRequest(tracedCtx, in, t, attemptID)
 	if err != nil {
-		return a.fail(dhevent.EndUntried, err)
+		// The address is unusable, as those that an earlier release accepted may be.
+		return a.fail(dhevent.EndNotSent, err)
 	}
 	client := s.clients.pooled
 	if t.newConnection {
