Drop operators' orders whose callers have left before they are read

A process that was paused reads an order seconds after its caller has sent the same to another process. An evacuation that was withdrawn since would begin again, and nobody would withdraw it.

Cause: an order is carried out whenever it is read.

Change: the handlers for operators and for the platform's calls ask, like those for requests, whether the connection has been closed. Messages between processes are handled as before: they carry terms and versions, and late ones are allowed.

dhprocess TestOrderOfACallerThatLeftIsCarriedOut: the order was carried out before, and isn't now.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -154,7 +154,7 @@
 				a.connected = new(true)
 			}
 			connection.Store(requestConnOf(i.Conn))
-			if !i.WasIdle && !t.outlivesCaller && in.hasCallerLeft() {
+			if !i.WasIdle && !t.outlivesCaller && dhnet.HasCallerLeft(ctx) {
 				abandoned = true
 				connection.Load().abandon()
 				a.cancel()
--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -12,7 +12,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 	"unicode/utf8"
 
@@ -50,7 +49,6 @@
 	digest         dhcatalog.Hash
 	objectHash     uint64
 	remoteAddress  string
-	connection     syscall.Conn // nil if unknown
 	host           string
 	// verbatimPath is the path of the request target as received; "" if the path
 	// is encoded again from url.
@@ -62,7 +60,7 @@
 // limits or is malformed, and "" otherwise.
 func (s *Server) readRequest(w http.ResponseWriter, r *http.Request) (*inbound, dheffect.RefusalKind) {
 	dialect := s.options.Dialect.options
-	in := &inbound{method: r.Method, header: r.Header.Clone(), remoteAddress: r.RemoteAddr, connection: callerConnection(r.Context()), host: r.Host}
+	in := &inbound{method: r.Method, header: r.Header.Clone(), remoteAddress: r.RemoteAddr, host: r.Host}
 	in.id = s.requestID(r)
 	in.objectHash = dhsteer.HashObject(r.Header.Get(dialect.ObjectHeader))
 	urlCopy := *r.URL
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -25,6 +25,7 @@
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhlogs"
+	"dogwoodhitch/io/dhnet"
 	"dogwoodhitch/io/dhpeer"
 	"dogwoodhitch/io/dhtime"
 	"dogwoodhitch/io/dhtrafficstate"
@@ -205,7 +206,7 @@
 	o := dhevent.RequestReceivedOptions{
 		CallerRequestID: in.id, Host: in.hostName(), Path: in.url.Path, ObjectHash: in.objectHash, Random: rand.Uint64(),
 		APIKeyHash: in.apiKeyHash, Timeout: in.timeout, IdempotencyKey: in.idempotencyKey, Digest: in.digest, BodyBytes: len(in.body),
-		CallerLeft: in.hasCallerLeft(),
+		CallerLeft: dhnet.HasCallerLeft(r.Context()),
 	}
 	if !o.CallerLeft {
 		o.ContentHash = new(in.contentHash())
@@ -330,7 +331,7 @@
 		// so that a retry by the caller gets the recorded response.
 		ctx = context.WithoutCancel(ctx)
 		t.outlivesCaller = true
-	case x.in.hasCallerLeft():
+	case dhnet.HasCallerLeft(ctx):
 		x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndAbandoned}, d.At())
 		x.abandon()
 	}
--- a/io/dhprocess/handlers.go
+++ b/io/dhprocess/handlers.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"dogwoodhitch/io/dhnet"
 )
 
 // handlerTimeout bounds the wait for handlers whose connections were cut.
@@ -31,6 +33,18 @@
 	})
 }
 
+// dropAbandoned returns a handler that breaks the connection of a caller that has left before
+// its request was read, as when this process was paused meanwhile. The caller may have sent
+// its order to another process since, and further ones after it.
+func dropAbandoned(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if dhnet.HasCallerLeft(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (h *handlers) begin() bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/io/dhprocess/operator_test.go
+++ b/io/dhprocess/operator_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhlogs"
@@ -115,3 +118,26 @@
 		t.Error("the log contains the secret of a key")
 	}
 }
+
+// TestOrderOfACallerThatLeftIsCarriedOut holds an operator's order until its caller has closed the
+// connection, as a paused process does. By then the caller may have sent it to another process, and
+// the opposite one after it, so it must not be carried out.
+func TestOrderOfACallerThatLeftIsCarriedOut(t *testing.T) {
+	o := newOperatorClient(t)
+	o.process.handlers.mutex.Lock()
+	c, err := net.Dial("tcp", o.process.BoundAddresses().Operators)
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := `{"id": "late", "author": "me", "puts": [{"organisation": {"name": "late"}}]}`
+	fmt.Fprintf(c, "POST /v1/changes HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer operators\r\nContent-Length: %d\r\n\r\n%s%s",
+		len(change), change, strings.Repeat("x", 8192)) // further bytes hide the end of the connection from net/http
+	c.Close()
+	time.Sleep(50 * time.Millisecond)
+	o.process.handlers.mutex.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	status, body := o.call("POST", "/v1/changes", "operators", `{"id": "next", "author": "me", "puts": [{"organisation": {"name": "next"}}]}`)
+	if status != http.StatusOK || !strings.Contains(body, `"version":1`) {
+		t.Errorf("the next change: status %d, %s; want version 1", status, body)
+	}
+}
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -17,14 +17,17 @@
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhannounce"
-	"dogwoodhitch/io/dhentry"
+	"dogwoodhitch/io/dhnet"
 	"dogwoodhitch/io/dhoperator"
 	"dogwoodhitch/io/dhpeer"
 	"dogwoodhitch/io/dhtime"
 )
 
-// callerListenerName is the name of the listener for callers.
-const callerListenerName = "callers"
+// Names of the listeners for callers and for other processes.
+const (
+	callerListenerName = "callers"
+	peerListenerName   = "peers"
+)
 
 // Timeouts and limits of the HTTP servers.
 const (
@@ -65,7 +68,7 @@
 	}
 	listen := p.options.Listen
 	err := errors.Join(
-		open("peers", listen.Peers, &p.boundAddresses.Peers, p.peerMux()),
+		open(peerListenerName, listen.Peers, &p.boundAddresses.Peers, p.peerMux()),
 		open("operators", listen.Operators, &p.boundAddresses.Operators, p.operatorHandler()),
 	)
 	if p.entry != nil {
@@ -126,10 +129,14 @@
 	protocols.SetUnencryptedHTTP2(p.options.TLS == nil)
 	protocols.SetHTTP2(p.options.TLS != nil)
 	for _, l := range list {
+		handler := l.handler
+		if l.name != callerListenerName && l.name != peerListenerName {
+			handler = dropAbandoned(handler)
+		}
 		s := &http.Server{
-			Handler: p.handlers.wrap(l.handler), Protocols: protocols, ReadHeaderTimeout: headerTimeout,
+			Handler: p.handlers.wrap(handler), Protocols: protocols, ReadHeaderTimeout: headerTimeout,
 			ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: p.serverLog,
-			ConnContext: dhentry.ConnContext,
+			ConnContext: dhnet.ConnContext,
 		}
 		if l.name == callerListenerName {
 			s.ConnState = p.recordCallerConnection
