Serve the newest connections of callers first, and bound those that wait

Cause: connections are served in the order of their arrival and without a bound, while each waits for about as long as its caller does.

The order is decided in core/dhbacklog. The listener for callers no longer sets keep-alives: the idle timeout closes connections of callers that are gone.

--- a/io/dhentry/refusal.go
+++ b/io/dhentry/refusal.go
@@ -1,10 +1,16 @@
 package dhentry
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 
+	"dogwoodhitch/core/dhbacklog"
 	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/io/dhnet"
 )
 
 // Header fields that entry instances add to responses and requests.
@@ -112,3 +118,35 @@
 	w.WriteHeader(details.status)
 	_, _ = w.Write(append(body, '\n'))
 }
+
+// RefuseUnread answers the request that waits on a connection of a caller, for which this
+// process has no time, without decoding it. It doesn't block, and leaves the connection open.
+func (s *Server) RefuseUnread(c net.Conn) {
+	if !dhnet.Discard(c) {
+		return
+	}
+	w := bufferedResponse{header: http.Header{}}
+	s.writeRefusal(&w, randomID(), dheffect.NewRefusal(dheffect.RefuseNoCapacity, false, dhbacklog.RetryAfter(rand.Uint64())))
+	response := http.Response{
+		StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Close: true,
+		Body: io.NopCloser(&w.body), ContentLength: int64(w.body.Len()),
+	}
+	// The caller may have left meanwhile.
+	_ = response.Write(c)
+}
+
+// bufferedResponse is a http.ResponseWriter that keeps the response.
+type bufferedResponse struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (w *bufferedResponse) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *bufferedResponse) WriteHeader(status int) { w.status = status }
+
+// Write implements http.ResponseWriter.
+func (w *bufferedResponse) Write(b []byte) (int, error) { return w.body.Write(b) }
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -58,11 +58,20 @@
 		if address == "" {
 			return nil
 		}
-		l, err := new(net.ListenConfig).Listen(p.ctx, "tcp", address)
+		config := net.ListenConfig{}
+		if name == callerListenerName {
+			// The idle timeout closes connections of callers that are gone. Four system
+			// calls for each connection are many while callers return in crowds.
+			config.KeepAlive = -1
+		}
+		l, err := config.Listen(p.ctx, "tcp", address)
 		if err != nil {
 			return fmt.Errorf("listen for %s on %s: %w; make the address available or change listen.%s", name, address, err, name)
 		}
 		*bound = l.Addr().String()
+		if name == callerListenerName {
+			l = p.newCallerListener(l)
+		}
 		list = append(list, listener{l, name, handler})
 		return nil
 	}
@@ -90,6 +99,17 @@
 	return list, nil
 }
 
+// newCallerListener returns the listener for callers with its backlog.
+func (p *Process) newCallerListener(l net.Listener) net.Listener {
+	refuse := p.entry.RefuseUnread
+	if p.options.TLS != nil {
+		refuse = nil
+	}
+	c := dhnet.NewCallerListener(l, p.options.Clock, refuse)
+	p.metrics.SetGaugeFunc(c.TurnedAway, "dogwoodhitch_connections_turned_away_total")
+	return c
+}
+
 func (p *Process) extraListeners() []ExtraListener {
 	if p.options.ExtraListeners == nil {
 		return nil
