Polish the backlog of callers and the end of abandoned claims

The listener's goroutine belongs to its process; removed connections leave no pointers behind. A claim whose earlier attempt may have run stays unclear when its caller leaves before the next one.

--- a/core/dhbacklog/backlog.go
+++ b/core/dhbacklog/backlog.go
@@ -7,7 +7,11 @@
 // that those which are served at all are served in time.
 package dhbacklog
 
-import "dogwoodhitch/core/dhclock"
+import (
+	"slices"
+
+	"dogwoodhitch/core/dhclock"
+)
 
 // Limits of a Backlog.
 const (
@@ -52,7 +56,7 @@
 		return turnedAway, false
 	}
 	turnedAway = b.waiting[0].connection
-	b.waiting = b.waiting[1:]
+	b.waiting = slices.Delete(b.waiting, 0, 1)
 	return turnedAway, true
 }
 
@@ -60,14 +64,14 @@
 // false if there is none, or if the server hasn't read enough of those that it has.
 func (b *Backlog[C]) Next(now dhclock.Millis) (c C, wait dhclock.Millis, ok bool) {
 	for len(b.unread) > 0 && now.Since(b.unread[0].at) >= unreadTimeout {
-		b.unread = b.unread[1:]
+		b.unread = slices.Delete(b.unread, 0, 1)
 	}
 	last := len(b.waiting) - 1
 	if last < 0 || len(b.unread) >= MaxUnread {
 		return c, 0, false
 	}
 	next := b.waiting[last]
-	b.waiting = b.waiting[:last]
+	b.waiting = slices.Delete(b.waiting, last, last+1)
 	b.unread = append(b.unread, arrival[C]{next.connection, now})
 	return next.connection, now.Since(next.at), true
 }
@@ -83,10 +87,5 @@
 
 // Read records that the server has read from a connection for the first time.
 func (b *Backlog[C]) Read(c C) {
-	for i, a := range b.unread {
-		if a.connection == c {
-			b.unread = append(b.unread[:i], b.unread[i+1:]...)
-			return
-		}
-	}
+	b.unread = slices.DeleteFunc(b.unread, func(a arrival[C]) bool { return a.connection == c })
 }
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -39,7 +39,10 @@
 		}
 		s.end(now, r, dheffect.CallerGone, 0, out)
 	case dhevent.EndAbandoned:
-		if r.claimGranted {
+		switch {
+		case r.claimGranted && r.mayHaveRun:
+			s.proposeClaimOutcome(now, r, dhmessage.ClaimUnclear, nil, out)
+		case r.claimGranted:
 			s.proposeClaimOutcome(now, r, dhmessage.ClaimReleased, nil, out)
 		}
 		s.end(now, r, dheffect.CallerGone, 0, out)
--- a/io/dhnet/listener.go
+++ b/io/dhnet/listener.go
@@ -36,21 +36,19 @@
 	err        error // of the listener, after which no connections follow
 }
 
-// NewCallerListener returns a CallerListener that accepts the connections of a TCP listener
-// until that is closed. It calls refuse, which must not block, with each connection that is
-// turned away while its caller still waits; nil to close it without an answer.
+// NewCallerListener returns a CallerListener on a TCP listener. It calls refuse, which must not
+// block, with each connection that is turned away while its caller still waits; nil to close it
+// without an answer.
 func NewCallerListener(l net.Listener, clock dhtime.Clock, refuse func(c net.Conn)) *CallerListener {
-	c := &CallerListener{Listener: l, clock: clock, refuse: refuse, changed: make(chan struct{}, 1)}
-	go c.acceptAll()
-	return c
+	return &CallerListener{Listener: l, clock: clock, refuse: refuse, changed: make(chan struct{}, 1)}
 }
 
 // TurnedAway returns how many connections were closed unread, because their callers had left or
 // too many waited.
 func (l *CallerListener) TurnedAway() int64 { return l.turnedAway.Load() }
 
-// acceptAll moves connections from the system's queue to the backlog.
-func (l *CallerListener) acceptAll() {
+// Run moves connections from the system's queue to the backlog, until the listener is closed.
+func (l *CallerListener) Run() {
 	for {
 		c, err := l.Listener.Accept()
 		switch tcp, ok := c.(*net.TCPConn); {
--- a/io/dhnet/listener_test.go
+++ b/io/dhnet/listener_test.go
@@ -31,6 +31,7 @@
 	c := &callers{t: t}
 	clock := dhtime.New(func() dhclock.Millis { return dhclock.Millis(c.now.Load()) })
 	c.CallerListener = NewCallerListener(l, clock, func(net.Conn) { c.refused.Add(1) })
+	go c.Run()
 	t.Cleanup(func() {
 		l.Close()
 		for _, x := range c.open {
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -107,6 +107,7 @@
 	}
 	c := dhnet.NewCallerListener(l, p.options.Clock, refuse)
 	p.metrics.SetGaugeFunc(c.TurnedAway, "dogwoodhitch_connections_turned_away_total")
+	p.goroutines.Go(c.Run)
 	return c
 }
 
