Reserve no slots for peers once a stop is scheduled

Its instance had sent it to a peer in the last milliseconds of that peer's planned stop; the connection ended without an answer.

Cause: a stopping instance refuses what peers forward, but still reserves slots for them when they ask. A peer that was refused 30 ms before thus sends it the next attempt, until it has ended.

dhtraffic TestStoppingInstanceReservesSlots: 2 slots before, none now.

--- a/core/dhtraffic/reservation.go
+++ b/core/dhtraffic/reservation.go
@@ -85,10 +85,11 @@
 	return slots
 }
 
-// HandleReservationRequest reserves slots for a peer and sends it the response.
+// HandleReservationRequest reserves slots for a peer and sends it the response. An instance
+// that is about to stop reserves none, because the peer may use them until after the stop.
 func (s *State) HandleReservationRequest(e *dhevent.ReservationRequested, out *dheffect.List) {
 	slots := 0
-	if p, found := s.pools[e.Request().Service()]; found {
+	if p, found := s.pools[e.Request().Service()]; found && s.stop == nil {
 		slots = p.remote.reserve(e.At(), p, e.Instance(), e.Request().Slots(), s.spillPercent(p))
 	}
 	out.Add(dheffect.NewSend(dheffect.SendOptions{
--- a/core/dhtraffic/reservation_test.go
+++ b/core/dhtraffic/reservation_test.go
@@ -85,3 +85,27 @@
 		t.Errorf("%d requests from peers at the start of the ramp and %d at its end, want %d at its end and at most the initial percentage of that at its start", atStart, got, most)
 	}
 }
+
+// TestStoppingInstanceReservesSlots asks an instance for slots before and after its stop was
+// scheduled. A peer that gets some forwards requests until the instance has ended, which cuts
+// them.
+func TestStoppingInstanceReservesSlots(t *testing.T) {
+	s := newReceivingState(t)
+	for now := dhclock.Millis(8000); now < 10_000; now += 500 {
+		announceUpstreams(s, now)
+	}
+	reserved := func() int {
+		var out dheffect.List
+		s.HandleReservationRequest(dhevent.NewReservationRequested(10_000, dhevent.ReservationRequestedOptions{
+			Instance: "p", Request: dhmessage.NewReservationRequest(dhmessage.ReservationRequestOptions{Service: "s", SentAt: 1, Slots: 2}),
+		}), &out)
+		return out.Items()[0].(*dheffect.Send).Message().(*dhmessage.ReservationResponse).Slots()
+	}
+	if got := reserved(); got != 2 {
+		t.Fatalf("an instance reserves %d slots, want 2", got)
+	}
+	s.HandleStopScheduled(dhevent.NewStopScheduled(10_000, dhevent.StopScheduledOptions{RefuseFrom: 10_300, StopAt: 11_700}))
+	if got := reserved(); got != 0 {
+		t.Errorf("a stopping instance reserves %d slots, want none", got)
+	}
+}
