Let the soak allow for the time until a signal is received

The instance logs "leaving" with three open requests in the same millisecond, aborts one of them at the end of its 1.775 s and says so. A request that arrives between the sending of a signal and its receipt is one that the stop precedes by the test's clock only: the case is allowed, as for requests that were sent before the signal.

The check compares with the instance's own line as well. A process that takes long to receive the signal still exceeds the bound of its stop, which counts from the sending.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -133,11 +133,14 @@
 	return len(runs) == 0 && !l.stoppedAt.IsZero() && (q.sentAt.IsZero() || q.sentAt.After(l.stoppedAt.Add(s.leaveWait)))
 }
 
-// isAbortedByStop reports whether the request was sent before the planned stop of an instance,
-// and lasted until its end.
+// isAbortedByStop reports whether the request was sent before the planned stop of an instance, or
+// before the instance received its signal, and lasted until its end.
 func (s *soak) isAbortedByStop(q *call) bool {
 	for _, l := range s.lives {
-		if !l.stoppedAt.IsZero() && !q.startedAt.After(l.stoppedAt) && !q.endedAt.Before(l.stoppedAt.Add(s.leaveWait+s.finish)) {
+		if l.stoppedAt.IsZero() || q.endedAt.Before(l.stoppedAt.Add(s.leaveWait+s.finish)) {
+			continue
+		}
+		if !q.startedAt.After(l.stoppedAt) || !q.startedAt.After(l.leftAt()) {
 			return true
 		}
 	}
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -70,6 +71,22 @@
 
 func (l *life) hasLogged(text string) bool { return strings.Contains(l.Log(), `"msg":"`+text+`"`) }
 
+// leftAt returns when the process has logged, to the end of that millisecond, that it is leaving;
+// zero if it hasn't. It can take requests until then, because a signal that was sent isn't
+// received at once.
+func (l *life) leftAt() time.Time {
+	for line := range strings.Lines(l.Log()) {
+		var entry struct {
+			Message string    `json:"msg"`
+			Time    time.Time `json:"time"`
+		}
+		if json.Unmarshal([]byte(line), &entry) == nil && entry.Message == "leaving" {
+			return entry.Time.Add(time.Millisecond)
+		}
+	}
+	return time.Time{}
+}
+
 // action is a kind of fault.
 type action string
 
