Review case 3: votes pile up in one region after the loss of another

Cause: the votes of a lost region go to learners of the others and are never moved back while five voters respond, so one region holds three of five (planVotes, bestLearner in core/dhcontrol/automation.go).

Ruled out: chance of the region that is lost second.

--- a/review/kit/config.go
+++ b/review/kit/config.go
@@ -14,10 +14,13 @@
 
 // Config returns a complete config with one service, one tenant and two routes, in the form of the
 // pages. The routes are /safe/ and /unsafe/.
-func Config(version int) []byte {
+func Config(version int) []byte { return ConfigWithTimeout(version, 5) }
+
+// ConfigWithTimeout is Config with another timeout_s of the routes.
+func ConfigWithTimeout(version int, timeoutS float64) []byte {
 	type object = map[string]any
 	route := func(name, prefix, kind string) object {
-		return object{"name": name, "path_prefix": prefix, "kind": kind, "timeout_s": 5, "target_latency_s": 0.8, "priority": 1, "service": Service,
+		return object{"name": name, "path_prefix": prefix, "kind": kind, "timeout_s": timeoutS, "target_latency_s": 0.8, "priority": 1, "service": Service,
 			"max_attempts": 2, "public": false, "sticky": false, "home_regions": []string{}}
 	}
 	raw, _ := json.Marshal(object{
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -49,6 +49,8 @@
 // Run is one run of a case.
 type Run struct {
 	Trouble bool
+	// Zones lists the zones of the deployment with their regions; Zones by default.
+	Zones   [][2]string
 	folder  string
 	record  *os.File
 	started time.Time
@@ -77,7 +79,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(Unable)
 	}
-	r := &Run{Trouble: os.Getenv("TROUBLE") != "0", folder: folder, record: record, started: time.Now(), network: 32 + rand.IntN(64), hosts: 10}
+	r := &Run{Trouble: os.Getenv("TROUBLE") != "0", Zones: Zones, folder: folder, record: record, started: time.Now(), network: 32 + rand.IntN(64), hosts: 10}
 	if r.ports, err = r.freePorts(6); err != nil {
 		r.Log("no free ports: %v", err)
 		os.Exit(Unable)
@@ -202,7 +204,7 @@
 	r := n.run
 	type object = map[string]any
 	zones := object{}
-	for _, z := range Zones {
+	for _, z := range r.Zones {
 		zones[z[0]] = z[1]
 	}
 	serves, listen := []string{"front"}, object{"front": r.front(n.IP), "ready": r.ready(n.IP)}
@@ -376,3 +378,42 @@
 	}
 	return nil
 }
+
+// productStatus is what the product's own status call says, as far as the cases choose a machine by it.
+type productStatus struct {
+	Leads  bool `json:"leads"`
+	Voters []struct {
+		Name    string `json:"name"`
+		Learner bool   `json:"learner"`
+	} `json:"voters"`
+}
+
+func (n *Node) status() productStatus {
+	var status productStatus
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d/v1/status", n.IP, n.run.ports[5]), nil)
+	if err != nil {
+		return status
+	}
+	request.Header.Set("Authorization", "Bearer internal")
+	response, err := caller.Do(request)
+	if err != nil {
+		return status
+	}
+	defer response.Body.Close()
+	_ = json.NewDecoder(response.Body).Decode(&status)
+	return status
+}
+
+// Leads reports whether the process says that it leads.
+func (n *Node) Leads() bool { return n.status().Leads }
+
+// Voters returns the IP addresses of the machines that have a vote, as the process says.
+func (n *Node) Voters() []string {
+	var list []string
+	for _, v := range n.status().Voters {
+		if !v.Learner {
+			list = append(list, v.Name)
+		}
+	}
+	return list
+}
