--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -417,3 +417,6 @@
 	}
 	return list
 }
+
+// Folder returns the temporary folder of the run.
+func (r *Run) Folder() string { return r.folder }
