Drop orders that reach the leader after their caller has given up

What callers saw: EVAC.

Cause: edits of single objects take effect in the order in which they enter the log, and nothing bound that entry to the time for which the caller waits. The End that a cut control process had given up reached the leader after the zone was evacuated again. The class is wider than cuts: a second copy of a message that arrives after the opposite order was acknowledged, and an order that was acknowledged without a change, undone by an older one.

Change: such a proposal carries a deadline as a duration since the start of one of the leader's heartbeat rounds. The leader appends it only until then, and remembers its result for as long. No clocks are compared; a delay makes a deadline earlier, and a new leader knows no earlier round. Ruled out: versions of the objects that a command touches, since a command that changes nothing leaves none; resetting connections, since a paused receiver has read them.

--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -299,6 +299,22 @@
 	return ok && now.Since(at) < ElectionTimeout*9/10
 }
 
+// CurrentRound returns this leader's newest heartbeat round and when it started.
+func (n *Node) CurrentRound() (dhmessage.Round, dhclock.Millis) {
+	l := &n.leaderState
+	return dhmessage.NewRound(n.term, l.round), l.roundStarts[l.round%maxTrackedRounds]
+}
+
+// SinceRound returns the time since a heartbeat round started; false if this node didn't
+// start it as the leader of the current term, or no longer tracks it.
+func (n *Node) SinceRound(r dhmessage.Round, now dhclock.Millis) (dhclock.Millis, bool) {
+	l := &n.leaderState
+	if n.role != leader || r.Term() != n.term || r.Number() == 0 || r.Number() > l.round || r.Number()+maxTrackedRounds <= l.round {
+		return 0, false
+	}
+	return now.Since(l.roundStarts[r.Number()%maxTrackedRounds]), true
+}
+
 // ElectedAt returns when this node became leader.
 func (n *Node) ElectedAt() dhclock.Millis { return n.leaderState.electedAt }
 
--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -83,6 +83,7 @@
 	for _, p := range v.pending[e.Index()] {
 		delete(v.pendingKeys, p.key)
 		if p.term == e.Term() {
+			v.recordAnswered(p, result, s.now)
 			s.sendProposeResponse(p, result, out)
 		}
 	}
--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -23,6 +23,10 @@
 	retryCount  int // alternates retries between the leader and the voters
 	nextVoter   int // round-robin position
 	outstanding map[uint64]*proposal
+	// round is the leader's newest heartbeat round that is known here, and roundAt when
+	// this process learned of it.
+	round   dhmessage.Round
+	roundAt dhclock.Millis
 }
 
 // proposal is one outstanding command.
@@ -32,6 +36,7 @@
 	deadline      dhclock.Millis
 	lastSent      dhclock.Millis
 	wasSent       bool
+	expires       bool // the command must not be applied after the deadline
 }
 
 func newProposals(startID uint64, voters []string) proposals {
@@ -44,6 +49,7 @@
 	s.proposals.lastID++
 	s.proposals.outstanding[s.proposals.lastID] = &proposal{
 		correlationID: e.CorrelationID(), command: e.Command(), deadline: s.now + e.Timeout(),
+		expires: e.Expires() && canUndoLater(e.Command()),
 	}
 	if err := checkCommand(e.Command()); err != nil {
 		s.proposals.complete(s.proposals.lastID, s.now, dhmessage.NewResult(dhmessage.ResultOptions{Err: err}), out)
@@ -70,7 +76,7 @@
 
 // proposeUnattended proposes a command whose result no component waits for.
 func (s *State) proposeUnattended(c dhmessage.Command, out *dheffect.List) {
-	s.propose(dhevent.NewProposalRequested(s.now, dhevent.ProposalRequestedOptions{Command: c, Timeout: unattendedTimeout}), out)
+	s.propose(dhevent.NewProposalRequested(s.now, dhevent.ProposalRequestedOptions{Command: c, Timeout: unattendedTimeout, Expires: true}), out)
 }
 
 // unattendedTimeout is how long a command of proposeUnattended is sent to the
@@ -91,7 +97,7 @@
 	}
 	o.lastSent, o.wasSent = now, true
 	out.Add(dheffect.NewSend(dheffect.SendOptions{To: to, Message: dhmessage.NewProposeRequest(dhmessage.ProposeRequestOptions{
-		CorrelationID: id, Command: o.command,
+		CorrelationID: id, Command: o.command, Deadline: p.leaderDeadline(o),
 	})}))
 }
 
@@ -142,18 +148,22 @@
 	}
 }
 
-// handleRedirect handles the response of a voter that doesn't lead: it records
-// the leader that the voter names, and repeats the join request or the proposal
-// there. Grant requests are not repeated.
+// handleRedirect handles the response of a voter that doesn't lead, or of a leader that
+// can't tell whether a proposal is in time: it records the leader and the round that the
+// voter names, and repeats the join request or the proposal there. Grant requests are not
+// repeated.
 func (s *State) handleRedirect(m *dhmessage.Redirect, out *dheffect.List) {
 	if m.Leader() == "" {
 		return
 	}
 	s.distribution.SetLeader(m.Leader())
+	if m.Round() != nil {
+		s.proposals.recordRound(*m.Round(), s.now)
+	}
 	if s.automation != nil && m.CorrelationID() == 0 && m.Leader() != s.self.Name() {
 		s.sendJoinRequestTo(m.Leader(), out)
 	}
-	if _, found := s.proposals.outstanding[m.CorrelationID()]; found {
+	if o, found := s.proposals.outstanding[m.CorrelationID()]; found && s.now < o.deadline {
 		s.proposals.send(m.CorrelationID(), s.now, m.Leader(), out)
 	}
 }
@@ -163,6 +173,9 @@
 	term uint64
 	from string
 	key  proposalKey
+	// lifetime is for how long a copy of the proposal may still be in time; 0 if it has no
+	// deadline.
+	lifetime dhclock.Millis
 }
 
 // proposalKey identifies a proposal across processes.
@@ -189,6 +202,17 @@
 	if _, repeated := v.pendingKeys[p.key]; repeated {
 		return
 	}
+	if a, answered := v.answered[p.key]; answered {
+		s.sendProposeResponse(p, a.result, out)
+		return
+	}
+	if !v.isInTime(m.Deadline(), s.now) {
+		s.refuseLate(from, m, out)
+		return
+	}
+	if m.Deadline() != nil {
+		p.lifetime = m.Deadline().After()
+	}
 	command, result, done := v.prepare(m.Command())
 	if done {
 		s.sendProposeResponse(p, result, out)
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -68,6 +68,7 @@
 	appliedMembers []dhmessage.Member // as of the last applied entry
 	pending        map[uint64][]pendingProposal
 	pendingKeys    map[proposalKey]bool
+	answered       map[proposalKey]answeredProposal
 	registrations  registrations
 	limits         *limits
 	wasLeader      bool
@@ -107,6 +108,7 @@
 		appliedMembers: members,
 		pending:        map[uint64][]pendingProposal{},
 		pendingKeys:    map[proposalKey]bool{},
+		answered:       map[proposalKey]answeredProposal{},
 
 		compactEntries: cmp.Or(o.CompactEntries, defaultCompactEntries),
 	}
@@ -157,6 +159,7 @@
 	if s.voter != nil {
 		s.voter.node.Tick(s.now, e.Random(), out)
 		s.voter.tickLimits(s.now)
+		s.voter.dropExpiredAnswers(s.now)
 	}
 	s.syncLeadership()
 	s.logConnectivity(out)
@@ -236,9 +239,18 @@
 	case *dhmessage.UpstreamHeartbeats:
 		s.registry.recordHeartbeats(s.now, m.Upstreams())
 	default:
-		if s.voter != nil {
-			s.voter.node.Step(s.now, from, m, out)
-		}
+		s.stepConsensus(from, m, out)
+	}
+}
+
+// stepConsensus passes a message to the consensus node and records the leader's round.
+func (s *State) stepConsensus(from dhmessage.Peer, m dhmessage.Message, out *dheffect.List) {
+	if s.voter == nil {
+		return
+	}
+	s.voter.node.Step(s.now, from, m, out)
+	if a, ok := m.(*dhmessage.AppendRequest); ok && s.voter.node.Leader() == from.Name() && s.voter.node.Term() == a.Term() {
+		s.proposals.recordRound(dhmessage.NewRound(a.Term(), a.Round()), s.now)
 	}
 }
 
--- a/core/dhcontrol/status.go
+++ b/core/dhcontrol/status.go
@@ -29,6 +29,7 @@
 		v.wasLeader, v.knownTerm = v.node.IsLeader(), v.node.Term()
 		v.pending = map[uint64][]pendingProposal{}
 		v.pendingKeys = map[proposalKey]bool{}
+		v.answered = map[proposalKey]answeredProposal{}
 		v.registrations = registrations{}
 		v.leadership = leadership{}
 		if v.wasLeader {
@@ -37,6 +38,9 @@
 		}
 		s.distribution.SetLeading(v.wasLeader, s.now)
 	}
+	if v.wasLeader {
+		s.proposals.recordRound(v.node.CurrentRound())
+	}
 	s.distribution.SetLeader(v.node.Leader())
 	// The newest entry counts, committed or not: after a restart of all
 	// processes no voter knows the commit index until it has reached the
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -97,6 +97,9 @@
 	Command dhmessage.Command
 	// Timeout is how long to try, in milliseconds.
 	Timeout dhclock.Millis `journal:"Patience"`
+	// Expires is set if the command must not be applied any more once the timeout has
+	// passed.
+	Expires bool `journal:"Expires,omitZero"`
 }
 
 // ProposalRequested requests that a command be committed.
@@ -119,6 +122,10 @@
 // Timeout returns how long to try, in milliseconds.
 func (e *ProposalRequested) Timeout() dhclock.Millis { return e.options.Timeout }
 
+// Expires reports whether the command must not be applied any more once the timeout has
+// passed.
+func (e *ProposalRequested) Expires() bool { return e.options.Expires }
+
 // ReadRequestedOptions are the fields of a ReadRequested.
 type ReadRequestedOptions struct {
 	// CorrelationID is the number that the reply repeats.
--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -91,10 +91,11 @@
 }
 
 // Propose proposes a command to the voters and returns its result once it is
-// applied.
+// applied. Without a result within the timeout the outcome is unknown; a command that
+// later ones may contradict isn't applied any more then.
 func (c *Client) Propose(ctx context.Context, command dhmessage.Command, timeout dhclock.Millis) (dhmessage.Result, error) {
 	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
-		return dhevent.NewProposalRequested(at, dhevent.ProposalRequestedOptions{CorrelationID: correlationID, Command: command, Timeout: timeout})
+		return dhevent.NewProposalRequested(at, dhevent.ProposalRequestedOptions{CorrelationID: correlationID, Command: command, Timeout: timeout, Expires: true})
 	})
 	return resultOf(e), err
 }
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -45,7 +45,7 @@
 		return &dhproto.Message{Message: &dhproto.Message_GrantGive{GrantGive: grantResponseToWire(m)}}
 	case *dhmessage.ProposeRequest:
 		return &dhproto.Message{Message: &dhproto.Message_Propose{Propose: &dhproto.Propose{
-			Ticket: m.CorrelationID(), Command: commandToWire(m.Command()),
+			Ticket: m.CorrelationID(), Command: commandToWire(m.Command()), Deadline: deadlineToWire(m.Deadline()),
 		}}}
 	case *dhmessage.ProposeResponse:
 		return &dhproto.Message{Message: &dhproto.Message_Proposed{Proposed: &dhproto.Proposed{
@@ -53,7 +53,7 @@
 		}}}
 	case *dhmessage.Redirect:
 		return &dhproto.Message{Message: &dhproto.Message_Redirect{Redirect: &dhproto.Redirect{
-			Ticket: m.CorrelationID(), Leader: m.Leader(),
+			Ticket: m.CorrelationID(), Leader: m.Leader(), Round: roundToWire(m.Round()),
 		}}}
 	case *dhmessage.ReservationRequest:
 		return &dhproto.Message{Message: &dhproto.Message_IntakeAsk{IntakeAsk: &dhproto.IntakeAsk{
@@ -174,7 +174,9 @@
 		return grantResponseFromWire(m.GrantGive), nil
 	case *dhproto.Message_Propose:
 		c, err := commandFromWire(m.Propose.GetCommand())
-		return dhmessage.NewProposeRequest(dhmessage.ProposeRequestOptions{CorrelationID: m.Propose.GetTicket(), Command: c}), err
+		return dhmessage.NewProposeRequest(dhmessage.ProposeRequestOptions{
+			CorrelationID: m.Propose.GetTicket(), Command: c, Deadline: deadlineFromWire(m.Propose.GetDeadline()),
+		}), err
 	case *dhproto.Message_Proposed:
 		return dhmessage.NewProposeResponse(dhmessage.ProposeResponseOptions{
 			CorrelationID: m.Proposed.GetTicket(), Result: resultFromWire(m.Proposed.GetResult()),
@@ -189,7 +191,7 @@
 		return dhmessage.NewUpstreamHeartbeats(m.Heard.GetUpstreams()), nil
 	case *dhproto.Message_Redirect:
 		return dhmessage.NewRedirect(dhmessage.RedirectOptions{
-			CorrelationID: m.Redirect.GetTicket(), Leader: m.Redirect.GetLeader(),
+			CorrelationID: m.Redirect.GetTicket(), Leader: m.Redirect.GetLeader(), Round: roundFromWire(m.Redirect.GetRound()),
 		}), nil
 	case *dhproto.Message_IntakeAsk:
 		return dhmessage.NewReservationRequest(dhmessage.ReservationRequestOptions{
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -98,6 +98,8 @@
 	suspects := dhmessage.NewSuspectReport(dhmessage.SuspectReportOptions{Digest: 1, Suspects: []dhmessage.Suspect{
 		dhmessage.NewSuspect(dhmessage.SuspectOptions{Fingerprint: dhmessage.NewFingerprint("o", dhcatalog.Hash{1}), Acquittals: 2, Crashes: []uint64{3, 4}, Age: 5}),
 	}})
+	round := dhmessage.NewRound(1, 2)
+	deadline := dhmessage.NewDeadline(round, 3)
 	messages := []dhmessage.Message{
 		dhmessage.NewVoteRequest(dhmessage.VoteRequestOptions{Term: 1, LastIndex: 2, LastTerm: 3, PreVote: true}),
 		dhmessage.NewVoteResponse(dhmessage.VoteResponseOptions{Term: 1, Granted: true, PreVote: true}),
@@ -119,7 +121,8 @@
 			StartID: 1, OwnerTerm: 2, RequestSentAt: 3, TTL: 4, Grants: []dhmessage.TokenGrant{dhmessage.NewTokenGrant("o", 1, 2, true)},
 		}))}),
 		dhmessage.NewJoinRequest("c:1", "r", "z"),
-		dhmessage.NewRedirect(dhmessage.RedirectOptions{CorrelationID: 1, Leader: "c"}),
+		dhmessage.NewRedirect(dhmessage.RedirectOptions{CorrelationID: 1, Leader: "c", Round: &round}),
+		dhmessage.NewProposeRequest(dhmessage.ProposeRequestOptions{CorrelationID: 1, Command: commands[0], Deadline: &deadline}),
 		dhmessage.NewReservationRequest(dhmessage.ReservationRequestOptions{Service: "s", SentAt: 1, Slots: 2}),
 		dhmessage.NewReservationResponse(dhmessage.ReservationResponseOptions{Service: "s", RequestSentAt: 1, TTL: 2, Slots: 3}),
 	}
