Hand over the vote of a control process that stops, and move votes in time

What callers saw: CONFIG. Core machines were replaced in pairs, each old pair stopped after its successors had had catch_up_s.

Cause: a voter that was gone kept its vote until it was silent for 5 s, a constant without relation to the time for which a replaced machine counts as lost, and a planned stop counted like a crash. Two dead voters and two that stop are four of five.

A leader resigns first. The leader adds a voter before it takes the vote of one that stops, so there are never fewer live votes than before. A silent voter is demoted after half of the replacement time (catch_up_s; 10 s where none is set, so that the 5 s stay).

--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -94,6 +94,8 @@
 	// or pre-vote.
 	grantedVotes map[string]bool
 	preVote      bool
+	// resigned is set once the process is about to stop: it starts no election.
+	resigned bool
 
 	leaderState leaderState
 }
@@ -193,15 +195,26 @@
 	if n.now.Since(n.lastContact) < n.electionTimeout {
 		return
 	}
-	if !n.isVoter(n.self) {
-		// A learner can't start an election. It forgets the leader, so that its
-		// caller looks for the leader at other processes.
+	if !n.isVoter(n.self) || n.resigned {
+		// A learner can't start an election, and a voter that stops doesn't. It forgets
+		// the leader, so that its caller looks for the leader at other processes.
 		n.leader = ""
 		return
 	}
 	n.startElection(true, out)
 }
 
+// Resign gives up leadership and starts no election any more, because the process is about to
+// stop. The node still votes and replicates.
+func (n *Node) Resign() {
+	n.resigned = true
+	if n.role == follower {
+		return
+	}
+	n.leader = ""
+	n.becomeFollower()
+}
+
 // Step handles a message from another member.
 func (n *Node) Step(now dhclock.Millis, from dhmessage.Peer, m dhmessage.Message, out *dheffect.List) {
 	n.now = max(n.now, now)
--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -1,6 +1,7 @@
 package dhcontrol
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -16,12 +17,13 @@
 const (
 	// joinInterval is the time between two join requests of a control process.
 	joinInterval dhclock.Millis = 500
+	// leavingJoinInterval is that time for a process that is about to stop.
+	leavingJoinInterval dhclock.Millis = 100
 	// joinTTL is how long a control process counts as running after its last
 	// join request.
 	joinTTL = 3 * dhclock.Second
-	// voterTimeout is the time without a response after which a voter is
-	// demoted, so that a learner can take its place.
-	voterTimeout = 5 * dhclock.Second
+	// defaultReplacementTime is the default of ManagedOptions.ReplacementTime.
+	defaultReplacementTime = 10 * dhclock.Second
 	// learnerTimeout is the time without a response after which a learner is
 	// removed.
 	learnerTimeout = 30 * dhclock.Second
@@ -57,6 +59,17 @@
 	Zones []dhcatalog.Zone
 	// Votes is the number of voters up to which learners are promoted.
 	Votes int
+	// ReplacementTime is the time after which a control process that was lost and has a
+	// successor doesn't count as lost any more, so that the next one may be lost; 0 stands
+	// for 10 s. The votes of lost processes move within it.
+	ReplacementTime dhclock.Millis `journal:"ReplacementTime,omitZero"`
+}
+
+// voterTimeout returns the time without a response after which a voter is demoted, so that
+// a learner can take its place. The changes of members, and the election of a leader before
+// them, need the other half of the replacement time.
+func (o ManagedOptions) voterTimeout() dhclock.Millis {
+	return cmp.Or(o.ReplacementTime, defaultReplacementTime) / 2
 }
 
 // automation is the state of a control process that joins the consensus group
@@ -68,6 +81,7 @@
 	lastCheck  dhclock.Millis
 	lastEdit   dhclock.Millis
 	joinCount  int
+	isLeaving  bool // this process is about to stop
 	candidates map[string]candidate
 	// invalid are the objects that the leader left out and logged.
 	invalid map[dhcatalog.Ref]bool
@@ -80,6 +94,7 @@
 	region      string
 	zone        string
 	lastContact dhclock.Millis
+	isLeaving   bool
 }
 
 // learner returns the candidate with a name as a learner.
@@ -109,6 +124,7 @@
 	}
 	s.automation.candidates[from.Name()] = candidate{
 		folderID: from.FolderID(), address: m.Address(), region: m.Region(), zone: m.Zone(), lastContact: s.now,
+		isLeaving: m.Leaving(),
 	}
 }
 
@@ -136,7 +152,11 @@
 // member lost its data folder.
 func (s *State) sendJoinRequest(out *dheffect.List) {
 	a := s.automation
-	if s.now.Since(a.lastJoin) < joinInterval {
+	interval := joinInterval
+	if a.isLeaving {
+		interval = leavingJoinInterval
+	}
+	if s.now.Since(a.lastJoin) < interval {
 		return
 	}
 	a.lastJoin = s.now
@@ -155,7 +175,7 @@
 // sendJoinRequestTo requests membership from one process.
 func (s *State) sendJoinRequestTo(to string, out *dheffect.List) {
 	out.Add(dheffect.NewSend(dheffect.SendOptions{
-		To: to, Message: dhmessage.NewJoinRequest(s.automation.options.Address, s.automation.options.Region, s.automation.zone),
+		To: to, Message: dhmessage.NewJoinRequest(s.automation.options.Address, s.automation.options.Region, s.automation.zone).WithLeaving(s.automation.isLeaving),
 	}))
 }
 
@@ -226,7 +246,7 @@
 		isMember[m.Peer().Name()] = true
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.automation.candidates)) {
-		if c := s.automation.candidates[name]; !isMember[name] && s.isRunning(c) {
+		if c := s.automation.candidates[name]; !isMember[name] && s.isRunning(c) && !c.isLeaving {
 			members = append(members, c.learner(name))
 			added = name
 		}
@@ -237,23 +257,40 @@
 // isRunning reports whether a candidate sent a join request within joinTTL.
 func (s *State) isRunning(c candidate) bool { return s.now.Since(c.lastContact) <= joinTTL }
 
-// planVotes demotes an unresponsive voter when a learner that has caught up can
-// replace it, promotes a learner while votes are missing, or removes an
-// unresponsive learner.
+// isLeaving reports whether a member has announced that it is about to stop.
+func (s *State) isLeaving(m dhmessage.Member) bool {
+	c := s.automation.candidates[m.Peer().Name()]
+	return c.isLeaving && s.isRunning(c) && c.folderID == m.Peer().FolderID()
+}
+
+// planVotes plans the next change of a single vote, or removes an unresponsive learner. An
+// unresponsive voter loses its vote when a learner that has caught up can get it. A voter that
+// is about to stop keeps its own until one more voter has been added, since it may stop as
+// soon as it has none.
 func (s *State) planVotes(members []dhconsensus.MemberProgress) (next []dhmessage.Member, text, name string) {
 	learner := s.bestLearner(members)
-	votes := 0
-	for i, m := range members {
-		member := m.Member()
-		if member.Learner() {
+	votes, lasting := 0, 0
+	for _, m := range members {
+		if m.Member().Learner() {
 			continue
 		}
 		votes++
-		if learner >= 0 && s.unresponsive(m, voterTimeout) {
+		if !s.isLeaving(m.Member()) {
+			lasting++
+		}
+	}
+	isSpare := votes > s.automation.options.Votes
+	for i, m := range members {
+		member := m.Member()
+		switch {
+		case member.Learner():
+		case (learner >= 0 || isSpare) && s.unresponsive(m, s.automation.options.voterTimeout()):
 			return withReplacement(members, i, member.WithLearner(true)), "takes the vote from a silent voter", member.Peer().Name()
+		case isSpare && s.isLeaving(member):
+			return withReplacement(members, i, member.WithLearner(true)), "takes the vote from a voter that stops", member.Peer().Name()
 		}
 	}
-	if learner >= 0 && votes < s.automation.options.Votes {
+	if learner >= 0 && lasting < s.automation.options.Votes {
 		member := members[learner].Member()
 		return withReplacement(members, learner, member.WithLearner(false)), "gives a learner a vote", member.Peer().Name()
 	}
@@ -286,7 +323,7 @@
 	best := -1
 	for i, m := range members {
 		member := m.Member()
-		if !member.Learner() || !m.HasResponded() || m.SinceLastContact() > joinTTL || m.FolderID() != member.Peer().FolderID() || m.MatchIndex() < s.voter.node.CommitIndex() {
+		if !member.Learner() || s.isLeaving(member) || !m.HasResponded() || m.SinceLastContact() > joinTTL || m.FolderID() != member.Peer().FolderID() || m.MatchIndex() < s.voter.node.CommitIndex() {
 			continue
 		}
 		if best < 0 || votes[s.regionOf(member)] < votes[s.regionOf(members[best].Member())] {
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -56,6 +56,7 @@
 	automation   *automation // nil where operators manage members
 	grantPath    grantPath
 	grantRelay   grantRelay
+	leave        *pendingLeave // nil unless this process waits to hand over its vote
 	// hasMajority reports whether the configuration was confirmed as current
 	// within the last freshness lease.
 	hasMajority bool
@@ -150,7 +151,7 @@
 	case *dhevent.SuspectsReported:
 		s.distribution.RecordSuspects(s.now, e.Report().Suspects())
 	case *dhevent.LeaveStarted:
-		s.distribution.StartLeaving()
+		s.startLeaving(e)
 	}
 	s.applyCommitted(out)
 }
@@ -172,6 +173,7 @@
 	s.distribution.Tick(s.now, out)
 	s.proposals.retry(s.now, s.leader(), out)
 	s.completeReads(out)
+	s.completeLeave(out)
 }
 
 // logConnectivity logs when this process loses or regains a majority of voters.
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -307,16 +307,33 @@
 // it doesn't.
 func (e *UpstreamDeregistered) Incarnation() int64 { return e.options.Incarnation }
 
-// LeaveStarted reports that this instance is about to stop.
+// LeaveStartedOptions are the fields of a LeaveStarted.
+type LeaveStartedOptions struct {
+	// CorrelationID is the number that the reply repeats; 0 if there is no reply.
+	CorrelationID uint64
+	// Timeout is how long the process waits until another one has its vote, in
+	// milliseconds.
+	Timeout dhclock.Millis
+}
+
+// LeaveStarted reports that this process is about to stop. The reply comes once it has no
+// vote in the consensus group any more, or after the timeout.
 type LeaveStarted struct {
 	stamp
+	options LeaveStartedOptions `journal:"options,omitZero"`
 }
 
 // NewLeaveStarted returns a LeaveStarted.
-func NewLeaveStarted(at dhclock.Millis) *LeaveStarted {
-	return &LeaveStarted{stamp: stamp{at: at}}
+func NewLeaveStarted(at dhclock.Millis, o LeaveStartedOptions) *LeaveStarted {
+	return &LeaveStarted{stamp: stamp{at: at}, options: o}
 }
 
+// CorrelationID returns the number that the reply repeats; 0 if there is no reply.
+func (e *LeaveStarted) CorrelationID() uint64 { return e.options.CorrelationID }
+
+// Timeout returns how long the process waits until another one has its vote, in milliseconds.
+func (e *LeaveStarted) Timeout() dhclock.Millis { return e.options.Timeout }
+
 // SuspectsReportedOptions are the fields of a SuspectsReported.
 type SuspectsReportedOptions struct {
 	// Report holds the suspects that have changed.
--- a/core/dhmessage/join.go
+++ b/core/dhmessage/join.go
@@ -1,11 +1,12 @@
 package dhmessage
 
 // JoinRequest asks the leader to make the sender, a control process, a member
-// of the consensus group.
+// of the consensus group, or to move its vote to another member.
 type JoinRequest struct {
 	address string
 	region  string
 	zone    string `journal:"zone,omitZero"`
+	leaving bool   `journal:"leaving,omitZero"`
 }
 
 // NewJoinRequest returns a JoinRequest. The address is where the sender listens
@@ -14,6 +15,16 @@
 	return &JoinRequest{address: address, region: region, zone: zone}
 }
 
+// WithLeaving returns the request of a sender that is about to stop, or not.
+func (m *JoinRequest) WithLeaving(leaving bool) *JoinRequest {
+	c := *m
+	c.leaving = leaving
+	return &c
+}
+
+// Leaving reports whether the sender is about to stop and hands over its vote.
+func (m *JoinRequest) Leaving() bool { return m.leaving }
+
 // Zone returns the availability zone in which the sender runs, or "".
 func (m *JoinRequest) Zone() string { return m.zone }
 
--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -110,6 +110,16 @@
 	return resultOf(e), err
 }
 
+// Leave announces that this process is about to stop, and returns once another member of the
+// consensus group has its vote. The result has OutcomeUnknown set if it may still have its vote
+// after the timeout.
+func (c *Client) Leave(ctx context.Context, timeout dhclock.Millis) (dhmessage.Result, error) {
+	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+		return dhevent.NewLeaveStarted(at, dhevent.LeaveStartedOptions{CorrelationID: correlationID, Timeout: timeout})
+	})
+	return resultOf(e), err
+}
+
 // RecordUpstreamHeartbeat registers an upstream, or updates it, with the state that
 // its heartbeat reports. If the state changes to draining or gone, the call returns
 // once a majority of voters has stored the change.
--- a/io/dhprocess/options.go
+++ b/io/dhprocess/options.go
@@ -74,6 +74,9 @@
 	// CloseTimeout is how long responses being written have to finish after that, in
 	// milliseconds.
 	CloseTimeout dhclock.Millis
+	// HandoverTimeout is how long a stopping control process under automatic management
+	// waits until another one has its vote, in milliseconds.
+	HandoverTimeout dhclock.Millis
 	// Logs creates the loggers of all layers.
 	Logs *dhlogs.Logs
 	// Clock is the clock of all events.
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -240,11 +240,12 @@
 	fields := logrus.Fields{"reason": reason.Error()}
 	if p.entry == nil {
 		p.log.WithFields(fields).Info("leaving")
+		p.handOverVote()
 		return
 	}
 	fields["open"] = p.entry.UnansweredRequests()
 	p.log.WithFields(fields).Info("leaving")
-	p.loop.TryPost(dhevent.NewLeaveStarted(p.options.Clock.Now()))
+	p.loop.TryPost(dhevent.NewLeaveStarted(p.options.Clock.Now(), dhevent.LeaveStartedOptions{}))
 	p.entry.CloseConnections()
 	refuseFrom := p.options.Clock.Now() + p.options.LeaveWait
 	stopAt := refuseFrom + p.options.FinishTimeout
@@ -258,6 +259,18 @@
 	p.entry.Abort()
 }
 
+// handOverVote waits until another control process has the vote of this one, if votes move
+// automatically.
+func (p *Process) handOverVote() {
+	if p.options.Managed == nil {
+		return
+	}
+	result, err := p.controlClient.Leave(p.ctx, p.options.HandoverTimeout)
+	if err != nil || result.OutcomeUnknown() {
+		p.log.WithError(err).Warn("stopping without a successor for this process's vote")
+	}
+}
+
 // waitForCallers waits until the open requests have ended and callers send no more, at least
 // until one time and at most until another. From the former on it accepts no new connections,
 // but requests on open ones still get an answer.
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -64,7 +64,7 @@
 			Service: m.Service(), SentMs: m.RequestSentAt().Milliseconds(), LifeMs: m.TTL().Milliseconds(), Slots: int32(m.Slots()),
 		}}}
 	case *dhmessage.JoinRequest:
-		return &dhproto.Message{Message: &dhproto.Message_Join{Join: &dhproto.Join{Address: m.Address(), Region: m.Region(), Zone: m.Zone()}}}
+		return &dhproto.Message{Message: &dhproto.Message_Join{Join: &dhproto.Join{Address: m.Address(), Region: m.Region(), Zone: m.Zone(), Leaving: m.Leaving()}}}
 	case *dhmessage.RelayedGrantRequests:
 		return &dhproto.Message{Message: &dhproto.Message_RelayedAsks{RelayedAsks: relayedRequestsToWire(m)}}
 	case *dhmessage.RelayedGrantResponses:
@@ -182,7 +182,7 @@
 			CorrelationID: m.Proposed.GetTicket(), Result: resultFromWire(m.Proposed.GetResult()),
 		}), nil
 	case *dhproto.Message_Join:
-		return dhmessage.NewJoinRequest(m.Join.GetAddress(), m.Join.GetRegion(), m.Join.GetZone()), nil
+		return dhmessage.NewJoinRequest(m.Join.GetAddress(), m.Join.GetRegion(), m.Join.GetZone()).WithLeaving(m.Join.GetLeaving()), nil
 	case *dhproto.Message_RelayedAsks:
 		return relayedRequestsFromWire(m.RelayedAsks), nil
 	case *dhproto.Message_RelayedGives:
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -120,7 +120,7 @@
 		dhmessage.NewRelayedGrantResponses([]dhmessage.HolderResponse{dhmessage.NewHolderResponse("i", dhmessage.NewGrantResponse(dhmessage.GrantResponseOptions{
 			StartID: 1, OwnerTerm: 2, RequestSentAt: 3, TTL: 4, Grants: []dhmessage.TokenGrant{dhmessage.NewTokenGrant("o", 1, 2, true)},
 		}))}),
-		dhmessage.NewJoinRequest("c:1", "r", "z"),
+		dhmessage.NewJoinRequest("c:1", "r", "z").WithLeaving(true),
 		dhmessage.NewRedirect(dhmessage.RedirectOptions{CorrelationID: 1, Leader: "c", Round: &round}),
 		dhmessage.NewProposeRequest(dhmessage.ProposeRequestOptions{CorrelationID: 1, Command: commands[0], Deadline: &deadline}),
 		dhmessage.NewReservationRequest(dhmessage.ReservationRequestOptions{Service: "s", SentAt: 1, Slots: 2}),
