Keep what is known of instances over a change of the leader

What callers saw: DRAIN.

Cause: a new leader knew nothing of the instances and marked none as unavailable for 5 s. Besides, each process passed on the last acknowledgement of a lost instance for 1.8 s, and each receiver counted from its arrival, so that detection took up to 4.7 s without any change of leader.

Evidence: TestLostInstanceIsNamedAfterAChangeOfLeader failed with the leader killed 400 ms after the loss, and TestAckThatIsPassedOnMakesAnInstanceLookPresent without any such kill. Late directories are ruled out: members poll every 0.4 s.

Change: acknowledgements carry their age, and an older one never replaces a newer. The leader tells the members which instances are silent and for how long; a new leader continues from there after 0.5 to 1 s for reports, and keeps what its predecessor decided until an instance reports. Silence of 3 s counts (2.5 s from the last arrival before).

Tests, red before: the two named, TestLostInstanceIsNamedAfterTwoChangesOfLeader, TestLostInstanceIsNamedAfterARestartOfTheCore. They also fail if a running instance is left out.

--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -144,10 +144,7 @@
 	s.refer(now, from, c, m)
 	s.receiveSuspects(now, &c.suspects, m.Suspects())
 	for _, a := range m.Acks() {
-		if old, found := s.ackRecords[a.Instance()]; !found || old.ack != a {
-			s.hasNewAcks = true
-		}
-		s.ackRecords[a.Instance()] = &ackRecord{ack: a, lastContact: now}
+		s.recordAck(now, a)
 	}
 	out.Add(dheffect.NewSend(dheffect.SendOptions{To: from, Message: s.newUpdate(now, c, m.SentAt())}))
 }
@@ -207,7 +204,9 @@
 		Unavailable: s.unavailable, Leader: s.leader, InForce: s.inForce, DrainAges: s.drainAges(now),
 		LimitsAge: now.Since(s.limitsChangedAt), Suspects: c.suspects.NextReport(now, s.suspects),
 	}
-	if !c.replica {
+	if c.replica {
+		o.Silences = s.silences(now)
+	} else {
 		o.Members = s.members
 	}
 	if from, missing := c.missingSince(now, s.catalog.Version()); missing && s.serves(c) {
@@ -253,34 +252,6 @@
 // the ledger yields.
 func (s *State) SetDrains(now dhclock.Millis, ages []dhmessage.DrainAge) { s.setDrains(now, ages) }
 
-// availabilityCheckInterval is the least time between two availability checks
-// of all instances, in milliseconds.
-const availabilityCheckInterval dhclock.Millis = 100
-
-// updateUnavailable determines, at the leader, which instances look-ups must not
-// return. A new leader waits for twice the timeout, so that every instance can
-// report to it first.
-func (s *State) updateUnavailable(now dhclock.Millis) {
-	if now.Since(s.leadershipChangedAt) < 2*instanceTimeout || now.Since(s.lastAvailabilityCheck) < availabilityCheckInterval {
-		return
-	}
-	s.lastAvailabilityCheck = now
-	var unavailable []dhmessage.UnavailableInstance
-	for _, o := range s.catalog.List(dhcatalog.KindInstance) {
-		name := o.Ref().Name()
-		r, found := s.ackRecords[name]
-		switch {
-		case !found || now.Since(r.lastContact) > instanceTimeout:
-			unavailable = append(unavailable, dhmessage.NewUnavailableInstance(name, false))
-		case r.ack.Leaving():
-			unavailable = append(unavailable, dhmessage.NewUnavailableInstance(name, true))
-		}
-	}
-	if !slices.Equal(unavailable, s.unavailable) {
-		s.unavailable, s.viewChanged = unavailable, true
-	}
-}
-
 // UnrecordedInstances returns, at the leader, the advertised instances whose
 // record in the configuration is missing or different.
 func (s *State) UnrecordedInstances(now dhclock.Millis) []dhcatalog.Instance {
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -231,7 +231,7 @@
 	}
 	for _, r := range s.sortedAckRecords() {
 		if now.Since(r.lastContact) <= ackTTL && r.ack.Instance() != s.self {
-			list = append(list, r.ack)
+			list = append(list, r.ack.WithAge(now.Since(r.lastContact)))
 		}
 	}
 	return list
@@ -277,6 +277,9 @@
 	if m.PollSentAt() == 0 {
 		return
 	}
+	if s.isVoter && from == s.leader {
+		s.contacts.record(now, m.Silences())
+	}
 	s.parent.timeouts = 0
 	if m.PollSentAt() >= s.parent.oldestUnanswered {
 		s.parent.awaitingResponse = false
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -37,8 +37,8 @@
 	// startupRetryInterval is the time after which such a process polls again
 	// without a response.
 	startupRetryInterval dhclock.Millis = 400
-	// ackTTL is how long an acknowledgement is forwarded to the parent.
-	ackTTL dhclock.Millis = 1800
+	// ackTTL is the age up to which an acknowledgement is forwarded to the parent.
+	ackTTL = instanceTimeout
 	// ackInterval is the least time between two polls that forward new
 	// acknowledgements.
 	ackInterval dhclock.Millis = 60
@@ -56,9 +56,10 @@
 	preferredParentRetryInterval dhclock.Millis = 10_000
 	// childTimeout is the time without a poll after which a child is dropped.
 	childTimeout dhclock.Millis = 2500
-	// instanceTimeout is the time without an acknowledgement after which an
-	// instance counts as unavailable.
-	instanceTimeout dhclock.Millis = 2500
+	// instanceTimeout is the age of an instance's last acknowledgement from which on it
+	// counts as unavailable. It covers the polls on the way to the leader, and the time
+	// after which an instance gives up a parent.
+	instanceTimeout dhclock.Millis = 3000
 )
 
 // smallZone is the number of instances up to which a zone polls at the shortest
@@ -126,13 +127,14 @@
 	parent          parent
 	children        map[string]*child
 	ackRecords      map[string]*ackRecord
+	contacts        leaderContacts
 	hasNewAcks      bool // acknowledgements not yet forwarded to the parent
 	viewChanged     bool
 	versionAdvanced bool
 }
 
 // ackRecord is the last acknowledgement of an instance, received directly or
-// through other processes, and when it was received.
+// through other processes, and when the instance reported it.
 type ackRecord struct {
 	ack         dhmessage.Ack
 	lastContact dhclock.Millis
@@ -172,12 +174,14 @@
 	}
 }
 
-// SetLeading records whether this process leads. A new leader has no
-// acknowledgements yet and waits for them before it considers an instance
-// unavailable.
+// SetLeading records whether this process leads. A new leader knows of the instances
+// what its predecessor last reported, and those that polled it.
 func (s *State) SetLeading(isLeader bool, now dhclock.Millis) {
+	if s.isLeader && !isLeader {
+		s.contacts.record(now, s.silences(now))
+	}
 	s.isLeader, s.leadershipChangedAt = isLeader, now
-	s.ackRecords = map[string]*ackRecord{}
+	s.dropOldAcks(now)
 	s.parent = parent{selectedAt: now, oldestUnanswered: now}
 }
 
--- a/core/dhmessage/distribution.go
+++ b/core/dhmessage/distribution.go
@@ -12,6 +12,7 @@
 	leaving            bool
 	advertised         bool               `journal:"introduced"`
 	advertisedInstance dhcatalog.Instance `journal:"introduction"`
+	age                dhclock.Millis     `journal:"age,omitZero"`
 }
 
 // NewAck returns an acknowledgement.
@@ -27,6 +28,17 @@
 	return a
 }
 
+// WithAge returns the acknowledgement with the time since the instance reported it, in
+// milliseconds.
+func (a Ack) WithAge(age dhclock.Millis) Ack {
+	a.age = age
+	return a
+}
+
+// Age returns the time since the instance reported the acknowledgement, in milliseconds,
+// without the time that messages took.
+func (a Ack) Age() dhclock.Millis { return a.age }
+
 // Instance returns the name of the instance.
 func (a Ack) Instance() string { return a.instance }
 
@@ -133,6 +145,9 @@
 	LimitsAge dhclock.Millis
 	// Suspects reports requests that may have crashed upstreams; nil for none.
 	Suspects *SuspectReport
+	// Silences are, from the leader to members of the consensus group, the instances of
+	// which it hasn't heard for a while.
+	Silences []Silence `journal:"Silences,omitZero"`
 }
 
 // Update answers a Poll, or is sent unrequested when the version rises.
@@ -189,6 +204,10 @@
 // Suspects reports requests that may have crashed upstreams; nil for none.
 func (m *Update) Suspects() *SuspectReport { return m.options.Suspects }
 
+// Silences returns, from the leader to members of the consensus group, the instances of which
+// it hasn't heard for a while.
+func (m *Update) Silences() []Silence { return m.options.Silences }
+
 func (*Update) message() {}
 
 // DrainAge reports how long ago a drain started.
@@ -208,6 +227,23 @@
 // Age returns how long ago the drain started, in milliseconds.
 func (d DrainAge) Age() dhclock.Millis { return d.age }
 
+// Silence reports how long ago an instance last acknowledged a version.
+type Silence struct {
+	instance string
+	age      dhclock.Millis
+}
+
+// NewSilence returns an instance's silence in milliseconds.
+func NewSilence(instance string, age dhclock.Millis) Silence {
+	return Silence{instance: instance, age: age}
+}
+
+// Instance returns the name of the instance.
+func (s Silence) Instance() string { return s.instance }
+
+// Age returns how long ago the instance last acknowledged a version, in milliseconds.
+func (s Silence) Age() dhclock.Millis { return s.age }
+
 // UnavailableInstance is an instance that look-ups must not return.
 type UnavailableInstance struct {
 	instance string
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -90,7 +90,7 @@
 func pollToWire(m *dhmessage.Poll) *dhproto.Poll {
 	w := &dhproto.Poll{Version: m.Version(), SentMs: m.SentAt().Milliseconds(), Replica: m.Replica(), Suspects: SuspectReportToWire(m.Suspects()), ZoneUnresponsive: m.ZoneUnresponsive(), Probe: m.Probe()}
 	for _, a := range m.Acks() {
-		ack := &dhproto.Ack{Instance: a.Instance(), Version: a.Version(), Leaving: a.Leaving()}
+		ack := &dhproto.Ack{Instance: a.Instance(), Version: a.Version(), Leaving: a.Leaving(), AgeMs: a.Age().Milliseconds()}
 		if i, found := a.AdvertisedInstance(); found {
 			ack.Introduction = instanceToWire(i)
 		}
@@ -111,6 +111,9 @@
 	for _, a := range m.Unavailable() {
 		w.Away = append(w.Away, &dhproto.Away{Instance: a.Instance(), Leaving: a.Leaving()})
 	}
+	for _, x := range m.Silences() {
+		w.Silences = append(w.Silences, &dhproto.Silence{Instance: x.Instance(), AgeMs: x.Age().Milliseconds()})
+	}
 	for _, d := range m.DrainAges() {
 		w.Drains = append(w.Drains, &dhproto.DrainAge{Name: d.Name(), AgeMs: d.Age().Milliseconds()})
 	}
@@ -229,7 +232,7 @@
 	}
 	o := dhmessage.PollOptions{Version: w.GetVersion(), SentAt: dhclock.Millis(w.GetSentMs()), Replica: w.GetReplica(), Suspects: suspects, ZoneUnresponsive: w.GetZoneUnresponsive(), Probe: w.GetProbe()}
 	for _, a := range w.GetAcks() {
-		ack := dhmessage.NewAck(a.GetInstance(), a.GetVersion(), a.GetLeaving())
+		ack := dhmessage.NewAck(a.GetInstance(), a.GetVersion(), a.GetLeaving()).WithAge(dhclock.Millis(a.GetAgeMs()))
 		if a.GetIntroduction() != nil {
 			ack = ack.WithAdvertisedInstance(instanceFromWire(a.GetIntroduction()))
 		}
@@ -263,6 +266,9 @@
 	for _, a := range w.GetAway() {
 		o.Unavailable = append(o.Unavailable, dhmessage.NewUnavailableInstance(a.GetInstance(), a.GetLeaving()))
 	}
+	for _, x := range w.GetSilences() {
+		o.Silences = append(o.Silences, dhmessage.NewSilence(x.GetInstance(), dhclock.Millis(x.GetAgeMs())))
+	}
 	for _, d := range w.GetDrains() {
 		o.DrainAges = append(o.DrainAges, dhmessage.NewDrainAge(d.GetName(), dhclock.Millis(d.GetAgeMs())))
 	}
