Bound the responses that processes and operators' clients read

What callers may see, by a report of other operators: a faulty server sends bytes without end, the process that called it keeps them all, runs out of memory, and the requests of all its clients end with it (LOST).

Tried on every path that reads from another machine. Upstreams, instances that pass requests on, probes and callers are bounded. Calls between processes weren't: one call took 4.3 GB in 6 s and allocated 17 GB.

Cause: a time-out, but no limit on what is read. The library's limit on messages reads and drops the rest until the time-out, so the body of a response is limited as well.

Change: 64 KB of header and 16 MB of body between processes; the connection closes there. Proper messages stay below: at most 8 MB of log entries in one, and messages from 1 MB on have calls of their own. 256 MB for operators' clients, 1 MB for the quickstart's load.

Tests, red before: TestEndlessResponseOfAPeerFillsTheMemory (now 23 MB sent, 68 MB allocated), TestEndlessResponseFillsTheOperatorsMemory.

--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -166,7 +166,7 @@
 		return
 	}
 	term, _ := n.log.term(p.nextIndex - 1)
-	entries := n.log.entriesFrom(p.nextIndex, maxAppendEntries)
+	entries := n.log.entriesFrom(p.nextIndex, maxAppendEntries, maxAppendBytes)
 	n.send(to, dhmessage.NewAppendRequest(dhmessage.AppendRequestOptions{
 		Term: n.term, PreviousIndex: p.nextIndex - 1, PreviousTerm: term,
 		Entries: entries, CommitIndex: n.commitIndex, Round: n.leaderState.round,
--- a/core/dhconsensus/log.go
+++ b/core/dhconsensus/log.go
@@ -65,13 +65,20 @@
 	return l.entries[index-l.snapshot.Index()-1], true
 }
 
-// entriesFrom returns at most limit entries starting at an index.
-func (l *log) entriesFrom(index uint64, limit int) []dhmessage.Entry {
+// entriesFrom returns at most limit entries starting at an index, and no more than have about
+// maxBytes together, but at least one.
+func (l *log) entriesFrom(index uint64, limit, maxBytes int) []dhmessage.Entry {
 	if index <= l.snapshot.Index() || index > l.lastIndex() {
 		return nil
 	}
 	list := l.entries[index-l.snapshot.Index()-1:]
-	return slices.Clone(list[:min(limit, len(list))])
+	list = list[:min(limit, len(list))]
+	for i, e := range list {
+		if maxBytes -= e.ApproximateBytes(); maxBytes < 0 && i > 0 {
+			return slices.Clone(list[:i])
+		}
+	}
+	return slices.Clone(list)
 }
 
 func (l *log) append(e dhmessage.Entry) {
--- a/io/dhclient/client.go
+++ b/io/dhclient/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -23,6 +24,9 @@
 // callTimeout limits one HTTP request.
 const callTimeout = 30 * time.Second
 
+// maxResponseBytes bounds the body of a response.
+const maxResponseBytes = 256 << 20
+
 // Options configure a client.
 type Options struct {
 	// Servers are the addresses at which processes listen for operators, tried in
@@ -84,7 +88,10 @@
 
 func decodeResponse(r *http.Response, into any) error {
 	defer r.Body.Close()
-	raw, err := io.ReadAll(r.Body)
+	raw, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes+1))
+	if len(raw) > maxResponseBytes {
+		return dherrors.New(dherrors.KindUnreachable, fmt.Sprintf("the response is longer than %d bytes", maxResponseBytes), "check that --server is an operators' address")
+	}
 	if err != nil {
 		return dherrors.New(dherrors.KindOutcomeUnknown, "the response was cut off: "+err.Error(), "resend the request with the same id")
 	}
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -38,8 +38,7 @@
 	// callTimeout ends a call without a response. It covers the round trips of a
 	// handshake and of the call over a congested link.
 	callTimeout = 6 * time.Second
-	// bulkTimeout is the timeout of calls with a complete snapshot or
-	// configuration.
+	// bulkTimeout is the timeout of calls with a bulk message.
 	bulkTimeout = 30 * time.Second
 	// dialTimeout bounds the time to connect. It covers a round trip over a congested
 	// link.
@@ -49,6 +48,12 @@
 	// queueIdleTimeout is how long the queue and goroutine of a peer are kept
 	// without a message to it.
 	queueIdleTimeout = 60 * time.Second
+	// maxResponseBytes and maxResponseHeaderBytes bound the response to a call, also once it
+	// is decompressed. Bulk messages have calls of their own.
+	maxResponseBytes       = 16 << 20
+	maxResponseHeaderBytes = 64 << 10
+	// bulkBytes is the approximate size from which on a message is sent in bulk.
+	bulkBytes = 1 << 20
 )
 
 // secretHeader is the header field with the secret that the system's processes
@@ -94,13 +99,15 @@
 
 // NewSender returns a sender that runs until the context ends.
 func NewSender(ctx context.Context, o SenderOptions) *Sender {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: responseLimiter{next: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSClientConfig:     o.TLS,
 		MaxIdleConnsPerHost: maxConcurrentCalls,
 		IdleConnTimeout:     connectionIdleTimeout,
 		DisableCompression:  true,
-	}}
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}}}
 	return &Sender{options: o, client: client, ctx: ctx, queues: map[string]chan dhmessage.Message{}, openCalls: map[string][]chan dhmessage.Message{}}
 }
 
@@ -253,7 +260,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	client := dhprotoconnect.NewPeerServiceClient(s.client, s.scheme()+"://"+address,
-		connect.WithInterceptors(withSecret(s.options.Secret)), connect.WithCompressMinBytes(minCompressedBytes),
+		connect.WithInterceptors(withSecret(s.options.Secret)), connect.WithReadMaxBytes(maxResponseBytes), connect.WithCompressMinBytes(minCompressedBytes),
 		connect.WithAcceptCompression(compressionName, newDecompressor, newCompressor), connect.WithSendCompression(compressionName))
 	response, err := client.Deliver(ctx, request)
 	if err != nil {
@@ -284,16 +291,25 @@
 }
 
 // isBulk reports whether a message carries a complete snapshot or
-// configuration.
+// configuration, or as much as one.
 func isBulk(m dhmessage.Message) bool {
+	size := 0
 	switch m := m.(type) {
 	case *dhmessage.InstallSnapshot:
 		return true
+	case *dhmessage.AppendRequest:
+		for _, e := range m.Entries() {
+			size += e.ApproximateBytes()
+		}
 	case *dhmessage.Update:
-		return m.Full() != nil
-	default:
-		return false
+		if m.Full() != nil {
+			return true
+		}
+		for _, c := range m.Changes() {
+			size += dhmessage.NewEntry(0, 0, 0, dhmessage.NewChange(c)).ApproximateBytes()
+		}
 	}
+	return size >= bulkBytes
 }
 
 // withSecret returns an interceptor that sets the shared secret in each call.
--- a/io/dhquickstart/load.go
+++ b/io/dhquickstart/load.go
@@ -31,6 +31,7 @@
 	latencyMaxUs      = 60_000_000
 	latencyDigits     = 3
 	requestTimeout    = 10 * time.Second
+	maxResponseBytes  = 1 << 20
 )
 
 // ErrInvariantViolated reports that the sample load found a violated invariant.
@@ -117,7 +118,7 @@
 			Address string `json:"address"`
 		} `json:"entries"`
 	}
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || len(answer.Entries) == 0 {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&answer); err != nil || len(answer.Entries) == 0 {
 		return "", fmt.Errorf("the look-up for client address %s returned no entry instance", address)
 	}
 	return answer.Entries[0].Address, nil
@@ -150,7 +151,7 @@
 		return
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		sum.recordRefused("cut off")
 		return
