Promise nothing once the transport has sent a request twice

Reproduced with an upstream of our own that runs a request on a kept connection, closes that without an answer and refuses the request on the next connection: the instance answers 503, although the request ran. net/http sends requests without a body that may be repeated again by itself, and the attempt reported the end of the last sending only.

Ruled out: the same for requests that run at most once (their body can't be sent again, and without a body they get a new connection), and refusals of another request (they carry another id).

Change: an attempt reports that it got a second connection, and the request may then have run whatever the attempt's end says.

TestRefusalOfAResentRequestDeniesARun: red before with GET, closed and reset (503), 502 now.

--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -294,6 +294,9 @@
 	// ResponseMissed is whether the request was sent and the attempt ended before the head
 	// of its response was read; nil if unknown.
 	ResponseMissed *bool
+	// Resent is whether the request was sent again on another connection after the first
+	// one had failed. The end tells of the last sending only.
+	Resent bool `journal:"Resent,omitZero"`
 }
 
 // AttemptEnded reports how an attempt at an upstream or another instance ended.
@@ -307,6 +310,10 @@
 	return &AttemptEnded{stamp: stamp{at: at}, options: o}
 }
 
+// Resent reports whether the request was sent again on another connection after the first one
+// had failed. The end tells of the last sending only.
+func (e *AttemptEnded) Resent() bool { return e.options.Resent }
+
 // RequestID returns the number of the request at this instance.
 func (e *AttemptEnded) RequestID() uint64 { return e.options.RequestID }
 
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -24,6 +24,9 @@
 	}
 	now := e.At()
 	p := r.pool
+	if e.Resent() {
+		r.mayHaveRun = true
+	}
 	s.finishAttempt(now, p, r, e, out)
 	switch e.End() {
 	case dhevent.EndAnswered:
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -130,6 +130,7 @@
 	complete   bool        // bodyPrefix is the complete body
 	err        error       // why the attempt failed; nil if end is EndAnswered
 	connected  *bool       // whether a new connection succeeded; nil if none was tried to its end
+	resent     bool        // the transport sent the request again after a kept connection had failed
 	missed     bool        // the request was sent, and the head of its response not read
 	accepted   bool        // the response is to this request and from its upstream, though it may be truncated
 }
@@ -149,6 +150,7 @@
 	var connection atomic.Pointer[requestConn]
 	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
+			a.resent = gotConnection
 			gotConnection = true
 			if !i.Reused {
 				a.connected = new(true)
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -346,7 +346,7 @@
 		})
 		o := dhevent.AttemptEndedOptions{
 			End: a.end, ReportedLoad: s.options.Dialect.reportedLoad(a.response), ReportedLimit: s.options.Dialect.reportedLimit(a.response),
-			Connected: a.connected, ResponseMissed: new(a.missed),
+			Connected: a.connected, ResponseMissed: new(a.missed), Resent: a.resent,
 		}
 		if a.accepted || a.end == dhevent.EndRefused || a.end == dhevent.EndUnattributed {
 			o.RetryAfter = reportedRetryAfter(a.response)
