Collect silent instances once an availability check

Found on reading the change again: the leader went through all instances for each poll of a member, 26 members with 273 instances on the large fleet.

--- a/core/dhdistribution/availability.go
+++ b/core/dhdistribution/availability.go
@@ -65,16 +65,16 @@
 	maps.DeleteFunc(s.ackRecords, func(_ string, r *ackRecord) bool { return now.Since(r.lastContact) > ackRetention })
 }
 
-// silences returns, at the leader, the instances of which it hasn't heard for
-// silenceReportAge.
+// silences returns, at the leader, the instances of which it hadn't heard for
+// silenceReportAge at the last availability check.
 func (s *State) silences(now dhclock.Millis) []dhmessage.Silence {
 	if !s.isLeader {
 		return nil
 	}
 	var list []dhmessage.Silence
-	for _, o := range s.catalog.List(dhcatalog.KindInstance) {
-		if at, known := s.lastContact(o.Ref().Name()); known && now.Since(at) > silenceReportAge {
-			list = append(list, dhmessage.NewSilence(o.Ref().Name(), now.Since(at)))
+	for _, name := range s.silentInstances {
+		if at, known := s.lastContact(name); known {
+			list = append(list, dhmessage.NewSilence(name, now.Since(at)))
 		}
 	}
 	return list
@@ -128,10 +128,15 @@
 	s.lastAvailabilityCheck = now
 	instances := s.catalog.List(dhcatalog.KindInstance)
 	reported := 0
+	s.silentInstances = s.silentInstances[:0]
 	for _, o := range instances {
-		if s.hasReported(o.Ref().Name()) {
+		name := o.Ref().Name()
+		if s.hasReported(name) {
 			reported++
 		}
+		if at, known := s.lastContact(name); known && now.Since(at) > silenceReportAge {
+			s.silentInstances = append(s.silentInstances, name)
+		}
 	}
 	var unavailable []dhmessage.UnavailableInstance
 	for _, o := range instances {
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -124,10 +124,12 @@
 	viewSuspects    *dhview.Suspects // as of the last change; nil for none
 	suspectBackup   dhquarantine.Backup
 
-	parent          parent
-	children        map[string]*child
-	ackRecords      map[string]*ackRecord
-	contacts        leaderContacts
+	parent     parent
+	children   map[string]*child
+	ackRecords map[string]*ackRecord
+	contacts   leaderContacts
+	// silentInstances are, at the leader, those that it reports to the members as silent.
+	silentInstances []string
 	hasNewAcks      bool // acknowledgements not yet forwarded to the parent
 	viewChanged     bool
 	versionAdvanced bool
