Start no process while a test probes for a free address

Cause: freeAddress listens, closes and leaves the port to be bound again. A process that is started at that moment inherits the socket and holds it until its exec.

Change: the probe holds the lock that excludes forks.

--- a/io/dhtestcluster/program.go
+++ b/io/dhtestcluster/program.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -66,11 +67,14 @@
 // Host returns the loopback address that only this test run uses.
 func Host() string { return host }
 
-// freeAddress returns a loopback address on which nothing listens.
+// freeAddress returns a loopback address on which nothing listens. No process may be started
+// while the probe's socket is open: the new process would hold it until its exec.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	portMutex.Lock()
 	defer portMutex.Unlock()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for {
 		lastPort++
 		address := fmt.Sprintf("%s:%d", host, lastPort)
