Wait for accepted connections in the test of the backlog

Cause: the test took 100 ms for the time in which 266 connections are accepted.

Change: it waits until the listener has gone on to the next accept after the last connection, for 10 s at most, so each check is made on the complete backlog. No expectation changes.

--- a/io/dhnet/listener_test.go
+++ b/io/dhnet/listener_test.go
@@ -16,10 +16,11 @@
 // callers is a CallerListener with a clock of its own and the other sides of its connections.
 type callers struct {
 	*CallerListener
-	t       *testing.T
-	now     atomic.Int64
-	refused atomic.Int64
-	open    []net.Conn
+	t         *testing.T
+	now       atomic.Int64
+	refused   atomic.Int64
+	open      []net.Conn
+	accepting *countingListener
 }
 
 func newCallers(t *testing.T) *callers {
@@ -28,9 +29,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &callers{t: t}
+	c := &callers{t: t, accepting: &countingListener{Listener: l}}
 	clock := dhtime.New(func() dhclock.Millis { return dhclock.Millis(c.now.Load()) })
-	c.CallerListener = NewCallerListener(l, clock, func(net.Conn) { c.refused.Add(1) })
+	c.CallerListener = NewCallerListener(c.accepting, clock, func(net.Conn) { c.refused.Add(1) })
 	go c.Run()
 	t.Cleanup(func() {
 		l.Close()
@@ -54,7 +55,24 @@
 		}
 		c.open = append(c.open, x)
 	}
-	time.Sleep(100 * time.Millisecond)
+	for deadline := time.Now().Add(10 * time.Second); c.accepting.calls.Load() <= int64(len(c.open)); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not all of %d connections were accepted within 10 s", len(c.open))
+		}
+	}
+}
+
+// countingListener counts the calls of Accept, of which each but the last has returned a
+// connection that is in the backlog.
+type countingListener struct {
+	net.Listener
+	calls atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	l.calls.Add(1)
+	return l.Listener.Accept()
 }
 
 // accept accepts connections as long as there are any.
