Start a process before the test of free addresses

Cause: os.StartProcess clones a child once, at the first start of a process, to see whether pidfds work, and holds no syscall.ForkLock while it does. The child has a copy of the probe's socket until it has ended.

Users of the package are not affected: RunTests builds the program first.

--- a/io/dhtestcluster/program.go
+++ b/io/dhtestcluster/program.go
@@ -24,7 +24,9 @@
 // program is the path of the binary under test, which RunTests builds once.
 var program string
 
-// RunTests builds the program, runs the tests of a package, and returns the exit code.
+// RunTests builds the program, runs the tests of a package, and returns the exit code. The build
+// is also the first process that the test binary starts: before it, os clones a child once
+// without holding syscall.ForkLock, which freeAddress relies on.
 func RunTests(m *testing.M) int {
 	folder, err := os.MkdirTemp("", "dogwoodhitch")
 	if err != nil {
--- a/io/dhtestcluster/program_test.go
+++ b/io/dhtestcluster/program_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net"
+	"os"
 	"os/exec"
 	"testing"
 )
 
+func TestMain(m *testing.M) { os.Exit(RunTests(m)) }
+
 // TestFreeAddressIsInUseWhileProcessesStart listens on free addresses while other goroutines
 // start processes. Each address must be usable at once.
 func TestFreeAddressIsInUseWhileProcessesStart(t *testing.T) {
