Record which members are about to stop

What callers would have seen: after a planned stop a vote is left with a process that has ended, until the leader takes it for lost; the next allowed loss may end the majority (CONFIG). Found by a search over losses and replacements.

Cause: a process without a vote ended at once on a planned stop. A leader that had just given it one, or a new leader, which has no notice of it, left the vote with it.

Change: the list of members says which are about to stop (cleared by a join request that says otherwise), a leader gives none of them a vote, and a process that stops waits until the committed list says so of it, within the same limit as for the handover of a vote. An older leader never records it, so beside one a learner stops after that limit (read, not run).

TestStoppedLearnerGetsAVote: red before where the learner stops 2100 to 2160 ms after the loss of a voter, green now.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -196,7 +196,7 @@
 // planMembers returns the next list of members, a description of the change and
 // the name of the member that it concerns; nil if no change is needed. In order
 // of precedence: a voter whose data folder was lost becomes a learner, all new
-// processes become learners and the zones of members are recorded, unresponsive
+// processes become learners and the reports of members are recorded, unresponsive
 // voters are demoted, learners are promoted up to the configured number of votes,
 // and unresponsive learners are removed.
 func (s *State) planMembers() (next []dhmessage.Member, text, name string) {
@@ -209,19 +209,20 @@
 				"takes the vote from a lost data folder", member.Peer().Name()
 		}
 	}
-	next, name = s.withNewLearners(s.withZones(membersOf(members)))
+	next, name = s.withNewLearners(s.withReports(membersOf(members)))
 	switch {
 	case name != "":
 		return next, "adds learners", name
 	case !slices.Equal(next, membersOf(members)):
-		return next, "records the zones of members", s.self.Name()
+		return next, "records the zones of members and which are about to stop", s.self.Name()
 	default:
 		return s.planVotes(members)
 	}
 }
 
-// withZones returns the members with the zones that their join requests stated.
-func (s *State) withZones(members []dhmessage.Member) []dhmessage.Member {
+// withReports returns the members with the zones that their join requests stated, and whether
+// they are about to stop. The next leader knows from the list which members must not get a vote.
+func (s *State) withReports(members []dhmessage.Member) []dhmessage.Member {
 	for i, m := range members {
 		c := s.automation.candidates[m.Peer().Name()]
 		zone := c.zone
@@ -231,8 +232,9 @@
 			continue
 		}
 		if zone != "" {
-			members[i] = m.WithZone(zone)
+			m = m.WithZone(zone)
 		}
+		members[i] = m.WithLeaving(s.isLeaving(m))
 	}
 	return members
 }
@@ -257,10 +259,18 @@
 // isRunning reports whether a candidate sent a join request within joinTTL.
 func (s *State) isRunning(c candidate) bool { return s.now.Since(c.lastContact) <= joinTTL }
 
-// isLeaving reports whether a member has announced that it is about to stop.
+// isLeaving reports whether a member has announced that it is about to stop, and hasn't started
+// again since.
 func (s *State) isLeaving(m dhmessage.Member) bool {
-	c := s.automation.candidates[m.Peer().Name()]
-	return c.isLeaving && s.isRunning(c) && c.folderID == m.Peer().FolderID()
+	c, found := s.automation.candidates[m.Peer().Name()]
+	switch {
+	case m.Peer().Name() == s.self.Name():
+		return s.automation.isLeaving
+	case found && s.isRunning(c) && c.folderID == m.Peer().FolderID():
+		return c.isLeaving
+	default:
+		return m.Leaving()
+	}
 }
 
 // planVotes plans the next change of a single vote, or removes an unresponsive learner. An
--- a/core/dhcontrol/leave.go
+++ b/core/dhcontrol/leave.go
@@ -9,7 +9,7 @@
 	"dogwoodhitch/core/dhmessage"
 )
 
-// pendingLeave is a stop that waits until this process has no vote any more.
+// pendingLeave is a stop that waits until this process has no vote any more, and gets none.
 type pendingLeave struct {
 	correlationID uint64
 	deadline      dhclock.Millis
@@ -29,14 +29,14 @@
 	}
 }
 
-// completeLeave answers a stop once this process has no vote, no other member can take it, or
-// the timeout has passed. The outcome is unknown if it may still have its vote.
+// completeLeave answers a stop once this process has no vote and can't get one, no other member
+// can take it, or the timeout has passed. The outcome is unknown if it may still have its vote.
 func (s *State) completeLeave(out *dheffect.List) {
 	if s.leave == nil {
 		return
 	}
 	hasVote := s.hasVote()
-	if hasVote && s.canHandOver() && s.now < s.leave.deadline {
+	if (hasVote || s.canGetVote()) && s.canHandOver() && s.now < s.leave.deadline {
 		return
 	}
 	s.reply(s.leave.correlationID, dhmessage.NewResult(dhmessage.ResultOptions{
@@ -52,6 +52,14 @@
 	})
 }
 
+// canGetVote reports whether a leader may give this process a vote: if it is a member, and the
+// newest committed list of members doesn't say that it is about to stop.
+func (s *State) canGetVote() bool {
+	return s.voter != nil && slices.ContainsFunc(s.voter.appliedMembers, func(m dhmessage.Member) bool {
+		return m.Peer().Name() == s.self.Name() && !m.Leaving()
+	})
+}
+
 // canHandOver reports whether the leader may take this process's vote: if another member can
 // get one, or more than needed have one already.
 func (s *State) canHandOver() bool {
--- a/core/dhmessage/command.go
+++ b/core/dhmessage/command.go
@@ -125,6 +125,7 @@
 	address string
 	learner bool
 	zone    string `journal:"zone,omitZero"`
+	leaving bool   `journal:"leaving,omitZero"`
 }
 
 // NewMember returns a member. A learner receives the log and has no vote. A peer
@@ -164,6 +165,15 @@
 	return m
 }
 
+// Leaving reports whether the member has announced that it is about to stop.
+func (m Member) Leaving() bool { return m.leaving }
+
+// WithLeaving returns the member as one that is about to stop, or that stays.
+func (m Member) WithLeaving(leaving bool) Member {
+	m.leaving = leaving
+	return m
+}
+
 // Members replaces the members of the consensus group. A valid Members command
 // changes at most one vote.
 type Members struct {
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -19,10 +19,10 @@
 	handoverTimeout dhclock.Millis = 2400
 )
 
-// newReplacementNetwork returns a managed cluster of six control processes in three regions,
-// with 20 ms between any two, that has formed and accepted a declaration.
-func newReplacementNetwork(t fatalReporter) *network {
-	n := newManagedNetwork(t, 6)
+// newReplacementNetwork returns a managed cluster of control processes in three regions, with
+// 20 ms between any two, that has formed and accepted a declaration.
+func newReplacementNetwork(t fatalReporter, controls int) *network {
+	n := newManagedNetwork(t, controls)
 	n.managed.ReplacementTime = replacementTime
 	n.messageDelay = 20
 	for _, m := range n.machines {
@@ -118,7 +118,7 @@
 // pair follows at once. A declaration must be accepted after each pair.
 func TestReplacedPairsOfControlProcessesEndTheMajority(t *testing.T) {
 	orderedPairs(6, func(i, j int) {
-		n := newReplacementNetwork(t)
+		n := newReplacementNetwork(t, 6)
 		old := slices.Clone(n.machines)
 		pairs := [][]*machine{{old[i], old[j]}}
 		rest := slices.DeleteFunc(slices.Clone(old), func(m *machine) bool { return m == old[i] || m == old[j] })
@@ -139,7 +139,7 @@
 // declaration must be accepted after each pair.
 func TestControlProcessesLostInPairsEndTheMajority(t *testing.T) {
 	orderedPairs(6, func(i, j int) {
-		n := newReplacementNetwork(t)
+		n := newReplacementNetwork(t, 6)
 		old := slices.Clone(n.machines)
 		rest := slices.DeleteFunc(slices.Clone(old), func(m *machine) bool { return m == old[i] || m == old[j] })
 		for k, pair := range [][]*machine{{old[i], old[j]}, rest[:2], rest[2:]} {
@@ -163,7 +163,7 @@
 // and kills two others as soon as those have stopped. A declaration must be accepted.
 func TestLossRightAfterAReplacementEndsTheMajority(t *testing.T) {
 	orderedPairs(6, func(i, j int) {
-		n := newReplacementNetwork(t)
+		n := newReplacementNetwork(t, 6)
 		old := slices.Clone(n.machines)
 		rest := slices.DeleteFunc(slices.Clone(old), func(m *machine) bool { return m == old[i] || m == old[j] })
 		n.startSuccessor(old[i])
@@ -175,3 +175,18 @@
 		n.requireDeclaration(2, fmt.Sprintf("c%d and c%d replaced, %s and %s killed:", i+1, j+1, rest[0].name, rest[1].name))
 	})
 }
+
+// TestStoppedLearnerGetsAVote loses a voter, and stops the learner that gets its vote, as planned,
+// at many times around that. The learner must not have a vote after it has stopped.
+func TestStoppedLearnerGetsAVote(t *testing.T) {
+	for after := replacementTime / 2; after < replacementTime; after += 20 {
+		n := newReplacementNetwork(t, 9)
+		n.stop(n.find("c2"))
+		n.run(after)
+		n.shutDown(n.find("c6"))
+		n.run(200)
+		if votes := n.votes(); slices.Contains(votes, "c6@c6-folder") {
+			t.Errorf("c6 stopped %d ms after the loss of c2: the votes are %v", after, votes)
+		}
+	}
+}
--- a/io/dhwire/log.go
+++ b/io/dhwire/log.go
@@ -131,7 +131,7 @@
 	out := make([]*dhproto.Voter, 0, len(list))
 	for _, v := range list {
 		out = append(out, &dhproto.Voter{
-			Name: v.Peer().Name(), Folder: v.Peer().FolderID(), Address: v.Address(), Learner: v.Learner(), Zone: v.Zone(),
+			Name: v.Peer().Name(), Folder: v.Peer().FolderID(), Address: v.Address(), Learner: v.Learner(), Zone: v.Zone(), Leaving: v.Leaving(),
 		})
 	}
 	return out
@@ -141,7 +141,8 @@
 func MembersFromWire(list []*dhproto.Voter) []dhmessage.Member {
 	var out []dhmessage.Member
 	for _, v := range list {
-		out = append(out, dhmessage.NewMember(dhmessage.NewPeer(v.GetName(), v.GetFolder()), v.GetAddress(), v.GetLearner()).WithZone(v.GetZone()))
+		m := dhmessage.NewMember(dhmessage.NewPeer(v.GetName(), v.GetFolder()), v.GetAddress(), v.GetLearner())
+		out = append(out, m.WithZone(v.GetZone()).WithLeaving(v.GetLeaving()))
 	}
 	return out
 }
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	voters := []dhmessage.Member{dhmessage.NewMember(dhmessage.NewPeer("c", "f"), "10.0.0.1:1", true).WithZone("z")}
+	voters := []dhmessage.Member{dhmessage.NewMember(dhmessage.NewPeer("c", "f"), "10.0.0.1:1", true).WithZone("z").WithLeaving(true)}
 	key, claimant := dhmessage.NewClaimKey("o", "k"), dhmessage.NewClaimant("i", 1, 2)
 	response := dhmessage.NewResponse(200, []dhmessage.HeaderField{dhmessage.NewHeaderField("A", "b")}, []byte("body"))
 	commands := []dhmessage.Command{
