Spread the votes over regions at any time

Cause: the votes of a lost region move to the others and never come back, so one region holds three of five. The region decided only where a missing vote went, and a new leader didn't know the regions of members.

Evidence: in the reducer the processes that return have the whole log within 300 ms, and the votes stay 3 to 2 for the 60 s that were watched.

Change: planVote decides each change of a vote by one rule: as many lasting votes as configured, spread evenly over regions and then zones. A better spread is reached by one more vote and then one less.

TestVotesDontBearTheNextLoss and TestRegionsLostInTurnEndTheMajority: red before.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -24,6 +24,8 @@
 	joinTTL = 3 * dhclock.Second
 	// defaultReplacementTime is the default of ManagedOptions.ReplacementTime.
 	defaultReplacementTime = 10 * dhclock.Second
+	// contactTimeout is the time without a response within which a voter counts as in contact.
+	contactTimeout = dhclock.Second
 	// learnerTimeout is the time without a response after which a learner is
 	// removed.
 	learnerTimeout = 30 * dhclock.Second
@@ -57,7 +59,7 @@
 	Region string
 	// Zones are the zones of the deployment.
 	Zones []dhcatalog.Zone
-	// Votes is the number of voters up to which learners are promoted.
+	// Votes is the number of voters up to which learners are promoted, at least one.
 	Votes int
 	// ReplacementTime is the time after which a control process that was lost and has a
 	// successor doesn't count as lost any more, so that the next one may be lost; 0 stands
@@ -196,9 +198,8 @@
 // planMembers returns the next list of members, a description of the change and
 // the name of the member that it concerns; nil if no change is needed. In order
 // of precedence: a voter whose data folder was lost becomes a learner, all new
-// processes become learners and the reports of members are recorded, unresponsive
-// voters are demoted, learners are promoted up to the configured number of votes,
-// and unresponsive learners are removed.
+// processes become learners and the reports of members are recorded, a vote moves
+// as planVote decides, and unresponsive learners are removed.
 func (s *State) planMembers() (next []dhmessage.Member, text, name string) {
 	members := s.voter.node.MemberProgress()
 	for i, m := range members {
@@ -273,36 +274,15 @@
 	}
 }
 
-// planVotes plans the next change of a single vote, or removes an unresponsive learner. An
-// unresponsive voter loses its vote when a learner that has caught up can get it. A voter that
-// is about to stop keeps its own until one more voter has been added, since it may stop as
-// soon as it has none.
+// planVotes plans the next change of a single vote, or removes an unresponsive learner.
 func (s *State) planVotes(members []dhconsensus.MemberProgress) (next []dhmessage.Member, text, name string) {
-	learner := s.bestLearner(members)
-	votes, lasting := 0, 0
+	seats := make([]seat, 0, len(members))
 	for _, m := range members {
-		if m.Member().Learner() {
-			continue
-		}
-		votes++
-		if !s.isLeaving(m.Member()) {
-			lasting++
-		}
+		seats = append(seats, s.seatOf(m))
 	}
-	isSpare := votes > s.automation.options.Votes
-	for i, m := range members {
-		member := m.Member()
-		switch {
-		case member.Learner():
-		case (learner >= 0 || isSpare) && s.unresponsive(m, s.automation.options.voterTimeout()):
-			return withReplacement(members, i, member.WithLearner(true)), "takes the vote from a silent voter", member.Peer().Name()
-		case isSpare && s.isLeaving(member):
-			return withReplacement(members, i, member.WithLearner(true)), "takes the vote from a voter that stops", member.Peer().Name()
-		}
-	}
-	if learner >= 0 && lasting < s.automation.options.Votes {
-		member := members[learner].Member()
-		return withReplacement(members, learner, member.WithLearner(false)), "gives a learner a vote", member.Peer().Name()
+	if i, change := planVote(seats, s.automation.options.Votes); change != keepVotes {
+		member := members[i].Member()
+		return withReplacement(members, i, member.WithLearner(!member.Learner())), string(change), member.Peer().Name()
 	}
 	for i, m := range members {
 		if m.Member().Learner() && s.unresponsive(m, learnerTimeout) {
@@ -321,35 +301,29 @@
 	return s.now.Since(s.voter.node.ElectedAt()) > timeout && (!m.HasResponded() || m.SinceLastContact() > timeout)
 }
 
-// bestLearner returns the index of the learner that has caught up and whose
-// region has the fewest votes, or -1.
-func (s *State) bestLearner(members []dhconsensus.MemberProgress) int {
-	votes := map[string]int{}
-	for _, m := range members {
-		if !m.Member().Learner() {
-			votes[s.regionOf(m.Member())]++
-		}
-	}
-	best := -1
-	for i, m := range members {
-		member := m.Member()
-		if !member.Learner() || s.isLeaving(member) || !m.HasResponded() || m.SinceLastContact() > joinTTL || m.FolderID() != member.Peer().FolderID() || m.MatchIndex() < s.voter.node.CommitIndex() {
-			continue
-		}
-		if best < 0 || votes[s.regionOf(member)] < votes[s.regionOf(members[best].Member())] {
-			best = i
-		}
+// seatOf returns what the leader knows of a member that matters for its vote.
+func (s *State) seatOf(m dhconsensus.MemberProgress) seat {
+	member := m.Member()
+	if member.Peer().Name() == s.self.Name() {
+		return seat{region: s.automation.options.Region, zone: s.automation.zone, isVoter: !member.Learner(), isLeader: true, isInContact: true}
+	}
+	isReady := m.HasResponded() && m.SinceLastContact() <= joinTTL &&
+		m.FolderID() == member.Peer().FolderID() && m.MatchIndex() >= s.voter.node.CommitIndex()
+	return seat{
+		region:      s.regionOf(member),
+		zone:        member.Zone(),
+		isVoter:     !member.Learner(),
+		isReady:     isReady,
+		isSilent:    s.unresponsive(m, s.automation.options.voterTimeout()),
+		isInContact: m.HasResponded() && m.SinceLastContact() <= contactTimeout,
+		isLeaving:   s.isLeaving(member),
 	}
-	return best
 }
 
-// regionOf returns the region of a member, as its last join request to this
-// leader stated it.
+// regionOf returns the region of a member's zone, or until that is recorded the one that its last
+// join request to this leader stated.
 func (s *State) regionOf(member dhmessage.Member) string {
-	if member.Peer().Name() == s.self.Name() {
-		return s.automation.options.Region
-	}
-	return s.automation.candidates[member.Peer().Name()].region
+	return cmp.Or(s.distribution.Catalog().RegionOf(member.Zone()), s.automation.candidates[member.Peer().Name()].region)
 }
 
 func membersOf(members []dhconsensus.MemberProgress) []dhmessage.Member {
