--- a/core/dhmessage/command.go
+++ b/core/dhmessage/command.go
@@ -34,12 +34,16 @@
 // ObjectBytes is the approximate size of an object of the configuration, in bytes.
 const ObjectBytes = 200
 
+// ApproximateBytes returns the approximate size of a change set, in bytes.
+func ApproximateBytes(s dhcatalog.ChangeSet) int {
+	return ObjectBytes * (1 + len(s.Puts()) + len(s.Deletes()) + len(s.Blocks()))
+}
+
 // ApproximateBytes returns the approximate size of the entry's command, in bytes.
 func (e Entry) ApproximateBytes() int {
 	switch c := e.command.(type) {
 	case Change:
-		set := c.ChangeSet()
-		return ObjectBytes * (1 + len(set.Puts()) + len(set.Deletes()) + len(set.Blocks()))
+		return ApproximateBytes(c.ChangeSet())
 	case Edit:
 		return ObjectBytes * (1 + len(c.Puts()) + len(c.Deletes()))
 	case Declare:
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -306,7 +306,7 @@
 			return true
 		}
 		for _, c := range m.Changes() {
-			size += dhmessage.NewEntry(0, 0, 0, dhmessage.NewChange(c)).ApproximateBytes()
+			size += dhmessage.ApproximateBytes(c)
 		}
 	}
 	return size >= bulkBytes
