Search earlier decisions only for instances that haven't reported

The availability check, ten times a second at the leader, searched the list of unavailable instances for every instance, though only those that haven't reported since the election need it. Corrected the comment on what a control process does when it leaves. No change of behaviour.

--- a/core/dhdistribution/availability.go
+++ b/core/dhdistribution/availability.go
@@ -142,10 +142,14 @@
 	for _, o := range instances {
 		name := o.Ref().Name()
 		r, found := s.ackRecords[name]
-		previous := slices.IndexFunc(s.unavailable, func(u dhmessage.UnavailableInstance) bool { return u.Instance() == name })
+		if !s.hasReported(name) {
+			previous := slices.IndexFunc(s.unavailable, func(u dhmessage.UnavailableInstance) bool { return u.Instance() == name })
+			if previous >= 0 {
+				unavailable = append(unavailable, s.unavailable[previous])
+				continue
+			}
+		}
 		switch {
-		case !s.hasReported(name) && previous >= 0:
-			unavailable = append(unavailable, s.unavailable[previous])
 		case s.isSilent(now, name, 2*reported > len(instances)):
 			unavailable = append(unavailable, dhmessage.NewUnavailableInstance(name, false))
 		case found && r.ack.Leaving():
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -232,9 +232,9 @@
 	}
 }
 
-// leave prepares an entry instance for its stop: it removes the instance from
-// look-ups, then refuses new requests, and waits for the open ones to end. It aborts those
-// that don't in time.
+// leave prepares an instance for its stop. A control process hands over its vote. An entry
+// instance is removed from look-ups, then refuses new requests, and waits for the open ones to
+// end. It aborts those that don't in time.
 func (p *Process) leave(reason error) {
 	p.leaving.Store(true)
 	fields := logrus.Fields{"reason": reason.Error()}
