Share set-up and pairs between the tests of votes

Three tests built the same pairs, two networks were formed in the same way, and two functions described the members of control processes. Draws, bounds and assertions are as they were.

--- a/core/dhreducer/lost_instance_test.go
+++ b/core/dhreducer/lost_instance_test.go
@@ -23,7 +23,7 @@
 // contact leave out an instance, and only that one.
 func (n *network) requireUnavailable(name, when string, skip *machine) {
 	for _, m := range n.controls() {
-		if m.disk == nil || m == skip {
+		if m == skip {
 			continue
 		}
 		if !m.view.IsUnavailable(name) {
--- a/core/dhreducer/main_test.go
+++ b/core/dhreducer/main_test.go
@@ -33,10 +33,10 @@
 func limitChecks(t *testing.T, number int) {
 	t.Helper()
 	f := flag.Lookup("rapid.checks")
-	before := f.Value.String()
 	if isGiven[f.Name] {
 		return
 	}
+	before := f.Value.String()
 	if err := f.Value.Set(strconv.Itoa(number)); err != nil {
 		t.Fatal(err)
 	}
--- a/core/dhreducer/managed_test.go
+++ b/core/dhreducer/managed_test.go
@@ -302,10 +302,10 @@
 }
 
 // describeControl returns the members of the consensus group and the progress of
-// each control process.
+// each running control process.
 func (n *network) describeControl() string {
 	text := ""
-	for _, m := range n.machines[:6] {
+	for _, m := range n.controls() {
 		s := n.status(m)
 		text += fmt.Sprintf("%s@%s leads %v term %d commit %d;", m.name, m.disk.folder, s.IsLeader(), s.Term(), s.CommitIndex())
 		if s.IsLeader() {
--- a/core/dhreducer/order_test.go
+++ b/core/dhreducer/order_test.go
@@ -50,7 +50,7 @@
 // followers returns the running control processes that don't lead.
 func (n *network) followers() []*machine {
 	l := n.leader()
-	return slices.DeleteFunc(slices.Clone(n.machines[:6]), func(m *machine) bool { return m == l || m.state == nil })
+	return slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == l })
 }
 
 // delayProposals delays what a machine proposes to others.
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhevent"
 )
@@ -20,12 +21,22 @@
 )
 
 // newReplacementNetwork returns a managed cluster of control processes in three regions, with
-// 20 ms between any two, that has formed and accepted a declaration.
-func newReplacementNetwork(t fatalReporter, controls int) *network {
+// 20 ms between any two, that has formed and accepted a declaration. They are spread over the
+// given zones in turn, if there are any, each of which is in the region of its first letter.
+func newReplacementNetwork(t fatalReporter, controls int, zones ...string) *network {
 	n := newManagedNetwork(t, controls)
 	n.managed.ReplacementTime = replacementTime
 	n.messageDelay = 20
-	for _, m := range n.machines {
+	if len(zones) > 0 {
+		n.managed.Zones = nil
+	}
+	for _, z := range zones {
+		n.managed.Zones = append(n.managed.Zones, dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: z, Region: z[:1]}))
+	}
+	for i, m := range n.machines {
+		if len(zones) > 0 {
+			m.zone = zones[i%len(zones)]
+		}
 		n.stop(m)
 		n.start(m)
 	}
@@ -36,7 +47,7 @@
 
 // controls returns the running control processes.
 func (n *network) controls() []*machine {
-	return slices.DeleteFunc(slices.Clone(n.machines), func(m *machine) bool { return m.state == nil })
+	return slices.DeleteFunc(slices.Clone(n.machines), func(m *machine) bool { return m.disk == nil || m.state == nil })
 }
 
 // requireDeclaration lets a running process propose a declaration, which must be accepted
@@ -52,20 +63,7 @@
 			return
 		}
 	}
-	n.t.Fatalf("%s no declaration is accepted; %s", when, n.describeRunning())
-}
-
-// describeRunning returns what each running control process knows of the members.
-func (n *network) describeRunning() string {
-	text := ""
-	for _, m := range n.controls() {
-		s := n.status(m)
-		text += fmt.Sprintf("%s leads %v term %d:", m.name, s.IsLeader(), s.Term())
-		for _, v := range s.Members() {
-			text += fmt.Sprintf(" %s learner %v,", v.Name(), v.Learner())
-		}
-	}
-	return text
+	n.t.Fatalf("%s no declaration is accepted; %s", when, n.describeControl())
 }
 
 // startSuccessor starts an empty control process of a new name in the region of another one.
@@ -81,6 +79,29 @@
 	n.start(m)
 }
 
+// startSuccessors starts a successor of each process in a list.
+func (n *network) startSuccessors(list []*machine) {
+	for _, m := range list {
+		n.startSuccessor(m)
+	}
+}
+
+// stopAll kills the processes in a list.
+func (n *network) stopAll(list []*machine) {
+	for _, m := range list {
+		n.stop(m)
+	}
+}
+
+// namesOf returns the names of machines.
+func namesOf(list []*machine) []string {
+	var names []string
+	for _, m := range list {
+		names = append(names, m.name)
+	}
+	return names
+}
+
 // shutDown lets processes stop as after SIGTERM: they leave, and end once they have replied.
 func (n *network) shutDown(list ...*machine) {
 	ids := map[uint64]*machine{}
@@ -102,13 +123,18 @@
 	}
 }
 
-// orderedPairs calls test with each pair of different indexes below a number.
-func orderedPairs(number int, test func(i, j int)) {
-	for i := range number {
-		for j := range number {
-			if i != j {
-				test(i, j)
+// forEachOrderInPairs calls test with new clusters of six control processes, in pairs: once for
+// each ordered first pair, with the others in their order after it.
+func forEachOrderInPairs(t *testing.T, test func(n *network, pairs [3][]*machine)) {
+	for i := range 6 {
+		for j := range 6 {
+			if i == j {
+				continue
 			}
+			n := newReplacementNetwork(t, 6)
+			first := []*machine{n.machines[i], n.machines[j]}
+			rest := slices.DeleteFunc(slices.Clone(n.machines), func(m *machine) bool { return slices.Contains(first, m) })
+			test(n, [3][]*machine{first, rest[:2], rest[2:]})
 		}
 	}
 }
@@ -117,19 +143,13 @@
 // planned work: two successors start, and two others stop once the successors count. The next
 // pair follows at once. A declaration must be accepted after each pair.
 func TestReplacedPairsOfControlProcessesEndTheMajority(t *testing.T) {
-	orderedPairs(6, func(i, j int) {
-		n := newReplacementNetwork(t, 6)
-		old := slices.Clone(n.machines)
-		pairs := [][]*machine{{old[i], old[j]}}
-		rest := slices.DeleteFunc(slices.Clone(old), func(m *machine) bool { return m == old[i] || m == old[j] })
-		pairs = append(pairs, rest[:2], rest[2:])
+	forEachOrderInPairs(t, func(n *network, pairs [3][]*machine) {
 		for k, pair := range pairs {
-			n.startSuccessor(pair[0])
-			n.startSuccessor(pair[1])
+			n.startSuccessors(pair)
 			n.run(replacementTime + 100)
 			n.shutDown(pair...)
 			n.run(100)
-			n.requireDeclaration(uint64(k+2), fmt.Sprintf("c%d and c%d first: after pair %d", i+1, j+1, k+1))
+			n.requireDeclaration(uint64(k+2), fmt.Sprintf("%s first: after pair %d", namesOf(pairs[0]), k+1))
 		}
 	})
 }
@@ -138,23 +158,17 @@
 // their successors a second later, and kills the next two as soon as the successors count. A
 // declaration must be accepted after each pair.
 func TestControlProcessesLostInPairsEndTheMajority(t *testing.T) {
-	orderedPairs(6, func(i, j int) {
-		n := newReplacementNetwork(t, 6)
-		old := slices.Clone(n.machines)
-		rest := slices.DeleteFunc(slices.Clone(old), func(m *machine) bool { return m == old[i] || m == old[j] })
-		for k, pair := range [][]*machine{{old[i], old[j]}, rest[:2], rest[2:]} {
-			n.stop(pair[0])
-			n.stop(pair[1])
+	forEachOrderInPairs(t, func(n *network, pairs [3][]*machine) {
+		n.stopAll(pairs[0])
+		for k, pair := range pairs {
 			n.run(successorDelay)
-			n.startSuccessor(pair[0])
-			n.startSuccessor(pair[1])
+			n.startSuccessors(pair)
 			n.run(replacementTime + 100)
-			if k == 2 {
+			if k+1 == len(pairs) {
 				break
 			}
-			n.stop(rest[2*k])
-			n.stop(rest[2*k+1])
-			n.requireDeclaration(uint64(k+2), fmt.Sprintf("c%d and c%d first: after pair %d", i+1, j+1, k+2))
+			n.stopAll(pairs[k+1])
+			n.requireDeclaration(uint64(k+2), fmt.Sprintf("%s first: after pair %d", namesOf(pairs[0]), k+2))
 		}
 	})
 }
@@ -162,17 +176,12 @@
 // TestLossRightAfterAReplacementEndsTheMajority replaces two control processes as planned work
 // and kills two others as soon as those have stopped. A declaration must be accepted.
 func TestLossRightAfterAReplacementEndsTheMajority(t *testing.T) {
-	orderedPairs(6, func(i, j int) {
-		n := newReplacementNetwork(t, 6)
-		old := slices.Clone(n.machines)
-		rest := slices.DeleteFunc(slices.Clone(old), func(m *machine) bool { return m == old[i] || m == old[j] })
-		n.startSuccessor(old[i])
-		n.startSuccessor(old[j])
+	forEachOrderInPairs(t, func(n *network, pairs [3][]*machine) {
+		n.startSuccessors(pairs[0])
 		n.run(replacementTime + 100)
-		n.shutDown(old[i], old[j])
-		n.stop(rest[0])
-		n.stop(rest[1])
-		n.requireDeclaration(2, fmt.Sprintf("c%d and c%d replaced, %s and %s killed:", i+1, j+1, rest[0].name, rest[1].name))
+		n.shutDown(pairs[0]...)
+		n.stopAll(pairs[1])
+		n.requireDeclaration(2, fmt.Sprintf("%s replaced, %s killed:", namesOf(pairs[0]), namesOf(pairs[1])))
 	})
 }
 
--- a/core/dhreducer/votes_test.go
+++ b/core/dhreducer/votes_test.go
@@ -7,7 +7,6 @@
 
 	"pgregory.net/rapid"
 
-	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 )
 
@@ -18,7 +17,7 @@
 	*network
 	history     []string
 	lost        map[*machine]dhclock.Millis // until when each counts as lost
-	declaration uint64
+	declaration uint64                      // the last one that was accepted
 }
 
 // whileDown marks a process that counts as lost until it or its successor starts.
@@ -27,22 +26,10 @@
 // newLossSearch returns a formed cluster with an equal number of control processes in each of
 // three zones of three regions.
 func newLossSearch(t fatalReporter, controlsPerZone int) *lossSearch {
-	l := &lossSearch{network: newManagedNetwork(t, 9*controlsPerZone), lost: map[*machine]dhclock.Millis{}}
-	l.managed.ReplacementTime, l.managed.Zones = replacementTime, nil
-	l.messageDelay = 20
-	for i, m := range l.machines {
-		m.zone = fmt.Sprintf("%c%d", 'a'+i%3, 1+i/3%3)
+	zones := []string{"a1", "b1", "c1", "a2", "b2", "c2", "a3", "b3", "c3"}
+	return &lossSearch{
+		network: newReplacementNetwork(t, len(zones)*controlsPerZone, zones...), lost: map[*machine]dhclock.Millis{}, declaration: 1,
 	}
-	for _, m := range l.machines[:9] {
-		l.managed.Zones = append(l.managed.Zones, dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: m.zone, Region: m.zone[:1]}))
-	}
-	for _, m := range l.machines {
-		l.stop(m)
-		l.start(m)
-	}
-	l.run(8000)
-	l.requireDeclaration()
-	return l
 }
 
 func (l *lossSearch) requireDeclaration() {
@@ -197,9 +184,8 @@
 
 // replace starts two successors and stops their predecessors once the successors count.
 func (l *lossSearch) replace(pair []*machine) {
-	l.history = append(l.history, fmt.Sprintf("%s and %s replaced at %d", pair[0].name, pair[1].name, l.now))
-	l.startSuccessor(pair[0])
-	l.startSuccessor(pair[1])
+	l.history = append(l.history, fmt.Sprintf("%s replaced at %d", namesOf(pair), l.now))
+	l.startSuccessors(pair)
 	l.pass(replacementTime + 100)
 	l.shutDown(pair...)
 	l.requireDeclaration()
