Log that a control process is no member, and unknown addresses

The logs can't tell a leader that it can't reach from seeds that are gone or a request that the leader leaves unanswered.

Change: a process that is not a member of the consensus group logs that after 2 s and then every 10 s, with the process that it asked last, and logs when it becomes one. A message to a peer without a known address is logged as a warning, once until the address is known; it was logged at level debug.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -36,6 +36,10 @@
 	// automationInterval is the time between two checks of members, zones and
 	// instances.
 	automationInterval dhclock.Millis = 100
+	// joinLogDelay is how long a process requests membership before it logs that it has none,
+	// and joinLogInterval the time until it logs that again.
+	joinLogDelay    = 2 * dhclock.Second
+	joinLogInterval = 10 * dhclock.Second
 	// editInterval is the least time between two changes that the leader makes
 	// to zones and instances, so that each change is applied before the next
 	// check.
@@ -83,8 +87,13 @@
 	lastCheck  dhclock.Millis
 	lastEdit   dhclock.Millis
 	joinCount  int
-	isLeaving  bool // this process is about to stop
+	lastAsked  string // process that got the last join request
+	isLeaving  bool   // this process is about to stop
 	candidates map[string]candidate
+	// isMember is set while the newest list of members has this process, and joinLoggedAt is
+	// when it last logged that it hasn't, or when it started.
+	isMember     bool
+	joinLoggedAt dhclock.Millis
 	// invalid are the objects that the leader left out and logged.
 	invalid map[dhcatalog.Ref]bool
 }
@@ -104,11 +113,14 @@
 	return dhmessage.NewMember(dhmessage.NewPeer(name, c.folderID), c.address, true).WithZone(c.zone)
 }
 
-func newAutomation(o *ManagedOptions, zone string) *automation {
+func newAutomation(o *ManagedOptions, zone string, now dhclock.Millis) *automation {
 	if o == nil {
 		return nil
 	}
-	return &automation{options: *o, zone: zone, candidates: map[string]candidate{}, invalid: map[dhcatalog.Ref]bool{}}
+	return &automation{
+		options: *o, zone: zone, candidates: map[string]candidate{}, invalid: map[dhcatalog.Ref]bool{},
+		joinLoggedAt: now - joinLogInterval + joinLogDelay,
+	}
 }
 
 // handleJoinRequest records, at the leader, a control process that requests
@@ -136,6 +148,7 @@
 	if s.automation == nil || s.voter == nil {
 		return
 	}
+	s.logMembership(out)
 	if !s.voter.node.IsLeader() {
 		s.sendJoinRequest(out)
 		return
@@ -148,6 +161,26 @@
 	s.manageInstances(out)
 }
 
+// logMembership logs when this process becomes a member of the consensus group, and from time to
+// time that it is none.
+func (s *State) logMembership(out *dheffect.List) {
+	a := s.automation
+	isMember := slices.ContainsFunc(s.voter.node.Members(), func(m dhmessage.Member) bool {
+		return m.Peer() == s.self || m.Peer() == dhmessage.NewPeer(s.self.Name(), "")
+	})
+	switch {
+	case isMember && !a.isMember:
+		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "fleet", Text: "is a member of the consensus group", Peer: s.leader()}))
+	case isMember, s.now.Since(a.joinLoggedAt) < joinLogInterval:
+	default:
+		a.joinLoggedAt = s.now
+		out.Add(dheffect.NewLog(dheffect.LogOptions{
+			Layer: "fleet", Text: "isn't a member of the consensus group: requests membership", Peer: a.lastAsked, Number: uint64(a.joinCount),
+		}))
+	}
+	a.isMember = isMember
+}
+
 // sendJoinRequest requests membership from the leader, or from one process
 // after the other while no leader is known. Members repeat it too: the leader
 // doesn't respond, but detects from the folder identity in the request that a
@@ -176,6 +209,7 @@
 
 // sendJoinRequestTo requests membership from one process.
 func (s *State) sendJoinRequestTo(to string, out *dheffect.List) {
+	s.automation.lastAsked = to
 	out.Add(dheffect.NewSend(dheffect.SendOptions{
 		To: to, Message: dhmessage.NewJoinRequest(s.automation.options.Address, s.automation.options.Region, s.automation.zone).WithLeaving(s.automation.isLeaving),
 	}))
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -93,7 +93,7 @@
 		}),
 		proposals:  newProposals(o.StartID, o.Voters),
 		registry:   newRegistry(),
-		automation: newAutomation(o.Managed, o.Zone),
+		automation: newAutomation(o.Managed, o.Zone, o.Now),
 	}
 	if o.Consensus == nil {
 		return s
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -95,6 +95,8 @@
 	// openCalls are the channels for responses in calls that peers have open to
 	// this process, by name of the calling peer.
 	openCalls map[string][]chan dhmessage.Message
+	// unknown are the peers whose address was unknown at the last message to them.
+	unknown map[string]bool
 }
 
 // NewSender returns a sender that runs until the context ends.
@@ -108,7 +110,7 @@
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}}
-	return &Sender{options: o, client: client, ctx: ctx, queues: map[string]chan dhmessage.Message{}, openCalls: map[string][]chan dhmessage.Message{}}
+	return &Sender{options: o, client: client, ctx: ctx, queues: map[string]chan dhmessage.Message{}, openCalls: map[string][]chan dhmessage.Message{}, unknown: map[string]bool{}}
 }
 
 // Send queues a message for a process. If that process has an open call to this
@@ -239,8 +241,8 @@
 // Errors are logged only: the messages count as lost.
 func (s *Sender) deliver(to string, list []dhmessage.Message) {
 	address := s.options.Lookup(to)
+	s.logUnknown(to, address == "")
 	if address == "" {
-		s.options.Log.WithField("peer", to).Debug("address of the peer unknown; messages dropped")
 		return
 	}
 	request := &dhproto.DeliverRequest{
@@ -283,6 +285,21 @@
 	}
 }
 
+// logUnknown logs that the address of a peer has become unknown.
+func (s *Sender) logUnknown(peer string, isUnknown bool) {
+	s.mutex.Lock()
+	wasUnknown := s.unknown[peer]
+	if isUnknown {
+		s.unknown[peer] = true
+	} else {
+		delete(s.unknown, peer)
+	}
+	s.mutex.Unlock()
+	if isUnknown && !wasUnknown {
+		s.options.Log.WithField("peer", peer).Warn("address of the peer unknown; messages to it are dropped")
+	}
+}
+
 func (s *Sender) scheme() string {
 	if s.options.TLS != nil {
 		return "https"
