--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -48,6 +48,23 @@
 	version uint64
 	view    *dhview.View
 	starts  uint64
+	// seeds and reported name the processes whose addresses the machine has from its settings
+	// and from messages since its start.
+	seeds    []string
+	reported map[string]bool
+}
+
+// hasAddressOf reports whether the machine can connect to a process of a name, like
+// dhpeer.AddressBook.
+func (m *machine) hasAddressOf(name string) bool {
+	if name == m.name || m.reported[name] || slices.Contains(m.seeds, name) {
+		return true
+	}
+	if m.view == nil {
+		return false
+	}
+	_, isInstance := m.view.Catalog().Instance(name)
+	return isInstance || slices.ContainsFunc(m.view.Members(), func(v dhmessage.Member) bool { return v.Peer().Name() == name })
 }
 
 func (m *machine) self() dhmessage.Peer {
@@ -151,6 +168,7 @@
 		n.setManagedOptions(m, &o)
 	}
 	m.state, m.version, m.frozen = NewControl(o), 0, false
+	m.view, m.seeds, m.reported = nil, n.voters, map[string]bool{}
 }
 
 func (n *network) stop(m *machine) { m.state = nil }
@@ -208,6 +226,9 @@
 		case *dheffect.SaveSnapshot:
 			m.disk.saveSnapshot(e)
 		case *dheffect.Send:
+			if !m.hasAddressOf(e.To()) {
+				continue
+			}
 			n.packets = append(n.packets, packet{from: m.self(), to: e.To(), body: e.Message(), due: n.now + n.delay(m, e.To(), e.Message())})
 		case *dheffect.Reply:
 			n.replies[e.CorrelationID()] = e.Result()
@@ -256,6 +277,9 @@
 	if m == nil {
 		return
 	}
+	if m.state != nil && !m.frozen {
+		m.reported[p.from.Name()] = true
+	}
 	n.handle(m, dhevent.NewMessageReceived(n.clock(m), dhevent.MessageReceivedOptions{From: p.from, Message: p.body}))
 }
 
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -199,3 +199,34 @@
 		}
 	}
 }
+
+// TestSuccessorStaysAloneIfNoSeedLeads loses a control process for good and starts its successor,
+// whose seeds are three processes that don't lead, or such a one and two that are gone. The
+// successor must become a member, and confirm the newest declaration, by the time it counts.
+func TestSuccessorStaysAloneIfNoSeedLeads(t *testing.T) {
+	for _, lost := range []string{"c1", "c2", "c3", "c4", "c5", "c6"} {
+		for _, gone := range []int{0, 1, 2} {
+			n := newReplacementNetwork(t, 6)
+			n.stop(n.find(lost))
+			n.requireDeclaration(2, lost+" lost:")
+			lead := n.leader()
+			var seeds []string
+			for _, m := range n.controls() {
+				if m != lead && len(seeds) < 3 {
+					seeds = append(seeds, m.name)
+				}
+			}
+			for i := range gone {
+				seeds[i] = fmt.Sprint("gone", i)
+			}
+			n.startSuccessor(n.find(lost))
+			successor := n.machines[len(n.machines)-1]
+			n.voters = seeds
+			n.start(successor)
+			n.run(replacementTime)
+			if successor.view == nil || n.declarationNumber(successor) != 2 {
+				t.Errorf("%s succeeds %s with the seeds %v while %s leads: it hasn't declaration 2", successor.name, lost, seeds, lead.name)
+			}
+		}
+	}
+}
