Name the members to a process that requests membership

What callers saw: successors of lost control processes never join.

Cause: a process knows the addresses of its seeds alone. A seed that doesn't lead answered a join request with the leader's name, without an address, and the request to that name was dropped. So a successor joined only while one of its seeds led.

Evidence: six real processes, a leader that is no seed, one process lost and its successor started.

Change: the redirect of a join request carries the members and their addresses if the sender isn't one of them. The process records the addresses (an effect, RecordAddresses) and requests membership from all of them in turn, so that it doesn't depend on that seed any more. The turn has a counter of its own: every fourth request went to the same processes if their number was even.

TestSuccessorStaysAloneIfNoSeedLeads: red before, green now.

TestLostInstanceIsNamedAfterTwoChangesOfLeader turns red, listed: with the processes asked in another order another one leads.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -87,9 +87,12 @@
 	lastCheck  dhclock.Millis
 	lastEdit   dhclock.Millis
 	joinCount  int
+	nextTarget int    // round-robin position in joinTargets
 	lastAsked  string // process that got the last join request
 	isLeaving  bool   // this process is about to stop
 	candidates map[string]candidate
+	// referred names the members of the consensus group as another process named them.
+	referred []string
 	// isMember is set while the newest list of members has this process, and joinLoggedAt is
 	// when it last logged that it hasn't, or when it started.
 	isMember     bool
@@ -131,9 +134,11 @@
 		return
 	}
 	if !v.node.IsLeader() {
-		out.Add(dheffect.NewSend(dheffect.SendOptions{
-			To: from.Name(), Message: dhmessage.NewRedirect(dhmessage.RedirectOptions{Leader: v.node.Leader()}),
-		}))
+		redirect := dhmessage.RedirectOptions{Leader: v.node.Leader()}
+		if members := v.node.Members(); !slices.Contains(memberNames(members), from.Name()) {
+			redirect.Members = members
+		}
+		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRedirect(redirect)}))
 		return
 	}
 	s.automation.candidates[from.Name()] = candidate{
@@ -196,17 +201,44 @@
 	}
 	a.lastJoin = s.now
 	to := s.leader()
-	members := s.distribution.MemberNames()
 	if a.joinCount++; to == "" || to == s.self.Name() || a.joinCount%joinFallbackEvery == 0 {
-		others := slices.DeleteFunc(slices.Concat(members, s.proposals.voters), func(n string) bool { return n == s.self.Name() })
-		if len(others) == 0 {
+		targets := s.joinTargets()
+		if len(targets) == 0 {
 			return
 		}
-		to = others[a.joinCount%len(others)]
+		a.nextTarget++
+		to = targets[a.nextTarget%len(targets)]
 	}
 	s.sendJoinRequestTo(to, out)
 }
 
+// joinTargets returns the processes, other than this one, that may know the leader: the members of
+// the consensus group as this process and as another one knows them, and the seeds.
+func (s *State) joinTargets() []string {
+	list := slices.Concat(s.distribution.MemberNames(), s.proposals.voters, s.automation.referred)
+	slices.Sort(list)
+	return slices.DeleteFunc(slices.Compact(list), func(n string) bool { return n == s.self.Name() })
+}
+
+// recordReferral records the members of the consensus group that a process names to one that
+// isn't a member. The settings of a process give it the addresses of its seeds alone, and any of
+// them may stop before the leader has added the process.
+func (s *State) recordReferral(members []dhmessage.Member, out *dheffect.List) {
+	if s.automation == nil || len(members) == 0 {
+		return
+	}
+	s.automation.referred = memberNames(members)
+	out.Add(dheffect.NewRecordAddresses(members))
+}
+
+func memberNames(members []dhmessage.Member) []string {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Peer().Name())
+	}
+	return names
+}
+
 // sendJoinRequestTo requests membership from one process.
 func (s *State) sendJoinRequestTo(to string, out *dheffect.List) {
 	s.automation.lastAsked = to
--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -153,6 +153,7 @@
 // voter names, and repeats the join request or the proposal there. Grant requests are not
 // repeated.
 func (s *State) handleRedirect(m *dhmessage.Redirect, out *dheffect.List) {
+	s.recordReferral(m.Members(), out)
 	if m.Leader() == "" {
 		return
 	}
--- a/core/dheffect/control.go
+++ b/core/dheffect/control.go
@@ -32,6 +32,21 @@
 
 func (*Send) effect() {}
 
+// RecordAddresses records where processes listen that this one got to know from another.
+type RecordAddresses struct {
+	members []dhmessage.Member
+}
+
+// NewRecordAddresses returns a RecordAddresses for the addresses of members.
+func NewRecordAddresses(members []dhmessage.Member) *RecordAddresses {
+	return &RecordAddresses{members: members}
+}
+
+// Members returns the members whose addresses to record.
+func (e *RecordAddresses) Members() []dhmessage.Member { return e.members }
+
+func (*RecordAddresses) effect() {}
+
 // PersistOptions are the fields of a Persist.
 type PersistOptions struct {
 	// Term is the current term.
--- a/core/dhmessage/propose.go
+++ b/core/dhmessage/propose.go
@@ -102,6 +102,9 @@
 	Leader string
 	// Round is the leader's current heartbeat round; nil if the sender doesn't lead.
 	Round *Round
+	// Members are the members of the consensus group with their addresses, for the sender of a
+	// JoinRequest that isn't one of them.
+	Members []Member `journal:"Members,omitZero"`
 }
 
 // Redirect is the response of a process that isn't the leader to a
@@ -126,4 +129,8 @@
 // Round returns the leader's current heartbeat round; nil if the sender doesn't lead.
 func (m *Redirect) Round() *Round { return m.options.Round }
 
+// Members returns the members of the consensus group; empty if the receiver is one of them or
+// didn't request membership.
+func (m *Redirect) Members() []Member { return m.options.Members }
+
 func (*Redirect) message() {}
--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -230,6 +230,10 @@
 				continue
 			}
 			n.packets = append(n.packets, packet{from: m.self(), to: e.To(), body: e.Message(), due: n.now + n.delay(m, e.To(), e.Message())})
+		case *dheffect.RecordAddresses:
+			for _, v := range e.Members() {
+				m.reported[v.Peer().Name()] = true
+			}
 		case *dheffect.Reply:
 			n.replies[e.CorrelationID()] = e.Result()
 		case *dheffect.Publish:
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -280,6 +280,10 @@
 	switch e := e.(type) {
 	case *dheffect.Send:
 		p.sender.Send(e.To(), e.Message())
+	case *dheffect.RecordAddresses:
+		for _, m := range e.Members() {
+			p.addressBook.RecordAddress(m.Peer().Name(), m.Address())
+		}
 	case *dheffect.Publish:
 		p.publish(e.View())
 	case *dheffect.PostToTraffic:
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -54,6 +54,7 @@
 	case *dhmessage.Redirect:
 		return &dhproto.Message{Message: &dhproto.Message_Redirect{Redirect: &dhproto.Redirect{
 			Ticket: m.CorrelationID(), Leader: m.Leader(), Round: roundToWire(m.Round()),
+			Members: MembersToWire(m.Members()),
 		}}}
 	case *dhmessage.ReservationRequest:
 		return &dhproto.Message{Message: &dhproto.Message_IntakeAsk{IntakeAsk: &dhproto.IntakeAsk{
@@ -195,6 +196,7 @@
 	case *dhproto.Message_Redirect:
 		return dhmessage.NewRedirect(dhmessage.RedirectOptions{
 			CorrelationID: m.Redirect.GetTicket(), Leader: m.Redirect.GetLeader(), Round: roundFromWire(m.Redirect.GetRound()),
+			Members: MembersFromWire(m.Redirect.GetMembers()),
 		}), nil
 	case *dhproto.Message_IntakeAsk:
 		return dhmessage.NewReservationRequest(dhmessage.ReservationRequestOptions{
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -121,7 +121,9 @@
 			StartID: 1, OwnerTerm: 2, RequestSentAt: 3, TTL: 4, Grants: []dhmessage.TokenGrant{dhmessage.NewTokenGrant("o", 1, 2, true)},
 		}))}),
 		dhmessage.NewJoinRequest("c:1", "r", "z").WithLeaving(true),
-		dhmessage.NewRedirect(dhmessage.RedirectOptions{CorrelationID: 1, Leader: "c", Round: &round}),
+		dhmessage.NewRedirect(dhmessage.RedirectOptions{CorrelationID: 1, Leader: "c", Round: &round, Members: []dhmessage.Member{
+			dhmessage.NewMember(dhmessage.NewPeer("c", "c1"), "c:1", false).WithZone("z"),
+		}}),
 		dhmessage.NewProposeRequest(dhmessage.ProposeRequestOptions{CorrelationID: 1, Command: commands[0], Deadline: &deadline}),
 		dhmessage.NewReservationRequest(dhmessage.ReservationRequestOptions{Service: "s", SentAt: 1, Slots: 2}),
 		dhmessage.NewReservationResponse(dhmessage.ReservationResponseOptions{Service: "s", RequestSentAt: 1, TTL: 2, Slots: 3}),
