Apply changed seeds while a process runs

Cause: the settings file was read once, although the platform writes the current seeds to it while the process runs, with or without SIGHUP. An instance polls only members that it knows.

An instance polls seeds that aren't members last.

--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -150,6 +150,9 @@
 		s.handleUpstreamDeregistration(e, out)
 	case *dhevent.SuspectsReported:
 		s.distribution.RecordSuspects(s.now, e.Report().Suspects())
+	case *dhevent.SeedsChanged:
+		s.proposals.voters = e.Names()
+		s.distribution.SetSeeds(e.Names())
 	case *dhevent.LeaveStarted:
 		s.startLeaving(e)
 	}
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -29,8 +29,9 @@
 // consensus group in the zone, whose links carry no requests; the zone's relay; the other
 // members; then the other instances of the zone that precede this one by name, so that no
 // cycle can form. On full links each hop through an instance delays changes, so the members
-// come before them. Members are listed from an index derived from the process's name, which
-// distributes the load. A voter or learner polls only the leader.
+// come before them. The seeds that aren't members come last: all members may have been replaced
+// while this process was cut off. Members are listed from an index derived from the process's
+// name, which distributes the load. A voter or learner polls only the leader.
 func (s *State) parentCandidates() []string {
 	if s.isVoter {
 		if s.leader == "" || s.leader == s.self {
@@ -40,7 +41,7 @@
 	}
 	relays := s.relays()
 	first := min(1, len(relays))
-	return slices.Concat(s.nearMembers, relays[:first], s.farMembers, relays[first:])
+	return slices.Concat(s.nearMembers, relays[:first], s.farMembers, relays[first:], s.otherSeeds)
 }
 
 // sortMembers divides the members of the consensus group into those in this process's zone
@@ -54,10 +55,14 @@
 			far = append(far, m.Peer().Name())
 		}
 	}
-	if len(s.members) == 0 {
-		far = s.configuredVoters
+	s.otherSeeds = nil
+	for _, name := range s.configuredVoters {
+		if name != s.self && !slices.Contains(near, name) && !slices.Contains(far, name) {
+			s.otherSeeds = append(s.otherSeeds, name)
+		}
 	}
 	s.nearMembers, s.farMembers, s.nearestMembers = s.rotated(near), s.rotated(far), nil
+	s.otherSeeds = s.rotated(s.otherSeeds)
 	if len(near) > 0 {
 		s.nearestMembers = slices.Concat(s.nearMembers, s.farMembers)
 	}
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -111,7 +111,9 @@
 	members       []dhmessage.Member
 	// nearMembers, farMembers and nearestMembers name the members; see sortMembers.
 	nearMembers, farMembers, nearestMembers []string
-	drainStarts                             map[string]dhclock.Millis
+	// otherSeeds names the processes of the settings that aren't known as members.
+	otherSeeds  []string
+	drainStarts map[string]dhclock.Millis
 	// limitsChangedAt is when limits, or the instances that share them, last
 	// changed.
 	limitsChangedAt dhclock.Millis
@@ -234,6 +236,12 @@
 	}
 }
 
+// SetSeeds records the processes that the settings name.
+func (s *State) SetSeeds(names []string) {
+	s.configuredVoters = names
+	s.sortMembers()
+}
+
 // MemberNames returns the names of the members of the consensus group, or the
 // voters of the settings until a member list has arrived.
 func (s *State) MemberNames() []string {
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -307,6 +307,20 @@
 // it doesn't.
 func (e *UpstreamDeregistered) Incarnation() int64 { return e.options.Incarnation }
 
+// SeedsChanged reports that the settings name other seeds than before.
+type SeedsChanged struct {
+	stamp
+	names []string
+}
+
+// NewSeedsChanged returns a SeedsChanged with the names of the seeds.
+func NewSeedsChanged(at dhclock.Millis, names []string) *SeedsChanged {
+	return &SeedsChanged{stamp: stamp{at: at}, names: names}
+}
+
+// Names returns the names of the seeds.
+func (e *SeedsChanged) Names() []string { return e.names }
+
 // LeaveStartedOptions are the fields of a LeaveStarted.
 type LeaveStartedOptions struct {
 	// CorrelationID is the number that the reply repeats; 0 if there is no reply.
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -230,3 +230,54 @@
 		}
 	}
 }
+
+// setSeeds lets the settings of a machine name other seeds.
+func (n *network) setSeeds(m *machine, seeds ...string) {
+	m.seeds = seeds
+	n.handle(m, dhevent.NewSeedsChanged(n.clock(m), seeds))
+}
+
+// TestSuccessorStaysAloneWhenItsSeedsAreGone starts a successor whose seeds have all been replaced.
+// It must become a member once its settings name another one.
+func TestSuccessorStaysAloneWhenItsSeedsAreGone(t *testing.T) {
+	n := newReplacementNetwork(t, 6)
+	n.stop(n.find("c6"))
+	n.startSuccessor(n.find("c6"))
+	successor := n.machines[len(n.machines)-1]
+	n.voters = []string{"gone1", "gone2", "gone3"}
+	n.start(successor)
+	n.run(10_000)
+	n.setSeeds(successor, "gone4", "c5")
+	n.run(2 * dhclock.Second)
+	if successor.view == nil || n.declarationNumber(successor) != 1 {
+		t.Error("the successor has no declaration 2 s after its settings name a process that runs")
+	}
+}
+
+// TestInstanceThatWasCutOffStaysWithReplacedParents replaces all control processes while an entry
+// instance is cut off. It must get the configuration once its settings name one that runs.
+func TestInstanceThatWasCutOffStaysWithReplacedParents(t *testing.T) {
+	n := newReplacementNetwork(t, 6)
+	e := &machine{name: "a1-1", zone: "a1"}
+	n.machines = append(n.machines, e)
+	n.start(e)
+	n.run(2000)
+	if n.declarationNumber(e) != 1 {
+		t.Fatal("the instance has no configuration")
+	}
+	n.partitioned[e.name] = true
+	old := n.controls()
+	for i := 0; i < len(old); i += 2 {
+		n.startSuccessors(old[i : i+2])
+		n.run(replacementTime + 100)
+		n.shutDown(old[i : i+2]...)
+		n.run(100)
+	}
+	n.requireDeclaration(2, "after the replacement")
+	n.partitioned[e.name] = false
+	n.setSeeds(e, namesOf(n.controls()[:3])...)
+	n.run(10 * dhclock.Second)
+	if n.declarationNumber(e) != 2 {
+		t.Error("the instance has an older configuration 10 s after its settings name processes that run")
+	}
+}
--- a/io/dhjournal/types.go
+++ b/io/dhjournal/types.go
@@ -28,6 +28,7 @@
 	"*dhevent.HistoryWanted":      reflect.TypeFor[*dhevent.HistoryRequested](),
 	"*dhevent.ClaimWanted":        reflect.TypeFor[*dhevent.ClaimRequested](),
 	"*dhevent.GrantsWanted":       reflect.TypeFor[*dhevent.GrantsRequested](),
+	"*dhevent.SeedsChanged":       reflect.TypeFor[*dhevent.SeedsChanged](),
 	"*dhevent.LeaveStarted":       reflect.TypeFor[*dhevent.LeaveStarted](),
 	"*dhevent.SuspectsReported":   reflect.TypeFor[*dhevent.SuspectsReported](),
 	"*dhevent.UpstreamChecked":    reflect.TypeFor[*dhevent.UpstreamHeartbeatReceived](),
--- a/io/dhpeer/addressbook.go
+++ b/io/dhpeer/addressbook.go
@@ -25,6 +25,13 @@
 	return &AddressBook{configured: configured, reported: map[string]string{}, catalog: dhcatalog.New()}
 }
 
+// SetConfigured replaces the addresses of the settings.
+func (b *AddressBook) SetConfigured(configured map[string]string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.configured = configured
+}
+
 // SetView replaces the addresses from the configuration and from the members of
 // the consensus group.
 func (b *AddressBook) SetView(v *dhview.View) {
--- a/io/dhprocess/options.go
+++ b/io/dhprocess/options.go
@@ -4,6 +4,7 @@
 package dhprocess
 
 import (
+	"context"
 	"net/http"
 
 	"dogwoodhitch/core/dhcatalog"
@@ -95,6 +96,9 @@
 	// Managed lets the leader manage members, zones and instances automatically;
 	// nil where operators manage them.
 	Managed *dhcontrol.ManagedOptions
+	// WatchVoters calls changed with each new list of the settings' voters until the context
+	// ends; nil if the list doesn't change.
+	WatchVoters func(ctx context.Context, changed func([]dhsettings.Voter))
 	// RetryBudget limits the retries to registered upstreams.
 	RetryBudget dhtraffic.RetryBudget
 	// ExtraListeners returns additional listeners, such as those of another
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -89,15 +89,35 @@
 	p.decisionLog = dhlogs.NewLimiter(o.Logs.Logger("decisions"), o.Clock)
 	p.serverLog = o.Logs.StandardLogger(o.Clock)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	voterAddresses := map[string]string{}
-	for _, v := range o.Voters {
-		voterAddresses[v.Name()] = v.Address()
-	}
-	p.addressBook = dhpeer.NewAddressBook(voterAddresses)
+	p.addressBook = dhpeer.NewAddressBook(addressesOf(o.Voters))
 	p.controlClient = dhcontrolclient.New(dhcontrolclient.Options{Clock: o.Clock, Post: p.post})
 	return p
 }
 
+// addressesOf returns the addresses of the settings' voters by name.
+func addressesOf(voters []dhsettings.Voter) map[string]string {
+	addresses := map[string]string{}
+	for _, v := range voters {
+		addresses[v.Name()] = v.Address()
+	}
+	return addresses
+}
+
+func namesOf(voters []dhsettings.Voter) []string {
+	var names []string
+	for _, v := range voters {
+		names = append(names, v.Name())
+	}
+	return names
+}
+
+// setVoters applies a changed list of the settings' voters.
+func (p *Process) setVoters(voters []dhsettings.Voter) {
+	p.addressBook.SetConfigured(addressesOf(voters))
+	// The only error is that the process stops.
+	_ = p.post(p.ctx, dhevent.NewSeedsChanged(p.options.Clock.Now(), namesOf(voters)))
+}
+
 // post adds an event to the mailbox of the control loop. It waits while the
 // mailbox is full.
 func (p *Process) post(ctx context.Context, e dhevent.Event) error { return p.loop.Post(ctx, e) }
@@ -143,6 +163,9 @@
 	if p.options.DataFolder != nil {
 		p.goroutines.Go(p.runSuspectSaves)
 	}
+	if watch := p.options.WatchVoters; watch != nil {
+		p.goroutines.Go(func() { watch(p.ctx, p.setVoters) })
+	}
 	if p.trafficState != nil {
 		p.goroutines.Go(p.runTrafficEvents)
 		p.goroutines.Go(p.runTrafficTicks)
@@ -213,9 +236,7 @@
 		Self: self, Zone: p.options.Zone, StartID: startID, Now: p.options.Clock.Now(),
 		Advertised: p.options.Advertised, Managed: p.options.Managed,
 	}
-	for _, v := range p.options.Voters {
-		o.Voters = append(o.Voters, v.Name())
-	}
+	o.Voters = namesOf(p.options.Voters)
 	if p.options.Role == dhsettings.RoleControl {
 		o.Consensus = p.consensusOptions(self, startID)
 	}
