--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -281,3 +281,34 @@
 		t.Error("the instance has an older configuration 10 s after its settings name processes that run")
 	}
 }
+
+// TestSuccessorStaysAloneWhenTheSeedThatNamedTheMembersStops kills the leader when a successor with
+// one running seed starts, and that seed as soon as it has named the members. The successor must
+// request membership from the others.
+func TestSuccessorStaysAloneWhenTheSeedThatNamedTheMembersStops(t *testing.T) {
+	n := newReplacementNetwork(t, 9)
+	votes := n.votes()
+	learners := slices.DeleteFunc(n.controls(), func(m *machine) bool { return slices.Contains(votes, m.self().String()) })
+	lost, seed := learners[0], learners[1]
+	n.stop(lost)
+	n.run(successorDelay)
+	n.startSuccessor(lost)
+	successor := n.machines[len(n.machines)-1]
+	n.voters = []string{seed.name}
+	n.stop(n.leader())
+	n.start(successor)
+	for range 100 {
+		n.run(20)
+		if len(successor.reported) > 1 {
+			break
+		}
+	}
+	if len(successor.reported) <= 1 {
+		t.Fatal("the seed has named no members after 2 s")
+	}
+	n.stop(seed)
+	n.run(replacementTime)
+	if successor.view == nil || n.declarationNumber(successor) != 1 {
+		t.Errorf("the successor has no declaration %d ms after the loss of its seed", replacementTime)
+	}
+}
