Ask seeds for membership before an old list of members

What callers saw: nothing yet; found in review. A control process that was away while all others were replaced asked the members of its own old list as often as its seeds, one each 500 ms. With nine control processes and one of three seeds that runs, it had no configuration 4 s (catch_up_s) after its start, by which it counts.

Cause: the targets of join requests were one list in order of names, from a position in the middle.

Change: seeds come first, then the members that another process has named, then those of the own list, from the first one on.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -206,18 +206,23 @@
 		if len(targets) == 0 {
 			return
 		}
-		a.nextTarget++
 		to = targets[a.nextTarget%len(targets)]
+		a.nextTarget++
 	}
 	s.sendJoinRequestTo(to, out)
 }
 
-// joinTargets returns the processes, other than this one, that may know the leader: the members of
-// the consensus group as this process and as another one knows them, and the seeds.
+// joinTargets returns the processes, other than this one, that may know the leader: the seeds, and
+// the members of the consensus group as another process and as this one knows them. The own list
+// comes last: after a long absence it names none that still runs.
 func (s *State) joinTargets() []string {
-	list := slices.Concat(s.distribution.MemberNames(), s.proposals.voters, s.automation.referred)
-	slices.Sort(list)
-	return slices.DeleteFunc(slices.Compact(list), func(n string) bool { return n == s.self.Name() })
+	var list []string
+	for _, name := range slices.Concat(s.proposals.voters, s.automation.referred, s.distribution.MemberNames()) {
+		if name != s.self.Name() && !slices.Contains(list, name) {
+			list = append(list, name)
+		}
+	}
+	return list
 }
 
 // recordReferral records the members of the consensus group that a process names to one that
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -312,3 +312,30 @@
 		t.Errorf("the successor has no declaration %d ms after the loss of its seed", replacementTime)
 	}
 }
+
+// TestReturningProcessStaysAloneAmongReplacedMembers starts a control process again after all others
+// were replaced. It must have the configuration by the time it counts, although its own list of
+// members is old and only one of its seeds runs.
+func TestReturningProcessStaysAloneAmongReplacedMembers(t *testing.T) {
+	n := newReplacementNetwork(t, 9)
+	old := n.controls()
+	n.stop(old[0])
+	for i := 1; i < len(old); i += 2 {
+		n.startSuccessors(old[i : i+2])
+		n.run(replacementTime + 100)
+		n.shutDown(old[i : i+2]...)
+		n.run(100)
+	}
+	n.run(40 * dhclock.Second)
+	n.requireDeclaration(2, "after the replacement")
+	for _, seed := range n.controls() {
+		n.voters = []string{"gone1", "gone2", seed.name}
+		n.start(old[0])
+		n.run(replacementTime)
+		if old[0].view == nil || n.declarationNumber(old[0]) != 2 {
+			t.Errorf("%s hasn't declaration 2 %d ms after its start with the seeds %v", old[0].name, replacementTime, n.voters)
+		}
+		n.stop(old[0])
+		n.run(45 * dhclock.Second)
+	}
+}
