Poll new seeds between parents that are gone

What callers saw: nothing yet; found in review. Instances that were cut off while all control processes were replaced polled each old member and relay first, up to 3.6 s each, and the changed seeds last.

Cause: seeds that aren't members were candidates of last resort, and the time until the next candidate doubled with each one that was gone.

Change: while the last confirmation is older than the freshness lease and a seed is not a known member, such a seed is polled before each other candidate, and the time doesn't double. Changed seeds are polled at once then.

TestZoneThatWasCutOffStaysWithReplacedParents: red before for 6 and for 12 control processes, green now. TestInstanceThatWasCutOffStaysWithReplacedParents requires the same 3 s in place of 10 s.

--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -152,7 +152,7 @@
 		s.distribution.RecordSuspects(s.now, e.Report().Suspects())
 	case *dhevent.SeedsChanged:
 		s.proposals.voters = e.Names()
-		s.distribution.SetSeeds(e.Names())
+		s.distribution.SetSeeds(s.now, e.Names())
 	case *dhevent.LeaveStarted:
 		s.startLeaving(e)
 	}
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -20,6 +20,8 @@
 	polled           bool // false makes the next poll due immediately
 	// probing is set from when another candidate was left until this one responds.
 	probing bool
+	// isLost is set while no parent has confirmed the configuration for parentLossTime.
+	isLost bool
 	// polledCandidate is the candidate that was polled last, which suspects describes.
 	polledCandidate string
 	suspects        dhquarantine.Replication
@@ -29,9 +31,8 @@
 // consensus group in the zone, whose links carry no requests; the zone's relay; the other
 // members; then the other instances of the zone that precede this one by name, so that no
 // cycle can form. On full links each hop through an instance delays changes, so the members
-// come before them. The seeds that aren't members come last: all members may have been replaced
-// while this process was cut off. Members are listed from an index derived from the process's
-// name, which distributes the load. A voter or learner polls only the leader.
+// come before them. Members are listed from an index derived from the process's name, which
+// distributes the load. A voter or learner polls only the leader.
 func (s *State) parentCandidates() []string {
 	if s.isVoter {
 		if s.leader == "" || s.leader == s.self {
@@ -41,7 +42,21 @@
 	}
 	relays := s.relays()
 	first := min(1, len(relays))
-	return slices.Concat(s.nearMembers, relays[:first], s.farMembers, relays[first:], s.otherSeeds)
+	list := slices.Concat(s.nearMembers, relays[:first], s.farMembers, relays[first:])
+	if s.parent.isLost && len(s.otherSeeds) > 0 {
+		return s.withSeeds(list)
+	}
+	return list
+}
+
+// withSeeds returns the candidates with a seed that isn't a member before each, while none of them
+// confirms the configuration: all members may have been replaced while this process was cut off.
+func (s *State) withSeeds(candidates []string) []string {
+	list := make([]string, 0, 2*len(candidates))
+	for i, c := range candidates {
+		list = append(list, s.otherSeeds[i%len(s.otherSeeds)], c)
+	}
+	return list
 }
 
 // sortMembers divides the members of the consensus group into those in this process's zone
@@ -55,12 +70,12 @@
 			far = append(far, m.Peer().Name())
 		}
 	}
-	s.otherSeeds = nil
-	for _, name := range s.configuredVoters {
-		if name != s.self && !slices.Contains(near, name) && !slices.Contains(far, name) {
-			s.otherSeeds = append(s.otherSeeds, name)
-		}
+	if len(s.members) == 0 {
+		far = s.configuredVoters
 	}
+	s.otherSeeds = slices.DeleteFunc(slices.Clone(s.configuredVoters), func(name string) bool {
+		return name == s.self || slices.Contains(near, name) || slices.Contains(far, name)
+	})
 	s.nearMembers, s.farMembers, s.nearestMembers = s.rotated(near), s.rotated(far), nil
 	s.otherSeeds = s.rotated(s.otherSeeds)
 	if len(near) > 0 {
@@ -93,12 +108,16 @@
 
 // parentTimeout returns the time without a response after which another parent is tried. It
 // doubles with each one in a row, because each of them sends the changes that this process
-// lacks. A process that can't serve yet waits less for the first one.
+// lacks. A process that can't serve yet waits less for the first one, and one whose parents may all
+// have been replaced doesn't double it.
 func (s *State) parentTimeout() dhclock.Millis {
 	first := parentTimeout
 	if !s.everConfirmed {
 		first = startupParentTimeout
 	}
+	if s.parent.isLost {
+		return first
+	}
 	return first << min(s.parent.timeouts, maxTimeoutDoublings)
 }
 
@@ -173,6 +192,7 @@
 	if p.candidateIndex > 0 && now.Since(p.selectedAt) > preferredParentRetryInterval {
 		p.switchTo(now, 0)
 	}
+	s.updateParentLoss(now)
 	interval := s.currentPollInterval()
 	if s.hasNewAcks || p.suspects.HasUnsent(s.suspects) {
 		interval = ackInterval
@@ -182,6 +202,18 @@
 	}
 }
 
+// updateParentLoss selects the first candidate again when the seeds become candidates, and when they
+// no longer are.
+func (s *State) updateParentLoss(now dhclock.Millis) {
+	isLost := len(s.otherSeeds) > 0 && (!s.everConfirmed || now.Since(s.confirmedAt) > parentLossTime)
+	if isLost == s.parent.isLost {
+		return
+	}
+	s.parent.isLost, s.parent.timeouts = isLost, 0
+	s.parent.selectCandidate(now, 0)
+	s.PollNow()
+}
+
 // currentPollInterval returns the time between two polls. A process whose
 // configuration was never confirmed can't serve yet and polls more often, unless a
 // response is outstanding: a parent that many processes poll when they start answers late.
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -51,6 +51,9 @@
 	// maxConfirmationAge is the age of the last confirmation at which another
 	// parent is tried although the current one responds.
 	maxConfirmationAge dhclock.Millis = 1200
+	// parentLossTime is the age of the last confirmation at which the seeds are tried that aren't
+	// known as members.
+	parentLossTime = dhview.FreshnessLease
 	// preferredParentRetryInterval is the time after which the preferred parent
 	// is tried again.
 	preferredParentRetryInterval dhclock.Millis = 10_000
@@ -236,10 +239,16 @@
 	}
 }
 
-// SetSeeds records the processes that the settings name.
-func (s *State) SetSeeds(names []string) {
+// SetSeeds records the processes that the settings name. Without a parent that confirms the
+// configuration they are tried at once.
+func (s *State) SetSeeds(now dhclock.Millis, names []string) {
 	s.configuredVoters = names
 	s.sortMembers()
+	if s.parent.isLost {
+		s.parent.timeouts = 0
+		s.parent.selectCandidate(now, 0)
+		s.PollNow()
+	}
 }
 
 // MemberNames returns the names of the members of the consensus group, or the
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -16,6 +16,9 @@
 	replacementTime dhclock.Millis = 4000
 	// successorDelay is how long after a loss the successor starts.
 	successorDelay dhclock.Millis = 1000
+	// contactTime is how long an instance has to have a path to the control processes to count as
+	// in touch.
+	contactTime dhclock.Millis = 3000
 	// handoverTimeout is how long a process that stops waits for a successor of its vote.
 	handoverTimeout dhclock.Millis = 2400
 )
@@ -255,7 +258,8 @@
 }
 
 // TestInstanceThatWasCutOffStaysWithReplacedParents replaces all control processes while an entry
-// instance is cut off. It must get the configuration once its settings name one that runs.
+// instance is cut off. It must get the configuration once its settings name one that runs, by the
+// time at which it counts as in touch.
 func TestInstanceThatWasCutOffStaysWithReplacedParents(t *testing.T) {
 	n := newReplacementNetwork(t, 6)
 	e := &machine{name: "a1-1", zone: "a1"}
@@ -276,9 +280,9 @@
 	n.requireDeclaration(2, "after the replacement")
 	n.partitioned[e.name] = false
 	n.setSeeds(e, namesOf(n.controls()[:3])...)
-	n.run(10 * dhclock.Second)
+	n.run(contactTime)
 	if n.declarationNumber(e) != 2 {
-		t.Error("the instance has an older configuration 10 s after its settings name processes that run")
+		t.Errorf("the instance has an older configuration %d ms after its settings name processes that run", contactTime)
 	}
 }
 
@@ -313,6 +317,45 @@
 	}
 }
 
+// TestZoneThatWasCutOffStaysWithReplacedParents replaces all control processes while the instances
+// of a zone are cut off and their settings name new seeds. They must get the configuration once
+// they reach those, by the time at which they count as in touch.
+func TestZoneThatWasCutOffStaysWithReplacedParents(t *testing.T) {
+	for _, controls := range []int{6, 12} {
+		n := newReplacementNetwork(t, controls)
+		var entries []*machine
+		for i := range 6 {
+			e := &machine{name: fmt.Sprintf("a1-%d", i), zone: "a1"}
+			entries = append(entries, e)
+			n.machines = append(n.machines, e)
+			n.start(e)
+		}
+		n.run(4000)
+		for _, e := range entries {
+			n.partitioned[e.name] = true
+		}
+		old := n.controls()
+		for i := 0; i < len(old); i += 2 {
+			n.startSuccessors(old[i : i+2])
+			n.run(replacementTime + 100)
+			n.shutDown(old[i : i+2]...)
+			n.run(100)
+		}
+		n.requireDeclaration(2, "after the replacement")
+		for _, e := range entries {
+			n.setSeeds(e, namesOf(n.controls()[:3])...)
+		}
+		n.run(5 * dhclock.Second)
+		n.partitioned = map[string]bool{}
+		n.run(contactTime)
+		for _, e := range entries {
+			if n.declarationNumber(e) != 2 {
+				t.Errorf("%s has an older configuration %d ms after it reaches the seeds that replaced %d control processes", e.name, contactTime, controls)
+			}
+		}
+	}
+}
+
 // TestReturningProcessStaysAloneAmongReplacedMembers starts a control process again after all others
 // were replaced. It must have the configuration by the time it counts, although its own list of
 // members is old and only one of its seeds runs.
