Ignore members named to a process that has a leader

What callers saw: nothing; found in review. A late redirect replaced the members that a process had been told before by an older list, also on a member that needs none. And a process that was dropped from the group while it was away logged that it is a member, by the list of its own log.

Change: a process that hears from a leader ignores the members of a redirect. It counts as a member in the log only while it hears from one.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -36,8 +36,8 @@
 	// automationInterval is the time between two checks of members, zones and
 	// instances.
 	automationInterval dhclock.Millis = 100
-	// joinLogDelay is how long a process requests membership before it logs that it has none,
-	// and joinLogInterval the time until it logs that again.
+	// joinLogDelay is how long a process is no member that hears from a leader before it logs
+	// that, and joinLogInterval the time until it logs it again.
 	joinLogDelay    = 2 * dhclock.Second
 	joinLogInterval = 10 * dhclock.Second
 	// editInterval is the least time between two changes that the leader makes
@@ -93,9 +93,11 @@
 	candidates map[string]candidate
 	// referred names the members of the consensus group as another process named them.
 	referred []string
-	// isMember is set while the newest list of members has this process, and joinLoggedAt is
-	// when it last logged that it hasn't, or when it started.
+	// isMember is set from when this process logs that it is a member that hears from a leader
+	// until it logs that it isn't. lastMember is when it last was, or when it started, and
+	// joinLoggedAt when it last logged that it isn't.
 	isMember     bool
+	lastMember   dhclock.Millis
 	joinLoggedAt dhclock.Millis
 	// invalid are the objects that the leader left out and logged.
 	invalid map[dhcatalog.Ref]bool
@@ -122,7 +124,7 @@
 	}
 	return &automation{
 		options: *o, zone: zone, candidates: map[string]candidate{}, invalid: map[dhcatalog.Ref]bool{},
-		joinLoggedAt: now - joinLogInterval + joinLogDelay,
+		lastMember: now, joinLoggedAt: now - joinLogInterval,
 	}
 }
 
@@ -166,24 +168,27 @@
 	s.manageInstances(out)
 }
 
-// logMembership logs when this process becomes a member of the consensus group, and from time to
-// time that it is none.
+// logMembership logs when this process becomes a member of the consensus group that hears from a
+// leader, and from time to time that it isn't one.
 func (s *State) logMembership(out *dheffect.List) {
 	a := s.automation
-	isMember := slices.ContainsFunc(s.voter.node.Members(), func(m dhmessage.Member) bool {
+	isMember := s.voter.node.Leader() != "" && slices.ContainsFunc(s.voter.node.Members(), func(m dhmessage.Member) bool {
 		return m.Peer() == s.self || m.Peer() == dhmessage.NewPeer(s.self.Name(), "")
 	})
-	switch {
-	case isMember && !a.isMember:
-		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "fleet", Text: "is a member of the consensus group", Peer: s.leader()}))
-	case isMember, s.now.Since(a.joinLoggedAt) < joinLogInterval:
-	default:
-		a.joinLoggedAt = s.now
-		out.Add(dheffect.NewLog(dheffect.LogOptions{
-			Layer: "fleet", Text: "isn't a member of the consensus group: requests membership", Peer: a.lastAsked, Number: uint64(a.joinCount),
-		}))
+	if isMember {
+		if !a.isMember {
+			out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "fleet", Text: "is a member of the consensus group", Peer: s.leader()}))
+		}
+		a.isMember, a.lastMember = true, s.now
+		return
 	}
-	a.isMember = isMember
+	if s.now.Since(a.lastMember) < joinLogDelay || s.now.Since(a.joinLoggedAt) < joinLogInterval {
+		return
+	}
+	a.isMember, a.joinLoggedAt = false, s.now
+	out.Add(dheffect.NewLog(dheffect.LogOptions{
+		Layer: "fleet", Text: "hears from no leader as a member of the consensus group: requests membership", Peer: a.lastAsked, Number: uint64(a.joinCount),
+	}))
 }
 
 // sendJoinRequest requests membership from the leader, or from one process
@@ -227,9 +232,9 @@
 
 // recordReferral records the members of the consensus group that a process names to one that
 // isn't a member. The settings of a process give it the addresses of its seeds alone, and any of
-// them may stop before the leader has added the process.
+// them may stop before the leader has added the process. One that hears from a leader needs no list.
 func (s *State) recordReferral(members []dhmessage.Member, out *dheffect.List) {
-	if s.automation == nil || len(members) == 0 {
+	if s.automation == nil || len(members) == 0 || s.voter == nil || s.voter.node.Leader() != "" {
 		return
 	}
 	s.automation.referred = memberNames(members)
