Take silent voters' votes one at a time

Cause: the vote of a silent voter was taken as long as any learner could get one. Two silent voters both lost theirs for one learner: three votes for a moment, a majority of which is on two disks, and four after it, which the loss of two ends even if the silent voters come back.

Change: a silent voter loses its vote for a learner only while all votes are given, so that the learner gets one before the next is taken.

--- a/core/dhcontrol/votes.go
+++ b/core/dhcontrol/votes.go
@@ -43,7 +43,7 @@
 // last are kept at a number and spread evenly over regions, then over zones, so that the loss of
 // a region, a zone or any minority leaves a majority. To move a vote, a learner gets one before a
 // voter loses its own, since a voter that stops ends as soon as it has none. Only a silent voter
-// loses its vote first.
+// loses its vote first, and one at a time: with fewer votes a majority is on fewer disks.
 func planVote(seats []seat, votes int) (index int, change voteChange) {
 	voters, lasting := 0, 0
 	for _, s := range seats {
@@ -57,7 +57,7 @@
 	learner, isSurplus := bestLearner(seats), voters > votes
 	for i, s := range seats {
 		switch {
-		case s.isVoter && s.isSilent && (learner >= 0 || isSurplus):
+		case s.isVoter && s.isSilent && (learner >= 0 && voters == votes || isSurplus):
 			return i, demoteSilent
 		case s.isVoter && s.isLeaving && isSurplus:
 			return i, demoteLeaving
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -382,3 +382,50 @@
 		n.run(45 * dhclock.Second)
 	}
 }
+
+// requireFiveVotes loses two control processes, kills all after a declaration was accepted, and
+// loses two disks of those that ran. There must be five votes before, and the declaration must
+// survive: of five votes a majority is on three disks.
+func requireFiveVotes(t *testing.T, n *network, lost ...*machine) {
+	t.Helper()
+	n.stopAll(lost)
+	n.run(replacementTime + 1000)
+	if votes := n.votes(); len(votes) != 5 {
+		t.Errorf("%v lost: the votes are %v, want 5", namesOf(lost), votes)
+	}
+	n.requireDeclaration(2, fmt.Sprintf("%v lost:", namesOf(lost)))
+	rest := n.controls()
+	n.stopAll(rest)
+	n.wipe(rest[0])
+	n.wipe(rest[1])
+	for _, m := range append(rest[2:], lost...) {
+		n.start(m)
+	}
+	n.run(15 * dhclock.Second)
+	for _, m := range n.controls() {
+		if m.view == nil || n.declarationNumber(m) != 2 {
+			t.Errorf("%v lost, then the disks of %v: %s hasn't declaration 2; %s", namesOf(lost), namesOf(rest[:2]), m.name, n.describeControl())
+			return
+		}
+	}
+}
+
+// learnerOf returns the only control process without a vote.
+func (n *network) learnerOf() *machine {
+	votes := n.votes()
+	i := slices.IndexFunc(n.machines, func(m *machine) bool { return !slices.Contains(votes, m.name+"@"+m.disk.folder) })
+	return n.machines[i]
+}
+
+// TestTwoSilentVotersLeaveFourVotes loses each pair of voters while one learner runs.
+func TestTwoSilentVotersLeaveFourVotes(t *testing.T) {
+	for i := range 6 {
+		for j := range i {
+			n := newReplacementNetwork(t, 6)
+			a, b, learner := n.machines[i], n.machines[j], n.learnerOf()
+			if a != learner && b != learner {
+				requireFiveVotes(t, n, a, b)
+			}
+		}
+	}
+}
