Give votes only to learners that respond just now

Cause: a learner counted as ready for a vote for 3 s after its last response, but the voter that is lost with it counts as silent after 2 s. Its vote was taken for a learner that was gone.

Change: a learner is ready if it has responded within 1 s, as for the spreading of votes.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -383,7 +383,7 @@
 	if member.Peer().Name() == s.self.Name() {
 		return seat{region: s.automation.options.Region, zone: s.automation.zone, isVoter: !member.Learner(), isLeader: true, isInContact: true}
 	}
-	isReady := m.HasResponded() && m.SinceLastContact() <= joinTTL &&
+	isReady := m.HasResponded() && m.SinceLastContact() <= contactTimeout &&
 		m.FolderID() == member.Peer().FolderID() && m.MatchIndex() >= s.voter.node.CommitIndex()
 	return seat{
 		region:      s.regionOf(member),
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -429,3 +429,14 @@
 		}
 	}
 }
+
+// TestLostLearnerCountsAsReady loses the learner and each voter at once.
+func TestLostLearnerCountsAsReady(t *testing.T) {
+	for i := range 6 {
+		n := newReplacementNetwork(t, 6)
+		voter, learner := n.machines[i], n.learnerOf()
+		if voter != learner {
+			requireFiveVotes(t, n, voter, learner)
+		}
+	}
+}
