Let a stopping voter lead if no other one can

Cause: a process that stops starts no election. If the leader stops, or a voter that has just become leader, its newest entry can be on its disk alone; it grants no vote to the others, whose logs are shorter, and doesn't stand itself. After 2.4 s it ends with its vote, and two of five voters are left.

TestStoppingLeaderHasTheLongestLog: red before at its first of six cases, green now.

Change: a voter that stops stands for election 800 ms later than others. As leader it gives a learner its own vote first, as it does with those of others that stop.

--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -30,6 +30,9 @@
 	// may grant it.
 	preVoteRetryInterval dhclock.Millis = 150
 	preVoteJitter        dhclock.Millis = 100
+	// resignedElectionDelay is how much longer than others a voter that is about to stop
+	// waits before it starts an election.
+	resignedElectionDelay dhclock.Millis = 800
 	// snapshotResendInterval is the time after which a snapshot without a
 	// response is sent again.
 	snapshotResendInterval dhclock.Millis = 10_000
@@ -98,7 +101,7 @@
 	// or pre-vote.
 	grantedVotes map[string]bool
 	preVote      bool
-	// resigned is set once the process is about to stop: it starts no election.
+	// resigned is set once the process is about to stop: it leaves elections to others.
 	resigned bool
 
 	leaderState leaderState
@@ -199,16 +202,17 @@
 	if n.now.Since(n.lastContact) < n.electionTimeout {
 		return
 	}
-	if !n.isVoter(n.self) || n.resigned {
-		// A learner can't start an election, and a voter that stops doesn't. It forgets
-		// the leader, so that its caller looks for the leader at other processes.
+	if !n.isVoter(n.self) || n.resigned && n.now.Since(n.lastContact) < n.electionTimeout+resignedElectionDelay {
+		// A learner can't start an election, and a voter that stops does so only if no other
+		// one has won: the others may lack an entry that it has. It forgets the leader, so that
+		// its caller looks for the leader at other processes.
 		n.leader = ""
 		return
 	}
 	n.startElection(true, out)
 }
 
-// Resign gives up leadership and starts no election any more, because the process is about to
+// Resign gives up leadership and leaves elections to others, because the process is about to
 // stop. The node still votes and replicates.
 func (n *Node) Resign() {
 	n.resigned = true
--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -381,7 +381,10 @@
 func (s *State) seatOf(m dhconsensus.MemberProgress) seat {
 	member := m.Member()
 	if member.Peer().Name() == s.self.Name() {
-		return seat{region: s.automation.options.Region, zone: s.automation.zone, isVoter: !member.Learner(), isLeader: true, isInContact: true}
+		return seat{
+			region: s.automation.options.Region, zone: s.automation.zone, isVoter: !member.Learner(),
+			isLeader: true, isInContact: true, isLeaving: s.automation.isLeaving,
+		}
 	}
 	isReady := m.HasResponded() && m.SinceLastContact() <= contactTimeout &&
 		m.FolderID() == member.Peer().FolderID() && m.MatchIndex() >= s.voter.node.CommitIndex()
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -440,3 +440,29 @@
 		}
 	}
 }
+
+// TestStoppingLeaderHasTheLongestLog replaces the leader and another voter as planned, and kills
+// two others as they stop, while an entry is on the leader's disk alone. Only the leader can win
+// an election then. A declaration must be accepted.
+func TestStoppingLeaderHasTheLongestLog(t *testing.T) {
+	for i := range 5 {
+		for j := range i {
+			n := newReplacementNetwork(t, 6)
+			lead, learner := n.leader(), n.learnerOf()
+			voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+			if i >= len(voters) {
+				continue
+			}
+			killed := []*machine{voters[i], voters[j]}
+			other := voters[slices.IndexFunc(voters, func(m *machine) bool { return !slices.Contains(killed, m) })]
+			n.startSuccessors([]*machine{lead, other})
+			n.run(replacementTime + 100)
+			n.propose(lead, declareCommand(2))
+			n.run(20)
+			n.packets = nil // the proposal has arrived, and none of the appends
+			n.stopAll(killed)
+			n.shutDown(lead, other)
+			n.requireDeclaration(3, fmt.Sprintf("%s and %s replaced, %v killed:", lead.name, other.name, namesOf(killed)))
+		}
+	}
+}
