Never poll itself as a member

The platform gives addresses of machines that are gone to others after 2 s, and a process is named by its address. An entry instance at the address of a control process that is still in the list of members, or among the seeds, polled itself: no configuration until another parent is tried, and again every 10 s.

Change: a process leaves its own name out of the members and seeds that it polls.

TestInstanceAtAMembersAddressPollsItself: red before, with seeds and with members.

--- a/core/dhdistribution/distribution_test.go
+++ b/core/dhdistribution/distribution_test.go
@@ -414,3 +414,24 @@
 		t.Errorf("after the referral the effects are %v, want a poll of c1", next.Items())
 	}
 }
+
+// TestInstanceAtAMembersAddressPollsItself starts an instance under the name of a control process
+// that is gone and still in the list of members: a machine got the address of another one. Its first
+// poll must go to a member that it isn't itself.
+func TestInstanceAtAMembersAddressPollsItself(t *testing.T) {
+	member := func(name, zone string) dhmessage.Member {
+		return dhmessage.NewMember(dhmessage.NewPeer(name, "f"), name+":1", false).WithZone(zone)
+	}
+	s := New(Options{Self: "c1", Zone: "a", Voters: []string{"c1", "c2"}, Now: 1000})
+	for _, members := range [][]dhmessage.Member{nil, {member("c1", "a"), member("c2", "b")}} {
+		s.SetMembers(members)
+		for range 3 {
+			s.PollNow()
+			var out dheffect.List
+			s.Tick(1000, &out)
+			if to := out.Items()[0].(*dheffect.Send).To(); to != "c2" {
+				t.Errorf("%d members: the instance polls %s, want c2", len(members), to)
+			}
+		}
+	}
+}
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -64,18 +64,21 @@
 func (s *State) sortMembers() {
 	var near, far []string
 	for _, m := range s.members {
+		if m.Peer().Name() == s.self {
+			continue // itself, or a former control process whose name this instance has
+		}
 		if m.Zone() != "" && m.Zone() == s.zone {
 			near = append(near, m.Peer().Name())
 		} else {
 			far = append(far, m.Peer().Name())
 		}
 	}
-	if len(s.members) == 0 {
-		far = s.configuredVoters
-	}
 	s.otherSeeds = slices.DeleteFunc(slices.Clone(s.configuredVoters), func(name string) bool {
 		return name == s.self || slices.Contains(near, name) || slices.Contains(far, name)
 	})
+	if len(s.members) == 0 {
+		far, s.otherSeeds = s.otherSeeds, nil
+	}
 	s.nearMembers, s.farMembers, s.nearestMembers = s.rotated(near), s.rotated(far), nil
 	s.otherSeeds = s.rotated(s.otherSeeds)
 	if len(near) > 0 {
