Count a voter's silence from before a change of leader

Cause: a new leader waits half of the replacement time (2 s) for a voter that was silent all along, from its own election on. With an election that takes long, the vote of the first is still where it was when the third is lost.

TestNewLeaderWaitsAnewForASilentVoter: red before, green now.

Change: a member that has never responded to a new leader was silent during its election too, so half of the time is enough.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -368,13 +368,17 @@
 	return nil, "", ""
 }
 
-// unresponsive reports whether a member hasn't responded to this leader within
-// a timeout. It is false until the leader itself has led for that time.
+// unresponsive reports whether a member hasn't responded to this leader within a timeout. A member
+// that has never responded to it was silent during its election too: half of the timeout is enough.
 func (s *State) unresponsive(m dhconsensus.MemberProgress, timeout dhclock.Millis) bool {
-	if m.Member().Peer().Name() == s.self.Name() {
+	switch {
+	case m.Member().Peer().Name() == s.self.Name():
 		return false
+	case m.HasResponded():
+		return m.SinceLastContact() > timeout
+	default:
+		return s.now.Since(s.voter.node.ElectedAt()) > timeout/2
 	}
-	return s.now.Since(s.voter.node.ElectedAt()) > timeout && (!m.HasResponded() || m.SinceLastContact() > timeout)
 }
 
 // seatOf returns what the leader knows of a member that matters for its vote.
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -8,6 +8,7 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
 )
 
 // Times of the replacement of control processes in tests, in milliseconds.
@@ -466,3 +467,31 @@
 		}
 	}
 }
+
+// TestNewLeaderWaitsAnewForASilentVoter loses a voter, then the leader before it has taken that
+// vote, both for good, and a third one as soon as the successor of the first counts. Vote requests
+// take 400 ms. A declaration must be accepted.
+func TestNewLeaderWaitsAnewForASilentVoter(t *testing.T) {
+	for later := successorDelay; later <= 2000; later += 100 {
+		n := newReplacementNetwork(t, 6)
+		n.linkDelay = func(_ *machine, _ string, m dhmessage.Message) dhclock.Millis {
+			if _, ok := m.(*dhmessage.VoteRequest); ok {
+				return 400
+			}
+			return 0
+		}
+		lead, learner := n.leader(), n.learnerOf()
+		voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+		first, third := voters[0], voters[1]
+		n.stop(first)
+		n.run(successorDelay)
+		n.startSuccessor(first)
+		n.run(later - successorDelay)
+		n.stop(lead)
+		n.run(successorDelay)
+		n.startSuccessor(lead)
+		n.run(replacementTime + 20 - later)
+		n.stop(third)
+		n.requireDeclaration(2, fmt.Sprintf("%s lost, %s lost %d ms later, then %s:", first.name, lead.name, later, third.name))
+	}
+}
