--- a/io/dhtestcluster/cluster.go
+++ b/io/dhtestcluster/cluster.go
@@ -239,7 +239,7 @@
 // Start starts a process, and kills it at the end of the test.
 func (c *Cluster) Start(p *Process) {
 	c.t.Helper()
-	r, err := startRun(p.role, "--settings", p.folder+".jsonc")
+	r, err := StartRun(program, nil, p.role, "--settings", p.folder+".jsonc")
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -262,7 +262,7 @@
 		c.t.Logf("log of %s:\n%s", name, r.Log())
 		return
 	}
-	path, err := r.saveLog(c.options.LogFolder, fmt.Sprintf("%s-%d", name, r.command.Process.Pid))
+	path, err := r.SaveLog(c.options.LogFolder, fmt.Sprintf("%s-%d", name, r.command.Process.Pid))
 	if err != nil {
 		c.t.Errorf("storing the log of %s: %v", name, err)
 		return
--- a/io/dhtestcluster/process.go
+++ b/io/dhtestcluster/process.go
@@ -72,17 +72,17 @@
 	endedAt time.Time // set when done is closed
 }
 
-// startRun starts the program.
-func startRun(args ...string) (*Run, error) {
+// StartRun starts a program with an environment that is added to that of the tests.
+func StartRun(path string, environment []string, args ...string) (*Run, error) {
 	output, input, err := os.Pipe()
 	if err != nil {
 		return nil, err
 	}
 	defer input.Close()
-	r := &Run{command: exec.CommandContext(context.Background(), program, args...), done: make(chan struct{})}
+	r := &Run{command: exec.CommandContext(context.Background(), path, args...), done: make(chan struct{})}
 	r.command.Stdout, r.command.Stderr = input, input
 	// The race detector's runtime otherwise sleeps for a second before the process exits.
-	r.command.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
+	r.command.Env = append(append(os.Environ(), "GORACE=atexit_sleep_ms=0"), environment...)
 	if err := r.command.Start(); err != nil {
 		output.Close()
 		return nil, err
@@ -121,6 +121,16 @@
 // Done returns a channel that is closed when the process has ended.
 func (r *Run) Done() <-chan struct{} { return r.done }
 
+// HasEnded reports whether the process has ended.
+func (r *Run) HasEnded() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // EndedAt returns when the process ended, once Done is closed.
 func (r *Run) EndedAt() time.Time { return r.endedAt }
 
@@ -136,8 +146,8 @@
 // Log returns what the process has written so far.
 func (r *Run) Log() string { return r.log.String() }
 
-// saveLog stores the log in a new file of a folder.
-func (r *Run) saveLog(folder, name string) (string, error) {
+// SaveLog stores the log in a new file of a folder.
+func (r *Run) SaveLog(folder, name string) (string, error) {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return "", err
 	}
--- a/io/dhtestcluster/program.go
+++ b/io/dhtestcluster/program.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,28 +22,40 @@
 // pollInterval is the time between two checks of an expected condition.
 const pollInterval = 20 * time.Millisecond
 
-// program is the path of the binary under test, which RunTests builds once.
-var program string
+// program is the path of the binary under test, which RunTests builds once in programFolder.
+var (
+	program       string
+	programFolder string
+)
 
 // RunTests builds the program, runs the tests of a package, and returns the exit code. The build
 // is also the first process that the test binary starts: before it, os clones a child once
 // without holding syscall.ForkLock, which freeAddress relies on.
 func RunTests(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "dogwoodhitch")
-	if err != nil {
+	var err error
+	if programFolder, err = os.MkdirTemp("", "dogwoodhitch"); err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(programFolder) }()
+	if program, err = BuildProgram("dogwoodhitch"); err != nil {
 		panic(err)
 	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	program = filepath.Join(folder, "dogwoodhitch")
-	args := []string{"build", "-o", program}
+	return m.Run()
+}
+
+// BuildProgram builds a command of the module in a folder that RunTests removes, and returns the
+// path of the binary. Tests that need another program than that under test build it themselves.
+func BuildProgram(name string) (string, error) {
+	path := filepath.Join(programFolder, name)
+	args := []string{"build", "-o", path}
 	if raceDetector {
 		args = append(args, "-race")
 	}
-	args = append(args, "dogwoodhitch/cmd/dogwoodhitch")
+	args = append(args, "dogwoodhitch/cmd/"+name)
 	if out, err := exec.CommandContext(context.Background(), "go", args...).CombinedOutput(); err != nil {
-		panic(string(out))
+		return "", fmt.Errorf("building %s: %w: %s", name, err, out)
 	}
-	return m.Run()
+	return path, nil
 }
 
 // Program returns the path of the binary under test.
@@ -91,6 +104,19 @@
 	}
 }
 
+// lastHost is the number of the last address that FreeHost returned.
+var lastHost atomic.Uint32
+
+// hostsPerRun is the number of addresses that FreeHost has for a test run.
+const hostsPerRun = 1 << 10
+
+// FreeHost returns a loopback address that only this test run uses and that it hasn't returned
+// before, for processes that listen at the same ports of their own machines.
+func FreeHost() string {
+	number := uint32(os.Getpid())*hostsPerRun + lastHost.Add(1)%hostsPerRun
+	return fmt.Sprintf("127.%d.%d.%d", 128+number>>16%0x7f, number>>8&0xff, number&0xff)
+}
+
 // Eventually polls a condition until it is met, and fails the test if that takes
 // longer than WaitTimeout.
 func Eventually(t *testing.T, condition string, met func() bool) {
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -123,7 +123,7 @@
 		case pauseAction:
 			d.pause()
 		}
-		if d.life.hasEnded() {
+		if d.life.HasEnded() {
 			sleep(context.Background(), between(d.random, 0, 600))
 			d.start()
 		}
@@ -132,15 +132,6 @@
 
 func (d *director) may(a action) bool { return slices.Contains(d.actions, a) }
 
-func (l *life) hasEnded() bool {
-	select {
-	case <-l.Done():
-		return true
-	default:
-		return false
-	}
-}
-
 // start starts the process, and sometimes stops it before it has started.
 func (d *director) start() {
 	d.soak.timeLine.add("%s: start", d.process.Name())
@@ -405,7 +396,7 @@
 	for ctx.Err() == nil {
 		l := s.lifeAt(p.Name(), time.Now())
 		status, err := s.cluster.Client(p).Status(ctx)
-		if err == nil && !l.hasEnded() {
+		if err == nil && !l.HasEnded() {
 			if l == lastLife && status.Version < last {
 				s.fail("%v reverted from version %d to %d", l, last, status.Version)
 			}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -18,6 +18,20 @@
 // failureFolder keeps the logs of failed runs.
 const failureFolder = "failures"
 
+// newFailureFolder returns the path of the folder for what a failed test keeps, which doesn't exist
+// yet.
+func newFailureFolder(t *testing.T) string {
+	t.Helper()
+	folder, err := filepath.Abs(filepath.Join(failureFolder, filepath.FromSlash(t.Name())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		t.Fatal(err)
+	}
+	return folder
+}
+
 // linkDirectors is the number of faults of links at the same time.
 const linkDirectors = 2
 
@@ -61,13 +75,7 @@
 
 func newSoak(t *testing.T, seed uint64, o scenario) *soak {
 	s := &soak{t: t, seed: seed, scenario: o, executions: newExecutions()}
-	folder, err := filepath.Abs(filepath.Join(failureFolder, filepath.FromSlash(t.Name())))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.RemoveAll(folder); err != nil {
-		t.Fatal(err)
-	}
+	folder := newFailureFolder(t)
 	t.Cleanup(func() { s.report(folder) })
 	s.cluster = dhtestcluster.New(t, dhtestcluster.Options{
 		Voters: o.voters, Zones: []string{"a1", "a1", "b1", "b1"}, LeaveWait: o.leaveWait, Finish: o.finish, LogFolder: folder,
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,7 +13,7 @@
 
 var (
 	seedFlag  = flag.Uint64("seed", 1, "first seed of the soak")
-	seedsFlag = flag.Int("seeds", 4, "number of seeds")
+	seedsFlag = flag.Int("seeds", 0, "number of seeds; 0 for the number that CI runs of each test")
 	slotsFlag = flag.Int("at-once", 4, "number of seeds that run at the same time")
 	spanFlag  = flag.Duration("span", 6*time.Second, "how long faults are injected with each seed")
 )
@@ -81,17 +81,29 @@
 	runSeeds(t, func(r *rand.Rand, _ uint64) scenario { return s.draw(r) })
 }
 
+// defaultSeeds is the number of seeds of a scenario that CI runs.
+const defaultSeeds = 4
+
 // runSeeds runs a number of seeds.
 func runSeeds(t *testing.T, draw func(*rand.Rand, uint64) scenario) {
+	forEachSeed(t, defaultSeeds, func(t *testing.T, seed uint64) {
+		newSoak(t, seed, draw(newRandom(seed, "scenario"), seed)).run()
+	})
+}
+
+// forEachSeed runs a test with each seed; with those of CI if the flags give no number.
+func forEachSeed(t *testing.T, seeds int, test func(*testing.T, uint64)) {
+	if *seedsFlag > 0 {
+		seeds = *seedsFlag
+	}
 	slots := make(chan struct{}, *slotsFlag)
-	for i := range *seedsFlag {
+	for i := range seeds {
 		seed := *seedFlag + uint64(i)
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			r := newRandom(seed, "scenario")
-			newSoak(t, seed, draw(r, seed)).run()
+			test(t, seed)
 		})
 	}
 }
