Move a stopping leader's own vote last

Cause: a leader that stops gave away its own vote first and ended; the other one ended 40 ms before that, still with its vote, and nobody moved it until the next election, which three lost voters of five prevent.

Change: the leader's vote moves when nothing else is left to do. A voter that stops stands for election 500 ms later than others instead of 800 ms, so that more of the 2.4 s is left.

--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -32,7 +32,7 @@
 	preVoteJitter        dhclock.Millis = 100
 	// resignedElectionDelay is how much longer than others a voter that is about to stop
 	// waits before it starts an election.
-	resignedElectionDelay dhclock.Millis = 800
+	resignedElectionDelay dhclock.Millis = 500
 	// snapshotResendInterval is the time after which a snapshot without a
 	// response is sent again.
 	snapshotResendInterval dhclock.Millis = 10_000
--- a/core/dhcontrol/votes.go
+++ b/core/dhcontrol/votes.go
@@ -43,7 +43,8 @@
 // last are kept at a number and spread evenly over regions, then over zones, so that the loss of
 // a region, a zone or any minority leaves a majority. To move a vote, a learner gets one before a
 // voter loses its own, since a voter that stops ends as soon as it has none. Only a silent voter
-// loses its vote first, and one at a time: with fewer votes a majority is on fewer disks.
+// loses its vote first, and one at a time: with fewer votes a majority is on fewer disks. A leader
+// that stops loses its own last, since nobody moves the others until the next one is elected.
 func planVote(seats []seat, votes int) (index int, change voteChange) {
 	voters, lasting := 0, 0
 	for _, s := range seats {
@@ -55,10 +56,13 @@
 		}
 	}
 	learner, isSurplus := bestLearner(seats), voters > votes
+	leavingLeader := -1
 	for i, s := range seats {
 		switch {
 		case s.isVoter && s.isSilent && (learner >= 0 && voters == votes || isSurplus):
 			return i, demoteSilent
+		case s.isVoter && s.isLeaving && s.isLeader:
+			leavingLeader = i
 		case s.isVoter && s.isLeaving && isSurplus:
 			return i, demoteLeaving
 		}
@@ -70,6 +74,8 @@
 		return learner, promoteMissing
 	case learner >= 0 && voters == votes && canBalance(seats, learner):
 		return learner, promoteBalanced
+	case leavingLeader >= 0 && isSurplus:
+		return leavingLeader, demoteLeaving
 	default:
 		return -1, keepVotes
 	}
