Give a learner a silent voter's vote before taking it

Cause: the leader took the vote of the silent voter first. With four votes, two of which are gone, there is no majority, and the one that returns has none any more.

Change: a learner gets a vote first, as for a planned stop, if the voters in contact would be a majority even if the learner were lost at that moment. Else, with two of five silent, a vote is taken first, as before.

--- a/core/dhcontrol/votes.go
+++ b/core/dhcontrol/votes.go
@@ -42,24 +42,29 @@
 // planVote returns the seat whose vote changes next, and how; keepVotes if none. The votes that
 // last are kept at a number and spread evenly over regions, then over zones, so that the loss of
 // a region, a zone or any minority leaves a majority. To move a vote, a learner gets one before a
-// voter loses its own, since a voter that stops ends as soon as it has none. Only a silent voter
-// loses its vote first, and one at a time: with fewer votes a majority is on fewer disks. A leader
-// that stops loses its own last, since nobody moves the others until the next one is elected.
+// voter loses its own: a voter that stops ends as soon as it has none, and a silent one may return
+// and be needed. Silent voters lose theirs first, one at a time, only while one more vote would leave
+// those in contact without a majority. A leader that stops loses its own last, since nobody moves the
+// others until the next one is elected.
 func planVote(seats []seat, votes int) (index int, change voteChange) {
-	voters, lasting := 0, 0
+	voters, lasting, inContact := 0, 0, 0
 	for _, s := range seats {
 		if s.isVoter {
 			voters++
 		}
+		if s.isVoter && s.isInContact {
+			inContact++
+		}
 		if s.isLasting() {
 			lasting++
 		}
 	}
 	learner, isSurplus := bestLearner(seats), voters > votes
+	takeFirst := learner >= 0 && voters == votes && inContact <= (voters+1)/2
 	leavingLeader := -1
 	for i, s := range seats {
 		switch {
-		case s.isVoter && s.isSilent && (learner >= 0 && voters == votes || isSurplus):
+		case s.isVoter && s.isSilent && (takeFirst || isSurplus):
 			return i, demoteSilent
 		case s.isVoter && s.isLeaving && s.isLeader:
 			leavingLeader = i
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -22,6 +22,8 @@
 	contactTime dhclock.Millis = 3000
 	// handoverTimeout is how long a process that stops waits for a successor of its vote.
 	handoverTimeout dhclock.Millis = 2400
+	// recoveryLimit is how long after the end of all faults every process must be a member.
+	recoveryLimit = 15 * dhclock.Second
 )
 
 // newReplacementNetwork returns a managed cluster of control processes in three regions, with
@@ -402,7 +404,7 @@
 	for _, m := range append(rest[2:], lost...) {
 		n.start(m)
 	}
-	n.run(15 * dhclock.Second)
+	n.run(recoveryLimit)
 	for _, m := range n.controls() {
 		if m.view == nil || n.declarationNumber(m) != 2 {
 			t.Errorf("%v lost, then the disks of %v: %s hasn't declaration 2; %s", namesOf(lost), namesOf(rest[:2]), m.name, n.describeControl())
@@ -495,3 +497,23 @@
 		n.requireDeclaration(2, fmt.Sprintf("%s lost, %s lost %d ms later, then %s:", first.name, lead.name, later, third.name))
 	}
 }
+
+// TestVoteIsTakenBeforeALearnerHasIt loses a voter, and two others for good at each of many times
+// around the move of its vote. With the return of the first, three of five disks are there: a
+// declaration must be accepted again.
+func TestVoteIsTakenBeforeALearnerHasIt(t *testing.T) {
+	for later := replacementTime / 2; later < replacementTime/2+600; later += 20 {
+		n := newReplacementNetwork(t, 6)
+		lead, learner := n.leader(), n.learnerOf()
+		voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+		n.stop(voters[0])
+		n.run(later)
+		n.stopAll(voters[1:3])
+		n.run(successorDelay)
+		n.startSuccessors(voters[1:3])
+		n.run(10 * dhclock.Second)
+		n.start(voters[0])
+		n.run(recoveryLimit)
+		n.requireDeclaration(2, fmt.Sprintf("%v lost %d ms after %s:", namesOf(voters[1:3]), later, voters[0].name))
+	}
+}
