Take a silent vote where fewer processes than votes exist

What callers saw: three control processes; one was lost for good, and its successor counted. When the next one was lost, no process confirmed or accepted a configuration any more.

Cause: the successor made four votes, one of them silent, and a silent vote is only taken for a learner while all five votes are given.

Evidence: TestSuccessorOfOneOfThreeLeavesFourVotes, red before at its first case (500 ms).

Change: where fewer members than votes exist, a silent voter of an even number loses its vote.

--- a/core/dhcontrol/votes.go
+++ b/core/dhcontrol/votes.go
@@ -61,10 +61,13 @@
 	}
 	learner, isSurplus := bestLearner(seats), voters > votes
 	takeFirst := learner >= 0 && voters == votes && inContact <= (voters+1)/2
+	// Where fewer members than votes exist, no learner ever completes the votes. Of an even
+	// number, one that is silent only raises the majority.
+	isTooSmall := learner < 0 && len(seats) < votes
 	leavingLeader := -1
 	for i, s := range seats {
 		switch {
-		case s.isVoter && s.isSilent && (takeFirst || isSurplus):
+		case s.isVoter && s.isSilent && (takeFirst || isSurplus || isTooSmall && voters%2 == 0):
 			return i, demoteSilent
 		case s.isVoter && s.isLeaving && s.isLeader:
 			leavingLeader = i
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -517,3 +517,37 @@
 		n.requireDeclaration(2, fmt.Sprintf("%v lost %d ms after %s:", namesOf(voters[1:3]), later, voters[0].name))
 	}
 }
+
+// TestSuccessorOfOneOfThreeLeavesFourVotes loses each of three control processes for good, starts
+// its successor at several times after that, and loses each other one once the successor counts.
+// A declaration must be accepted.
+func TestSuccessorOfOneOfThreeLeavesFourVotes(t *testing.T) {
+	for i := range 3 {
+		for j := range 4 {
+			for _, delay := range []dhclock.Millis{500, successorDelay, 3000, 10_000} {
+				if i == j {
+					continue
+				}
+				n := newReplacementNetwork(t, 3)
+				first := n.machines[i]
+				n.stop(first)
+				n.run(delay)
+				n.startSuccessorOfFew(first)
+				n.run(replacementTime + 100)
+				votes, second := n.votes(), n.machines[j]
+				n.stop(second)
+				n.requireDeclaration(2, fmt.Sprintf("%s lost, its successor %d ms later, the votes with %v, then %s lost:", first.name, delay, votes, second.name))
+			}
+		}
+	}
+}
+
+// startSuccessorOfFew starts an empty control process of a new name in the region of another one.
+// Its seeds are those that run.
+func (n *network) startSuccessorOfFew(old *machine) {
+	n.voters = namesOf(n.controls())
+	n.addControls(len(n.machines) + 1)
+	m := n.machines[len(n.machines)-1]
+	m.zone = old.zone
+	n.start(m)
+}
