--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -551,3 +551,20 @@
 	m.zone = old.zone
 	n.start(m)
 }
+
+// TestLearnerLostAfterAVoterLeavesFourVotes loses each voter and, at many times after it, the
+// learner.
+func TestLearnerLostAfterAVoterLeavesFourVotes(t *testing.T) {
+	for i := range 6 {
+		for after := dhclock.Millis(20); after < replacementTime; after += 100 {
+			n := newReplacementNetwork(t, 6)
+			voter, learner := n.machines[i], n.learnerOf()
+			if voter == learner {
+				continue
+			}
+			n.stop(voter)
+			n.run(after)
+			requireFiveVotes(t, n, voter, learner)
+		}
+	}
+}
