Give votes to far learners while entries commit

What callers saw: a voter was lost while configurations were accepted one after the other; its vote stayed with it, so that the next losses counted beside it.

Cause: a learner counted as ready only if it had synced every committed entry. One that is further away than a majority always lacks some while entries commit.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -391,7 +391,7 @@
 		}
 	}
 	isReady := m.HasResponded() && m.SinceLastContact() <= contactTimeout &&
-		m.FolderID() == member.Peer().FolderID() && m.MatchIndex() >= s.voter.node.CommitIndex()
+		m.FolderID() == member.Peer().FolderID() && s.hasCaughtUp(m.MatchIndex())
 	return seat{
 		region:      s.regionOf(member),
 		zone:        member.Zone(),
@@ -403,6 +403,18 @@
 	}
 }
 
+// hasCaughtUp reports whether a member that has synced the log up to an index lacks no committed
+// entry, or only such that may be on their way. While entries commit all the time, a member that is
+// further away than a majority always lacks some.
+func (s *State) hasCaughtUp(index uint64) bool {
+	n := s.voter.node
+	if index >= n.CommitIndex() {
+		return true
+	}
+	missing, found := n.Entry(index + 1)
+	return found && index > 0 && n.LogTime().Since(missing.LogTime()) <= contactTimeout
+}
+
 // regionOf returns the region of a member's zone, or until that is recorded the one that its last
 // join request to this leader stated.
 func (s *State) regionOf(member dhmessage.Member) string {
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -568,3 +568,28 @@
 		}
 	}
 }
+
+// TestFarLearnerGetsNoVoteWhileEntriesCommit loses a voter while a declaration is proposed every
+// 100 ms and the learner is further away than a majority of the voters. It must get the vote
+// within the replacement time.
+func TestFarLearnerGetsNoVoteWhileEntriesCommit(t *testing.T) {
+	for _, delay := range []dhclock.Millis{0, 50, 100, 150} {
+		n := newReplacementNetwork(t, 6)
+		learner := n.learnerOf()
+		n.linkDelay = func(from *machine, to string, _ dhmessage.Message) dhclock.Millis {
+			if from == learner || to == learner.name {
+				return delay
+			}
+			return 0
+		}
+		lost := n.find("c2")
+		n.stop(lost)
+		for number := uint64(2); number < 2+uint64(replacementTime/100); number++ {
+			n.propose(n.leader(), declareCommand(number))
+			n.run(100)
+		}
+		if votes := n.votes(); !slices.Contains(votes, learner.self().String()) {
+			t.Errorf("%d ms further away: %s is lost and %s has no vote after %d ms: %v", delay, lost.name, learner.name, replacementTime, votes)
+		}
+	}
+}
