Poll the process that named the members while those are gone

What callers saw: nothing yet; TestZoneThatWasCutOffStaysWithReplacedParents turned red for twelve control processes when the changes of votes changed which of them remain members for a while.

Cause: a seed answers the first poll with the list of members, which then all count as known, and half of them are gone: the instance left the one process that answered, and polled those in turn.

Evidence: in the reducer, a1-0 is named 22 members 0.56 s after the link is back, and polls c5 to c9, all gone, until after 5 s.

Change: while no parent confirms the configuration, the process that named the members is polled between them, as the seeds were before.

--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -22,6 +22,8 @@
 	probing bool
 	// isLost is set while no parent has confirmed the configuration for parentLossTime.
 	isLost bool
+	// referrer is the process that named the members since.
+	referrer string
 	// polledCandidate is the candidate that was polled last, which suspects describes.
 	polledCandidate string
 	suspects        dhquarantine.Replication
@@ -43,18 +45,25 @@
 	relays := s.relays()
 	first := min(1, len(relays))
 	list := slices.Concat(s.nearMembers, relays[:first], s.farMembers, relays[first:])
-	if s.parent.isLost && len(s.otherSeeds) > 0 {
-		return s.withSeeds(list)
+	if s.parent.isLost && s.hasFallbacks() {
+		return s.withFallbacks(list)
 	}
 	return list
 }
 
-// withSeeds returns the candidates with a seed that isn't a member before each, while none of them
-// confirms the configuration: all members may have been replaced while this process was cut off.
-func (s *State) withSeeds(candidates []string) []string {
+func (s *State) hasFallbacks() bool { return len(s.otherSeeds) > 0 || s.parent.referrer != "" }
+
+// withFallbacks returns the candidates with another process before each, while none of them confirms
+// the configuration: a seed that isn't a member, since all members may have been replaced while this
+// process was cut off, or else the process that named the members, of which many may be gone.
+func (s *State) withFallbacks(candidates []string) []string {
+	fallbacks := s.otherSeeds
+	if len(fallbacks) == 0 {
+		fallbacks = []string{s.parent.referrer}
+	}
 	list := make([]string, 0, 2*len(candidates))
 	for i, c := range candidates {
-		list = append(list, s.otherSeeds[i%len(s.otherSeeds)], c)
+		list = append(list, fallbacks[i%len(fallbacks)], c)
 	}
 	return list
 }
@@ -205,14 +214,14 @@
 	}
 }
 
-// updateParentLoss selects the first candidate again when the seeds become candidates, and when they
-// no longer are.
+// updateParentLoss selects the first candidate again when the list of candidates gets fallbacks, and
+// when it loses them.
 func (s *State) updateParentLoss(now dhclock.Millis) {
-	isLost := len(s.otherSeeds) > 0 && (!s.everConfirmed || now.Since(s.confirmedAt) > parentLossTime)
+	isLost := s.hasFallbacks() && s.everConfirmed && now.Since(s.confirmedAt) > parentLossTime
 	if isLost == s.parent.isLost {
 		return
 	}
-	s.parent.isLost, s.parent.timeouts = isLost, 0
+	s.parent.isLost, s.parent.referrer, s.parent.timeouts = isLost, "", 0
 	s.parent.selectCandidate(now, 0)
 	s.PollNow()
 }
@@ -292,12 +301,16 @@
 
 // followReferral records the members that a parent with a newer version names, and selects
 // the preferred parent again if they have changed.
-func (s *State) followReferral(now dhclock.Millis, members []dhmessage.Member) {
+func (s *State) followReferral(now dhclock.Millis, from string, members []dhmessage.Member) {
 	if s.isVoter || len(members) == 0 || slices.Equal(members, s.members) {
 		return
 	}
 	s.SetMembers(members)
-	s.parent.selectCandidate(now, 0)
+	first := 0
+	if s.parent.isLost {
+		s.parent.referrer, first = from, 1
+	}
+	s.parent.selectCandidate(now, first)
 	s.PollNow()
 }
 
@@ -329,7 +342,7 @@
 		s.PollNow()
 	}
 	if s.catalog.Version() < m.Version() {
-		s.followReferral(now, m.Members())
+		s.followReferral(now, from, m.Members())
 		return
 	}
 	if !m.EverConfirmed() {
