Keep what is known of silent instances over any change of leader

Cause: c3 followed c5 and knew at 3.0 s of 2.4 s of silence. At 3.04 s it polled c5, which had restarted, led no more and answered without a list of silent instances. c3 took that for a report that every instance was present, was elected at 3.2 s and counted from there. An empty list meant "all present" and "nothing known" alike. The same from a leader that hasn't applied its log yet, or that knows an instance only from its predecessor for less than 1 s; and a process that had restarted and was elected could ask nobody.

Change: - A member takes a report only from a process that leads, with a confirmed configuration that is at least as new as its own. - The leader lists each instance that it hasn't heard of itself within 1 s, with the age that its predecessor knew. An instance that it knows nothing of is marked as never heard: that replaces nothing that the receiver knows. - The polls of members carry what they know from the leader (ContactReport). A new leader merges reports from before its election, newest first, with what look-ups left out; its own reports that come back don't count. - A leader without its configuration makes no decision on instances.

Why it works: what is known of a lost instance is at most 1 s younger than its last acknowledgement, once, and is passed on with its age from then on, however many leaders follow. Waits after an election are as before, so running instances have the time to report that they had.

On the wire and in journals: new optional fields. A member of an older release reads the list as before, and reports nothing in its polls. A list of all 870 instances takes 20 KB; a new leader sends it to members until the instances have reported, a member with its polls. Otherwise a poll is 5 bytes longer.

--- a/core/dhdistribution/availability.go
+++ b/core/dhdistribution/availability.go
@@ -14,8 +14,8 @@
 	// availabilityCheckInterval is the least time between two availability checks of all
 	// instances.
 	availabilityCheckInterval dhclock.Millis = 100
-	// silenceReportAge is the age of an instance's last acknowledgement from which on the
-	// leader reports it to the members: longer than between two of them.
+	// silenceReportAge is the age of an instance's last acknowledgement from which on it is
+	// silent: longer than between two of them.
 	silenceReportAge dhclock.Millis = 1000
 	// silentReportTime and quietReportTime are how long a new leader waits for instances to
 	// report to it: those that were silent before the election, and those that weren't, whose
@@ -30,22 +30,6 @@
 	ackRetention = 60 * dhclock.Second
 )
 
-// leaderContacts is what the leader last reported of the instances.
-type leaderContacts struct {
-	// recordedAt is when that was; 0 if never. Instances that aren't in silentSince had
-	// acknowledged a version shortly before.
-	recordedAt  dhclock.Millis
-	silentSince map[string]dhclock.Millis
-}
-
-func (c *leaderContacts) record(now dhclock.Millis, list []dhmessage.Silence) {
-	c.recordedAt = now
-	c.silentSince = make(map[string]dhclock.Millis, len(list))
-	for _, x := range list {
-		c.silentSince[x.Instance()] = now - x.Age()
-	}
-}
-
 // recordAck records an acknowledgement unless a newer one of the instance has arrived on
 // another way.
 func (s *State) recordAck(now dhclock.Millis, a dhmessage.Ack) {
@@ -65,32 +49,79 @@
 	maps.DeleteFunc(s.ackRecords, func(_ string, r *ackRecord) bool { return now.Since(r.lastContact) > ackRetention })
 }
 
-// silences returns, at the leader, the instances of which it hadn't heard for
-// silenceReportAge at the last availability check.
+// knowsInstances reports whether this process leads and has the whole configuration. After a
+// restart it leads before it has applied its log.
+func (s *State) knowsInstances() bool { return s.isLeader && s.everConfirmed }
+
+// silences returns, at the leader, the instances that haven't acknowledged a version to it
+// within silenceReportAge. What it knows only from its predecessor is among them, with the
+// age known there: a member that took them for present would count their silence anew.
 func (s *State) silences(now dhclock.Millis) []dhmessage.Silence {
-	if !s.isLeader {
+	if !s.knowsInstances() {
 		return nil
 	}
 	var list []dhmessage.Silence
-	for _, name := range s.silentInstances {
-		if at, known := s.lastContact(name); known {
-			list = append(list, dhmessage.NewSilence(name, now.Since(at)))
+	for _, o := range s.catalog.List(dhcatalog.KindInstance) {
+		name := o.Ref().Name()
+		if r, found := s.ackRecords[name]; found && now.Since(r.lastContact) <= silenceReportAge {
+			continue
 		}
+		c, _ := s.lastContact(name)
+		list = append(list, dhmessage.NewSilence(name, now.Since(c.at)).WithNeverHeard(c.neverHeard))
 	}
 	return list
 }
 
+// contactReport returns what this member knows of the leader's contacts; nil if nothing.
+func (s *State) contactReport(now dhclock.Millis) *dhmessage.ContactReport {
+	if !s.isVoter || !s.contacts.isKnown() {
+		return nil
+	}
+	return dhmessage.NewContactReport(dhmessage.ContactReportOptions{
+		Age: now.Since(s.contacts.recordedAt), Silences: s.contacts.silences(now), Unavailable: s.unavailable,
+	})
+}
+
+// receiveContacts merges, at the leader, what a member knows from a predecessor. Reports that
+// are as old as this leadership repeat what this leader has reported itself.
+func (s *State) receiveContacts(now dhclock.Millis, r *dhmessage.ContactReport) {
+	if !s.isLeader || r == nil || now-r.Age() >= s.leadershipChangedAt {
+		return
+	}
+	reported := newLeaderContacts(now, now-r.Age(), r.Silences())
+	unavailable := slices.Clone(s.unavailable)
+	if reported.recordedAt > s.contacts.recordedAt {
+		s.contacts = s.contacts.followedBy(reported)
+		// An older report may have come first, and the instance back since.
+		unavailable = slices.DeleteFunc(unavailable, func(u dhmessage.UnavailableInstance) bool {
+			return !u.Leaving() && !s.hasReported(u.Instance()) && !s.contacts.wasSilent(u.Instance())
+		})
+	} else {
+		s.contacts = reported.followedBy(s.contacts)
+	}
+	for _, u := range r.Unavailable() {
+		isNewest := s.contacts.of(u.Instance()).at <= reported.of(u.Instance()).at
+		isListed := slices.ContainsFunc(unavailable, func(x dhmessage.UnavailableInstance) bool { return x.Instance() == u.Instance() })
+		if isNewest && !isListed && !s.hasReported(u.Instance()) {
+			unavailable = append(unavailable, u)
+		}
+	}
+	if !slices.Equal(unavailable, s.unavailable) {
+		s.unavailable, s.viewChanged = unavailable, true
+	}
+}
+
 // lastContact returns when an instance last acknowledged a version, as far as this leader
-// knows from its own records and its predecessor; false if it knows nothing.
-func (s *State) lastContact(name string) (dhclock.Millis, bool) {
-	at, known := s.contacts.recordedAt, s.contacts.recordedAt != 0
-	if since, silent := s.contacts.silentSince[name]; silent {
-		at = since
+// knows from its own records and its predecessors; false if it knows nothing.
+func (s *State) lastContact(name string) (contact, bool) {
+	c, known := s.contacts.of(name), s.contacts.isKnown()
+	if r, found := s.ackRecords[name]; found && (!known || r.lastContact > c.at) {
+		return contact{at: r.lastContact}, true
 	}
-	if r, found := s.ackRecords[name]; found {
-		return max(at, r.lastContact), true
+	if !known {
+		return contact{at: s.leadershipChangedAt, neverHeard: true}, false
 	}
-	return at, known
+	return c, true
 }
 
 // hasReported reports whether an instance has acknowledged a version since this leader's
@@ -104,18 +135,17 @@
 // heard of it for too long. An instance that hasn't reported since the election may be about
 // to: it may have to find another parent first.
 func (s *State) isSilent(now dhclock.Millis, name string, mostReported bool) bool {
-	at, known := s.lastContact(name)
+	c, known := s.lastContact(name)
 	leading := now.Since(s.leadershipChangedAt)
-	_, wasSilent := s.contacts.silentSince[name]
 	switch {
 	case s.hasReported(name):
-		return now.Since(at) > instanceTimeout
+		return now.Since(c.at) > instanceTimeout
 	case !known:
 		return leading > instanceTimeout || leading > restartReportTime && mostReported
-	case wasSilent:
-		return leading > silentReportTime && now.Since(at) > instanceTimeout
+	case s.contacts.wasSilent(name):
+		return leading > silentReportTime && now.Since(c.at) > instanceTimeout
 	default:
-		return leading > quietReportTime && now.Since(at) > instanceTimeout
+		return leading > quietReportTime && now.Since(c.at) > instanceTimeout
 	}
 }
 
@@ -128,15 +158,10 @@
 	s.lastAvailabilityCheck = now
 	instances := s.catalog.List(dhcatalog.KindInstance)
 	reported := 0
-	s.silentInstances = s.silentInstances[:0]
 	for _, o := range instances {
-		name := o.Ref().Name()
-		if s.hasReported(name) {
+		if s.hasReported(o.Ref().Name()) {
 			reported++
 		}
-		if at, known := s.lastContact(name); known && now.Since(at) > silenceReportAge {
-			s.silentInstances = append(s.silentInstances, name)
-		}
 	}
 	var unavailable []dhmessage.UnavailableInstance
 	for _, o := range instances {
--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -146,6 +146,7 @@
 	for _, a := range m.Acks() {
 		s.recordAck(now, a)
 	}
+	s.receiveContacts(now, m.Contacts())
 	out.Add(dheffect.NewSend(dheffect.SendOptions{To: from, Message: s.newUpdate(now, c, m.SentAt())}))
 }
 
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -266,7 +266,7 @@
 		Message: dhmessage.NewPoll(dhmessage.PollOptions{
 			Version: s.catalog.Version(), SentAt: now, Acks: s.collectAcks(now), Replica: s.isVoter,
 			Suspects: p.suspects.NextReport(now, s.suspects), ZoneUnresponsive: len(s.nearMembers) > 0 && index >= len(s.nearMembers) && !s.isVoter,
-			Probe: p.probing,
+			Probe: p.probing, Contacts: s.contactReport(now),
 		}),
 	}))
 }
@@ -330,8 +330,10 @@
 	if m.PollSentAt() == 0 {
 		return
 	}
-	if s.isVoter && from == s.leader {
-		s.contacts.record(now, m.Silences())
+	// A leader that has restarted still gets polls. It reports nothing until it leads again and
+	// knows the instances.
+	if s.isVoter && from == s.leader && from == m.Leader() && m.EverConfirmed() && m.Version() >= s.catalog.Version() {
+		s.contacts = s.contacts.followedBy(newLeaderContacts(now, now, m.Silences()))
 	}
 	s.parent.timeouts = 0
 	if m.PollSentAt() >= s.parent.oldestUnanswered {
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -129,12 +129,10 @@
 	viewSuspects    *dhview.Suspects // as of the last change; nil for none
 	suspectBackup   dhquarantine.Backup
 
-	parent     parent
-	children   map[string]*child
-	ackRecords map[string]*ackRecord
-	contacts   leaderContacts
-	// silentInstances are, at the leader, those that it reports to the members as silent.
-	silentInstances []string
+	parent          parent
+	children        map[string]*child
+	ackRecords      map[string]*ackRecord
+	contacts        leaderContacts
 	hasNewAcks      bool // acknowledgements not yet forwarded to the parent
 	viewChanged     bool
 	versionAdvanced bool
@@ -182,10 +180,10 @@
 }
 
 // SetLeading records whether this process leads. A new leader knows of the instances
-// what its predecessor last reported, and those that polled it.
+// what its predecessors last reported to it or to another member, and those that polled it.
 func (s *State) SetLeading(isLeader bool, now dhclock.Millis) {
-	if s.isLeader && !isLeader {
-		s.contacts.record(now, s.silences(now))
+	if s.knowsInstances() && !isLeader {
+		s.contacts = s.contacts.followedBy(newLeaderContacts(now, now, s.silences(now)))
 	}
 	s.isLeader, s.leadershipChangedAt = isLeader, now
 	s.dropOldAcks(now)
@@ -317,7 +315,7 @@
 // EndBatch ends a batch of events: it pushes a new version to the children and
 // publishes a changed view.
 func (s *State) EndBatch(now dhclock.Millis, out *dheffect.List) {
-	if s.isLeader {
+	if s.knowsInstances() {
 		s.updateUnavailable(now)
 	}
 	if s.versionAdvanced {
--- a/core/dhmessage/distribution.go
+++ b/core/dhmessage/distribution.go
@@ -73,6 +73,9 @@
 	// Probe reports whether the sender asks only for confirmation, because it has left
 	// another process and this one hasn't responded yet.
 	Probe bool `journal:"Probe,omitZero"`
+	// Contacts is, from a member of the consensus group, what it knows of the instances
+	// from the leader; nil if nothing.
+	Contacts *ContactReport `journal:"Contacts,omitZero"`
 }
 
 // Poll asks the parent for newer configuration, and to confirm that the
@@ -110,6 +113,10 @@
 // process and this one hasn't responded yet.
 func (m *Poll) Probe() bool { return m.options.Probe }
 
+// Contacts returns, from a member of the consensus group, what it knows of the instances from
+// the leader; nil if nothing.
+func (m *Poll) Contacts() *ContactReport { return m.options.Contacts }
+
 func (*Poll) message() {}
 
 // UpdateOptions are the fields of an Update.
@@ -146,7 +153,7 @@
 	// Suspects reports requests that may have crashed upstreams; nil for none.
 	Suspects *SuspectReport
 	// Silences are, from the leader to members of the consensus group, the instances of
-	// which it hasn't heard for a while.
+	// which it hasn't heard for a while, or since its election.
 	Silences []Silence `journal:"Silences,omitZero"`
 }
 
@@ -205,7 +212,7 @@
 func (m *Update) Suspects() *SuspectReport { return m.options.Suspects }
 
 // Silences returns, from the leader to members of the consensus group, the instances of which
-// it hasn't heard for a while.
+// it hasn't heard for a while, or since its election.
 func (m *Update) Silences() []Silence { return m.options.Silences }
 
 func (*Update) message() {}
@@ -229,8 +236,9 @@
 
 // Silence reports how long ago an instance last acknowledged a version.
 type Silence struct {
-	instance string
-	age      dhclock.Millis
+	instance   string
+	age        dhclock.Millis
+	neverHeard bool `journal:"neverHeard,omitZero"`
 }
 
 // NewSilence returns an instance's silence in milliseconds.
@@ -244,6 +252,45 @@
 // Age returns how long ago the instance last acknowledged a version, in milliseconds.
 func (s Silence) Age() dhclock.Millis { return s.age }
 
+// WithNeverHeard returns the silence of an instance of which the leader has never heard, nor
+// anyone told it. Its age is the one of the leadership.
+func (s Silence) WithNeverHeard(neverHeard bool) Silence {
+	s.neverHeard = neverHeard
+	return s
+}
+
+// NeverHeard reports whether the leader has never heard of the instance.
+func (s Silence) NeverHeard() bool { return s.neverHeard }
+
+// ContactReportOptions are the fields of a ContactReport.
+type ContactReportOptions struct {
+	// Age is the time since the leader reported to the sender, in milliseconds.
+	Age dhclock.Millis
+	// Silences are the instances that the leader reported; the others had acknowledged a
+	// version shortly before.
+	Silences []Silence
+	// Unavailable are the instances that look-ups must not return.
+	Unavailable []UnavailableInstance
+}
+
+// ContactReport tells a new leader what a member of the consensus group knows from its
+// predecessors.
+type ContactReport struct {
+	options ContactReportOptions
+}
+
+// NewContactReport returns a report.
+func NewContactReport(o ContactReportOptions) *ContactReport { return &ContactReport{options: o} }
+
+// Age returns the time since the leader reported to the sender, in milliseconds.
+func (r *ContactReport) Age() dhclock.Millis { return r.options.Age }
+
+// Silences returns the instances that the leader reported.
+func (r *ContactReport) Silences() []Silence { return r.options.Silences }
+
+// Unavailable returns the instances that look-ups must not return.
+func (r *ContactReport) Unavailable() []UnavailableInstance { return r.options.Unavailable }
+
 // UnavailableInstance is an instance that look-ups must not return.
 type UnavailableInstance struct {
 	instance string
--- a/core/dhreducer/lost_instance_test.go
+++ b/core/dhreducer/lost_instance_test.go
@@ -118,3 +118,60 @@
 	n.run(4000)
 	n.requireUnavailable(lost.name, "4 s after the loss", nil)
 }
+
+// TestLostInstanceIsNamedAfterManyChangesOfLeader loses an instance and kills two or three
+// leaders at drawn times, each back soon, so that processes that have just restarted lead or
+// answer as if they led. Look-ups must leave out the instance in time and keep to it over two
+// more changes of leader, and leave out no other at any time.
+func TestLostInstanceIsNamedAfterManyChangesOfLeader(t *testing.T) {
+	for seed := range uint64(60) {
+		n := newLostInstanceNetwork(t)
+		n.random = seed
+		draw := func(least, limit uint64) dhclock.Millis { return dhclock.Millis(least + n.nextRandom()%(limit-least)) }
+		n.run(draw(3000, 4000))
+		lost, loss := n.find([]string{"a1-1", "a1-2", "b1-1", "b1-2"}[seed%4]), n.now
+		n.stop(lost)
+		when := fmt.Sprint("seed ", seed)
+		var killed *machine
+		killLeader := func() {
+			if lead := n.leader(); lead != nil {
+				when += fmt.Sprintf(", leader %s killed %d ms after the loss", lead.name, n.now-loss)
+				killed = lead
+				n.stop(lead)
+				n.runAvailable(draw(100, 700), lost.name, &when)
+				n.start(lead)
+			}
+		}
+		n.runAvailable(draw(20, 1500), lost.name, &when)
+		for range 2 + seed%2 {
+			killLeader()
+			n.runAvailable(min(draw(100, 2500), max(20, loss+3500-n.now)), lost.name, &when)
+		}
+		n.runAvailable(max(0, loss+lostInstanceLimit-n.now), lost.name, &when)
+		n.requireUnavailable(lost.name, when, killed)
+		for range 2 {
+			n.runAvailable(3000, lost.name, &when)
+			n.requireUnavailable(lost.name, when, nil)
+			killLeader()
+			for end := n.now + draw(100, 2500); n.now < end; {
+				n.run(20)
+				n.requireUnavailable(lost.name, when, killed)
+			}
+		}
+	}
+}
+
+// runAvailable advances the time and fails once look-ups at a running control process leave
+// out an instance other than the lost one.
+func (n *network) runAvailable(span dhclock.Millis, lost string, when *string) {
+	for end := n.now + span; n.now < end; {
+		n.run(20)
+		for _, m := range n.controls() {
+			for _, u := range m.view.Unavailable() {
+				if u.Instance() != lost {
+					n.t.Fatalf("%s: %s leaves out %s, which runs", *when, m.name, u.Instance())
+				}
+			}
+		}
+	}
+}
--- a/io/dhwire/message.go
+++ b/io/dhwire/message.go
@@ -89,7 +89,7 @@
 }
 
 func pollToWire(m *dhmessage.Poll) *dhproto.Poll {
-	w := &dhproto.Poll{Version: m.Version(), SentMs: m.SentAt().Milliseconds(), Replica: m.Replica(), Suspects: SuspectReportToWire(m.Suspects()), ZoneUnresponsive: m.ZoneUnresponsive(), Probe: m.Probe()}
+	w := &dhproto.Poll{Version: m.Version(), SentMs: m.SentAt().Milliseconds(), Replica: m.Replica(), Suspects: SuspectReportToWire(m.Suspects()), ZoneUnresponsive: m.ZoneUnresponsive(), Probe: m.Probe(), Contacts: contactReportToWire(m.Contacts())}
 	for _, a := range m.Acks() {
 		ack := &dhproto.Ack{Instance: a.Instance(), Version: a.Version(), Leaving: a.Leaving(), AgeMs: a.Age().Milliseconds()}
 		if i, found := a.AdvertisedInstance(); found {
@@ -100,21 +100,39 @@
 	return w
 }
 
+func contactReportToWire(r *dhmessage.ContactReport) *dhproto.ContactReport {
+	if r == nil {
+		return nil
+	}
+	return &dhproto.ContactReport{AgeMs: r.Age().Milliseconds(), Silences: silencesToWire(r.Silences()), Away: unavailableToWire(r.Unavailable())}
+}
+
+func silencesToWire(list []dhmessage.Silence) []*dhproto.Silence {
+	var w []*dhproto.Silence
+	for _, x := range list {
+		w = append(w, &dhproto.Silence{Instance: x.Instance(), AgeMs: x.Age().Milliseconds(), NeverHeard: x.NeverHeard()})
+	}
+	return w
+}
+
+func unavailableToWire(list []dhmessage.UnavailableInstance) []*dhproto.Away {
+	var w []*dhproto.Away
+	for _, a := range list {
+		w = append(w, &dhproto.Away{Instance: a.Instance(), Leaving: a.Leaving()})
+	}
+	return w
+}
+
 func updateToWire(m *dhmessage.Update) *dhproto.Update {
 	w := &dhproto.Update{
 		SentMs: m.PollSentAt().Milliseconds(), Version: m.Version(), Confirmed: m.EverConfirmed(), AgeMs: m.Age().Milliseconds(),
 		Full: catalogToWire(m.Full()), Leader: m.Leader(), InForce: m.InForce(), Voters: MembersToWire(m.Members()),
 		LimitsAgeMs: m.LimitsAge().Milliseconds(), Suspects: SuspectReportToWire(m.Suspects()),
+		Away: unavailableToWire(m.Unavailable()), Silences: silencesToWire(m.Silences()),
 	}
 	for _, c := range m.Changes() {
 		w.Changes = append(w.Changes, ChangeSetToWire(c))
 	}
-	for _, a := range m.Unavailable() {
-		w.Away = append(w.Away, &dhproto.Away{Instance: a.Instance(), Leaving: a.Leaving()})
-	}
-	for _, x := range m.Silences() {
-		w.Silences = append(w.Silences, &dhproto.Silence{Instance: x.Instance(), AgeMs: x.Age().Milliseconds()})
-	}
 	for _, d := range m.DrainAges() {
 		w.Drains = append(w.Drains, &dhproto.DrainAge{Name: d.Name(), AgeMs: d.Age().Milliseconds()})
 	}
@@ -232,7 +250,7 @@
 	if err != nil {
 		return nil, err
 	}
-	o := dhmessage.PollOptions{Version: w.GetVersion(), SentAt: dhclock.Millis(w.GetSentMs()), Replica: w.GetReplica(), Suspects: suspects, ZoneUnresponsive: w.GetZoneUnresponsive(), Probe: w.GetProbe()}
+	o := dhmessage.PollOptions{Version: w.GetVersion(), SentAt: dhclock.Millis(w.GetSentMs()), Replica: w.GetReplica(), Suspects: suspects, ZoneUnresponsive: w.GetZoneUnresponsive(), Probe: w.GetProbe(), Contacts: contactReportFromWire(w.GetContacts())}
 	for _, a := range w.GetAcks() {
 		ack := dhmessage.NewAck(a.GetInstance(), a.GetVersion(), a.GetLeaving()).WithAge(dhclock.Millis(a.GetAgeMs()))
 		if a.GetIntroduction() != nil {
@@ -243,6 +261,31 @@
 	return dhmessage.NewPoll(o), nil
 }
 
+func contactReportFromWire(w *dhproto.ContactReport) *dhmessage.ContactReport {
+	if w == nil {
+		return nil
+	}
+	return dhmessage.NewContactReport(dhmessage.ContactReportOptions{
+		Age: dhclock.Millis(w.GetAgeMs()), Silences: silencesFromWire(w.GetSilences()), Unavailable: unavailableFromWire(w.GetAway()),
+	})
+}
+
+func silencesFromWire(w []*dhproto.Silence) []dhmessage.Silence {
+	var list []dhmessage.Silence
+	for _, x := range w {
+		list = append(list, dhmessage.NewSilence(x.GetInstance(), dhclock.Millis(x.GetAgeMs())).WithNeverHeard(x.GetNeverHeard()))
+	}
+	return list
+}
+
+func unavailableFromWire(w []*dhproto.Away) []dhmessage.UnavailableInstance {
+	var list []dhmessage.UnavailableInstance
+	for _, a := range w {
+		list = append(list, dhmessage.NewUnavailableInstance(a.GetInstance(), a.GetLeaving()))
+	}
+	return list
+}
+
 func updateFromWire(w *dhproto.Update) (dhmessage.Message, error) {
 	full, err := catalogFromWire(w.GetFull())
 	if err != nil {
@@ -256,7 +299,7 @@
 		PollSentAt: dhclock.Millis(w.GetSentMs()), Version: w.GetVersion(), EverConfirmed: w.GetConfirmed(),
 		Age: dhclock.Millis(w.GetAgeMs()), Full: full, Leader: w.GetLeader(), InForce: w.GetInForce(),
 		Members: MembersFromWire(w.GetVoters()), LimitsAge: dhclock.Millis(w.GetLimitsAgeMs()),
-		Suspects: suspects,
+		Suspects: suspects, Unavailable: unavailableFromWire(w.GetAway()), Silences: silencesFromWire(w.GetSilences()),
 	}
 	for _, x := range w.GetChanges() {
 		c, err := ChangeSetFromWire(x)
@@ -265,12 +308,6 @@
 		}
 		o.Changes = append(o.Changes, c)
 	}
-	for _, a := range w.GetAway() {
-		o.Unavailable = append(o.Unavailable, dhmessage.NewUnavailableInstance(a.GetInstance(), a.GetLeaving()))
-	}
-	for _, x := range w.GetSilences() {
-		o.Silences = append(o.Silences, dhmessage.NewSilence(x.GetInstance(), dhclock.Millis(x.GetAgeMs())))
-	}
 	for _, d := range w.GetDrains() {
 		o.DrainAges = append(o.DrainAges, dhmessage.NewDrainAge(d.GetName(), dhclock.Millis(d.GetAgeMs())))
 	}
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -106,11 +106,13 @@
 		dhmessage.NewAppendRequest(dhmessage.AppendRequestOptions{Term: 1, PreviousIndex: 2, PreviousTerm: 3, Entries: entries, CommitIndex: 4, Round: 5}),
 		dhmessage.NewAppendResponse(dhmessage.AppendResponseOptions{Term: 1, Accepted: true, MatchIndex: 2, Round: 3}),
 		dhmessage.NewInstallSnapshot(dhmessage.InstallSnapshotOptions{Term: 1, Snapshot: snapshot, Round: 2}),
-		dhmessage.NewPoll(dhmessage.PollOptions{Version: 1, SentAt: 2, Acks: []dhmessage.Ack{dhmessage.NewAck("i", 1, true).WithAge(2)}, Replica: true, Suspects: suspects, ZoneUnresponsive: true, Probe: true}),
+		dhmessage.NewPoll(dhmessage.PollOptions{Version: 1, SentAt: 2, Acks: []dhmessage.Ack{dhmessage.NewAck("i", 1, true).WithAge(2)}, Replica: true, Suspects: suspects, ZoneUnresponsive: true, Probe: true, Contacts: dhmessage.NewContactReport(dhmessage.ContactReportOptions{
+			Age: 7, Silences: []dhmessage.Silence{dhmessage.NewSilence("i", 8).WithNeverHeard(true)}, Unavailable: []dhmessage.UnavailableInstance{dhmessage.NewUnavailableInstance("i", true)},
+		})}),
 		dhmessage.NewUpdate(dhmessage.UpdateOptions{
 			PollSentAt: 1, Version: 2, EverConfirmed: true, Age: 3, Full: c, Changes: []dhcatalog.ChangeSet{set},
 			Unavailable: []dhmessage.UnavailableInstance{dhmessage.NewUnavailableInstance("i", true)}, Leader: "c", InForce: 4,
-			DrainAges: []dhmessage.DrainAge{dhmessage.NewDrainAge("d", 5)}, Members: voters, Suspects: suspects, Silences: []dhmessage.Silence{dhmessage.NewSilence("i", 6)},
+			DrainAges: []dhmessage.DrainAge{dhmessage.NewDrainAge("d", 5)}, Members: voters, Suspects: suspects, Silences: []dhmessage.Silence{dhmessage.NewSilence("i", 6).WithNeverHeard(true)},
 		}),
 		dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{StartID: 1, OwnerTerm: 2, SentAt: 3, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", 1, 2, 3)}}),
 		dhmessage.NewGrantResponse(dhmessage.GrantResponseOptions{StartID: 1, OwnerTerm: 2, RequestSentAt: 3, TTL: 4, Grants: []dhmessage.TokenGrant{dhmessage.NewTokenGrant("o", 1, 2, true)}}),
