Give a learner a vote first with two silent voters too

Cause: with two of five voters silent, the leader took one vote before it gave one. The change stays pending without a majority, and of its four voters two are gone for good.

Change: a learner that has answered the last heartbeats gets a vote first, unless it is in the region of all silent voters, which may be what is being lost: then a vote is taken first, as before (TestVotesDontBearTheNextLoss fails without that). That case still has the fault if two others are lost for good in the same 300 ms.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -26,6 +26,8 @@
 	defaultReplacementTime = 10 * dhclock.Second
 	// contactTimeout is the time without a response within which a voter counts as in contact.
 	contactTimeout = dhclock.Second
+	// punctualTimeout is the time without a response of a member that answers each heartbeat.
+	punctualTimeout = 3 * dhconsensus.HeartbeatInterval
 	// learnerTimeout is the time without a response after which a learner is
 	// removed.
 	learnerTimeout = 30 * dhclock.Second
@@ -399,6 +401,7 @@
 		isReady:     isReady,
 		isSilent:    s.unresponsive(m, s.automation.options.voterTimeout()),
 		isInContact: m.HasResponded() && m.SinceLastContact() <= contactTimeout,
+		isPunctual:  m.HasResponded() && m.SinceLastContact() <= punctualTimeout,
 		isLeaving:   s.isLeaving(member),
 	}
 }
--- a/core/dhcontrol/votes.go
+++ b/core/dhcontrol/votes.go
@@ -16,6 +16,8 @@
 	isSilent bool
 	// isInContact is set if the member has responded just now.
 	isInContact bool
+	// isPunctual is set if the member has answered one of the last heartbeats.
+	isPunctual bool
 	// isLeaving is set if the member is about to stop.
 	isLeaving bool
 }
@@ -43,9 +45,9 @@
 // last are kept at a number and spread evenly over regions, then over zones, so that the loss of
 // a region, a zone or any minority leaves a majority. To move a vote, a learner gets one before a
 // voter loses its own: a voter that stops ends as soon as it has none, and a silent one may return
-// and be needed. Silent voters lose theirs first, one at a time, only while one more vote would leave
-// those in contact without a majority. A leader that stops loses its own last, since nobody moves the
-// others until the next one is elected.
+// and be needed. Silent voters lose theirs first, one at a time, only if the majority would depend on
+// a learner that may be lost. A leader that stops loses its own last, since nobody moves the others
+// until the next one is elected.
 func planVote(seats []seat, votes int) (index int, change voteChange) {
 	voters, lasting, inContact := 0, 0, 0
 	for _, s := range seats {
@@ -60,7 +62,7 @@
 		}
 	}
 	learner, isSurplus := bestLearner(seats), voters > votes
-	takeFirst := learner >= 0 && voters == votes && inContact <= (voters+1)/2
+	takeFirst := learner >= 0 && voters == votes && inContact <= (voters+1)/2 && mayBeLost(seats, learner)
 	// Where fewer members than votes exist, no learner ever completes the votes. Of an even
 	// number, one that is silent only raises the majority.
 	isTooSmall := learner < 0 && len(seats) < votes
@@ -89,6 +91,14 @@
 	}
 }
 
+// mayBeLost reports whether a learner may be lost as the silent voters are: it has missed
+// heartbeats, or all of them are in its region.
+func mayBeLost(seats []seat, learner int) bool {
+	return !seats[learner].isPunctual || !slices.ContainsFunc(seats, func(s seat) bool {
+		return s.isVoter && s.isSilent && s.region != seats[learner].region
+	})
+}
+
 // canBalance reports whether the votes are spread more evenly if a learner gets one of them. It
 // is false unless all voters are in contact and their regions known.
 func canBalance(seats []seat, learner int) bool {
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -76,7 +76,8 @@
 // Its seeds are three of those that run.
 func (n *network) startSuccessor(old *machine) {
 	n.voters = nil
-	for _, m := range n.controls()[:3] {
+	running := n.controls()
+	for _, m := range running[:min(3, len(running))] {
 		n.voters = append(n.voters, m.name)
 	}
 	n.addControls(len(n.machines) + 1)
@@ -593,3 +594,24 @@
 		}
 	}
 }
+
+// TestTwoVotesAreTakenBeforeALearnerHasOne loses two voters, and two others for good at each of many
+// times around the move of their votes. With the return of the first two, three of five disks are
+// there: a declaration must be accepted again.
+func TestTwoVotesAreTakenBeforeALearnerHasOne(t *testing.T) {
+	for later := replacementTime/2 - 600; later < replacementTime/2+800; later += 20 {
+		n := newReplacementNetwork(t, 6)
+		lead, learner := n.leader(), n.learnerOf()
+		voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+		n.stopAll(voters[:2])
+		n.run(later)
+		n.stopAll(voters[2:])
+		n.run(successorDelay)
+		n.startSuccessors(voters[2:])
+		n.run(10 * dhclock.Second)
+		n.start(voters[0])
+		n.start(voters[1])
+		n.run(recoveryLimit)
+		n.requireDeclaration(2, fmt.Sprintf("%v lost %d ms after %v:", namesOf(voters[2:]), later, namesOf(voters[:2])))
+	}
+}
