--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -99,6 +99,7 @@
 	lastCorrelationID uint64
 	replies           map[uint64]dhmessage.Result
 	postToTraffic     func(m *machine, e dhevent.Event)
+	recordLog         func(m *machine, e *dheffect.Log)
 	// messageDelay is the delay of every packet, in milliseconds.
 	messageDelay dhclock.Millis
 	// entryLinkDelay is how long packets wait for the link of each entry instance that they
@@ -238,6 +239,10 @@
 			n.replies[e.CorrelationID()] = e.Result()
 		case *dheffect.Publish:
 			n.recordView(m, e.View())
+		case *dheffect.Log:
+			if n.recordLog != nil {
+				n.recordLog(m, e)
+			}
 		case *dheffect.PostToTraffic:
 			if n.postToTraffic != nil {
 				n.postToTraffic(m, e.Event())
