Take the vote of a stopping process of few

What callers saw: one of three control processes was replaced as planned, and another one was lost right after: no process confirmed or accepted a configuration any more.

Cause: the successor makes four votes. A process that stops hands its vote over only to a learner, or if more votes than configured are given, so it ended with its vote at once, which stayed for 2 s. Members that are gone also counted until their removal.

Evidence: TestStopOfOneOfThreeKeepsAVote (one to three replaced in turn, then each process lost), red before at its first case, green now.

Change: where fewer members that run than votes exist, one vote of an even number above three is taken from a process that stops, as from a silent one.

--- a/core/dhcontrol/leave.go
+++ b/core/dhcontrol/leave.go
@@ -75,5 +75,5 @@
 			votes++
 		}
 	}
-	return learners > 0 || votes > s.automation.options.Votes
+	return learners > 0 || votes > s.automation.options.Votes || hasSpareVote(votes, votes, s.automation.options.Votes)
 }
--- a/core/dhcontrol/votes.go
+++ b/core/dhcontrol/votes.go
@@ -49,11 +49,14 @@
 // a learner that may be lost. A leader that stops loses its own last, since nobody moves the others
 // until the next one is elected.
 func planVote(seats []seat, votes int) (index int, change voteChange) {
-	voters, lasting, inContact := 0, 0, 0
+	voters, lasting, inContact, members := 0, 0, 0, 0
 	for _, s := range seats {
 		if s.isVoter {
 			voters++
 		}
+		if s.isVoter || !s.isSilent && !s.isLeaving {
+			members++
+		}
 		if s.isVoter && s.isInContact {
 			inContact++
 		}
@@ -63,17 +66,15 @@
 	}
 	learner, isSurplus := bestLearner(seats), voters > votes
 	takeFirst := learner >= 0 && voters == votes && inContact <= (voters+1)/2 && mayBeLost(seats, learner)
-	// Where fewer members than votes exist, no learner ever completes the votes. Of an even
-	// number, one that is silent only raises the majority.
-	isTooSmall := learner < 0 && len(seats) < votes
+	canTake := isSurplus || learner < 0 && hasSpareVote(members, voters, votes)
 	leavingLeader := -1
 	for i, s := range seats {
 		switch {
-		case s.isVoter && s.isSilent && (takeFirst || isSurplus || isTooSmall && voters%2 == 0):
+		case s.isVoter && s.isSilent && (takeFirst || canTake):
 			return i, demoteSilent
 		case s.isVoter && s.isLeaving && s.isLeader:
 			leavingLeader = i
-		case s.isVoter && s.isLeaving && isSurplus:
+		case s.isVoter && s.isLeaving && canTake:
 			return i, demoteLeaving
 		}
 	}
@@ -84,13 +85,20 @@
 		return learner, promoteMissing
 	case learner >= 0 && voters == votes && canBalance(seats, learner):
 		return learner, promoteBalanced
-	case leavingLeader >= 0 && isSurplus:
+	case leavingLeader >= 0 && canTake:
 		return leavingLeader, demoteLeaving
 	default:
 		return -1, keepVotes
 	}
 }
 
+// hasSpareVote reports whether a vote can be taken without another one in its place. Where fewer
+// members than votes exist, no learner completes the votes, and of an even number more than three
+// one that is lost only raises the majority.
+func hasSpareVote(members, voters, votes int) bool {
+	return members < votes && voters > 3 && voters%2 == 0
+}
+
 // mayBeLost reports whether a learner may be lost as the silent voters are: it has missed
 // heartbeats, or all of them are in its region.
 func mayBeLost(seats []seat, learner int) bool {
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -615,3 +615,25 @@
 		n.requireDeclaration(2, fmt.Sprintf("%v lost %d ms after %v:", namesOf(voters[2:]), later, namesOf(voters[:2])))
 	}
 }
+
+// TestStopOfOneOfThreeKeepsAVote replaces up to three control processes of three in turn, as
+// planned, and kills another one as soon as the last has stopped. A declaration must be accepted.
+func TestStopOfOneOfThreeKeepsAVote(t *testing.T) {
+	for i := range 3 {
+		for j := range 3 {
+			for replaced := 1; replaced <= 3; replaced++ {
+				n := newReplacementNetwork(t, 3)
+				old := n.controls()
+				for k := range replaced {
+					m := old[(i+k)%3]
+					n.startSuccessorOfFew(m)
+					n.run(replacementTime + 100)
+					n.shutDown(m)
+				}
+				votes, lost := n.votes(), n.controls()[j]
+				n.stop(lost)
+				n.requireDeclaration(2, fmt.Sprintf("%d replaced from %s on, the votes with %v, then %s lost:", replaced, old[i].name, votes, lost.name))
+			}
+		}
+	}
+}
