Let a stopping leader lead until its vote is taken

What callers saw: two control processes 100 ms from each other were replaced as planned, one of them the leader, and two others were lost right after: no process confirmed or accepted a configuration any more.

Cause: a leader that stopped resigned first. The election, the record that it stops and two changes of votes took longer than the 2.4 s that it waits, so it ended with its vote.

Evidence: TestFarStoppingLeaderAndTwoLostEndTheMajority and TestFarStoppingLeaderKeepsItsVote, red before at 100 and 150 ms, green now.

Change: the leader leads on and gives up its vote last, after those of others that stop. A candidate that stops still withdraws.

--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -212,15 +212,13 @@
 	n.startElection(true, out)
 }
 
-// Resign gives up leadership and leaves elections to others, because the process is about to
-// stop. The node still votes and replicates.
+// Resign leaves elections to others, because the process is about to stop. The node still votes
+// and replicates, and a leader leads on: an election would delay the handover of its vote.
 func (n *Node) Resign() {
 	n.resigned = true
-	if n.role == follower {
-		return
+	if n.role == candidate {
+		n.becomeFollower()
 	}
-	n.leader = ""
-	n.becomeFollower()
 }
 
 // Step handles a message from another member.
--- a/core/dhcontrol/leave.go
+++ b/core/dhcontrol/leave.go
@@ -17,7 +17,7 @@
 
 // startLeaving reports that this process is about to stop. A voter under automatic management
 // hands over its vote first: one that is gone would count as lost until the leader has
-// noticed, although it has a successor. The leader resigns, and asks its successor.
+// noticed, although it has a successor. The leader leads on until it has none.
 func (s *State) startLeaving(e *dhevent.LeaveStarted) {
 	s.distribution.StartLeaving()
 	if s.automation != nil && s.voter != nil {
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -637,3 +637,38 @@
 		}
 	}
 }
+
+// TestFarStoppingLeaderAndTwoLostEndTheMajority replaces the leader and another process as planned, with up to
+// 100 ms between any two, and kills two others as they have stopped. A declaration must be accepted.
+func TestFarStoppingLeaderAndTwoLostEndTheMajority(t *testing.T) {
+	for _, delay := range []dhclock.Millis{20, 60, 100} {
+		for i := range 5 {
+			n := newReplacementNetwork(t, 6)
+			n.messageDelay = delay
+			n.run(4000)
+			lead := n.leader()
+			others := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead })
+			n.startSuccessors([]*machine{lead, others[i]})
+			n.run(replacementTime + 100)
+			n.shutDown(lead, others[i])
+			killed := []*machine{others[(i+1)%5], others[(i+2)%5]}
+			n.stopAll(killed)
+			n.requireDeclaration(2, fmt.Sprintf("%d ms, %s and %s replaced, %v killed:", delay, lead.name, others[i].name, namesOf(killed)))
+		}
+	}
+}
+
+// TestFarStoppingLeaderKeepsItsVote lets the leader stop with up to 150 ms between any two
+// processes. It must end without its vote.
+func TestFarStoppingLeaderKeepsItsVote(t *testing.T) {
+	for _, delay := range []dhclock.Millis{20, 60, 100, 150} {
+		n := newReplacementNetwork(t, 6)
+		n.messageDelay = delay
+		n.run(4000)
+		lead := n.leader()
+		n.shutDown(lead)
+		if n.replies[n.lastCorrelationID].OutcomeUnknown() {
+			t.Errorf("%d ms: %s may have its vote after it has stopped", delay, lead.name)
+		}
+	}
+}
