Change members only while a majority answers

Cause: a leader that had lost its majority took the vote of a silent voter. The change stayed pending and was committed after the partition, with four votes.

TestLeaderWithoutMajorityTakesAVote: red before, from a cut 1120 ms after the loss on; green now.

Change: a leader proposes a change of members only if a majority has confirmed a round that is at most an election timeout (400 ms) old. The same time decides whether a learner answers each heartbeat, so that one that is cut off with the majority isn't a reason to take a vote first.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -26,8 +26,9 @@
 	defaultReplacementTime = 10 * dhclock.Second
 	// contactTimeout is the time without a response within which a voter counts as in contact.
 	contactTimeout = dhclock.Second
-	// punctualTimeout is the time without a response of a member that answers each heartbeat.
-	punctualTimeout = 3 * dhconsensus.HeartbeatInterval
+	// punctualTimeout is the time without a response of a member, or of a majority, that answers
+	// each heartbeat.
+	punctualTimeout = dhconsensus.ElectionTimeout
 	// learnerTimeout is the time without a response after which a learner is
 	// removed.
 	learnerTimeout = 30 * dhclock.Second
@@ -259,10 +260,11 @@
 	}))
 }
 
-// manageMembers proposes at most one change of members.
+// manageMembers proposes at most one change of members. A leader that has just lost its majority
+// doesn't know yet who else is lost, and its change would stay pending.
 func (s *State) manageMembers(out *dheffect.List) {
 	n := s.voter.node
-	if n.MemberChangePending() {
+	if confirmedAt, ok := n.ConfirmedAt(); !ok || s.now.Since(confirmedAt) > punctualTimeout || n.MemberChangePending() {
 		return
 	}
 	next, text, name := s.planMembers()
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -672,3 +672,27 @@
 		}
 	}
 }
+
+// TestLeaderWithoutMajorityTakesAVote loses two voters, and cuts off the leader and another voter
+// before the two count as silent. The leader must take no vote: the change would stay pending, and
+// with four votes, of which three are needed, the two that were lost don't help when they return.
+func TestLeaderWithoutMajorityTakesAVote(t *testing.T) {
+	for later := dhclock.Second; later < 2*dhclock.Second; later += 20 {
+		n := newReplacementNetwork(t, 6)
+		lead, learner := n.leader(), n.learnerOf()
+		voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+		n.stopAll(voters[:2])
+		n.run(later)
+		n.partitioned[lead.name], n.partitioned[voters[2].name] = true, true
+		n.run(3 * dhclock.Second)
+		votes := 0
+		for _, m := range n.status(lead).Members() {
+			if !m.Learner() {
+				votes++
+			}
+		}
+		if votes < 5 {
+			t.Errorf("cut off %d ms after the loss of %v: the leader has %d votes, want 5 or more", later, namesOf(voters[:2]), votes)
+		}
+	}
+}
