--- a/core/dhreducer/votes_test.go
+++ b/core/dhreducer/votes_test.go
@@ -220,3 +220,53 @@
 		l.lose(regions[1:], l.in(regions[1:]))
 	}
 }
+
+// TestOneOfFewLostAtATimeEndsTheMajority draws series in which one of three or four control
+// processes at a time is lost, comes back, is succeeded or replaced as planned. A declaration must
+// be accepted after each loss, and after one more at the end.
+func TestOneOfFewLostAtATimeEndsTheMajority(t *testing.T) {
+	limitChecks(t, 60)
+	rapid.Check(t, func(t *rapid.T) {
+		n := newReplacementNetwork(t, rapid.IntRange(3, 4).Draw(t, "controls"))
+		history := ""
+		number := uint64(1)
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			list := n.controls()
+			m := list[rapid.IntRange(0, len(list)-1).Draw(t, "which")]
+			how := rapid.SampledFrom([]string{"back", "successor", "planned", "all killed"}).Draw(t, "how")
+			down := drawTime(t, 20, 8000, "down")
+			history += fmt.Sprintf(" %s %s %d;", m.name, how, down)
+			declare := func() {
+				number++
+				n.requireDeclaration(number, history)
+			}
+			switch how {
+			case "planned":
+				n.startSuccessorOfFew(m)
+				n.run(replacementTime + 100)
+				n.shutDown(m)
+			case "all killed":
+				n.stopAll(list)
+				n.run(down)
+				for _, m := range list {
+					n.start(m)
+				}
+				n.run(3000)
+				declare()
+			default:
+				n.stop(m)
+				declare()
+				n.run(down)
+				if how == "back" {
+					n.start(m)
+				} else {
+					n.startSuccessorOfFew(m)
+				}
+				n.run(replacementTime + 100)
+			}
+		}
+		n.stop(n.controls()[0])
+		number++
+		n.requireDeclaration(number, history)
+	})
+}
