Test that a stopping voter with the longest log leads

Since the stopping leader leads on, TestStoppingLeaderHasTheLongestLog doesn't reach the election of a voter that stops: without the late candidacy of it stays green. The new test is red without it, and green with it.

--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -696,3 +696,29 @@
 		}
 	}
 }
+
+// TestStoppingVoterHasTheLongestLog kills the leader and another voter while an entry is on the
+// disks of the leader and of a voter that stops, as planned, at that moment. Only that one can win
+// an election then. A declaration must be accepted.
+func TestStoppingVoterHasTheLongestLog(t *testing.T) {
+	for i := range 4 {
+		for j := range 4 {
+			n := newReplacementNetwork(t, 6)
+			lead, learner := n.leader(), n.learnerOf()
+			voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+			stopping, killed := voters[i], voters[j]
+			if stopping == killed {
+				continue
+			}
+			n.startSuccessors([]*machine{stopping})
+			n.run(replacementTime + 100)
+			n.propose(lead, declareCommand(2))
+			n.run(20) // the proposal has arrived, and none of the appends
+			n.packets = slices.DeleteFunc(n.packets, func(p packet) bool { return p.to != stopping.name })
+			n.stopAll([]*machine{lead, killed})
+			n.run(40)
+			n.shutDown(stopping)
+			n.requireDeclaration(3, fmt.Sprintf("%s and %s killed, %s stopped:", lead.name, killed.name, stopping.name))
+		}
+	}
+}
