Let one of two candidates wait

Cause: voters whose election timeouts end within a message's way of each other all win their pre-votes and split the votes; where all that are left have to vote, that costs the next 400 to 700 ms. The stopping processes have 2.4 s in which two elections and the handover have to happen, and ended with their votes.

Change: a voter that requests pre-votes and grants one to another whose name is lower leaves this election to it.

--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -98,7 +98,7 @@
 	// the newest entry was created.
 	lastAppendAt dhclock.Millis
 	// grantedVotes holds the names of the voters that granted the current vote
-	// or pre-vote.
+	// or pre-vote; nil if the node leaves it to another candidate.
 	grantedVotes map[string]bool
 	preVote      bool
 	// resigned is set once the process is about to stop: it leaves elections to others.
--- a/core/dhconsensus/vote.go
+++ b/core/dhconsensus/vote.go
@@ -42,6 +42,11 @@
 	if !m.PreVote() && m.Term() > n.term && granted {
 		n.stepDown(m.Term(), out)
 	}
+	if granted && m.PreVote() && n.role == candidate && n.preVote && from.Name() < n.self.Name() {
+		// Two elections at once would split the votes.
+		n.grantedVotes = nil
+		n.lastContact = n.now
+	}
 	if granted && !m.PreVote() {
 		n.votedFor = from.String()
 		n.lastContact = n.now
@@ -89,7 +94,7 @@
 	if n.preVote {
 		requestedTerm++
 	}
-	if n.role != candidate || m.PreVote() != n.preVote || m.Term() != requestedTerm || !m.Granted() || !n.isVoter(from) {
+	if n.role != candidate || n.grantedVotes == nil || m.PreVote() != n.preVote || m.Term() != requestedTerm || !m.Granted() || !n.isVoter(from) {
 		return
 	}
 	n.grantedVotes[from.Name()] = true
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -110,7 +110,10 @@
 }
 
 // shutDown lets processes stop as after SIGTERM: they leave, and end once they have replied.
-func (n *network) shutDown(list ...*machine) {
+func (n *network) shutDown(list ...*machine) { n.awaitEnd(n.startLeaving(list)) }
+
+// startLeaving lets processes leave, and returns them by correlation ID.
+func (n *network) startLeaving(list []*machine) map[uint64]*machine {
 	ids := map[uint64]*machine{}
 	for _, m := range list {
 		n.lastCorrelationID++
@@ -119,6 +122,11 @@
 			CorrelationID: n.lastCorrelationID, Timeout: handoverTimeout,
 		}))
 	}
+	return ids
+}
+
+// awaitEnd lets time pass until processes that leave have ended.
+func (n *network) awaitEnd(ids map[uint64]*machine) {
 	for len(ids) > 0 {
 		n.run(20)
 		for id, m := range ids {
@@ -722,3 +730,36 @@
 		}
 	}
 }
+
+// TestNextLeaderIsLostDuringAHandover replaces the leader and another voter as planned, and kills
+// the next leader and a voter after it has been elected, with random numbers for the elections. A
+// declaration must be accepted.
+func TestNextLeaderIsLostDuringAHandover(t *testing.T) {
+	for k := range 120 {
+		later := dhclock.Millis(700 + k%10*40)
+		n := newReplacementNetwork(t, 6)
+		n.random = uint64(k)
+		lead, learner := n.leader(), n.learnerOf()
+		voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+		n.startSuccessors([]*machine{lead, voters[0]})
+		n.run(replacementTime + 100)
+		ids := n.startLeaving([]*machine{lead, voters[0]})
+		n.run(later)
+		next := n.leader()
+		if next == nil {
+			continue
+		}
+		other := voters[1]
+		if other == next {
+			other = voters[2]
+		}
+		n.stopAll([]*machine{next, other})
+		n.awaitEnd(ids)
+		id := n.propose(n.controls()[0], declareCommand(2))
+		n.run(acceptanceLimit)
+		if r, replied := n.replies[id]; !replied || r.Err() != nil || r.OutcomeUnknown() {
+			t.Errorf("%s and %s stop, %s and %s are lost %d ms later: no declaration is accepted; %s",
+				lead.name, voters[0].name, next.name, other.name, later, n.describeControl())
+		}
+	}
+}
