Read back from all control processes at the same time

TestCore read the configuration from one control process after the other at the end of a run, with one deadline: after one that answers nothing, the others were read once each, some of them later than promised. Now each is read until the same deadline.

--- a/soak/core_test.go
+++ b/soak/core_test.go
@@ -353,17 +353,21 @@
 	for _, a := range c.acks {
 		acknowledged = a.version
 	}
+	var reading sync.WaitGroup
 	for _, s := range c.slots {
-		status, version := c.readAt(s.newest)
-		for status != http.StatusOK && time.Now().Before(deadline) {
-			sleep(c.t.Context(), orderInterval)
-			status, version = c.readAt(s.newest)
-		}
-		if status != http.StatusOK || version < acknowledged || version > c.sent {
-			c.fail("every control process reads back the newest configuration %v after the end: %s returns status %d, version %d, want %d to %d",
-				recoveryTime, s.newest.Name(), status, version, acknowledged, c.sent)
-		}
+		reading.Go(func() {
+			status, version := c.readAt(s.newest)
+			for status != http.StatusOK && time.Now().Before(deadline) {
+				sleep(c.t.Context(), orderInterval)
+				status, version = c.readAt(s.newest)
+			}
+			if status != http.StatusOK || version < acknowledged || version > c.sent {
+				c.fail("every control process reads back the newest configuration %v after the end: %s returns status %d, version %d, want %d to %d",
+					recoveryTime, s.newest.Name(), status, version, acknowledged, c.sent)
+			}
+		})
 	}
+	reading.Wait()
 }
 
 func (c *core) fail(format string, args ...any) {
