Let a leader that has taken its own vote stand for election

Cause: the entry that takes the leader's vote was on its disk alone. The others count on its vote and get none, since its log is longer; by its own list it has no vote and didn't stand.

TestDemotedLeaderHasTheLongestLog: red before at its first case, green now.

Change: a node stands for election also if it is a voter by the members as of the last entry that it knows to be committed, 500 ms later than others. It doesn't count its own vote unless it has one by its newest list.

--- a/core/dhconsensus/log.go
+++ b/core/dhconsensus/log.go
@@ -108,6 +108,17 @@
 	return e.Command().(dhmessage.Members).List()
 }
 
+// membersAt returns the members as of an entry of this log.
+func (l *log) membersAt(index uint64) []dhmessage.Member {
+	for _, i := range slices.Backward(l.memberChanges) {
+		if i <= index {
+			e, _ := l.entry(i)
+			return e.Command().(dhmessage.Members).List()
+		}
+	}
+	return l.baseMembers
+}
+
 // lastMemberChange returns the index of the newest Members entry, or 0.
 func (l *log) lastMemberChange() uint64 {
 	if len(l.memberChanges) == 0 {
--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -30,9 +30,9 @@
 	// may grant it.
 	preVoteRetryInterval dhclock.Millis = 150
 	preVoteJitter        dhclock.Millis = 100
-	// resignedElectionDelay is how much longer than others a voter that is about to stop
-	// waits before it starts an election.
-	resignedElectionDelay dhclock.Millis = 500
+	// lateElectionDelay is how much longer than others a voter that is about to stop, or that may
+	// have lost its vote, waits before it starts an election.
+	lateElectionDelay dhclock.Millis = 500
 	// snapshotResendInterval is the time after which a snapshot without a
 	// response is sent again.
 	snapshotResendInterval dhclock.Millis = 10_000
@@ -158,6 +158,14 @@
 	return found && !m.Learner()
 }
 
+// mayStand reports whether this node may start an election: as a voter, also by the members as of
+// the last entry that it knows to be committed. It alone may have the entry that takes its vote, and
+// others, which count on its vote, get none from it.
+func (n *Node) mayStand() bool {
+	m, found := findMember(n.log.membersAt(n.commitIndex), n.self)
+	return n.isVoter(n.self) || found && !m.Learner()
+}
+
 func findMember(list []dhmessage.Member, p dhmessage.Peer) (dhmessage.Member, bool) {
 	for _, m := range list {
 		if m.Peer().Name() != p.Name() {
@@ -202,10 +210,11 @@
 	if n.now.Since(n.lastContact) < n.electionTimeout {
 		return
 	}
-	if !n.isVoter(n.self) || n.resigned && n.now.Since(n.lastContact) < n.electionTimeout+resignedElectionDelay {
-		// A learner can't start an election, and a voter that stops does so only if no other
-		// one has won: the others may lack an entry that it has. It forgets the leader, so that
-		// its caller looks for the leader at other processes.
+	standsLate := n.resigned || !n.isVoter(n.self)
+	if !n.mayStand() || standsLate && n.now.Since(n.lastContact) < n.electionTimeout+lateElectionDelay {
+		// A learner can't start an election, and a voter that stops or may have lost its vote does
+		// so only if no other one has won: the others may lack an entry that it has. It forgets
+		// the leader, so that its caller looks for the leader at other processes.
 		n.leader = ""
 		return
 	}
--- a/core/dhconsensus/vote.go
+++ b/core/dhconsensus/vote.go
@@ -11,7 +11,10 @@
 	n.role = candidate
 	n.preVote = pre
 	n.leader = ""
-	n.grantedVotes = map[string]bool{n.self.Name(): true}
+	n.grantedVotes = map[string]bool{}
+	if n.isVoter(n.self) {
+		n.grantedVotes[n.self.Name()] = true
+	}
 	n.lastContact = n.now
 	n.resetElectionTimeout()
 	term := n.term + 1
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -7,6 +7,7 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
 )
@@ -763,3 +764,40 @@
 		}
 	}
 }
+
+// TestDemotedLeaderHasTheLongestLog lets the leader stop, and kills all before another process has
+// the entry that takes the leader's vote. Each pair of other voters loses its disks. The leader alone
+// can win an election then, although its own list says that it has no vote. A declaration must be
+// accepted.
+func TestDemotedLeaderHasTheLongestLog(t *testing.T) {
+	for i := range 4 {
+		for j := range i {
+			n := newReplacementNetwork(t, 6)
+			lead, learner := n.leader(), n.learnerOf()
+			voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+			n.handle(lead, dhevent.NewLeaveStarted(n.clock(lead), dhevent.LeaveStartedOptions{Timeout: handoverTimeout}))
+			for n.tick(20); n.hasVote(lead); n.tick(20) {
+				for count := len(n.packets); count > 0; count-- {
+					n.deliverWithFaults()
+				}
+			}
+			n.packets = nil
+			all := n.controls()
+			n.stopAll(all)
+			for _, m := range all {
+				if m == voters[i] || m == voters[j] {
+					n.wipe(m)
+				} else {
+					n.start(m)
+				}
+			}
+			n.run(recoveryLimit)
+			n.requireDeclaration(2, fmt.Sprintf("%s was about to lose its vote, %s and %s lost their disks:", lead.name, voters[i].name, voters[j].name))
+		}
+	}
+}
+
+// hasVote reports whether a process has a vote by its own list of members.
+func (n *network) hasVote(m *machine) bool {
+	return slices.ContainsFunc(n.status(m).Members(), func(v dheffect.MemberStatus) bool { return v.Name() == m.name && !v.Learner() })
+}
