Share the lookup of members, and simplify the fallback parents

Behaviour stays as it is.

- The log's members are those at its last index: one function instead of two.
- Whether a process is a member follows one rule (findMember); the control state had a second copy of it.
Names of members were listed by two loops.
- A member's last response was compared with a time in three places.
- The processes to poll between lost parents are one list; that there are any was asked in three places.

--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -68,6 +68,11 @@
 // SinceLastContact returns the time since the member's last response.
 func (p MemberProgress) SinceLastContact() dhclock.Millis { return p.sinceLastContact }
 
+// RespondedWithin reports whether the member has responded to this leader within a time.
+func (p MemberProgress) RespondedWithin(span dhclock.Millis) bool {
+	return p.responded && p.sinceLastContact <= span
+}
+
 // HasResponded reports whether the member has ever responded to this leader.
 func (p MemberProgress) HasResponded() bool { return p.responded }
 
--- a/core/dhconsensus/log.go
+++ b/core/dhconsensus/log.go
@@ -100,13 +100,7 @@
 }
 
 // members returns the members as of the newest entry, committed or not.
-func (l *log) members() []dhmessage.Member {
-	if len(l.memberChanges) == 0 {
-		return l.baseMembers
-	}
-	e, _ := l.entry(l.memberChanges[len(l.memberChanges)-1])
-	return e.Command().(dhmessage.Members).List()
-}
+func (l *log) members() []dhmessage.Member { return l.membersAt(l.lastIndex()) }
 
 // membersAt returns the members as of an entry of this log.
 func (l *log) membersAt(index uint64) []dhmessage.Member {
--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -152,9 +152,19 @@
 // Entry returns a committed or uncommitted entry of the log.
 func (n *Node) Entry(index uint64) (dhmessage.Entry, bool) { return n.log.entry(index) }
 
+// IsMember reports whether this node is a voter or learner as of the newest entry, committed or
+// not.
+func (n *Node) IsMember() bool {
+	_, found := findMember(n.log.members(), n.self)
+	return found
+}
+
 // isVoter reports whether a peer has a vote under the current members.
-func (n *Node) isVoter(p dhmessage.Peer) bool {
-	m, found := findMember(n.log.members(), p)
+func (n *Node) isVoter(p dhmessage.Peer) bool { return hasVote(n.log.members(), p) }
+
+// hasVote reports whether a peer has a vote under a list of members.
+func hasVote(list []dhmessage.Member, p dhmessage.Peer) bool {
+	m, found := findMember(list, p)
 	return found && !m.Learner()
 }
 
@@ -162,8 +172,7 @@
 // the last entry that it knows to be committed. It alone may have the entry that takes its vote, and
 // others, which count on its vote, get none from it.
 func (n *Node) mayStand() bool {
-	m, found := findMember(n.log.membersAt(n.commitIndex), n.self)
-	return n.isVoter(n.self) || found && !m.Learner()
+	return n.isVoter(n.self) || hasVote(n.log.membersAt(n.commitIndex), n.self)
 }
 
 func findMember(list []dhmessage.Member, p dhmessage.Peer) (dhmessage.Member, bool) {
--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -140,7 +140,7 @@
 	}
 	if !v.node.IsLeader() {
 		redirect := dhmessage.RedirectOptions{Leader: v.node.Leader()}
-		if members := v.node.Members(); !slices.Contains(memberNames(members), from.Name()) {
+		if members := v.node.Members(); !slices.Contains(dhmessage.MemberNames(members), from.Name()) {
 			redirect.Members = members
 		}
 		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRedirect(redirect)}))
@@ -175,10 +175,7 @@
 // leader, and from time to time that it isn't one.
 func (s *State) logMembership(out *dheffect.List) {
 	a := s.automation
-	isMember := s.voter.node.Leader() != "" && slices.ContainsFunc(s.voter.node.Members(), func(m dhmessage.Member) bool {
-		return m.Peer() == s.self || m.Peer() == dhmessage.NewPeer(s.self.Name(), "")
-	})
-	if isMember {
+	if s.voter.node.Leader() != "" && s.voter.node.IsMember() {
 		if !a.isMember {
 			out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "fleet", Text: "is a member of the consensus group", Peer: s.leader()}))
 		}
@@ -240,18 +237,10 @@
 	if s.automation == nil || len(members) == 0 || s.voter == nil || s.voter.node.Leader() != "" {
 		return
 	}
-	s.automation.referred = memberNames(members)
+	s.automation.referred = dhmessage.MemberNames(members)
 	out.Add(dheffect.NewRecordAddresses(members))
 }
 
-func memberNames(members []dhmessage.Member) []string {
-	names := make([]string, 0, len(members))
-	for _, m := range members {
-		names = append(names, m.Peer().Name())
-	}
-	return names
-}
-
 // sendJoinRequestTo requests membership from one process.
 func (s *State) sendJoinRequestTo(to string, out *dheffect.List) {
 	s.automation.lastAsked = to
@@ -379,7 +368,7 @@
 	case m.Member().Peer().Name() == s.self.Name():
 		return false
 	case m.HasResponded():
-		return m.SinceLastContact() > timeout
+		return !m.RespondedWithin(timeout)
 	default:
 		return s.now.Since(s.voter.node.ElectedAt()) > timeout/2
 	}
@@ -394,16 +383,15 @@
 			isLeader: true, isInContact: true, isLeaving: s.automation.isLeaving,
 		}
 	}
-	isReady := m.HasResponded() && m.SinceLastContact() <= contactTimeout &&
-		m.FolderID() == member.Peer().FolderID() && s.hasCaughtUp(m.MatchIndex())
+	isInContact := m.RespondedWithin(contactTimeout)
 	return seat{
 		region:      s.regionOf(member),
 		zone:        member.Zone(),
 		isVoter:     !member.Learner(),
-		isReady:     isReady,
+		isReady:     isInContact && m.FolderID() == member.Peer().FolderID() && s.hasCaughtUp(m.MatchIndex()),
 		isSilent:    s.unresponsive(m, s.automation.options.voterTimeout()),
-		isInContact: m.HasResponded() && m.SinceLastContact() <= contactTimeout,
-		isPunctual:  m.HasResponded() && m.SinceLastContact() <= punctualTimeout,
+		isInContact: isInContact,
+		isPunctual:  m.RespondedWithin(punctualTimeout),
 		isLeaving:   s.isLeaving(member),
 	}
 }
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -20,7 +20,8 @@
 	polled           bool // false makes the next poll due immediately
 	// probing is set from when another candidate was left until this one responds.
 	probing bool
-	// isLost is set while no parent has confirmed the configuration for parentLossTime.
+	// isLost is set while no parent has confirmed the configuration for parentLossTime, and there
+	// are fallbackParents.
 	isLost bool
 	// referrer is the process that named the members since.
 	referrer string
@@ -45,21 +46,27 @@
 	relays := s.relays()
 	first := min(1, len(relays))
 	list := slices.Concat(s.nearMembers, relays[:first], s.farMembers, relays[first:])
-	if s.parent.isLost && s.hasFallbacks() {
-		return s.withFallbacks(list)
+	if s.parent.isLost {
+		return interleave(s.fallbackParents(), list)
 	}
 	return list
 }
 
-func (s *State) hasFallbacks() bool { return len(s.otherSeeds) > 0 || s.parent.referrer != "" }
+// fallbackParents lists the processes to poll between the other candidates while none of those
+// confirms the configuration: the seeds that aren't members, since all members may have been replaced
+// while this process was cut off, or else the process that named the members, of which many may be
+// gone.
+func (s *State) fallbackParents() []string {
+	if len(s.otherSeeds) == 0 && s.parent.referrer != "" {
+		return []string{s.parent.referrer}
+	}
+	return s.otherSeeds
+}
 
-// withFallbacks returns the candidates with another process before each, while none of them confirms
-// the configuration: a seed that isn't a member, since all members may have been replaced while this
-// process was cut off, or else the process that named the members, of which many may be gone.
-func (s *State) withFallbacks(candidates []string) []string {
-	fallbacks := s.otherSeeds
+// interleave returns the candidates with one of the fallbacks before each, in turn.
+func interleave(fallbacks, candidates []string) []string {
 	if len(fallbacks) == 0 {
-		fallbacks = []string{s.parent.referrer}
+		return candidates
 	}
 	list := make([]string, 0, 2*len(candidates))
 	for i, c := range candidates {
@@ -214,10 +221,10 @@
 	}
 }
 
-// updateParentLoss selects the first candidate again when the list of candidates gets fallbacks, and
-// when it loses them.
+// updateParentLoss selects the first candidate again when the fallbackParents become candidates, and
+// when they no longer are.
 func (s *State) updateParentLoss(now dhclock.Millis) {
-	isLost := s.hasFallbacks() && s.everConfirmed && now.Since(s.confirmedAt) > parentLossTime
+	isLost := len(s.fallbackParents()) > 0 && s.everConfirmed && now.Since(s.confirmedAt) > parentLossTime
 	if isLost == s.parent.isLost {
 		return
 	}
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -255,11 +255,7 @@
 	if len(s.members) == 0 {
 		return s.configuredVoters
 	}
-	var list []string
-	for _, v := range s.members {
-		list = append(list, v.Peer().Name())
-	}
-	return list
+	return dhmessage.MemberNames(s.members)
 }
 
 // setDrains computes the start of each drain from its age. A recorded start
--- a/core/dhmessage/command.go
+++ b/core/dhmessage/command.go
@@ -178,6 +178,15 @@
 	return m
 }
 
+// MemberNames returns the names of members.
+func MemberNames(list []Member) []string {
+	names := make([]string, 0, len(list))
+	for _, m := range list {
+		names = append(names, m.Peer().Name())
+	}
+	return names
+}
+
 // Members replaces the members of the consensus group. A valid Members command
 // changes at most one vote.
 type Members struct {
