Share the steps of tests of replaced control processes

- Pairs were replaced by the same four lines in four places, successors started twice to get other seeds, and the leader and voters found by the same lines in eight tests.
- The series wrote again how a process loses its disk, how it is told to stop, and what follows from its loss.
- That look-ups leave out no other instance was checked by two loops.

--- a/core/dhreducer/handover_test.go
+++ b/core/dhreducer/handover_test.go
@@ -17,8 +17,7 @@
 	for i := range 5 {
 		for j := range i {
 			n := newReplacementNetwork(t, 6)
-			lead, learner := n.leader(), n.learnerOf()
-			voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+			lead, voters := n.leaderAndVoters()
 			if i >= len(voters) {
 				continue
 			}
@@ -58,8 +57,9 @@
 	}
 }
 
-// TestFarStoppingLeaderAndTwoLostEndTheMajority replaces the leader and another process as planned, with up to
-// 100 ms between any two, and kills two others as they have stopped. A declaration must be accepted.
+// TestFarStoppingLeaderAndTwoLostEndTheMajority replaces the leader and another process as planned,
+// with up to 100 ms between any two, and kills two others as they have stopped. A declaration must be
+// accepted.
 func TestFarStoppingLeaderAndTwoLostEndTheMajority(t *testing.T) {
 	for _, delay := range []dhclock.Millis{20, 60, 100} {
 		for i := range 5 {
@@ -100,8 +100,7 @@
 	for i := range 4 {
 		for j := range 4 {
 			n := newReplacementNetwork(t, 6)
-			lead, learner := n.leader(), n.learnerOf()
-			voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+			lead, voters := n.leaderAndVoters()
 			stopping, killed := voters[i], voters[j]
 			if stopping == killed {
 				continue
@@ -127,8 +126,7 @@
 		later := dhclock.Millis(700 + k%10*40)
 		n := newReplacementNetwork(t, 6)
 		n.random = uint64(k)
-		lead, learner := n.leader(), n.learnerOf()
-		voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+		lead, voters := n.leaderAndVoters()
 		n.startSuccessors([]*machine{lead, voters[0]})
 		n.run(replacementTime + 100)
 		ids := n.startLeaving([]*machine{lead, voters[0]})
@@ -160,8 +158,7 @@
 	for i := range 4 {
 		for j := range i {
 			n := newReplacementNetwork(t, 6)
-			lead, learner := n.leader(), n.learnerOf()
-			voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+			lead, voters := n.leaderAndVoters()
 			n.handle(lead, dhevent.NewLeaveStarted(n.clock(lead), dhevent.LeaveStartedOptions{Timeout: handoverTimeout}))
 			for n.tick(20); n.hasVote(lead); n.tick(20) {
 				for count := len(n.packets); count > 0; count-- {
--- a/core/dhreducer/lost_instance_test.go
+++ b/core/dhreducer/lost_instance_test.go
@@ -29,10 +29,15 @@
 		if !m.view.IsUnavailable(name) {
 			n.t.Fatalf("%s: %s still names %s", when, m.name, name)
 		}
-		for _, u := range m.view.Unavailable() {
-			if u.Instance() != name {
-				n.t.Fatalf("%s: %s leaves out %s, which runs", when, m.name, u.Instance())
-			}
+		n.requireAvailable(m, name, when)
+	}
+}
+
+// requireAvailable fails if look-ups at a process leave out another instance than the lost one.
+func (n *network) requireAvailable(m *machine, lost, when string) {
+	for _, u := range m.view.Unavailable() {
+		if u.Instance() != lost {
+			n.t.Fatalf("%s: %s leaves out %s, which runs", when, m.name, u.Instance())
 		}
 	}
 }
@@ -167,11 +172,7 @@
 	for end := n.now + span; n.now < end; {
 		n.run(20)
 		for _, m := range n.controls() {
-			for _, u := range m.view.Unavailable() {
-				if u.Instance() != lost {
-					n.t.Fatalf("%s: %s leaves out %s, which runs", *when, m.name, u.Instance())
-				}
-			}
+			n.requireAvailable(m, lost, *when)
 		}
 	}
 }
--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -67,6 +67,9 @@
 	return isInstance || slices.ContainsFunc(m.view.Members(), func(v dhmessage.Member) bool { return v.Peer().Name() == name })
 }
 
+// loseDisk replaces the data folder by an empty one.
+func (m *machine) loseDisk() { m.disk = &disk{folder: fmt.Sprintf("%s-folder-%d", m.name, m.starts)} }
+
 func (m *machine) self() dhmessage.Peer {
 	if m.disk == nil {
 		return dhmessage.NewPeer(m.name, "")
@@ -176,7 +179,7 @@
 
 // wipe deletes a voter's data folder and starts it with an empty one.
 func (n *network) wipe(m *machine) {
-	m.disk = &disk{folder: fmt.Sprintf("%s-folder-%d", m.name, m.starts)}
+	m.loseDisk()
 	n.start(m)
 }
 
--- a/core/dhreducer/replacement_test.go
+++ b/core/dhreducer/replacement_test.go
@@ -71,18 +71,21 @@
 	n.t.Fatalf("%s no declaration is accepted; %s", when, n.describeControl())
 }
 
-// startSuccessor starts an empty control process of a new name in the region of another one.
-// Its seeds are three of those that run.
-func (n *network) startSuccessor(old *machine) {
-	n.voters = nil
-	running := n.controls()
-	for _, m := range running[:min(3, len(running))] {
-		n.voters = append(n.voters, m.name)
-	}
+// startSuccessor starts an empty control process of a new name in the region of another one, and
+// returns it. Its seeds are three of those that run.
+func (n *network) startSuccessor(old *machine) *machine {
+	running := namesOf(n.controls())
+	return n.startSuccessorWith(old, running[:min(3, len(running))]...)
+}
+
+// startSuccessorWith is startSuccessor with given seeds.
+func (n *network) startSuccessorWith(old *machine, seeds ...string) *machine {
+	n.voters = seeds
 	n.addControls(len(n.machines) + 1)
 	m := n.machines[len(n.machines)-1]
 	m.zone = old.zone
 	n.start(m)
+	return m
 }
 
 // startSuccessors starts a successor of each process in a list.
@@ -137,6 +140,22 @@
 	}
 }
 
+// replacePair replaces two control processes as planned work: two successors start, and the two stop
+// once the successors count.
+func (n *network) replacePair(pair []*machine) {
+	n.startSuccessors(pair)
+	n.run(replacementTime + 100)
+	n.shutDown(pair...)
+	n.run(100)
+}
+
+// replaceInPairs replaces an even number of control processes, one pair after the other.
+func (n *network) replaceInPairs(list []*machine) {
+	for pair := range slices.Chunk(list, 2) {
+		n.replacePair(pair)
+	}
+}
+
 // forEachOrderInPairs calls test with new clusters of six control processes, in pairs: once for
 // each ordered first pair, with the others in their order after it.
 func forEachOrderInPairs(t *testing.T, test func(n *network, pairs [3][]*machine)) {
@@ -159,10 +178,7 @@
 func TestReplacedPairsOfControlProcessesEndTheMajority(t *testing.T) {
 	forEachOrderInPairs(t, func(n *network, pairs [3][]*machine) {
 		for k, pair := range pairs {
-			n.startSuccessors(pair)
-			n.run(replacementTime + 100)
-			n.shutDown(pair...)
-			n.run(100)
+			n.replacePair(pair)
 			n.requireDeclaration(uint64(k+2), fmt.Sprintf("%s first: after pair %d", namesOf(pairs[0]), k+1))
 		}
 	})
@@ -221,12 +237,13 @@
 	return n.machines[i]
 }
 
-// startSuccessorOfFew starts an empty control process of a new name in the region of another one.
-// Its seeds are those that run.
+// leaderAndVoters returns the leader and the other voters of a group with one learner.
+func (n *network) leaderAndVoters() (lead *machine, voters []*machine) {
+	lead, learner := n.leader(), n.learnerOf()
+	return lead, slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+}
+
+// startSuccessorOfFew is startSuccessor with all that run as seeds.
 func (n *network) startSuccessorOfFew(old *machine) {
-	n.voters = namesOf(n.controls())
-	n.addControls(len(n.machines) + 1)
-	m := n.machines[len(n.machines)-1]
-	m.zone = old.zone
-	n.start(m)
+	n.startSuccessorWith(old, namesOf(n.controls())...)
 }
--- a/core/dhreducer/series_test.go
+++ b/core/dhreducer/series_test.go
@@ -7,11 +7,11 @@
 	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
-
-	"pgregory.net/rapid"
 )
 
 // Times of series of losses, in milliseconds.
@@ -193,29 +193,26 @@
 
 // allows reports whether the processes in a list may be lost now.
 func (s *series) allows(list []*machine, disks int) bool {
-	lostDisks := len(s.disks)
-	if lostDisks+disks > 2 {
+	if len(s.disks)+disks > 2 {
 		return false
 	}
 	if s.beyond && len(s.leaving) == 0 {
 		return true
 	}
-	all := map[*machine]bool{}
-	for m := range s.lost {
-		all[m] = true
-	}
+	all := maps.Clone(s.lost)
 	for _, m := range list {
-		all[m] = true
+		all[m] = whileDown
 	}
-	return s.isWithin(all)
+	return isWithin(all)
 }
 
-func (s *series) isWithin(all map[*machine]bool) bool {
-	if len(all) <= 2 {
+// isWithin reports whether lost processes are two at most, or all of one region.
+func isWithin(lost map[*machine]dhclock.Millis) bool {
+	if len(lost) <= 2 {
 		return true
 	}
 	region := ""
-	for m := range all {
+	for m := range lost {
 		if region != "" && m.zone[:1] != region {
 			return false
 		}
@@ -228,14 +225,18 @@
 func (s *series) lose(list []*machine, what string) {
 	s.note("%s: %v", what, namesOf(list))
 	for _, m := range list {
-		s.stop(m)
-		s.lost[m], s.busy[m] = whileDown, true
-		delete(s.started, m)
-		delete(s.probation, m)
+		s.takeDown(m)
 	}
 	s.expectAcceptance()
 }
 
+func (s *series) takeDown(m *machine) {
+	s.stop(m)
+	s.lost[m], s.busy[m] = whileDown, true
+	delete(s.started, m)
+	delete(s.probation, m)
+}
+
 func (s *series) expectAcceptance() {
 	if s.isDisturbed || s.beyond {
 		return
@@ -265,7 +266,7 @@
 	var m *machine
 	if len(names) > 0 && rapid.IntRange(0, 3).Draw(s.draw, "name again") == 0 {
 		m = s.find(rapid.SampledFrom(names).Draw(s.draw, "name"))
-		m.disk = &disk{folder: fmt.Sprintf("%s-folder-%d", m.name, m.starts)}
+		m.loseDisk()
 		delete(s.gone, m)
 		delete(s.busy, m)
 		delete(s.lost, m)
@@ -286,7 +287,7 @@
 		return
 	}
 	if wiped {
-		m.disk = &disk{folder: fmt.Sprintf("%s-folder-%d", m.name, m.starts)}
+		m.loseDisk()
 	}
 	s.boot(m)
 	s.isBack(m)
@@ -331,15 +332,11 @@
 // noteDisturbance records whether more is lost than the limits allow, until recoveryLimit after
 // all are back.
 func (s *series) noteDisturbance() {
-	all := map[*machine]bool{}
-	for m := range s.lost {
-		all[m] = true
-	}
 	switch {
-	case s.lossPercent > heavyLoss || s.beyond && !s.isWithin(all):
+	case s.lossPercent > heavyLoss || s.beyond && !isWithin(s.lost):
 		s.isDisturbed, s.disturbedAt = true, s.now
 		s.acceptBy = 0
-	case len(all) > 0 && s.isDisturbed:
+	case len(s.lost) > 0 && s.isDisturbed:
 		s.disturbedAt = s.now
 	case s.isDisturbed && s.now > s.disturbedAt+recoveryLimit-replacementTime:
 		s.isDisturbed = false
@@ -596,9 +593,7 @@
 	s.note("%s stops", m.name)
 	s.busy[m] = true
 	s.stopAt = s.now
-	s.lastCorrelationID++
-	s.leaving[s.lastCorrelationID] = m
-	s.handle(m, dhevent.NewLeaveStarted(s.clock(m), dhevent.LeaveStartedOptions{CorrelationID: s.lastCorrelationID, Timeout: handoverTimeout}))
+	maps.Copy(s.leaving, s.startLeaving([]*machine{m}))
 }
 
 func (s *series) freeze(list []*machine, span dhclock.Millis) {
@@ -654,10 +649,7 @@
 	s.note("all killed, without their disks: %v", namesOf(wiped))
 	clear(s.partitioned)
 	for _, m := range s.controls() {
-		s.stop(m)
-		s.lost[m], s.busy[m] = whileDown, true
-		delete(s.started, m)
-		delete(s.probation, m)
+		s.takeDown(m)
 		s.after(drawTime(s.draw, 500, 1500, "back"), func() { s.comeBack(m, slices.Contains(wiped, m)) })
 	}
 	for id, m := range s.leaving {
--- a/core/dhreducer/silentvoter_test.go
+++ b/core/dhreducer/silentvoter_test.go
@@ -72,8 +72,7 @@
 			}
 			return 0
 		}
-		lead, learner := n.leader(), n.learnerOf()
-		voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+		lead, voters := n.leaderAndVoters()
 		first, third := voters[0], voters[1]
 		n.stop(first)
 		n.run(successorDelay)
@@ -94,8 +93,7 @@
 func TestVoteIsTakenBeforeALearnerHasIt(t *testing.T) {
 	for later := replacementTime / 2; later < replacementTime/2+600; later += 20 {
 		n := newReplacementNetwork(t, 6)
-		lead, learner := n.leader(), n.learnerOf()
-		voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+		_, voters := n.leaderAndVoters()
 		n.stop(voters[0])
 		n.run(later)
 		n.stopAll(voters[1:3])
@@ -180,8 +178,7 @@
 func TestTwoVotesAreTakenBeforeALearnerHasOne(t *testing.T) {
 	for later := replacementTime/2 - 600; later < replacementTime/2+800; later += 20 {
 		n := newReplacementNetwork(t, 6)
-		lead, learner := n.leader(), n.learnerOf()
-		voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+		_, voters := n.leaderAndVoters()
 		n.stopAll(voters[:2])
 		n.run(later)
 		n.stopAll(voters[2:])
@@ -201,8 +198,7 @@
 func TestLeaderWithoutMajorityTakesAVote(t *testing.T) {
 	for later := dhclock.Second; later < 2*dhclock.Second; later += 20 {
 		n := newReplacementNetwork(t, 6)
-		lead, learner := n.leader(), n.learnerOf()
-		voters := slices.DeleteFunc(n.controls(), func(m *machine) bool { return m == lead || m == learner })
+		lead, voters := n.leaderAndVoters()
 		n.stopAll(voters[:2])
 		n.run(later)
 		n.partitioned[lead.name], n.partitioned[voters[2].name] = true, true
--- a/core/dhreducer/successor_test.go
+++ b/core/dhreducer/successor_test.go
@@ -28,10 +28,7 @@
 			for i := range gone {
 				seeds[i] = fmt.Sprint("gone", i)
 			}
-			n.startSuccessor(n.find(lost))
-			successor := n.machines[len(n.machines)-1]
-			n.voters = seeds
-			n.start(successor)
+			successor := n.startSuccessorWith(n.find(lost), seeds...)
 			n.run(replacementTime)
 			if successor.view == nil || n.declarationNumber(successor) != 2 {
 				t.Errorf("%s succeeds %s with the seeds %v while %s leads: it hasn't declaration 2", successor.name, lost, seeds, lead.name)
@@ -51,10 +48,7 @@
 func TestSuccessorStaysAloneWhenItsSeedsAreGone(t *testing.T) {
 	n := newReplacementNetwork(t, 6)
 	n.stop(n.find("c6"))
-	n.startSuccessor(n.find("c6"))
-	successor := n.machines[len(n.machines)-1]
-	n.voters = []string{"gone1", "gone2", "gone3"}
-	n.start(successor)
+	successor := n.startSuccessorWith(n.find("c6"), "gone1", "gone2", "gone3")
 	n.run(10_000)
 	n.setSeeds(successor, "gone4", "c5")
 	n.run(2 * dhclock.Second)
@@ -76,13 +70,7 @@
 		t.Fatal("the instance has no configuration")
 	}
 	n.partitioned[e.name] = true
-	old := n.controls()
-	for i := 0; i < len(old); i += 2 {
-		n.startSuccessors(old[i : i+2])
-		n.run(replacementTime + 100)
-		n.shutDown(old[i : i+2]...)
-		n.run(100)
-	}
+	n.replaceInPairs(n.controls())
 	n.requireDeclaration(2, "after the replacement")
 	n.partitioned[e.name] = false
 	n.setSeeds(e, namesOf(n.controls()[:3])...)
@@ -102,11 +90,8 @@
 	lost, seed := learners[0], learners[1]
 	n.stop(lost)
 	n.run(successorDelay)
-	n.startSuccessor(lost)
-	successor := n.machines[len(n.machines)-1]
-	n.voters = []string{seed.name}
 	n.stop(n.leader())
-	n.start(successor)
+	successor := n.startSuccessorWith(lost, seed.name)
 	for range 100 {
 		n.run(20)
 		if len(successor.reported) > 1 {
@@ -140,13 +125,7 @@
 		for _, e := range entries {
 			n.partitioned[e.name] = true
 		}
-		old := n.controls()
-		for i := 0; i < len(old); i += 2 {
-			n.startSuccessors(old[i : i+2])
-			n.run(replacementTime + 100)
-			n.shutDown(old[i : i+2]...)
-			n.run(100)
-		}
+		n.replaceInPairs(n.controls())
 		n.requireDeclaration(2, "after the replacement")
 		for _, e := range entries {
 			n.setSeeds(e, namesOf(n.controls()[:3])...)
@@ -169,12 +148,7 @@
 	n := newReplacementNetwork(t, 9)
 	old := n.controls()
 	n.stop(old[0])
-	for i := 1; i < len(old); i += 2 {
-		n.startSuccessors(old[i : i+2])
-		n.run(replacementTime + 100)
-		n.shutDown(old[i : i+2]...)
-		n.run(100)
-	}
+	n.replaceInPairs(old[1:])
 	n.run(40 * dhclock.Second)
 	n.requireDeclaration(2, "after the replacement")
 	for _, seed := range n.controls() {
