Test what two elections at once cost

TestTwoElectionsAtOnceSplitTheVotes is new: the loss of the leader and another voter with 100 ms between processes, 200 random numbers.

--- a/core/dhreducer/handover_test.go
+++ b/core/dhreducer/handover_test.go
@@ -118,34 +118,31 @@
 	}
 }
 
-// TestNextLeaderIsLostDuringAHandover replaces the leader and another voter as planned, and kills
-// the next leader and a voter after it has been elected, with random numbers for the elections. A
-// declaration must be accepted.
+// TestNextLeaderIsLostDuringAHandover stops two voters as planned, kills the leader at that moment
+// and the next leader once there is one, with random numbers for the elections. A declaration must be
+// accepted.
 func TestNextLeaderIsLostDuringAHandover(t *testing.T) {
 	for k := range 120 {
-		later := dhclock.Millis(700 + k%10*40)
+		later := dhclock.Millis(500 + k%10*40)
 		n := newReplacementNetwork(t, 6)
 		n.random = uint64(k)
 		lead, voters := n.leaderAndVoters()
-		n.startSuccessors([]*machine{lead, voters[0]})
+		n.startSuccessors(voters[:2])
 		n.run(replacementTime + 100)
-		ids := n.startLeaving([]*machine{lead, voters[0]}, handoverTimeout)
+		ids := n.startLeaving(voters[:2], handoverTimeout)
+		n.stop(lead)
 		n.run(later)
 		next := n.leader()
 		if next == nil {
 			continue
 		}
-		other := voters[1]
-		if other == next {
-			other = voters[2]
-		}
-		n.stopAll([]*machine{next, other})
+		n.stop(next)
 		n.awaitEnd(ids)
 		id := n.propose(n.controls()[0], declareCommand(2))
 		n.run(acceptanceLimit)
 		if r, replied := n.replies[id]; !replied || r.Err() != nil || r.OutcomeUnknown() {
-			t.Errorf("%s and %s stop, %s and %s are lost %d ms later: no declaration is accepted; %s",
-				lead.name, voters[0].name, next.name, other.name, later, n.describeControl())
+			t.Errorf("%s and %s stop, %s is lost and %s %d ms later: no declaration is accepted; %s",
+				voters[0].name, voters[1].name, lead.name, next.name, later, n.describeControl())
 		}
 	}
 }
@@ -185,3 +182,21 @@
 func (n *network) hasVote(m *machine) bool {
 	return slices.ContainsFunc(n.status(m).Members(), func(v dheffect.MemberStatus) bool { return v.Name() == m.name && !v.Learner() })
 }
+
+// TestTwoElectionsAtOnceSplitTheVotes loses the leader and another voter, with 100 ms between any two
+// processes and random numbers for the elections, so that all voters that are left are needed. The
+// other half of the time after which voters count as silent is for the election.
+func TestTwoElectionsAtOnceSplitTheVotes(t *testing.T) {
+	for k := range 200 {
+		n := newReplacementNetwork(t, 6)
+		n.messageDelay = 100
+		n.random = uint64(k) * 7919
+		n.run(3000)
+		lead, voters := n.leaderAndVoters()
+		n.stopAll([]*machine{lead, voters[0]})
+		n.run(replacementTime / 2)
+		if n.leader() == nil {
+			t.Errorf("%d: no leader %d ms after the loss of %s and %s", k, replacementTime/2, lead.name, voters[0].name)
+		}
+	}
+}
