Record what a request without a token waited for

Callers saw 429 on the large fleet although their organisations were within their rates, and requests reached upstreams that had left. The lines about these requests didn't tell whether the owner of the limit had responded at all, nor how old the configuration was when an attempt was decided: the age in the line is that at the request's end.

A refusal over the limit now tells how long the request waited for a token and for how long the owner has been silent; an attempt tells the age of the configuration's last confirmation if that was a second or more.

--- a/core/dheffect/record.go
+++ b/core/dheffect/record.go
@@ -17,13 +17,15 @@
 	sentAfter dhclock.Millis `journal:"sent"`
 	end       dhevent.AttemptEnd
 	latency   dhclock.Millis
+	configAge dhclock.Millis `journal:"configAge,omitZero"`
 	limit     *dhsteer.RateLimit
 }
 
 // NewAttempt returns an attempt at a target, sent the given time after the
-// request was received. The limit is the one that the target had reported, or nil.
-func NewAttempt(target string, sentAfter dhclock.Millis, limit *dhsteer.RateLimit) Attempt {
-	return Attempt{target: target, sentAfter: sentAfter, limit: limit}
+// request was received. The age is that of the configuration's last confirmation if it was
+// old, else 0. The limit is the one that the target had reported, or nil.
+func NewAttempt(target string, sentAfter, configAge dhclock.Millis, limit *dhsteer.RateLimit) Attempt {
+	return Attempt{target: target, sentAfter: sentAfter, configAge: configAge, limit: limit}
 }
 
 // WithEnd returns the attempt with its end and latency.
@@ -39,6 +41,10 @@
 // milliseconds.
 func (a Attempt) SentAfter() dhclock.Millis { return a.sentAfter }
 
+// ConfigAge returns the time since the last confirmation of the configuration when the
+// attempt was decided, in milliseconds; 0 if it was recent.
+func (a Attempt) ConfigAge() dhclock.Millis { return a.configAge }
+
 // End returns how the attempt ended.
 func (a Attempt) End() dhevent.AttemptEnd { return a.end }
 
@@ -91,6 +97,12 @@
 	// ConfigAge is the time since that version was last confirmed as current, in
 	// milliseconds.
 	ConfigAge dhclock.Millis `journal:"Age"`
+	// TokenWait is how long a request that was refused over its limit waited for a token, in
+	// milliseconds.
+	TokenWait dhclock.Millis `journal:"TokenWait,omitZero"`
+	// OwnerSilence is the time since the owner of that limit last responded to this instance,
+	// in milliseconds; nil for another end, or without a response.
+	OwnerSilence *dhclock.Millis `journal:"OwnerSilence,omitZero"`
 	// Attempts are the attempts in order. The caller must not change the slice.
 	Attempts []Attempt
 }
@@ -161,6 +173,14 @@
 // in milliseconds.
 func (e *RecordRequest) ConfigAge() dhclock.Millis { return e.options.ConfigAge }
 
+// TokenWait returns how long a request that was refused over its limit waited for a token, in
+// milliseconds.
+func (e *RecordRequest) TokenWait() dhclock.Millis { return e.options.TokenWait }
+
+// OwnerSilence returns the time since the owner of that limit last responded to this
+// instance, in milliseconds; nil for another end, or without a response.
+func (e *RecordRequest) OwnerSilence() *dhclock.Millis { return e.options.OwnerSilence }
+
 // Attempts returns the attempts in order. The caller must not change the slice.
 func (e *RecordRequest) Attempts() []Attempt { return e.options.Attempts }
 
--- a/core/dhgrant/demand.go
+++ b/core/dhgrant/demand.go
@@ -82,7 +82,18 @@
 
 // RecordResponse records that the owner has responded to the last request for
 // tokens.
-func (h *Holder) RecordResponse() { h.requested = 0; h.requestedAt = 0 }
+func (h *Holder) RecordResponse(now dhclock.Millis) {
+	h.requested, h.requestedAt = 0, 0
+	h.respondedAt = &now
+}
+
+// OwnerSilence returns the time since the owner last responded; nil if it never did.
+func (h *Holder) OwnerSilence(now dhclock.Millis) *dhclock.Millis {
+	if h.respondedAt == nil {
+		return nil
+	}
+	return new(now.Since(*h.respondedAt))
+}
 
 // TokenDemand returns one organisation's part of a request for tokens, with the
 // position and the dropped tokens to report. These belong to the owner of
--- a/core/dhgrant/grant_test.go
+++ b/core/dhgrant/grant_test.go
@@ -153,7 +153,7 @@
 			amount, end := owner.Grant(at, name, 1, demand.Amount())
 			inFlight = append(inFlight, delivery{at + delay, func(at dhclock.Millis) {
 				holders[i].AddGrant(1, dhmessage.NewTokenGrant("o", amount, end, amount < tokens), now, TTL)
-				holders[i].RecordResponse()
+				holders[i].RecordResponse(at)
 			}})
 		}})
 	}
--- a/core/dhgrant/holder.go
+++ b/core/dhgrant/holder.go
@@ -18,7 +18,8 @@
 	demand           demandEstimator
 	requestedAt      dhclock.Millis // time of the last request for tokens, 0 after its response
 	requested        dhmessage.Tokens
-	lastShortfall    dhclock.Millis // when the owner last reported a shortfall
+	respondedAt      *dhclock.Millis // of the owner's last response; nil for none
+	lastShortfall    dhclock.Millis  // when the owner last reported a shortfall
 	hadShortfall     bool
 }
 
--- a/core/dhgrant/policy_test.go
+++ b/core/dhgrant/policy_test.go
@@ -130,9 +130,9 @@
 	p.inFlight = append(p.inFlight, delivery{now + p.oneWayDelay, func(at dhclock.Millis) {
 		p.owner.Report(at, name, 1, demand.Consumed(), demand.Dropped())
 		amount, endPosition := p.owner.Grant(at, name, 1, demand.Amount())
-		p.inFlight = append(p.inFlight, delivery{at + p.oneWayDelay, func(dhclock.Millis) {
+		p.inFlight = append(p.inFlight, delivery{at + p.oneWayDelay, func(at dhclock.Millis) {
 			p.holders[i].AddGrant(1, dhmessage.NewTokenGrant("o", amount, endPosition, amount < tokens), now, TTL)
-			p.holders[i].RecordResponse()
+			p.holders[i].RecordResponse(at)
 		}})
 	}})
 }
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -168,7 +168,7 @@
 	if r.attempts == 1 && r.unsentAttempts == 0 {
 		r.group.retryBucket.credit()
 	}
-	r.recordSent(now, m.Name(), m.Limit())
+	r.recordSent(now, s.configAge(now), m.Name(), m.Limit())
 	r.group.Acquire(now, m)
 	out.Add(dheffect.NewForwardToUpstream(dheffect.ForwardToUpstreamOptions{
 		RequestID: r.id, Service: r.group.Service(), Upstream: m.Name(), Address: m.Address(), Organisation: r.organisation,
--- a/core/dhtraffic/peer.go
+++ b/core/dhtraffic/peer.go
@@ -118,7 +118,7 @@
 	r.peer = to
 	r.attempts++
 	to.running++
-	r.recordSent(now, to.instance.Name(), nil)
+	r.recordSent(now, s.configAge(now), to.instance.Name(), nil)
 	s.chargeLink(now, to, r.bodyBytes)
 	out.Add(dheffect.NewForwardToPeer(dheffect.ForwardToPeerOptions{
 		RequestID: r.id, Instance: to.instance.Name(), Address: to.instance.PeerAddress(),
--- a/core/dhtraffic/slot.go
+++ b/core/dhtraffic/slot.go
@@ -132,7 +132,7 @@
 	r.attempts++
 	p.creditRetries(now)
 	p.Acquire(now, u, r.fromPeer)
-	r.recordSent(now, u.Name(), nil)
+	r.recordSent(now, s.configAge(now), u.Name(), nil)
 	out.Add(dheffect.NewForwardToUpstream(dheffect.ForwardToUpstreamOptions{
 		RequestID: r.id, Service: p.Service(), Upstream: u.Name(), Address: u.Address(), Organisation: r.organisation,
 		Timeout: r.remaining(now), Claimed: r.claimGranted, NewConnection: !r.route.Idempotent(), EchoesAttemptID: u.EchoesAttemptID(),
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -91,6 +91,12 @@
 // View returns the current view of the configuration.
 func (s *State) View() *dhview.View { return s.view }
 
+// configAge returns the time since the configuration was last confirmed as current.
+func (s *State) configAge(now dhclock.Millis) dhclock.Millis {
+	age, _ := s.view.Age(now)
+	return age
+}
+
 // OpenRequests returns how many requests are waiting or running.
 func (s *State) OpenRequests() int { return len(s.requests) }
 
@@ -164,10 +170,17 @@
 	r.deadline, r.queueDeadline = min(r.deadline, at), min(r.queueDeadline, at)
 }
 
-// recordSent adds an attempt at an upstream or peer to the records, with the limit
-// that the upstream had reported, or nil.
-func (r *request) recordSent(now dhclock.Millis, to string, limit *dhsteer.RateLimit) {
-	r.attemptRecords = append(r.attemptRecords, dheffect.NewAttempt(to, now.Since(r.receivedAt), limit))
+// oldConfigAge is the age of the last confirmation from which on the record of an attempt
+// holds it, in milliseconds.
+const oldConfigAge = dhclock.Second
+
+// recordSent adds an attempt at an upstream or peer to the records, with the age of the
+// configuration and the limit that the upstream had reported, or nil.
+func (r *request) recordSent(now, configAge dhclock.Millis, to string, limit *dhsteer.RateLimit) {
+	if configAge < oldConfigAge {
+		configAge = 0
+	}
+	r.attemptRecords = append(r.attemptRecords, dheffect.NewAttempt(to, now.Since(r.receivedAt), configAge, limit))
 }
 
 // recordEnded completes the record of the last attempt.
@@ -230,20 +243,25 @@
 func (s *State) end(now dhclock.Millis, r *request, kind dheffect.RefusalKind, status int, out *dheffect.List) {
 	delete(s.requests, r.id)
 	withinRate := true
+	var tokenWait dhclock.Millis
+	var ownerSilence *dhclock.Millis
 	if l, found := s.rateLimiters[r.organisation]; found {
 		withinRate = !l.holder.Exhausted(now)
+		if kind == dheffect.RefuseOverLimit {
+			tokenWait, ownerSilence = now.Since(r.receivedAt), l.holder.OwnerSilence(now)
+		}
 	}
 	latency := now.Since(r.receivedAt)
 	if !r.fromPeer && countsTowardsObjective(kind, withinRate) {
 		s.burn.Add(now, r.route.Name(), r.organisation, s.isBad(r.route.Name(), kind, status, latency))
 	}
-	age, _ := s.view.Age(now)
 	out.Add(dheffect.NewRecordRequest(dheffect.RecordRequestOptions{
 		CallerRequestID: r.callerRequestID, Route: r.route.Name(), Service: r.service, Organisation: r.organisation,
 		ObjectHash: r.object, Fingerprint: r.fingerprint, RefusalKind: kind,
 		MayHaveRun: kind != "" && r.mayHaveRun, Status: status, Latency: latency, Timeout: max(0, r.deadline-r.receivedAt),
 		WithinRate: withinRate, ObjectiveMissed: r.route.Objective() > 0 && latency > r.route.Objective(),
-		ConfigVersion: s.view.Catalog().Version(), ConfigAge: age, Attempts: r.attemptRecords,
+		ConfigVersion: s.view.Catalog().Version(), ConfigAge: s.configAge(now), TokenWait: tokenWait, OwnerSilence: ownerSilence,
+		Attempts: r.attemptRecords,
 	}))
 }
 
--- a/core/dhtraffic/token.go
+++ b/core/dhtraffic/token.go
@@ -124,7 +124,7 @@
 		}
 		l.holder.AddGrant(e.OwnerTerm(), g, e.RequestSentAt(), e.TTL())
 		l.holder.RecordShortfall(e.At(), g.HasShortfall())
-		l.holder.RecordResponse()
+		l.holder.RecordResponse(e.At())
 		s.admitWaiting(e.At(), l, out)
 	}
 }
--- a/io/dhprocess/requestlog.go
+++ b/io/dhprocess/requestlog.go
@@ -21,18 +21,28 @@
 			fields := map[string]any{
 				"to": a.Target(), "sentMs": a.SentAfter().Milliseconds(), "end": a.End().String(), "ms": a.Latency().Milliseconds(),
 			}
+			if age := a.ConfigAge(); age > 0 {
+				fields["ageMs"] = age.Milliseconds()
+			}
 			if l := a.Limit(); l != nil {
 				fields["limitPer1000s"] = l.PerThousandSeconds()
 			}
 			attempts = append(attempts, fields)
 		}
-		return logrus.Fields{
+		fields := logrus.Fields{
 			"request": e.CallerRequestID(), "route": e.Route(), "service": e.Service(), "organisation": e.Organisation(),
 			"object": strconv.FormatUint(e.ObjectHash(), 36), "content": contentText(e.Fingerprint()),
 			"status": e.Status(), "refusal": e.RefusalKind(), "mayHaveRun": e.MayHaveRun(), "withinRate": e.WithinRate(),
 			"ms": e.Latency().Milliseconds(), "deadlineMs": e.Timeout().Milliseconds(), "late": e.ObjectiveMissed(),
 			"version": e.ConfigVersion(), "ageMs": e.ConfigAge().Milliseconds(), "attempts": attempts,
-		}, "request ended"
+		}
+		if e.RefusalKind() == dheffect.RefuseOverLimit {
+			fields["tokenMs"] = e.TokenWait().Milliseconds()
+		}
+		if silence := e.OwnerSilence(); silence != nil {
+			fields["ownerSilentMs"] = silence.Milliseconds()
+		}
+		return fields, "request ended"
 	})
 }
 
