Rebuild only what a version of the configuration changed

For each version an instance rebuilt the groups of all services, checked and hashed every upstream, sorted them twice, split every limit, and copied the index of upstreams by address entry by entry. The catalog now tells the version in which a kind last changed; groups whose records and topology are those of their last update are left alone, in the others only changed records are checked, and limits are split when limits or instances change.

TestRequestsWaitForConnections sets the limit before its groups are made, since a group isn't updated again with the same records.

--- a/core/dhcatalog/catalog.go
+++ b/core/dhcatalog/catalog.go
@@ -19,6 +19,7 @@
 	siteNumbers map[string]uint16
 	siteNames   []string
 	index       *index
+	revisions   map[Kind]uint64 // see Revision
 }
 
 // New returns the empty catalog, version 0.
@@ -43,6 +44,27 @@
 // BlockCount returns the number of client blocks.
 func (c *Catalog) BlockCount() int { return c.blocks4.count + c.blocks6.count }
 
+// Revision returns the newest version in which an object of one of the kinds changed; 0 if
+// none ever did. Two versions of the configuration with the same revision have the same
+// objects of these kinds.
+func (c *Catalog) Revision(kinds ...Kind) uint64 {
+	newest := uint64(0)
+	for _, kind := range kinds {
+		newest = max(newest, c.revisions[kind])
+	}
+	return newest
+}
+
+// revisionsAfter returns the revisions of the kinds after changes that lead to a version.
+func (c *Catalog) revisionsAfter(version uint64, changes map[Kind][]string) map[Kind]uint64 {
+	revisions := make(map[Kind]uint64, len(c.revisions)+len(changes))
+	maps.Copy(revisions, c.revisions)
+	for kind := range changes {
+		revisions[kind] = version
+	}
+	return revisions
+}
+
 // Get returns the object with a reference, or nil if there is none.
 func (c *Catalog) Get(ref Ref) Object { return c.objects[ref] }
 
@@ -121,7 +143,8 @@
 		return nil, err
 	}
 	changes := changedNames(s)
-	next.index = next.reindexed(c.index, changes)
+	next.index = next.reindexed(c.index, c.objects, changes)
+	next.revisions = c.revisionsAfter(next.version, changes)
 	next.checkUnique(changes, p)
 	if err := p.err(); err != nil {
 		return nil, err
@@ -298,5 +321,8 @@
 		return nil, err
 	}
 	next.version = version
+	for kind := range next.revisions {
+		next.revisions[kind] = version
+	}
 	return next, nil
 }
--- a/core/dhcatalog/reindex.go
+++ b/core/dhcatalog/reindex.go
@@ -1,6 +1,7 @@
 package dhcatalog
 
 import (
+	"maps"
 	"slices"
 	"strings"
 )
@@ -23,30 +24,29 @@
 func newIndex(c *Catalog) *index {
 	x := &index{}
 	for _, kind := range Kinds() {
-		x.rebuild(kind, nil, c)
+		x.rebuild(kind, c)
 	}
+	x.updateUpstreams(nil, nil, nil)
 	return x
 }
 
-// reindexed returns the index of a catalog, derived from the index of the
+// reindexed returns the index of a catalog, derived from the index and the objects of the
 // previous version and the names of objects that changed since, by kind. Kinds
 // without changes share their part of the index with the previous version.
-func (c *Catalog) reindexed(old *index, changes map[Kind][]string) *index {
+func (c *Catalog) reindexed(old *index, oldObjects map[Ref]Object, changes map[Kind][]string) *index {
 	next := *old
 	for kind, names := range changes {
-		next.rebuild(kind, names, c)
+		if kind == KindUpstream {
+			next.updateUpstreams(oldObjects, c.objects, names)
+			continue
+		}
+		next.rebuild(kind, c)
 	}
 	return &next
 }
 
-// rebuild computes the part of the index for one kind, given the names of the
-// objects that changed. Only upstreams use the names: the other kinds are
-// recomputed from all objects.
-func (x *index) rebuild(kind Kind, names []string, c *Catalog) {
-	if kind == KindUpstream {
-		x.updateUpstreams(c, names)
-		return
-	}
+// rebuild computes the part of the index for one kind from all objects.
+func (x *index) rebuild(kind Kind, c *Catalog) {
 	list := c.List(kind)
 	switch kind {
 	case KindKey:
@@ -110,35 +110,45 @@
 
 // updateUpstreams replaces only the named upstreams in the index: in a large
 // cluster upstreams change far more often than any other kind.
-func (x *index) updateUpstreams(c *Catalog, names []string) {
-	changed := make(map[string]bool, len(names))
-	var current []Upstream
+func (x *index) updateUpstreams(oldObjects, objects map[Ref]Object, names []string) {
+	var before, after []Upstream
 	for _, name := range names {
-		changed[name] = true
-		if u, found := c.objects[NewRef(KindUpstream, name)].(Upstream); found {
-			current = append(current, u)
+		if u, found := oldObjects[NewRef(KindUpstream, name)].(Upstream); found {
+			before = append(before, u)
+		}
+		if u, found := objects[NewRef(KindUpstream, name)].(Upstream); found {
+			after = append(after, u)
 		}
 	}
-	x.upstreamsByService = updateUpstreamLists(x.upstreamsByService, changed, current, Upstream.Service)
-	x.upstreamsByAddress = updateUpstreamLists(x.upstreamsByAddress, changed, current, Upstream.Address)
+	x.upstreamsByService = updateUpstreamLists(x.upstreamsByService, before, after, Upstream.Service)
+	x.upstreamsByAddress = updateUpstreamLists(x.upstreamsByAddress, before, after, Upstream.Address)
 }
 
-// updateUpstreamLists returns lists of upstreams by some key, in which the
-// changed upstreams are replaced by their current records. Each list is sorted
+// updateUpstreamLists returns lists of upstreams by some key, in which the records of the
+// changed upstreams before the change are replaced by those after it. Each list is sorted
 // by name. Lists without changes are shared with the previous version.
-func updateUpstreamLists(old map[string][]Upstream, changed map[string]bool, current []Upstream, key func(Upstream) string) map[string][]Upstream {
-	isChanged := func(u Upstream) bool { return changed[u.Name()] }
-	next := make(map[string][]Upstream, len(old)+1)
-	for k, list := range old {
-		if slices.ContainsFunc(list, isChanged) {
-			list = slices.DeleteFunc(slices.Clone(list), isChanged)
+func updateUpstreamLists(old map[string][]Upstream, before, after []Upstream, key func(Upstream) string) map[string][]Upstream {
+	next := maps.Clone(old)
+	if next == nil {
+		next = map[string][]Upstream{}
+	}
+	removed := map[string]map[string]bool{}
+	for _, u := range before {
+		names, found := removed[key(u)]
+		if !found {
+			names = map[string]bool{}
+			removed[key(u)] = names
 		}
-		if len(list) > 0 {
-			next[k] = list
+		names[u.Name()] = true
+	}
+	for k, names := range removed {
+		list := slices.DeleteFunc(slices.Clone(next[k]), func(u Upstream) bool { return names[u.Name()] })
+		if next[k] = list; len(list) == 0 {
+			delete(next, k)
 		}
 	}
 	added := map[string][]Upstream{}
-	for _, u := range current {
+	for _, u := range after {
 		added[key(u)] = append(added[key(u)], u)
 	}
 	for k, list := range added {
--- a/core/dhcatalog/reindex_test.go
+++ b/core/dhcatalog/reindex_test.go
@@ -83,7 +83,7 @@
 			names[kind] = []string{}
 		}
 	}
-	if rebuilt := c.reindexed(&index{}, names); !reflect.DeepEqual(c.index, rebuilt) {
+	if rebuilt := c.reindexed(&index{}, nil, names); !reflect.DeepEqual(c.index, rebuilt) {
 		t.Fatalf("the incremental index is\n%+v\nand the rebuilt one\n%+v", c.index, rebuilt)
 	}
 }
@@ -114,3 +114,36 @@
 		}
 	}
 }
+
+// TestRevisionMissesChange applies random change sets. The revision of a kind must rise with
+// each version in which one of its objects differs, also after the catalog was restored.
+func TestRevisionMissesChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New()
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			o := ChangeSetOptions{ID: "x", Base: c.Version(), Author: "test"}
+			for range rapid.IntRange(1, 3).Draw(t, "puts") {
+				o.Puts = append(o.Puts, drawObject(t))
+			}
+			next, err := c.Apply(NewChangeSet(o))
+			if err != nil {
+				continue
+			}
+			if rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
+				var objects []Object
+				for _, r := range next.refs {
+					objects = append(objects, next.objects[r])
+				}
+				if next, err = Restore(next.version, objects, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for _, kind := range Kinds() {
+				if c.Revision(kind) == next.Revision(kind) && !reflect.DeepEqual(c.List(kind), next.List(kind)) {
+					t.Fatalf("%s objects %v became %v at revision %d", kind, c.List(kind), next.List(kind), c.Revision(kind))
+				}
+			}
+			c = next
+		}
+	})
+}
--- a/core/dhsteer/group.go
+++ b/core/dhsteer/group.go
@@ -86,6 +86,9 @@
 	MaxConnections *int
 	// Instance is the name of this instance.
 	Instance string
+	// Revision is the version of the configuration in which the zones, instances, services or
+	// evacuations last changed; 0 if unknown.
+	Revision uint64
 }
 
 // NewGroup returns a group without members.
@@ -100,6 +103,7 @@
 // Members without a registration get no new requests.
 func (g *Group) Update(now dhclock.Millis, list []Registration, t Topology) {
 	kept := make(map[string]*Member, len(list))
+	members := make([]*Member, 0, len(list))
 	for _, r := range list {
 		name := r.record.Name()
 		m := cmp.Or(g.members[name], g.stopped[name])
@@ -109,6 +113,7 @@
 		}
 		m.update(now, r, t)
 		kept[name] = m
+		members = append(members, m)
 	}
 	for name, m := range g.members {
 		if kept[name] != m {
@@ -121,7 +126,7 @@
 	}
 	maps.DeleteFunc(g.stopped, func(_ string, m *Member) bool { return now.Since(m.removedAt) > stoppedTTL })
 	g.members = kept
-	g.rebuildRegions(now, t)
+	g.rebuildRegions(now, sortedByName(members), t)
 }
 
 // stoppedTTL is how long a group remembers a stopping member after its record was removed,
@@ -133,6 +138,9 @@
 func (m *Member) update(now dhclock.Millis, r Registration, t Topology) {
 	existing := m.record.Name() != ""
 	unavailable := r.evacuated || r.record.State() != dhcatalog.UpstreamReady
+	if existing && m.record == r.record && m.unavailable == unavailable && t.Revision > 0 && m.topologyRevision == t.Revision {
+		return
+	}
 	if !existing || r.record.ColdReportID() != m.record.ColdReportID() {
 		m.coldUntil = max(m.coldUntil, now+r.record.ColdRemaining())
 	}
@@ -142,7 +150,7 @@
 	}
 	m.misplaced = m.misplaced && m.record == r.record
 	m.unavailable = unavailable
-	m.record, m.region = r.record, r.region
+	m.record, m.region, m.topologyRevision = r.record, r.region, t.Revision
 	m.maxRunning = queueFactor * r.record.Slots()
 	if t.MaxConnections != nil {
 		m.maxRunning = min(m.maxRunning, *t.MaxConnections)
@@ -151,12 +159,12 @@
 	m.initialLevel = dhmessage.Tokens(mixBits(m.seed^hashText(t.Instance)) % uint64(dhmessage.Token))
 }
 
-// rebuildRegions groups the available members by region and plans the local
-// region's share of objects.
-func (g *Group) rebuildRegions(now dhclock.Millis, t Topology) {
+// rebuildRegions groups the available ones of the members, which are sorted by name, by region
+// and plans the local region's share of objects.
+func (g *Group) rebuildRegions(now dhclock.Millis, members []*Member, t Topology) {
 	g.local = t.LocalRegion
 	byRegion := map[string]*region{}
-	for _, m := range g.Members() {
+	for _, m := range members {
 		if m.unavailable || m.stopping {
 			continue
 		}
@@ -226,8 +234,14 @@
 
 // Members returns the members, sorted by name.
 func (g *Group) Members() []*Member {
-	list := slices.Collect(maps.Values(g.members))
-	slices.SortFunc(list, func(a, b *Member) int { return strings.Compare(a.Name(), b.Name()) })
+	return sortedByName(slices.Collect(maps.Values(g.members)))
+}
+
+func sortedByName(list []*Member) []*Member {
+	byName := func(a, b *Member) int { return strings.Compare(a.Name(), b.Name()) }
+	if !slices.IsSortedFunc(list, byName) {
+		slices.SortFunc(list, byName)
+	}
 	return list
 }
 
--- a/core/dhsteer/member.go
+++ b/core/dhsteer/member.go
@@ -21,10 +21,12 @@
 	health
 	loadStats
 	limitState
-	record  dhcatalog.Upstream
-	region  string
-	seed    uint64
-	running int
+	record dhcatalog.Upstream
+	region string
+	// topologyRevision is that of the Topology at the last update.
+	topologyRevision uint64
+	seed             uint64
+	running          int
 	// maxRunning is how many requests this instance may have at the upstream. It includes
 	// no request that would wait here for a connection, because what the upstream asks
 	// for in the meantime wouldn't reach it.
@@ -47,6 +49,9 @@
 // Name returns the upstream's name.
 func (m *Member) Name() string { return m.record.Name() }
 
+// Record returns the upstream's record.
+func (m *Member) Record() dhcatalog.Upstream { return m.record }
+
 // Address returns the IP address and port that serve requests.
 func (m *Member) Address() string { return m.record.Address() }
 
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
@@ -14,6 +15,17 @@
 type group struct {
 	*dhsteer.Group
 	retryBucket retryBucket
+	// records and topologyRevision are the inputs of the last update.
+	records          []dhcatalog.Upstream
+	topologyRevision uint64
+}
+
+// isCurrent reports whether the group was last updated with the same records and topology. A
+// version of the configuration shares the list of a service's records with the one before it
+// unless one of them has changed.
+func (g *group) isCurrent(records []dhcatalog.Upstream, topologyRevision uint64) bool {
+	return g.topologyRevision == topologyRevision && len(g.records) == len(records) &&
+		(len(records) == 0 || &g.records[0] == &records[0])
 }
 
 // setGroups applies the registered upstreams of a new configuration version. A
@@ -21,43 +33,55 @@
 // that still run.
 func (s *State) setGroups(now dhclock.Millis) {
 	c := s.view.Catalog()
-	topology := s.topology()
-	position, instances := s.instancePosition()
-	topology.Instance, topology.MaxConnections = s.instance, s.maxConnections
-	registered := map[string]bool{}
 	for _, name := range c.RegisteredServices() {
-		registered[name] = true
-		g, found := s.groups[name]
-		if !found {
-			g = &group{Group: dhsteer.NewGroup(name)}
-			s.groups[name] = g
+		if _, found := s.groups[name]; !found {
+			s.groups[name] = &group{Group: dhsteer.NewGroup(name)}
 		}
-		service, _ := c.Service(name)
-		topology.ColdStart = service.ColdStart()
-		topology.ColdRate = coldRateShares(service, position, instances)
-		var registrations []dhsteer.Registration
-		for _, u := range c.UpstreamsOf(name) {
-			if u.State() != dhcatalog.UpstreamGone && dhcatalog.CheckUpstream(u) == nil {
-				registrations = append(registrations, dhsteer.NewRegistration(u, c.RegionOf(u.Zone()), c.Evacuated(u.Zone())))
-			}
-		}
-		g.Update(now, registrations, topology)
-		g.retryBucket.setClusterShare(s.clusterRetries, instances)
 	}
+	revision := c.Revision(dhcatalog.KindZone, dhcatalog.KindInstance, dhcatalog.KindService, dhcatalog.KindEvacuation)
+	topology := sync.OnceValue(func() dhsteer.Topology { return s.topology(revision) })
 	s.reachability.upstreams = 0
 	for name, g := range s.groups {
-		if !registered[name] {
-			g.Update(now, nil, topology)
+		if records := c.UpstreamsOf(name); !g.isCurrent(records, revision) {
+			s.updateGroup(now, g, records, topology())
 		}
 		s.reachability.upstreams += g.Size()
 	}
 }
 
+// updateGroup applies the records of the upstreams of a group.
+func (s *State) updateGroup(now dhclock.Millis, g *group, records []dhcatalog.Upstream, t dhsteer.Topology) {
+	c := s.view.Catalog()
+	position, instances := s.instancePosition()
+	service, _ := c.Service(g.Service())
+	t.ColdStart = service.ColdStart()
+	t.ColdRate = coldRateShares(service, position, instances)
+	var registrations []dhsteer.Registration
+	for _, u := range records {
+		if u.State() != dhcatalog.UpstreamGone && g.isUsable(u) {
+			registrations = append(registrations, dhsteer.NewRegistration(u, c.RegionOf(u.Zone()), c.Evacuated(u.Zone())))
+		}
+	}
+	g.Update(now, registrations, t)
+	g.retryBucket.setClusterShare(s.clusterRetries, instances)
+	g.records, g.topologyRevision = records, t.Revision
+}
+
+// isUsable reports whether an upstream's record has no error. A member's record was checked
+// when it became one.
+func (g *group) isUsable(u dhcatalog.Upstream) bool {
+	m := g.Member(u.Name())
+	return m != nil && m.Record() == u || dhcatalog.CheckUpstream(u) == nil
+}
+
 // topology returns the local region and the number of instances in each region,
 // which groups use to divide load among the regions.
-func (s *State) topology() dhsteer.Topology {
+func (s *State) topology(revision uint64) dhsteer.Topology {
 	c := s.view.Catalog()
-	t := dhsteer.Topology{LocalRegion: c.RegionOf(s.zone), EntryInstances: map[string]int{}}
+	t := dhsteer.Topology{
+		LocalRegion: c.RegionOf(s.zone), EntryInstances: map[string]int{}, Revision: revision,
+		Instance: s.instance, MaxConnections: s.maxConnections,
+	}
 	for _, z := range c.Zones() {
 		if n := len(c.InstancesIn(z.Name())); n > 0 {
 			t.EntryInstances[z.Region()] += n
--- a/core/dhtraffic/pause_test.go
+++ b/core/dhtraffic/pause_test.go
@@ -192,6 +192,7 @@
 		t.Run(fmt.Sprint("registered ", isRegistered), func(t *testing.T) {
 			s := newPauseTest(t, isRegistered)
 			s.maxConnections = new(maxConnections)
+			clear(s.groups)
 			s.setGroups(950)
 			for name := range s.pools {
 				for _, u := range s.pools[name].Upstreams() {
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -49,21 +49,24 @@
 	view                 *dhview.View
 	rateLimiters         map[string]*rateLimiter
 	limitedOrganisations []string // keys of rateLimiters, sorted
-	pools                map[string]*pool
-	groups               map[string]*group // by service with registered upstreams
-	splits               map[string]*split // by route
-	clusterRetries       RetryBudget
-	maxConnections       *int
-	requests             map[uint64]*request
-	burn                 *dhburn.Recorder
-	lastTokenReport      dhclock.Millis
-	links                linkBudgets
-	reachability         reachability
-	crashes              crashDetector
-	suspects             *dhquarantine.Set
-	suspectsReported     dhquarantine.Replication // to the control state
-	claimRetries         []*request               // requests whose claim is due again at claimRetryAt
-	stop                 *dhevent.StopScheduled   // nil while no stop is scheduled
+	// limitsRevision and limitsChangedAt are the inputs of the last setLimits.
+	limitsRevision   uint64
+	limitsChangedAt  dhclock.Millis
+	pools            map[string]*pool
+	groups           map[string]*group // by service with registered upstreams
+	splits           map[string]*split // by route
+	clusterRetries   RetryBudget
+	maxConnections   *int
+	requests         map[uint64]*request
+	burn             *dhburn.Recorder
+	lastTokenReport  dhclock.Millis
+	links            linkBudgets
+	reachability     reachability
+	crashes          crashDetector
+	suspects         *dhquarantine.Set
+	suspectsReported dhquarantine.Replication // to the control state
+	claimRetries     []*request               // requests whose claim is due again at claimRetryAt
+	stop             *dhevent.StopScheduled   // nil while no stop is scheduled
 }
 
 // New returns a State with an empty catalog. It refuses all requests until
--- a/core/dhtraffic/token.go
+++ b/core/dhtraffic/token.go
@@ -171,6 +171,11 @@
 // version any more. An instance that isn't declared has no floor.
 func (s *State) setLimits(now dhclock.Millis) {
 	c := s.view.Catalog()
+	revision := c.Revision(dhcatalog.KindLimit, dhcatalog.KindInstance, dhcatalog.KindZone)
+	if revision == s.limitsRevision && s.view.LimitsChangedAt() == s.limitsChangedAt {
+		return
+	}
+	s.limitsRevision, s.limitsChangedAt = revision, s.view.LimitsChangedAt()
 	from := max(now, s.view.LimitsChangedAt()+dhview.FreshnessLease)
 	instances := c.InstanceCount()
 	limited := map[string]bool{}
@@ -190,8 +195,12 @@
 		l.holder.SetFloor(now, floor, from)
 	}
 	for name, l := range s.rateLimiters {
-		if !limited[name] && len(l.waiting) == 0 {
+		switch {
+		case limited[name]:
+		case len(l.waiting) == 0:
 			delete(s.rateLimiters, name)
+		default:
+			s.limitsRevision = 0 // removed with the next version
 		}
 	}
 	s.limitedOrganisations = slices.Sorted(maps.Keys(s.rateLimiters))
