Let one call with token requests at a time go to the leader

Each of 26 members passed token requests on every 30 ms, some 720 calls a second at the leader, each 0.25 ms of its processor time: with polls and log entries it needed 515 to 530 ms of its 480 ms a second when configurations changed, and responded later than requests wait. Callers then came back, and each try asked for another token.

A member now has one call under way at a time, so that a late leader gets fewer and larger ones, and the interval between them grows with the group. The leader responds to each call, also if no holder gets anything.

--- a/core/dhcontrol/grantpath_test.go
+++ b/core/dhcontrol/grantpath_test.go
@@ -46,7 +46,8 @@
 	for now := dhclock.Millis(1000); now < 1000+2*grantRelayInterval; now++ {
 		var out dheffect.List
 		r.add(request)
-		r.flush(now, "c1", &out)
+		r.flush(now, "c1", 5, &out)
+		r.recordResponse("c1")
 		for _, e := range out.Items() {
 			calls = append(calls, len(e.(*dheffect.Send).Message().(*dhmessage.RelayedGrantRequests).List()))
 		}
@@ -61,8 +62,44 @@
 		t.Errorf("%d requests wait, want at most %d", len(r.waiting), maxRelayedRequests)
 	}
 	var out dheffect.List
-	r.flush(2000, "", &out)
+	r.flush(2000, "", 5, &out)
 	if len(out.Items()) > 0 || len(r.waiting) > 0 {
 		t.Errorf("without a leader %d requests are sent and %d wait, want none", len(out.Items()), len(r.waiting))
 	}
 }
+
+// relayedCalls passes on a request each millisecond for 3 s in a group with a number of members,
+// whose leader responds after a time, and returns the calls in a second.
+func relayedCalls(members int, responseTime dhclock.Millis) int {
+	var r grantRelay
+	request := dhmessage.NewHolderRequest("i1", dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{}))
+	calls := 0
+	var responses []dhclock.Millis
+	for now := dhclock.Millis(1000); now < 4000; now++ {
+		for len(responses) > 0 && responses[0] <= now {
+			responses = responses[1:]
+			r.recordResponse("c1")
+		}
+		var out dheffect.List
+		r.add(request)
+		r.flush(now, "c1", members, &out)
+		if n := len(out.Items()); n > 0 {
+			calls += n
+			responses = append(responses, now+responseTime)
+		}
+	}
+	return calls / 3
+}
+
+// TestTokenRequestsSaturateTheLeader has 26 members pass requests on to a leader whose time allows
+// some 1,500 calls a second for all that it does. Token requests may take a quarter of them, and a
+// leader that responds late must get fewer.
+func TestTokenRequestsSaturateTheLeader(t *testing.T) {
+	const members, maxCalls = 27, 375
+	if got := (members - 1) * relayedCalls(members, 42); got > maxCalls {
+		t.Errorf("a leader that responds after 42 ms gets %d calls a second, want at most %d", got, maxCalls)
+	}
+	if got := (members - 1) * relayedCalls(members, 250); got > maxCalls/2 {
+		t.Errorf("a leader that responds after 250 ms gets %d calls a second, want at most %d", got, maxCalls/2)
+	}
+}
--- a/core/dhcontrol/limits.go
+++ b/core/dhcontrol/limits.go
@@ -50,7 +50,7 @@
 	if !v.node.IsLeader() {
 		if s.automation != nil && v.node.Leader() != "" {
 			s.grantRelay.add(dhmessage.NewHolderRequest(from.Name(), m))
-			s.grantRelay.flush(s.now, v.node.Leader(), out)
+			s.flushGrantRelay(out)
 			return
 		}
 		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRedirect(dhmessage.RedirectOptions{
@@ -63,8 +63,25 @@
 	}
 }
 
+// flushGrantRelay passes waiting requests on to the leader.
+func (s *State) flushGrantRelay(out *dheffect.List) {
+	s.grantRelay.flush(s.now, s.voter.node.Leader(), len(s.voter.node.Members()), out)
+}
+
+// handleRelayedGrantResponses passes each response on to its holder.
+func (s *State) handleRelayedGrantResponses(from dhmessage.Peer, m *dhmessage.RelayedGrantResponses, out *dheffect.List) {
+	for _, r := range m.List() {
+		out.Add(dheffect.NewSend(dheffect.SendOptions{To: r.Holder(), Message: r.Response()}))
+	}
+	s.grantRelay.recordResponse(from.Name())
+	if s.voter != nil {
+		s.flushGrantRelay(out)
+	}
+}
+
 // handleRelayedGrantRequests responds to holders through the process that passed their requests
-// on. A process that doesn't lead drops them: the holders repeat them.
+// on, which waits for the response even if there is none for any holder. A process that doesn't
+// lead drops the requests: the holders repeat them.
 func (s *State) handleRelayedGrantRequests(from dhmessage.Peer, m *dhmessage.RelayedGrantRequests, out *dheffect.List) {
 	if s.voter == nil || !s.voter.node.IsLeader() {
 		return
@@ -75,9 +92,7 @@
 			list = append(list, dhmessage.NewHolderResponse(r.Holder(), response))
 		}
 	}
-	if len(list) > 0 {
-		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRelayedGrantResponses(list)}))
-	}
+	out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRelayedGrantResponses(list)}))
 }
 
 // grant returns the response to a holder, or nil for none. Only a leader that holds its lease
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -170,7 +170,7 @@
 	s.tickRegistry(out)
 	if s.voter != nil {
 		s.voter.proposeRegistrations(s.now, out)
-		s.grantRelay.flush(s.now, s.voter.node.Leader(), out)
+		s.flushGrantRelay(out)
 	}
 	s.tickAutomation(out)
 	s.distribution.Tick(s.now, out)
@@ -222,9 +222,7 @@
 	case *dhmessage.RelayedGrantRequests:
 		s.handleRelayedGrantRequests(from, m, out)
 	case *dhmessage.RelayedGrantResponses:
-		for _, r := range m.List() {
-			out.Add(dheffect.NewSend(dheffect.SendOptions{To: r.Holder(), Message: r.Response()}))
-		}
+		s.handleRelayedGrantResponses(from, m, out)
 	case *dhmessage.ReservationRequest:
 		out.Add(dheffect.NewPostToTraffic(dheffect.PostToTrafficOptions{Event: dhevent.NewReservationRequested(s.now, dhevent.ReservationRequestedOptions{
 			Instance: from.Name(), Request: m,
