Forward acknowledgements to the leader less often in large groups

On the large fleet the leader gets up to 577 polls a second while the configuration changes, from 26 members that forward their instances' acknowledgements every 60 ms.

Each member of a group of more than six adds 10 ms to that interval. The version that is in force everywhere is known up to 0.2 s later with 27 members.

--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -214,7 +214,7 @@
 	s.updateParentLoss(now)
 	interval := s.currentPollInterval()
 	if s.hasNewAcks || p.suspects.HasUnsent(s.suspects) {
-		interval = ackInterval
+		interval = s.ackInterval()
 	}
 	if !p.polled || now.Since(p.lastPoll) >= interval {
 		s.sendPoll(now, out)
@@ -252,6 +252,14 @@
 	return min(maxPollInterval, pollInterval+dhclock.Millis(extra)*pollIntervalStep)
 }
 
+// ackInterval returns the least time between two polls that forward new acknowledgements.
+func (s *State) ackInterval() dhclock.Millis {
+	if !s.isVoter {
+		return ackInterval
+	}
+	return max(ackInterval, ackIntervalStep*dhclock.Millis(len(s.members)))
+}
+
 func (s *State) sendPoll(now dhclock.Millis, out *dheffect.List) {
 	candidates := s.parentCandidates()
 	if s.isLeader || len(candidates) == 0 {
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -40,8 +40,10 @@
 	// ackTTL is the age up to which an acknowledgement is forwarded to the parent.
 	ackTTL = instanceTimeout
 	// ackInterval is the least time between two polls that forward new
-	// acknowledgements.
-	ackInterval dhclock.Millis = 60
+	// acknowledgements. Each member of a large consensus group adds ackIntervalStep, because
+	// all of them poll the leader.
+	ackInterval     dhclock.Millis = 60
+	ackIntervalStep dhclock.Millis = 10
 	// parentTimeout is the time without a response after which another parent
 	// is tried.
 	parentTimeout dhclock.Millis = 900
