Report spent tokens with requests for others

An instance of the large fleet makes 25 calls a second for 15 requests: one for the token of each, and others that report every 100 ms what was spent.

In a large cluster spent tokens are reported with the next demand for the same owner, or after up to 250 ms. Dropped ones, which the owner can grant again, still after 100 ms.

--- a/core/dhgrant/demand.go
+++ b/core/dhgrant/demand.go
@@ -109,6 +109,9 @@
 // spent or dropped.
 func (h *Holder) Position() dhmessage.Tokens { return h.position }
 
+// Dropped returns how many tokens of this owner term were dropped unspent.
+func (h *Holder) Dropped() dhmessage.Tokens { return h.dropped }
+
 // shortfallWindow is how long a shortfall that the owner has reported counts, in
 // milliseconds.
 const shortfallWindow dhclock.Millis = 1000
--- a/core/dhtraffic/token.go
+++ b/core/dhtraffic/token.go
@@ -23,9 +23,18 @@
 // margin of more than half of that.
 const grantTimeout dhclock.Millis = 200
 
-// tokenReportInterval is the longest time after which spent and dropped tokens
-// are reported to the owner, in milliseconds.
-const tokenReportInterval dhclock.Millis = 100
+// Times after which the owner is told what has become of tokens, in milliseconds. Other demands
+// for the same owner carry such reports earlier.
+const (
+	// tokenReportInterval is the longest time until dropped tokens are reported, which the
+	// owner can grant again.
+	tokenReportInterval dhclock.Millis = 100
+	// maxSpentReportInterval is the longest time until spent tokens are reported in a large
+	// cluster, to which each instance adds spentReportIntervalStep. The owner counts them as
+	// spent by itself when they expire.
+	maxSpentReportInterval  dhclock.Millis = 250
+	spentReportIntervalStep dhclock.Millis = 2
+)
 
 // rateLimiter is this instance's part of one organisation's rate limit: the
 // tokens that it holds and the requests that wait for one.
@@ -34,6 +43,28 @@
 	holder           *dhgrant.Holder
 	waiting          []*request
 	reportedPosition dhmessage.Tokens
+	reportedDropped  dhmessage.Tokens
+	reportedAt       dhclock.Millis
+}
+
+// hasReport reports whether the owner doesn't know yet what has become of some tokens.
+func (l *rateLimiter) hasReport() bool { return l.holder.Position() != l.reportedPosition }
+
+// isReportDue reports whether the owner must be told now what has become of some tokens.
+func (l *rateLimiter) isReportDue(now, spentReportInterval dhclock.Millis) bool {
+	return l.hasReport() && (l.holder.Dropped() != l.reportedDropped || now.Since(l.reportedAt) >= spentReportInterval)
+}
+
+// spentReportInterval returns the longest time until spent tokens are reported.
+func (s *State) spentReportInterval() dhclock.Millis {
+	instances := dhclock.Millis(s.view.Catalog().InstanceCount())
+	return min(maxSpentReportInterval, spentReportIntervalStep*instances)
+}
+
+// report returns the demand for some tokens, which may be none, with what has become of others.
+func (l *rateLimiter) report(now dhclock.Millis, name string, tokens dhmessage.Tokens) dhmessage.TokenDemand {
+	l.reportedPosition, l.reportedDropped, l.reportedAt = l.holder.Position(), l.holder.Dropped(), now
+	return l.holder.TokenDemand(name, tokens)
 }
 
 func (l *rateLimiter) removeWaiting(r *request) {
@@ -130,18 +161,25 @@
 }
 
 // requestTokens requests tokens for the given organisations, with one event per
-// owner term. It leaves out organisations that need no tokens and have no new
-// position to report.
+// owner term. It leaves out organisations that need no tokens and whose report isn't due.
+// Each event carries the reports of all organisations.
 func (s *State) requestTokens(now dhclock.Millis, organisations []string, out *dheffect.List) {
 	demands := map[uint64][]dhmessage.TokenDemand{}
+	interval := s.spentReportInterval()
 	for _, name := range organisations {
 		l := s.rateLimiters[name]
-		tokens := l.holder.TokensToRequest(now, len(l.waiting))
-		if tokens == 0 && l.holder.Position() == l.reportedPosition {
-			continue
+		if tokens := l.holder.TokensToRequest(now, len(l.waiting)); tokens > 0 || l.isReportDue(now, interval) {
+			demands[l.holder.OwnerTerm()] = append(demands[l.holder.OwnerTerm()], l.report(now, name, tokens))
+		}
+	}
+	if len(demands) == 0 {
+		return
+	}
+	for _, name := range s.limitedOrganisations {
+		l := s.rateLimiters[name]
+		if list, found := demands[l.holder.OwnerTerm()]; found && l.hasReport() {
+			demands[l.holder.OwnerTerm()] = append(list, l.report(now, name, 0))
 		}
-		l.reportedPosition = l.holder.Position()
-		demands[l.holder.OwnerTerm()] = append(demands[l.holder.OwnerTerm()], l.holder.TokenDemand(name, tokens))
 	}
 	for _, owner := range slices.Sorted(maps.Keys(demands)) {
 		out.Add(dheffect.NewPostToControl(dheffect.PostToControlOptions{
--- a/core/dhtraffic/token_test.go
+++ b/core/dhtraffic/token_test.go
@@ -1,6 +1,7 @@
 package dhtraffic
 
 import (
+	"fmt"
 	"testing"
 
 	"dogwoodhitch/core/dhcatalog"
@@ -116,3 +117,77 @@
 		t.Errorf("%d requests are open, want 1", got)
 	}
 }
+
+// TestSpentTokensTakeCallsOfTheirOwn sends 15 requests a second to one of 273 instances, each of
+// another one of 60 organisations, whose owner grants a token after 80 ms. The instance may make one call for
+// each request, and four a second for the reports of spent tokens.
+func TestSpentTokensTakeCallsOfTheirOwn(t *testing.T) {
+	const organisations, gap, span = 60, 66 * dhclock.Millis(1), 8 * dhclock.Second
+	objects := []dhcatalog.Object{
+		dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "a1", Region: "a"}),
+		dhcatalog.NewInstance(dhcatalog.InstanceOptions{Name: "a1-1", Zone: "a1", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2"}),
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s"}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "r", PathPrefix: "/", Service: "s", Idempotent: true, Timeout: 1000, Objective: 1000}),
+		dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{Name: "u", Service: "s", Address: "10.0.0.3:1", Zone: "a1", Slots: 400, Incarnation: 1}),
+	}
+	for i := range 272 {
+		objects = append(objects, dhcatalog.NewInstance(dhcatalog.InstanceOptions{
+			Name: fmt.Sprint("a1-", i+2), Zone: "a1", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2",
+		}))
+	}
+	for i := range organisations {
+		name := fmt.Sprint("o", i)
+		objects = append(objects, dhcatalog.NewOrganisation(dhcatalog.OrganisationOptions{Name: name}),
+			dhcatalog.NewKey(dhcatalog.KeyOptions{Name: name, Organisation: name, Hash: dhcatalog.Hash{byte(i), 1}}),
+			dhcatalog.NewLimit(dhcatalog.LimitOptions{Name: name, Organisation: name, Rate: 5, Burst: 5}))
+	}
+	s := newTestState(t, 1<<40, objects...)
+	granted := map[string]dhmessage.Tokens{}
+	type response struct {
+		at    dhclock.Millis
+		event *dhevent.GrantsReceived
+	}
+	var responses []response
+	calls, forwarded, id := 0, 0, uint64(0)
+	const start = 10 * dhclock.Second
+	for now := start; now < start+span; now++ {
+		var out dheffect.List
+		for len(responses) > 0 && responses[0].at <= now {
+			s.HandleGrants(responses[0].event, &out)
+			responses = responses[1:]
+		}
+		if now.Since(start)%gap == 0 {
+			id++
+			s.HandleRequest(dhevent.NewRequestReceived(now, dhevent.RequestReceivedOptions{
+				RequestID: id, Path: "/x", APIKeyHash: dhcatalog.Hash{byte(id % organisations), 1},
+			}), &out)
+		}
+		if now%10 == 0 {
+			s.Tick(now, &out)
+		}
+		for _, e := range out.Items() {
+			switch e := e.(type) {
+			case *dheffect.ForwardToUpstream:
+				forwarded++
+			case *dheffect.PostToControl:
+				calls++
+				var grants []dhmessage.TokenGrant
+				for _, d := range e.Event().(*dhevent.GrantsRequested).Demands() {
+					if d.Amount() > 0 {
+						granted[d.Organisation()] += d.Amount()
+						grants = append(grants, dhmessage.NewTokenGrant(d.Organisation(), d.Amount(), granted[d.Organisation()], false))
+					}
+				}
+				responses = append(responses, response{now + 80, dhevent.NewGrantsReceived(now+80, dhevent.GrantsReceivedOptions{
+					OwnerTerm: 1, RequestSentAt: now, TTL: 600, Grants: grants,
+				})})
+			}
+		}
+	}
+	if want := int(span / gap); forwarded < want-2 {
+		t.Errorf("%d of %d requests were forwarded", forwarded, want)
+	}
+	if most := int(span/gap) + 4*int(span/dhclock.Second); calls > most {
+		t.Errorf("%d calls for %d requests in %d ms, want at most %d", calls, id, span, most)
+	}
+}
