Send nothing to registered upstreams on late news

Nothing tied what an instance may send to the age of what it knows: open routes and requests of peers went out on a configuration of any age, keyed ones on one of 3 s, decisions up to 1 s after they were made, and requests that waited for a connection later still.

A registered upstream now gets requests only while the last confirmation is younger than the departure bound of the deployment (drain_s on the platform) less 0.4 s for the way, checked again when the connection is there. The bound then holds however late news arrives. An instance for which no newer news is to be had goes on: it has heard nothing for the contact timeout (contact_s), or what it hears from has no newer confirmation either. To know that soon it asks other candidates than its parent while its confirmation is old.

--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -42,6 +42,9 @@
 	Managed *ManagedOptions
 	// Suspects are the suspects that a voter's data folder holds.
 	Suspects []dhmessage.Suspect
+	// ContactTimeout is the time without a response from another process after which this one
+	// counts as cut off; 0 stands for the freshness lease.
+	ContactTimeout dhclock.Millis `journal:"ContactTimeout,omitZero"`
 }
 
 // State is the control state of one process.
@@ -60,6 +63,8 @@
 	// hasMajority reports whether the configuration was confirmed as current
 	// within the last freshness lease.
 	hasMajority bool
+	// isDetached is as of the last line about it.
+	isDetached bool
 }
 
 // voter is the part of the state that only voters and learners have.
@@ -89,7 +94,7 @@
 		now:  o.Now,
 		distribution: dhdistribution.New(dhdistribution.Options{
 			Self: o.Self.Name(), Zone: o.Zone, Voters: o.Voters,
-			IsVoter: o.Consensus != nil, Advertised: o.Advertised, Suspects: o.Suspects, Now: o.Now,
+			IsVoter: o.Consensus != nil, Advertised: o.Advertised, Suspects: o.Suspects, ContactTimeout: o.ContactTimeout, Now: o.Now,
 		}),
 		proposals:  newProposals(o.StartID, o.Voters),
 		registry:   newRegistry(),
@@ -167,6 +172,7 @@
 	}
 	s.syncLeadership()
 	s.logConnectivity(out)
+	s.logDetachment(out)
 	s.tickRegistry(out)
 	if s.voter != nil {
 		s.voter.proposeRegistrations(s.now, out)
@@ -196,6 +202,21 @@
 	}))
 }
 
+// logDetachment logs when an instance begins or ceases to serve with the configuration that it
+// has because no newer confirmation is to be had.
+func (s *State) logDetachment(out *dheffect.List) {
+	if s.voter != nil || s.distribution.IsDetached() == s.isDetached {
+		return
+	}
+	s.isDetached = !s.isDetached
+	text := "hears of newer confirmations again"
+	if s.isDetached {
+		text = "no newer confirmation is to be had: goes on with the configuration that it has"
+	}
+	confirmedAt, _ := s.distribution.ConfirmedAt()
+	out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: "spread", Text: text, Number: uint64(s.now.Since(confirmedAt))}))
+}
+
 // endBatch ends a batch of events: it sends appended entries and publishes a
 // changed view.
 func (s *State) endBatch(out *dheffect.List) {
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -197,6 +197,7 @@
 	if s.isLeader {
 		return
 	}
+	s.updateDetachment(now)
 	p := &s.parent
 	if p.awaitingResponse && now.Since(p.oldestUnanswered) > s.parentTimeout() {
 		p.timeouts++
@@ -212,6 +213,7 @@
 		p.switchTo(now, 0)
 	}
 	s.updateParentLoss(now)
+	s.probeOthers(now, out)
 	interval := s.currentPollInterval()
 	if s.hasNewAcks || p.suspects.HasUnsent(s.suspects) {
 		interval = s.ackInterval()
@@ -336,6 +338,7 @@
 	if s.isLeader {
 		return
 	}
+	s.recordHeard(now, from, m)
 	if from == s.parent.polledCandidate {
 		s.receiveSuspects(now, &s.parent.suspects, m.Suspects())
 	}
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -10,6 +10,7 @@
 package dhdistribution
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -88,7 +89,10 @@
 	Advertised *dhcatalog.Instance
 	// Suspects are the suspects that a voter's data folder holds.
 	Suspects []dhmessage.Suspect
-	Now      dhclock.Millis
+	// ContactTimeout is the time without a response from another process after which this one
+	// counts as cut off; 0 stands for the freshness lease.
+	ContactTimeout dhclock.Millis
+	Now            dhclock.Millis
 }
 
 // State is the distribution state of one process.
@@ -119,6 +123,7 @@
 	// otherSeeds names the processes of the settings that aren't known as members.
 	otherSeeds  []string
 	drainStarts map[string]dhclock.Millis
+	detachment  detachment
 	// limitsChangedAt is when limits, or the instances that share them, last
 	// changed.
 	limitsChangedAt dhclock.Millis
@@ -150,7 +155,8 @@
 // New returns the state of a process without a configuration.
 func New(o Options) *State {
 	s := &State{
-		self: o.Self, zone: o.Zone, configuredVoters: o.Voters, isVoter: o.IsVoter, advertised: o.Advertised,
+		detachment: detachment{timeout: cmp.Or(o.ContactTimeout, dhview.FreshnessLease)},
+		self:       o.Self, zone: o.Zone, configuredVoters: o.Voters, isVoter: o.IsVoter, advertised: o.Advertised,
 		catalog: dhcatalog.New(), appliedAt: o.Now, limitsChangedAt: o.Now, suspects: dhquarantine.NewSet(),
 		children: map[string]*child{}, ackRecords: map[string]*ackRecord{},
 		parent: parent{selectedAt: o.Now, oldestUnanswered: o.Now}, viewChanged: true,
@@ -329,7 +335,7 @@
 	out.Add(dheffect.NewPublish(dheffect.PublishOptions{View: dhview.New(dhview.Options{
 		Catalog: s.catalog, ConfirmedAt: s.confirmedAt, EverConfirmed: s.everConfirmed, AppliedAt: s.appliedAt,
 		Unavailable: s.unavailable, Leader: s.leader, InForce: s.inForce, DrainStarts: s.drainStarts, Members: s.members, LimitsChangedAt: s.limitsChangedAt,
-		Suspects: s.viewSuspects,
+		Suspects: s.viewSuspects, Detached: s.detachment.isDetached,
 	})}))
 }
 
--- a/core/dheffect/traffic.go
+++ b/core/dheffect/traffic.go
@@ -35,6 +35,9 @@
 	// cluster. Its name is sent along, so that another upstream at the same
 	// address can refuse the request.
 	Registered bool
+	// SendBefore is the clock reading from which on the request must not be sent any more,
+	// because the upstream may have departed; 0 for none.
+	SendBefore dhclock.Millis `journal:"SendBefore,omitZero"`
 }
 
 // ForwardToUpstream forwards a request to an upstream.
@@ -77,6 +80,10 @@
 // response.
 func (e *ForwardToUpstream) EchoesAttemptID() bool { return e.options.EchoesAttemptID }
 
+// SendBefore returns the clock reading from which on the request must not be sent any more,
+// because the upstream may have departed; 0 for none.
+func (e *ForwardToUpstream) SendBefore() dhclock.Millis { return e.options.SendBefore }
+
 func (*ForwardToUpstream) effect() {}
 
 // ForwardToPeerOptions are the fields of a ForwardToPeer.
--- /dev/null
+++ b/core/dhreducer/departure_test.go
@@ -0,0 +1,128 @@
+package dhreducer
+
+import (
+	"testing"
+
+	"dogwoodhitch/core/dhcatalog"
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/core/dhtraffic"
+)
+
+// departureTest drives a cluster whose instance a1-1 sends requests to two registered upstreams.
+type departureTest struct {
+	*trafficCluster
+	entry      *machine
+	forwarded  map[string][]dhclock.Millis // by upstream
+	refusals   int
+	firstAfter dhclock.Millis // the time from which on refusals count
+}
+
+const testDepartureBound dhclock.Millis = 2500
+
+func departingUpstream(name string, state dhcatalog.UpstreamState) dhcatalog.Upstream {
+	return dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{
+		Name: name, Service: "registered", Address: "10.0.0." + name[1:] + ":1", Zone: "a1", Slots: 1000, Incarnation: 1, State: state,
+	})
+}
+
+func newDepartureTest(t *testing.T) *departureTest {
+	d := &departureTest{trafficCluster: newTrafficCluster(t, 3, "a1-1"), forwarded: map[string][]dhclock.Millis{}}
+	d.messageDelay = 20
+	d.entry = d.find("a1-1")
+	d.traffic["a1-1"] = NewTraffic(dhtraffic.Options{Instance: "a1-1", Zone: "a1", StartID: 1, Now: d.clock(d.entry), DepartureBound: testDepartureBound})
+	d.effectHandler = func(m *machine, e dheffect.Effect) {
+		switch e := e.(type) {
+		case *dheffect.ForwardToUpstream:
+			d.forwarded[e.Upstream()] = append(d.forwarded[e.Upstream()], d.now)
+			d.handleTraffic(m, dhevent.NewAttemptEnded(d.clock(m), dhevent.AttemptEndedOptions{RequestID: e.RequestID(), Status: 200}))
+		case *dheffect.Refuse:
+			if d.now >= d.firstAfter {
+				d.refusals++
+			}
+		}
+	}
+	d.applyChange(
+		dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "registered"}),
+		dhcatalog.NewRoute(dhcatalog.RouteOptions{Name: "open", PathPrefix: "/open/", Service: "registered", Open: true, Timeout: 1000}),
+		departingUpstream("u1", dhcatalog.UpstreamReady), departingUpstream("u2", dhcatalog.UpstreamReady),
+	)
+	d.runRequests(3000)
+	if len(d.forwarded["u1"]) == 0 || len(d.forwarded["u2"]) == 0 {
+		t.Fatalf("requests go to %v, want both upstreams", d.forwarded)
+	}
+	return d
+}
+
+// runRequests sends a request every 20 ms.
+func (d *departureTest) runRequests(span dhclock.Millis) {
+	for end := d.now + span; d.now < end; {
+		d.run(20)
+		d.tickTraffic()
+		d.lastRequest++
+		d.handleTraffic(d.entry, dhevent.NewRequestReceived(d.clock(d.entry), dhevent.RequestReceivedOptions{
+			RequestID: d.lastRequest, Path: "/open/x", Random: d.nextRandom(),
+		}))
+	}
+}
+
+// TestRequestsReachDepartedUpstreamsOnLateNews has a packet wait 2.7 s at the link of an instance
+// that still hears the control processes. After the drain of an upstream was accepted, the
+// instance may send it requests for the departure bound at most.
+func TestRequestsReachDepartedUpstreamsOnLateNews(t *testing.T) {
+	d := newDepartureTest(t)
+	d.entryLinkDelay = 2700
+	d.runRequests(6000)
+	for round := range 8 {
+		name := []string{"u1", "u2"}[round%2]
+		d.runRequests(dhclock.Millis(300 + 137*round)) // another phase of the polls in each round
+		drain := d.propose(d.leader(), dhmessage.NewEdit("registry", []dhcatalog.Object{departingUpstream(name, dhcatalog.UpstreamDraining)}, nil))
+		for _, accepted := d.replies[drain]; !accepted; _, accepted = d.replies[drain] {
+			d.runRequests(20)
+		}
+		acceptedAt := d.now
+		d.runRequests(8000)
+		sent := d.forwarded[name]
+		if last := sent[len(sent)-1]; last > acceptedAt+testDepartureBound {
+			t.Errorf("round %d: %s gets a request %d ms after its drain was accepted, want at most %d ms", round, name, last-acceptedAt, testDepartureBound)
+		}
+		back := d.propose(d.leader(), dhmessage.NewEdit("registry", []dhcatalog.Object{dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{
+			Name: name, Service: "registered", Address: "10.0.0." + name[1:] + ":1", Zone: "a1", Slots: 1000, Incarnation: int64(round + 2),
+		})}, nil))
+		for _, accepted := d.replies[back]; !accepted; _, accepted = d.replies[back] {
+			d.runRequests(20)
+		}
+		d.runRequests(8000)
+	}
+}
+
+// TestDepartureBoundRefusesWithoutNewerNews cuts an instance off, and stops a majority of voters.
+// Nothing newer is to be had then, so the instance must go on with what it has: at once without
+// a majority, and once it has heard nothing for the contact timeout when it is cut off.
+func TestDepartureBoundRefusesWithoutNewerNews(t *testing.T) {
+	t.Run("cut off", func(t *testing.T) {
+		d := newDepartureTest(t)
+		d.partitioned["a1-1"] = true
+		d.firstAfter = d.now + 3100
+		d.runRequests(10_000)
+		if d.refusals > 0 {
+			t.Errorf("%d requests are refused later than 3.1 s after the cut", d.refusals)
+		}
+	})
+	t.Run("no majority", func(t *testing.T) {
+		d := newDepartureTest(t)
+		leader := d.leader()
+		for _, name := range d.voters {
+			if m := d.find(name); m != leader {
+				d.stop(m)
+			}
+		}
+		d.firstAfter = d.now
+		d.runRequests(10_000)
+		if d.refusals > 0 {
+			t.Errorf("%d requests are refused without a majority", d.refusals)
+		}
+	})
+}
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -181,9 +181,13 @@
 }
 
 // forwardToMember starts an attempt at a registered upstream, unless the
-// caller's key has been revoked in the meantime.
+// caller's key has been revoked in the meantime or the upstream may have departed.
 func (s *State) forwardToMember(now dhclock.Millis, r *request, m *dhsteer.Member, out *dheffect.List) {
-	if refusal, ok := s.mayForward(now, r); !ok {
+	refusal, ok := s.mayForward(now, r)
+	if ok {
+		refusal, ok = s.checkDepartures(now)
+	}
+	if !ok {
 		s.refuse(now, r, refusal, out)
 		return
 	}
@@ -196,7 +200,7 @@
 	r.group.Acquire(now, m)
 	out.Add(dheffect.NewForwardToUpstream(dheffect.ForwardToUpstreamOptions{
 		RequestID: r.id, Service: r.group.Service(), Upstream: m.Name(), Address: m.Address(), Organisation: r.organisation,
-		Timeout: r.remaining(now), Claimed: r.claimGranted, Registered: true,
+		Timeout: r.remaining(now), Claimed: r.claimGranted, Registered: true, SendBefore: s.sendBefore(),
 		// The transport can resend a request without a body on a pooled connection.
 		NewConnection: !r.route.Idempotent() && r.bodyBytes == 0,
 	}))
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -30,6 +30,9 @@
 	// MaxConnections is how many connections this instance may have to one upstream;
 	// nil for no limit.
 	MaxConnections *int
+	// DepartureBound is the time after which a registered upstream whose drain or departure was
+	// accepted gets no more requests; 0 for no bound.
+	DepartureBound dhclock.Millis `journal:"DepartureBound,omitZero"`
 }
 
 // RetryBudget limits the retries that all instances together make for a service
@@ -55,6 +58,7 @@
 	pools            map[string]*pool
 	groups           map[string]*group // by service with registered upstreams
 	splits           map[string]*split // by route
+	departureBound   dhclock.Millis
 	clusterRetries   RetryBudget
 	maxConnections   *int
 	requests         map[uint64]*request
@@ -83,6 +87,7 @@
 		splits:         map[string]*split{},
 		clusterRetries: o.Retries,
 		maxConnections: o.MaxConnections,
+		departureBound: o.DepartureBound,
 		requests:       map[uint64]*request{},
 		reachability:   newReachability(),
 		crashes:        newCrashDetector(),
--- a/core/dhview/view.go
+++ b/core/dhview/view.go
@@ -37,6 +37,9 @@
 	LimitsChangedAt dhclock.Millis `journal:"Limited"`
 	// Suspects are the requests that may have crashed upstreams; nil for none.
 	Suspects *Suspects
+	// Detached reports whether no newer confirmation is to be had: this process hears nothing
+	// from other processes, or those that it hears have none themselves.
+	Detached bool `journal:"Detached,omitZero"`
 }
 
 // Suspects are all requests that are known to have been in flight at upstreams that
@@ -125,6 +128,10 @@
 	return confirmed && age <= FreshnessLease+grace
 }
 
+// IsDetached reports whether no newer confirmation is to be had: this process hears nothing
+// from other processes, or those that it hears have none themselves.
+func (v *View) IsDetached() bool { return v.options.Detached }
+
 // LimitsChangedAt returns when rate limits, or the set of instances that share
 // them, last changed, on this instance's clock.
 func (v *View) LimitsChangedAt() dhclock.Millis { return v.options.LimitsChangedAt }
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -113,11 +113,16 @@
 	mustEcho      bool // refuse responses that don't repeat the attempt ID or request ID
 	toPeer        bool
 	useTLS        bool
+	// sendBefore is the clock reading from which on nothing may be sent; 0 for none.
+	sendBefore dhclock.Millis
 	// outlivesCaller is set if the attempt goes on after its caller has left.
 	outlivesCaller bool
 	extraHeader    http.Header
 }
 
+// isTooLate reports whether nothing may be sent any more.
+func (t target) isTooLate(now dhclock.Millis) bool { return t.sendBefore > 0 && now >= t.sendBefore }
+
 // attempt is one try to run a request on an upstream or through a peer, with its
 // response.
 type attempt struct {
@@ -146,7 +151,8 @@
 	startedAt := s.options.Clock.Now()
 	a.context, a.cancel = context.WithTimeout(ctx, time.Duration(t.timeout)*time.Millisecond)
 	a.stopAbort = context.AfterFunc(s.aborted, a.cancel)
-	gotConnection, abandoned := false, false
+	gotConnection := false
+	var abandoned error
 	var connection atomic.Pointer[requestConn]
 	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
@@ -156,9 +162,14 @@
 				a.connected = new(true)
 			}
 			connection.Store(requestConnOf(i.Conn))
-			if !i.WasIdle && !t.outlivesCaller && dhnet.HasCallerLeft(ctx) {
-				abandoned = true
-				connection.Load().abandon()
+			switch {
+			case !i.WasIdle && !t.outlivesCaller && dhnet.HasCallerLeft(ctx):
+				abandoned = errCallerLeft
+			case t.isTooLate(s.options.Clock.Now()):
+				abandoned = errLate
+			}
+			if abandoned != nil {
+				connection.Load().abandon(abandoned)
 				a.cancel()
 				return
 			}
@@ -178,8 +189,11 @@
 	}
 	a.response, err = client.Do(request) //nolint:bodyclose // closed by attempt.close
 	if err != nil {
-		if abandoned {
+		switch abandoned {
+		case errCallerLeft:
 			return a.fail(dhevent.EndAbandoned, err)
+		case errLate:
+			return a.fail(dhevent.EndUntried, errLate)
 		}
 		if !gotConnection {
 			return a.failUnsent(ctx, err, s.options.Clock.Now().Since(startedAt))
--- a/io/dhentry/connection.go
+++ b/io/dhentry/connection.go
@@ -14,7 +14,7 @@
 type requestConn struct {
 	*net.TCPConn
 	unanswered atomic.Bool
-	abandoned  atomic.Bool
+	abandoned  atomic.Pointer[error] // the error of writes after abandon
 }
 
 // dialRequestConn returns a dial function for requestConns.
@@ -45,20 +45,23 @@
 	}
 }
 
-// abandon lets nothing more be written to the connection.
-func (c *requestConn) abandon() {
+// abandon lets nothing more be written to the connection, for a reason.
+func (c *requestConn) abandon(reason error) {
 	if c != nil {
-		c.abandoned.Store(true)
+		c.abandoned.Store(&reason)
 	}
 }
 
-// errCallerLeft is the error of writes after abandon.
-var errCallerLeft = errors.New("the caller has closed its connection")
+// Reasons to abandon a connection.
+var (
+	errCallerLeft = errors.New("the caller has closed its connection")
+	errLate       = errors.New("the upstream may have departed: the configuration here is too old by now")
+)
 
 // Write implements net.Conn.
 func (c *requestConn) Write(b []byte) (int, error) {
-	if c.abandoned.Load() {
-		return 0, errCallerLeft
+	if reason := c.abandoned.Load(); reason != nil {
+		return 0, *reason
 	}
 	return c.TCPConn.Write(b)
 }
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -300,6 +300,7 @@
 		}
 		return x.runAttempt(ctx, d, target{
 			address: e.Address(), timeout: e.Timeout(), newConnection: e.NewConnection(), mustEcho: e.EchoesAttemptID() || e.Registered(), extraHeader: extraHeader,
+			sendBefore: e.SendBefore(),
 		}, e.Claimed())
 	case *dheffect.ForwardToPeer:
 		extraHeader := http.Header{}
@@ -321,7 +322,7 @@
 // runAttempt makes one attempt and reports whether the request has ended with it.
 func (x *exchange) runAttempt(ctx context.Context, d dhtrafficstate.Decision, t target, claimed bool) bool {
 	s := x.server
-	if s.options.Clock.Now().Since(d.At()) > maxDecisionAge {
+	if now := s.options.Clock.Now(); now.Since(d.At()) > maxDecisionAge || t.isTooLate(now) {
 		x.postAttemptEnded(dhevent.AttemptEndedOptions{End: dhevent.EndUntried}, d.At())
 		return false
 	}
--- a/io/dhprocess/options.go
+++ b/io/dhprocess/options.go
@@ -101,6 +101,12 @@
 	WatchVoters func(ctx context.Context, changed func([]dhsettings.Voter))
 	// RetryBudget limits the retries to registered upstreams.
 	RetryBudget dhtraffic.RetryBudget
+	// DepartureBound is the time after which a registered upstream whose drain or departure was
+	// accepted gets no more requests; 0 for no bound.
+	DepartureBound dhclock.Millis
+	// ContactTimeout is the time without a response from another process after which this one
+	// counts as cut off; 0 stands for the freshness lease.
+	ContactTimeout dhclock.Millis
 	// ExtraListeners returns additional listeners, such as those of another
 	// front end; nil if there are none.
 	ExtraListeners func(p *Process) []ExtraListener
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -234,7 +234,7 @@
 func (p *Process) initLoop(self dhmessage.Peer, startID uint64) {
 	o := dhcontrol.Options{
 		Self: self, Zone: p.options.Zone, StartID: startID, Now: p.options.Clock.Now(),
-		Advertised: p.options.Advertised, Managed: p.options.Managed,
+		Advertised: p.options.Advertised, Managed: p.options.Managed, ContactTimeout: p.options.ContactTimeout,
 	}
 	o.Voters = namesOf(p.options.Voters)
 	if p.options.Role == dhsettings.RoleControl {
@@ -278,7 +278,7 @@
 	seams := dhtrafficstate.Seams{Clock: p.options.Clock, Execute: p.executeEffect}
 	o := dhtraffic.Options{
 		Instance: p.options.Name, Zone: p.options.Zone, StartID: startID, Now: p.options.Clock.Now(),
-		Retries: p.options.RetryBudget, MaxConnections: &p.options.MaxConnections,
+		Retries: p.options.RetryBudget, MaxConnections: &p.options.MaxConnections, DepartureBound: p.options.DepartureBound,
 	}
 	if j := p.options.Journal; j != nil {
 		seams.Record = j.TrafficRecorder(o)
