Raise a limit's share although other objects go on changing

A limit that is raised, or whose instances change, gets its larger share a freshness lease later, when no instance uses the old floors any more. The leader started that time anew with each version of the configuration. Where versions follow one another, as in a release of upstreams or while a large fleet registers, the share stayed at the lowest value that it had had, and callers got 429 within their rate.

The owners are configured only when limits, instances or zones have changed.

--- a/core/dhcontrol/limits.go
+++ b/core/dhcontrol/limits.go
@@ -20,7 +20,10 @@
 // starts with empty buckets and grants nothing until every grant that its
 // predecessor can have made has expired.
 type limits struct {
-	version   uint64
+	configured bool
+	// revision is the version in which the limits, or the instances that share them, last
+	// changed before the owners were configured.
+	revision  uint64
 	owners    map[string]*dhgrant.Owner
 	lastSweep dhclock.Millis
 }
@@ -156,9 +159,7 @@
 	if v.limits == nil {
 		v.limits = &limits{owners: map[string]*dhgrant.Owner{}}
 	}
-	if v.limits.version != v.ledger.Catalog().Version() {
-		v.limits.configure(now, v.ledger.Catalog(), v.node.ElectedAt())
-	}
+	v.limits.configure(now, v.ledger.Catalog(), v.node.ElectedAt())
 	if now.Since(v.limits.lastSweep) >= sweepInterval {
 		v.limits.lastSweep = now
 		for _, owner := range v.limits.owners {
@@ -182,11 +183,16 @@
 	}
 }
 
-// configure applies the limits of a version. The buckets of a new leader fill
-// from its election on, when its predecessor could no longer grant.
+// configure applies the limits of a version if they have changed. Other changes must not hold back
+// a share that is about to rise. The buckets of a new leader fill from its election on, when its
+// predecessor could no longer grant.
 func (l *limits) configure(now dhclock.Millis, c *dhcatalog.Catalog, electedAt dhclock.Millis) {
-	first := l.version == 0
-	l.version = c.Version()
+	revision := c.Revision(dhcatalog.KindLimit, dhcatalog.KindInstance, dhcatalog.KindZone)
+	if c.Version() == 0 || l.configured && l.revision == revision {
+		return
+	}
+	first := !l.configured
+	l.configured, l.revision = true, revision
 	kept := map[string]bool{}
 	for _, o := range c.List(dhcatalog.KindLimit) {
 		limit := o.(dhcatalog.Limit)
