Tell callers when a rate limit couldn't be checked

Such a refusal is limitUnconfirmed with status 503 now, and counts in dogwoodhitch_refused_within_rate_total. overLimit means that the owner has reported a shortfall. TestTokenFromDistantOwner expects the new kind where no response arrives; it was red with overLimit there.

--- a/core/dheffect/record.go
+++ b/core/dheffect/record.go
@@ -97,7 +97,7 @@
 	// ConfigAge is the time since that version was last confirmed as current, in
 	// milliseconds.
 	ConfigAge dhclock.Millis `journal:"Age"`
-	// TokenWait is how long a request that was refused over its limit waited for a token, in
+	// TokenWait is how long a request that was refused for lack of a token waited for one, in
 	// milliseconds.
 	TokenWait dhclock.Millis `journal:"TokenWait,omitZero"`
 	// OwnerSilence is the time since the owner of that limit last responded to this instance,
@@ -173,7 +173,7 @@
 // in milliseconds.
 func (e *RecordRequest) ConfigAge() dhclock.Millis { return e.options.ConfigAge }
 
-// TokenWait returns how long a request that was refused over its limit waited for a token, in
+// TokenWait returns how long a request that was refused for lack of a token waited for one, in
 // milliseconds.
 func (e *RecordRequest) TokenWait() dhclock.Millis { return e.options.TokenWait }
 
--- a/core/dheffect/refusal.go
+++ b/core/dheffect/refusal.go
@@ -12,6 +12,7 @@
 	RefuseKeyUnknown            RefusalKind = "keyUnknown"
 	RefuseConfigurationStale    RefusalKind = "configurationStale"
 	RefuseOverLimit             RefusalKind = "overLimit"
+	RefuseLimitUnconfirmed      RefusalKind = "limitUnconfirmed"
 	RefuseNoCapacity            RefusalKind = "noCapacity"
 	RefuseQuarantined           RefusalKind = "quarantined"
 	RefuseNoUpstream            RefusalKind = "noUpstream"
--- a/core/dhtraffic/token.go
+++ b/core/dhtraffic/token.go
@@ -86,7 +86,7 @@
 		return
 	}
 	if len(l.waiting) >= l.maxQueueLength(r.route.QueueWait()) || l.tokenDeadline(now, r) <= now {
-		s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseOverLimit, false, l.retryAfter()), out)
+		s.refuse(now, r, l.refusal(now), out)
 		return
 	}
 	r.phase = waitingForToken
@@ -110,6 +110,15 @@
 	return max(minTokenQueue, int(l.limit.Rate()*wait.Milliseconds()/dhclock.Second.Milliseconds()))
 }
 
+// refusal returns the refusal of a request that got no token: beyond the limit if the owner has
+// reported a shortfall, else one that tells that the owner hasn't responded in time.
+func (l *rateLimiter) refusal(now dhclock.Millis) dheffect.Refusal {
+	if l.holder.Exhausted(now) {
+		return dheffect.NewRefusal(dheffect.RefuseOverLimit, false, l.retryAfter())
+	}
+	return dheffect.NewRefusal(dheffect.RefuseLimitUnconfirmed, false, l.retryAfter())
+}
+
 // retryAfter returns the time in which one token accrues at the full rate, but
 // at least shortRetryAfter.
 func (l *rateLimiter) retryAfter() dhclock.Millis {
@@ -133,7 +142,7 @@
 		r := l.waiting[0]
 		if l.tokenDeadline(now, r) <= now {
 			l.waiting = l.waiting[1:]
-			s.refuse(now, r, dheffect.NewRefusal(dheffect.RefuseOverLimit, false, l.retryAfter()), out)
+			s.refuse(now, r, l.refusal(now), out)
 			continue
 		}
 		if !l.holder.Spend(now) {
--- a/core/dhtraffic/token_test.go
+++ b/core/dhtraffic/token_test.go
@@ -55,7 +55,7 @@
 	}{
 		{"token granted", 140, dhmessage.NewTokenGrant("o", dhmessage.Token, dhmessage.Token, false), "forwarded", 140},
 		{"owner has a shortfall", 140, dhmessage.NewTokenGrant("o", 0, 0, true), string(dheffect.RefuseOverLimit), 140},
-		{"no response", -1, dhmessage.TokenGrant{}, string(dheffect.RefuseOverLimit), grantTimeout},
+		{"no response", -1, dhmessage.TokenGrant{}, string(dheffect.RefuseLimitUnconfirmed), grantTimeout},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/dhentry/refusal.go
+++ b/io/dhentry/refusal.go
@@ -67,6 +67,7 @@
 	dheffect.RefuseKeyUnknown:            {http.StatusUnauthorized, "the key is unknown or revoked; ask the operator for another"},
 	dheffect.RefuseConfigurationStale:    {http.StatusServiceUnavailable, "this instance's configuration may be out of date; use another instance of the look-up, or retry"},
 	dheffect.RefuseOverLimit:             {http.StatusTooManyRequests, "the organisation's rate limit is exceeded; slow down and retry"},
+	dheffect.RefuseLimitUnconfirmed:      {http.StatusServiceUnavailable, "the organisation's rate limit couldn't be checked in time; retry later"},
 	dheffect.RefuseNoCapacity:            {http.StatusServiceUnavailable, "no upstream had a free slot in time; retry later"},
 	dheffect.RefuseQuarantined:           {http.StatusServiceUnavailable, "upstreams that ran this request have crashed; have it examined before it is sent again"},
 	dheffect.RefuseNoUpstream:            {http.StatusServiceUnavailable, "no upstream of the service is known; retry later"},
--- a/io/dhmetrics/metrics.go
+++ b/io/dhmetrics/metrics.go
@@ -83,7 +83,7 @@
 		end = "answered"
 	}
 	m.AddToCounter(1, "dogwoodhitch_requests_total", "route", e.Route(), "organisation", e.Organisation(), "end", end)
-	if e.RefusalKind() == dheffect.RefuseOverLimit && e.WithinRate() {
+	if e.RefusalKind() == dheffect.RefuseLimitUnconfirmed {
 		m.AddToCounter(1, "dogwoodhitch_refused_within_rate_total", "organisation", e.Organisation())
 	}
 	for _, a := range e.Attempts() {
