Send changes to many learners together

Beyond four learners, each adds 4 ms to the time between two messages to learners: 22 get at most 14 messages a second each, and a change 72 ms later. A learner that lacks 256 entries or more gets them at once as before.

Tried first: to hold all learners back until the next heartbeat, also in small groups. TestFarStoppingLeaderKeepsItsVote, TestAcknowledgementsSurviveFaults and two more turned red, since votes move to learners that have caught up.

--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -18,17 +18,21 @@
 
 // leaderState is the volatile state of a leader.
 type leaderState struct {
-	electedAt         dhclock.Millis
-	noopIndex         uint64 // index of the no-op entry that starts the term
-	syncedIndex       uint64 // last index synced to this node's disk
-	progress          map[string]*progress
-	round             uint64
-	roundStarts       [maxTrackedRounds]dhclock.Millis
-	confirmedAt       dhclock.Millis
-	everConfirmed     bool
-	lastBroadcast     dhclock.Millis
-	logTimeAtElection dhclock.Millis // log time at electedAt
-	needsBroadcast    bool
+	electedAt     dhclock.Millis
+	noopIndex     uint64 // index of the no-op entry that starts the term
+	syncedIndex   uint64 // last index synced to this node's disk
+	progress      map[string]*progress
+	round         uint64
+	roundStarts   [maxTrackedRounds]dhclock.Millis
+	confirmedAt   dhclock.Millis
+	everConfirmed bool
+	lastBroadcast dhclock.Millis
+	// lastLearnerBroadcast is when the learners got messages; learnersBehind is set if a
+	// broadcast has left them out since.
+	lastLearnerBroadcast dhclock.Millis
+	learnersBehind       bool
+	logTimeAtElection    dhclock.Millis // log time at electedAt
+	needsBroadcast       bool
 }
 
 // progress is the leader's replication state of another member.
@@ -130,25 +134,51 @@
 }
 
 func (n *Node) tickLeader(out *dheffect.List) {
-	if n.now.Since(n.leaderState.lastBroadcast) >= HeartbeatInterval {
+	isHeartbeatDue := n.now.Since(n.leaderState.lastBroadcast) >= HeartbeatInterval
+	if isHeartbeatDue || n.leaderState.learnersBehind && n.areLearnersDue() {
 		n.broadcastAppend(out)
 	}
 	n.proposeMemberUpdate(out)
 }
 
-// broadcastAppend starts a heartbeat round and sends each member the entries
-// that it lacks.
+// Parameters of messages to learners, on which no commit waits.
+const (
+	// promptLearners is the number of learners that get each change at once.
+	promptLearners = 4
+	// learnerInterval is what each further one adds to the least time between two messages to
+	// learners, in milliseconds. A message to each of many learners for each change would take
+	// most of the leader's processor time.
+	learnerInterval dhclock.Millis = 4
+)
+
+// areLearnersDue reports whether learners may get messages again.
+func (n *Node) areLearnersDue() bool {
+	learners := 0
+	for _, m := range n.log.members() {
+		if m.Learner() {
+			learners++
+		}
+	}
+	interval := learnerInterval * dhclock.Millis(max(0, learners-promptLearners))
+	return n.now.Since(n.leaderState.lastLearnerBroadcast) >= min(HeartbeatInterval, interval)
+}
+
+// broadcastAppend starts a heartbeat round and sends each voter, and each learner if they may get
+// messages again, the entries that it lacks.
 func (n *Node) broadcastAppend(out *dheffect.List) {
 	l := &n.leaderState
-	l.needsBroadcast = false
-	l.lastBroadcast = n.now
+	l.needsBroadcast, l.lastBroadcast = false, n.now
+	l.learnersBehind = l.round > 0 && !n.areLearnersDue()
+	if !l.learnersBehind {
+		l.lastLearnerBroadcast = n.now
+	}
 	if l.round == 0 || n.now.Since(l.roundStarts[l.round%maxTrackedRounds]) >= minRoundInterval {
 		l.round++
 		l.roundStarts[l.round%maxTrackedRounds] = n.now
 	}
 	shared := map[uint64]*dhmessage.AppendRequest{}
 	for _, m := range n.log.members() {
-		if m.Peer().Name() != n.self.Name() {
+		if m.Peer().Name() != n.self.Name() && !(m.Learner() && l.learnersBehind) {
 			n.sendAppend(m.Peer().Name(), shared, out)
 		}
 	}
@@ -221,7 +251,8 @@
 		// previous folder doesn't apply to it.
 		*p = progress{nextIndex: n.log.lastIndex() + 1, folderID: from.FolderID()}
 	}
-	if _, member := findMember(n.log.members(), from); !member {
+	member, found := findMember(n.log.members(), from)
+	if !found {
 		return
 	}
 	p.lastContact = n.now
@@ -245,7 +276,9 @@
 	p.nextIndex = max(p.nextIndex, p.matchIndex+1)
 	n.advanceCommit()
 	n.confirmRound()
-	if p.nextIndex <= n.log.lastIndex() {
+	// A learner that was left out gets what it lacks with the next broadcast, unless that is much.
+	isLeftOut := member.Learner() && n.leaderState.learnersBehind && p.nextIndex+maxAppendEntries > n.log.lastIndex()
+	if p.nextIndex <= n.log.lastIndex() && !isLeftOut {
 		n.sendAppend(from.Name(), map[uint64]*dhmessage.AppendRequest{}, out)
 	}
 }
--- a/core/dhconsensus/node_test.go
+++ b/core/dhconsensus/node_test.go
@@ -1,6 +1,7 @@
 package dhconsensus
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"testing"
@@ -241,3 +242,71 @@
 		t.Errorf("the members get %d different requests, want one", len(requests))
 	}
 }
+
+// TestChangesTakeAMessageToEachLearner has a leader of five voters and 22 learners append an entry
+// every 20 ms for a second. All members respond after 10 ms. A learner may get 16
+// messages, a third of one for each change, must have all entries a heartbeat later, and no commit may wait for it.
+func TestChangesTakeAMessageToEachLearner(t *testing.T) {
+	var founders []dhmessage.Member
+	for i := range 27 {
+		name := fmt.Sprintf("m%02d", i)
+		founders = append(founders, dhmessage.NewMember(dhmessage.NewPeer(name, name), name+":1", i >= 5))
+	}
+	n := New(Options{Self: founders[0].Peer(), Founders: founders, ExternalPromotion: true, Now: 10_000})
+	var out dheffect.List
+	n.Tick(20_000, 1, &out)
+	for _, pre := range []bool{true, false} {
+		for _, m := range founders[1:3] {
+			n.Step(20_000, m.Peer(), dhmessage.NewVoteResponse(dhmessage.VoteResponseOptions{Term: 1, Granted: true, PreVote: pre}), &out)
+		}
+	}
+	n.RecordSynced(1, 1)
+	type response struct {
+		at   dhclock.Millis
+		from dhmessage.Peer
+		m    *dhmessage.AppendResponse
+	}
+	var responses []response
+	sent, has := map[string]int{}, map[string]uint64{}
+	run := func(from, to dhclock.Millis, propose bool) {
+		for now := from; now < to; now += 10 {
+			out.Reset()
+			for len(responses) > 0 && responses[0].at <= now {
+				n.Step(now, responses[0].from, responses[0].m, &out)
+				responses = responses[1:]
+			}
+			if propose && now%20 == 0 {
+				index, _ := n.Propose(dhmessage.Noop{}, &out)
+				n.RecordSynced(index, 1)
+			}
+			n.Flush(&out)
+			n.Tick(now, 1, &out)
+			for _, e := range out.Items() {
+				s, ok := e.(*dheffect.Send)
+				if !ok {
+					continue
+				}
+				m, ok := s.Message().(*dhmessage.AppendRequest)
+				if !ok {
+					continue
+				}
+				sent[s.To()]++
+				has[s.To()] = max(has[s.To()], m.PreviousIndex()+uint64(len(m.Entries())))
+				responses = append(responses, response{now + 10, dhmessage.NewPeer(s.To(), s.To()), dhmessage.NewAppendResponse(dhmessage.AppendResponseOptions{
+					Term: 1, Accepted: true, MatchIndex: has[s.To()], Round: m.Round(),
+				})})
+			}
+		}
+	}
+	run(20_000, 21_000, true)
+	if lag := n.LastIndex() - n.CommitIndex(); lag > 2 {
+		t.Errorf("%d entries aren't committed", lag)
+	}
+	if got := sent["m20"]; got > 16 {
+		t.Errorf("a learner gets %d messages in a second, want at most 16", got)
+	}
+	run(21_000, 21_000+2*HeartbeatInterval, false)
+	if has["m20"] < n.LastIndex() {
+		t.Errorf("a learner has entry %d of %d after two heartbeats", has["m20"], n.LastIndex())
+	}
+}
