Store the departure of an upstream that has no record

A Leave without a record was accepted if the configuration was current, and nothing was stored: a registration that another control process had under way, or a late heartbeat, made the upstream ready afterwards.

A record that the process of this start time has departed is stored before the Leave is accepted, for as long as those of other departures. The same holds for a Leave of a later start than that in the record. A Leave without a start time is handled as before.

--- a/core/dhcatalog/upstream.go
+++ b/core/dhcatalog/upstream.go
@@ -65,6 +65,15 @@
 // NewUpstream returns an upstream.
 func NewUpstream(o UpstreamOptions) Upstream { return Upstream{options: o} }
 
+// NewDepartedUpstream returns the record of an upstream that leaves without one. It keeps a
+// registration that is under way, or a late heartbeat, from making the process ready: nothing
+// but the name and the incarnation matters.
+func NewDepartedUpstream(name string, incarnation int64) Upstream {
+	return NewUpstream(UpstreamOptions{
+		Name: name, Service: "departed", Zone: "departed", Address: "0.0.0.0:1", Slots: 1, Incarnation: incarnation, State: UpstreamGone,
+	})
+}
+
 // Ref implements Object.
 func (u Upstream) Ref() Ref { return NewRef(KindUpstream, u.options.Name) }
 
--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -210,16 +210,19 @@
 	}), out)
 }
 
-// handleUpstreamDeregistration handles an upstream's deregistration. An
-// upstream without a record gets no requests, so nothing is stored for it; but
-// a process with an outdated configuration can't conclude this, and reports an
-// unknown outcome.
+// handleUpstreamDeregistration handles an upstream's deregistration. For an upstream without a
+// record, whose registration may be under way, a record that it has departed is stored. Without
+// its incarnation that is impossible: it gets no requests if the configuration here is
+// current, else the outcome is unknown.
 func (s *State) handleUpstreamDeregistration(e *dhevent.UpstreamDeregistered, out *dheffect.List) {
 	old, found := s.distribution.Catalog().Get(dhcatalog.NewRef(dhcatalog.KindUpstream, e.Name())).(dhcatalog.Upstream)
 	confirmedAt, ok := s.distribution.ConfirmedAt()
+	isOlder := found && e.Incarnation() != 0 && e.Incarnation() < old.Incarnation()
 	switch {
-	case found && e.Incarnation() != 0 && e.Incarnation() < old.Incarnation(), found && old.State() == dhcatalog.UpstreamGone:
+	case isOlder, found && old.State() == dhcatalog.UpstreamGone && e.Incarnation() <= old.Incarnation():
 		s.reply(e.CorrelationID(), s.ackResult(), out)
+	case found && e.Incarnation() > old.Incarnation(), !found && e.Incarnation() != 0:
+		s.proposeStateChange(e.CorrelationID(), dhcatalog.NewDepartedUpstream(e.Name(), e.Incarnation()), out)
 	case found:
 		s.proposeStateChange(e.CorrelationID(), old.WithState(dhcatalog.UpstreamGone), out)
 	case ok && s.now.Since(confirmedAt) < deregistrationFreshness:
--- a/core/dhreducer/departure_test.go
+++ b/core/dhreducer/departure_test.go
@@ -126,3 +126,56 @@
 		}
 	})
 }
+
+// reportAt has a control process get an upstream's report and returns its reply.
+func (d *departureTest) reportAt(m *machine, report func(correlationID uint64, at dhclock.Millis) dhevent.Event) dhmessage.Result {
+	d.lastCorrelationID++
+	id := d.lastCorrelationID
+	d.handle(m, report(id, d.clock(m)))
+	for _, replied := d.replies[id]; !replied; _, replied = d.replies[id] {
+		d.runRequests(20)
+	}
+	return d.replies[id]
+}
+
+func (d *departureTest) heartbeatAt(m *machine, u dhcatalog.Upstream) dhmessage.Result {
+	return d.reportAt(m, func(id uint64, at dhclock.Millis) dhevent.Event {
+		return dhevent.NewUpstreamHeartbeatReceived(at, dhevent.UpstreamHeartbeatReceivedOptions{CorrelationID: id, Upstream: u})
+	})
+}
+
+func (d *departureTest) leaveAt(m *machine, name string, incarnation int64) dhmessage.Result {
+	return d.reportAt(m, func(id uint64, at dhclock.Millis) dhevent.Event {
+		return dhevent.NewUpstreamDeregistered(at, dhevent.UpstreamDeregisteredOptions{CorrelationID: id, Name: name, Incarnation: incarnation})
+	})
+}
+
+func isAccepted(r dhmessage.Result) bool { return r.Err() == nil && !r.OutcomeUnknown() }
+
+// incarnationOf returns the record of u3 with an incarnation and a state.
+func incarnationOf(incarnation int64, state dhcatalog.UpstreamState) dhcatalog.Upstream {
+	return dhcatalog.NewUpstream(dhcatalog.UpstreamOptions{
+		Name: "u3", Service: "registered", Address: "10.0.0.3:1", Zone: "a1", Slots: 1000, Incarnation: incarnation, State: state,
+	})
+}
+
+// TestRegistrationUnderWayUndoesADeparture has an upstream leave at one control process before
+// another one proposes its registration, which a late heartbeat repeats. It must get no requests.
+func TestRegistrationUnderWayUndoesADeparture(t *testing.T) {
+	d := newDepartureTest(t)
+	if r := d.leaveAt(d.find("c2"), "u3", 500); !isAccepted(r) {
+		t.Fatalf("the departure has the result %+v", r)
+	}
+	for _, name := range []string{"c1", "c3", "c1"} {
+		d.heartbeatAt(d.find(name), incarnationOf(500, dhcatalog.UpstreamReady))
+		d.runRequests(2000)
+	}
+	if sent := len(d.forwarded["u3"]); sent > 0 {
+		t.Errorf("the upstream gets %d requests after its departure was accepted", sent)
+	}
+	d.heartbeatAt(d.find("c1"), incarnationOf(501, dhcatalog.UpstreamReady))
+	d.runRequests(3000)
+	if len(d.forwarded["u3"]) == 0 {
+		t.Error("the upstream gets no requests after it has started again")
+	}
+}
