Accept no drain that requests don't follow

An upstream whose clock was set back starts again under its id with an earlier start time.

While the stored record of a later start is ready, the outcome of such a drain or Leave is unknown, and the upstream asks again: a late one of a process that is gone has nobody who waits for it.

TestDrainAfterClockStepIsAcknowledgedAndIgnored was red with both accepted and requests after them.

--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -116,6 +116,8 @@
 		u = s.registry.mergeColdStart(s.now, u, old)
 	}
 	switch {
+	case found && u.State() != dhcatalog.UpstreamReady && u.Incarnation() < old.Incarnation() && old.State() == dhcatalog.UpstreamReady:
+		s.replyDisregarded(e.CorrelationID(), out)
 	case found && !u.Supersedes(old):
 		s.reply(e.CorrelationID(), s.ackResult(), out)
 	case u.State() != dhcatalog.UpstreamReady:
@@ -210,6 +212,12 @@
 	}), out)
 }
 
+// replyDisregarded tells an upstream that its drain or departure isn't certain: the record that
+// requests follow is of a later start of it, or of the same process before its clock was set back.
+func (s *State) replyDisregarded(correlationID uint64, out *dheffect.List) {
+	s.reply(correlationID, dhmessage.NewResult(dhmessage.ResultOptions{OutcomeUnknown: true}), out)
+}
+
 // handleUpstreamDeregistration handles an upstream's deregistration. For an upstream without a
 // record, whose registration may be under way, a record that it has departed is stored. Without
 // its incarnation that is impossible: it gets no requests if the configuration here is
@@ -219,6 +227,8 @@
 	confirmedAt, ok := s.distribution.ConfirmedAt()
 	isOlder := found && e.Incarnation() != 0 && e.Incarnation() < old.Incarnation()
 	switch {
+	case isOlder && old.State() == dhcatalog.UpstreamReady:
+		s.replyDisregarded(e.CorrelationID(), out)
 	case isOlder, found && old.State() == dhcatalog.UpstreamGone && e.Incarnation() <= old.Incarnation():
 		s.reply(e.CorrelationID(), s.ackResult(), out)
 	case found && e.Incarnation() > old.Incarnation(), !found && e.Incarnation() != 0:
--- a/core/dhreducer/departure_test.go
+++ b/core/dhreducer/departure_test.go
@@ -179,3 +179,22 @@
 		t.Error("the upstream gets no requests after it has started again")
 	}
 }
+
+// TestDrainAfterClockStepIsAcknowledgedAndIgnored has an upstream start again with an earlier start
+// time, as after its clock was set back. While requests follow the record of its earlier start,
+// neither its drain nor its departure may be accepted.
+func TestDrainAfterClockStepIsAcknowledgedAndIgnored(t *testing.T) {
+	d := newDepartureTest(t)
+	d.heartbeatAt(d.find("c1"), incarnationOf(2500, dhcatalog.UpstreamReady))
+	d.runRequests(2000)
+	results := map[string]dhmessage.Result{
+		"drain": d.heartbeatAt(d.find("c2"), incarnationOf(500, dhcatalog.UpstreamDraining)), "departure": d.leaveAt(d.find("c2"), "u3", 500),
+	}
+	before := len(d.forwarded["u3"])
+	d.runRequests(4000)
+	for what, r := range results {
+		if isAccepted(r) && len(d.forwarded["u3"]) > before {
+			t.Errorf("the %s was accepted and the upstream gets requests", what)
+		}
+	}
+}
