--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -178,7 +178,8 @@
 	}
 	shared := map[uint64]*dhmessage.AppendRequest{}
 	for _, m := range n.log.members() {
-		if m.Peer().Name() != n.self.Name() && !(m.Learner() && l.learnersBehind) {
+		isLeftOut := m.Learner() && l.learnersBehind
+		if m.Peer().Name() != n.self.Name() && !isLeftOut {
 			n.sendAppend(m.Peer().Name(), shared, out)
 		}
 	}
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
@@ -39,11 +38,10 @@
 		}
 	}
 	revision := c.Revision(dhcatalog.KindZone, dhcatalog.KindInstance, dhcatalog.KindService, dhcatalog.KindEvacuation)
-	topology := sync.OnceValue(func() dhsteer.Topology { return s.topology(revision) })
 	s.reachability.upstreams = 0
 	for name, g := range s.groups {
 		if records := c.UpstreamsOf(name); !g.isCurrent(records, revision) {
-			s.updateGroup(now, g, records, topology())
+			s.updateGroup(now, g, records, s.topology(revision))
 		}
 		s.reachability.upstreams += g.Size()
 	}
@@ -75,7 +73,8 @@
 }
 
 // topology returns the local region and the number of instances in each region,
-// which groups use to divide load among the regions.
+// which groups use to divide load among the regions, at a revision of the objects that they
+// depend on.
 func (s *State) topology(revision uint64) dhsteer.Topology {
 	c := s.view.Catalog()
 	t := dhsteer.Topology{
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -189,10 +189,10 @@
 	}
 	a.response, err = client.Do(request) //nolint:bodyclose // closed by attempt.close
 	if err != nil {
-		switch abandoned {
-		case errCallerLeft:
+		switch {
+		case errors.Is(abandoned, errCallerLeft):
 			return a.fail(dhevent.EndAbandoned, err)
-		case errLate:
+		case errors.Is(abandoned, errLate):
 			return a.fail(dhevent.EndUntried, errLate)
 		}
 		if !gotConnection {
