Tick instances half as often

An entry instance has no elections to time: its control state ticks every 40 ms and its traffic state every 20 ms, which is the precision of the deadlines of waiting requests.

--- a/io/dhloop/loop.go
+++ b/io/dhloop/loop.go
@@ -26,8 +26,10 @@
 	// maxBatchSize bounds the events that the loop takes from the mailbox to
 	// complete a batch.
 	maxBatchSize = 256
-	// TickInterval is the time between two Ticked events.
+	// TickInterval is the time between two Ticked events of a voter or learner.
 	TickInterval = 20 * time.Millisecond
+	// EntryTickInterval is that time for an entry instance, which has no elections to time.
+	EntryTickInterval = 40 * time.Millisecond
 )
 
 // Seams connect the loop to the rest of the process. No function may block,
@@ -38,6 +40,8 @@
 	Self dhmessage.Peer
 	// Clock returns the clock readings of the events that the loop creates.
 	Clock dhtime.Clock
+	// TickInterval is the time between two Ticked events.
+	TickInterval time.Duration
 	// Random returns the random number of a Ticked event.
 	Random func() uint64
 	// Send sends a message to another process.
@@ -97,7 +101,7 @@
 // Run processes events until the context ends or writing to the data folder
 // fails.
 func (l *Loop) Run(ctx context.Context) error {
-	ticker := time.NewTicker(TickInterval)
+	ticker := time.NewTicker(l.seams.TickInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -237,11 +237,13 @@
 		Advertised: p.options.Advertised, Managed: p.options.Managed, ContactTimeout: p.options.ContactTimeout,
 	}
 	o.Voters = namesOf(p.options.Voters)
+	tickInterval := dhloop.EntryTickInterval
 	if p.options.Role == dhsettings.RoleControl {
 		o.Consensus = p.consensusOptions(self, startID)
+		tickInterval = dhloop.TickInterval
 	}
 	seams := dhloop.Seams{
-		Self: self, Clock: p.options.Clock, Random: randomNumber,
+		Self: self, Clock: p.options.Clock, TickInterval: tickInterval, Random: randomNumber,
 		Send:         func(to string, m dhmessage.Message) { p.sender.Send(to, m) },
 		Persist:      func([]*dheffect.Persist) error { return nil },
 		SaveSnapshot: func(*dheffect.SaveSnapshot) error { return nil },
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -36,12 +36,15 @@
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 64 << 10
 	// trafficTickInterval is the time between two TrafficTicked events.
-	trafficTickInterval = 10 * time.Millisecond
+	trafficTickInterval = 20 * time.Millisecond
+	// stopCheckInterval is the time between two checks whether callers still send requests to a
+	// process that stops.
+	stopCheckInterval = 10 * time.Millisecond
 	// minRefusalTime is the minimum time for which a stopping instance refuses new
 	// requests before it closes its listeners, so that late callers get a
 	// refusal instead of a connection error, in milliseconds.
 	minRefusalTime dhclock.Millis = 500
-	// quietTicks is for how many intervals of traffic ticks no caller must have sent anything
+	// quietTicks is for how many stopCheckIntervals no caller must have sent anything
 	// before a stopping instance closes connections that callers keep open: longer than a
 	// request takes on its way between distant regions. They are counted, because time also
 	// passes while the process is paused and reads nothing.
@@ -275,7 +278,7 @@
 // until one time and at most until another. From the former on it accepts no new connections,
 // but requests on open ones still get an answer.
 func (p *Process) waitForCallers(earliest, latest dhclock.Millis) {
-	ticker := time.NewTicker(trafficTickInterval)
+	ticker := time.NewTicker(stopCheckInterval)
 	defer ticker.Stop()
 	isListening := p.callerListener != nil
 	quiet, activity := 0, int64(0)
