Confirm a configuration although the next version is on its way

A confirmation counts only for a process that has the version that it was issued for.

The confirmation of a version that isn't here is kept, and counts once the version is.

--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -362,6 +362,7 @@
 		s.PollNow()
 	}
 	if s.catalog.Version() < m.Version() {
+		s.deferConfirmation(m)
 		s.followReferral(now, from, m.Members())
 		return
 	}
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -115,6 +115,8 @@
 	appliedAt     dhclock.Millis
 	confirmedAt   dhclock.Millis
 	everConfirmed bool
+	// pendingConfirmation is a confirmation of a version that isn't here yet; nil for none.
+	pendingConfirmation *pendingConfirmation
 	unavailable   []dhmessage.UnavailableInstance
 	inForce       uint64
 	members       []dhmessage.Member
@@ -324,6 +326,7 @@
 	}
 	if s.versionAdvanced {
 		s.versionAdvanced = false
+		s.applyPendingConfirmation()
 		s.pushUpdates(now, out)
 		s.PollNow()
 		s.sendPoll(now, out)
