Let members poll the leader in intervals, not for each version

Each version made all members of the group poll the leader at once, to tell it of a version that the leader itself had sent them in the log.

Members poll in their interval, and when they have acknowledgements of instances to forward. A confirmation that is of a newer version than theirs counts once they have it, so theirs don't get older.

TestMembersPollTheLeaderForEachVersion was red with one poll.

--- a/core/dhdistribution/confirmation_test.go
+++ b/core/dhdistribution/confirmation_test.go
@@ -31,6 +31,24 @@
 	}
 }
 
+// TestMembersPollTheLeaderForEachVersion has a learner get a version from the log. It must not
+// poll the leader, which sent it.
+func TestMembersPollTheLeaderForEachVersion(t *testing.T) {
+	leader := newLeader(3, 3)
+	s := New(Options{Self: "c2", Zone: "z", IsVoter: true, Voters: []string{"c1"}})
+	s.SetLeader("c1")
+	var out dheffect.List
+	s.Tick(1000, &out)
+	out.Reset()
+	s.SetCatalog(1010, leader.Catalog(), leader.History())
+	s.EndBatch(1010, &out)
+	for _, e := range out.Items() {
+		if send, ok := e.(*dheffect.Send); ok {
+			t.Errorf("the learner sends %T", send.Message())
+		}
+	}
+}
+
 // changesOf returns the change set that leads to a version.
 func changesOf(s *State, version int) []dhcatalog.ChangeSet {
 	sets, _ := s.changeSetsSince(uint64(version - 1))
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -328,8 +328,10 @@
 		s.versionAdvanced = false
 		s.applyPendingConfirmation()
 		s.pushUpdates(now, out)
-		s.PollNow()
-		s.sendPoll(now, out)
+		if !s.isVoter {
+			s.PollNow()
+			s.sendPoll(now, out)
+		}
 	}
 	if !s.viewChanged {
 		return
