Let the leader serve instances last

On the large fleet three control processes run in each zone and share its instances.

Instances list the leader last of the members in their zone. Where it is the only one there, nothing changes.

TestLeaderServesInstancesThatOthersCould: 10 of 30 instances polled the leader first and asked it first, now none.

--- a/core/dhdistribution/distribution_test.go
+++ b/core/dhdistribution/distribution_test.go
@@ -435,3 +435,21 @@
 		}
 	}
 }
+
+// TestLeaderServesInstancesThatOthersCould has three members run in the zone of 30 instances, one of
+// which leads. No instance may have it as its first parent, nor as the first to ask for tokens.
+// Where it is the only one of the zone, it must be both.
+func TestLeaderServesInstancesThatOthersCould(t *testing.T) {
+	for i := range 30 {
+		s := New(Options{Self: fmt.Sprint("i", i), Zone: "z", Voters: []string{"c1"}, Now: 1})
+		s.SetMembers([]dhmessage.Member{memberIn("c1", "z"), memberIn("c2", "z"), memberIn("c3", "z"), memberIn("d1", "y")})
+		s.SetLeader("c2")
+		if parent, nearest := s.parentCandidates()[0], s.NearestMembers()[0]; parent == "c2" || nearest == "c2" {
+			t.Errorf("i%d polls %s and asks %s first", i, parent, nearest)
+		}
+		s.SetMembers([]dhmessage.Member{memberIn("c2", "z"), memberIn("d1", "y")})
+		if parent, nearest := s.parentCandidates()[0], s.NearestMembers()[0]; parent != "c2" || nearest != "c2" {
+			t.Errorf("i%d polls %s and asks %s first, want the only member of its zone", i, parent, nearest)
+		}
+	}
+}
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -95,13 +95,23 @@
 	if len(s.members) == 0 {
 		far, s.otherSeeds = s.otherSeeds, nil
 	}
-	s.nearMembers, s.farMembers, s.nearestMembers = s.rotated(near), s.rotated(far), nil
+	s.nearMembers, s.farMembers, s.nearestMembers = s.leaderLast(s.rotated(near)), s.rotated(far), nil
 	s.otherSeeds = s.rotated(s.otherSeeds)
 	if len(near) > 0 {
 		s.nearestMembers = slices.Concat(s.nearMembers, s.farMembers)
 	}
 }
 
+// leaderLast returns the members of this process's zone with the leader at their end. It has work
+// that no other member can take over.
+func (s *State) leaderLast(members []string) []string {
+	i := slices.Index(members, s.leader)
+	if i < 0 {
+		return members
+	}
+	return slices.Concat(members[:i], members[i+1:], members[i:i+1])
+}
+
 // NearestMembers lists the members of the consensus group, those in this process's zone first,
 // each part from an index derived from the process's name on. It is empty if none is known to
 // run in the zone. The caller must not change the slice.
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -117,9 +117,9 @@
 	everConfirmed bool
 	// pendingConfirmation is a confirmation of a version that isn't here yet; nil for none.
 	pendingConfirmation *pendingConfirmation
-	unavailable   []dhmessage.UnavailableInstance
-	inForce       uint64
-	members       []dhmessage.Member
+	unavailable         []dhmessage.UnavailableInstance
+	inForce             uint64
+	members             []dhmessage.Member
 	// nearMembers, farMembers and nearestMembers name the members; see sortMembers.
 	nearMembers, farMembers, nearestMembers []string
 	// otherSeeds names the processes of the settings that aren't known as members.
@@ -186,6 +186,7 @@
 func (s *State) SetLeader(name string) {
 	if name != s.leader {
 		s.leader, s.viewChanged = name, true
+		s.sortMembers()
 	}
 }
 
