Respond to a token request in its call

A request for a token costs an instance of the large fleet two calls, its own and one in which the token comes: the member that it asks waits 6 ms for a response, and the leader is 40 ms away in another region.

The member waits 200 ms, which is as long as a request waits for its token, and not at all where the message only reports what was spent.

TestTokensTakeACallOfTheirOwn was red without a response in the call.

--- a/io/dhpeer/encoded_test.go
+++ b/io/dhpeer/encoded_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhmessage"
@@ -40,3 +41,28 @@
 		t.Error("another body gets the form of the first")
 	}
 }
+
+// TestTokensTakeACallOfTheirOwn sends a request for tokens that is answered after 60 ms, by a process
+// that knows no address of the sender. The response must arrive in the call. A report without
+// a demand must end its call at once.
+func TestTokensTakeACallOfTheirOwn(t *testing.T) {
+	p := newPair(t, "secret")
+	p.responseDelay.Store(int64(60 * time.Millisecond))
+	request := func(id uint64, amount dhmessage.Tokens) *dhmessage.GrantRequest {
+		return dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{
+			StartID: id, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", amount, 0, 0)},
+		})
+	}
+	p.sender.Send("b", request(7, dhmessage.Token))
+	select {
+	case m := <-p.responses:
+		if r, ok := m.(*dhmessage.Redirect); !ok || r.CorrelationID() != 7 {
+			t.Errorf("got %#v in response", m)
+		}
+	case <-time.After(time.Second):
+		t.Fatal("no response arrived")
+	}
+	if got := responseWaitFor(request(8, 0)); got != 0 {
+		t.Errorf("a call with a report waits for %v", got)
+	}
+}
--- a/io/dhpeer/peer_test.go
+++ b/io/dhpeer/peer_test.go
@@ -27,6 +27,8 @@
 	received    chan dhmessage.Message
 	lastSender  atomic.Value
 	mailboxFull atomic.Bool
+	// responseDelay is how long process b waits before it answers a GrantRequest.
+	responseDelay atomic.Int64
 	// responses are the messages that the responses of the sender's calls carry.
 	responses chan dhmessage.Message
 }
@@ -57,7 +59,14 @@
 			}
 			p.lastSender.Store(from)
 			if request, ok := m.(*dhmessage.GrantRequest); ok {
-				senderOfB.Send(from.Name(), dhmessage.NewRedirect(dhmessage.RedirectOptions{CorrelationID: request.StartID()}))
+				respond := func() {
+					senderOfB.Send(from.Name(), dhmessage.NewRedirect(dhmessage.RedirectOptions{CorrelationID: request.StartID()}))
+				}
+				if delay := time.Duration(p.responseDelay.Load()); delay > 0 {
+					time.AfterFunc(delay, respond)
+				} else {
+					respond()
+				}
 			}
 			p.received <- m
 			return true
--- a/io/dhpeer/receiver.go
+++ b/io/dhpeer/receiver.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -58,6 +59,10 @@
 // response message, so that most responses need no call of their own.
 const responseWait = 6 * time.Millisecond
 
+// grantResponseWait is that time for a request for tokens, which a member of the consensus group
+// passes on to a leader in another region. A call back would cost both sides as much again.
+const grantResponseWait = 200 * time.Millisecond
+
 // Deliver implements the PeerService. Its response carries the messages to the
 // caller that this process sends while the call is open.
 func (r *Receiver) Deliver(ctx context.Context, request *dhproto.DeliverRequest) (*dhproto.DeliverResponse, error) {
@@ -70,10 +75,10 @@
 	from := dhmessage.NewPeer(sender.GetName(), sender.GetFolder())
 	r.options.RecordAddress(sender.GetName(), sender.GetAddress())
 	responses, end := r.options.CollectResponses(from.Name())
-	responseExpected, err := r.receive(from, request.GetMessages())
+	wait, err := r.receive(from, request.GetMessages())
 	var list []dhmessage.Message
-	if responseExpected && err == nil {
-		list = waitForResponse(ctx, responses)
+	if wait > 0 && err == nil {
+		list = waitForResponse(ctx, responses, wait)
 	}
 	list = append(list, end()...)
 	if err != nil {
@@ -87,10 +92,10 @@
 	return response, nil
 }
 
-// receive decodes messages and passes them to Receive. It reports whether one
-// of them expects a response. A message that can't be decoded, such as one of a later
+// receive decodes messages and passes them to Receive. It returns how long to wait for a
+// response to one of them. A message that can't be decoded, such as one of a later
 // release, counts as lost and doesn't affect the others.
-func (r *Receiver) receive(from dhmessage.Peer, list []*dhproto.Message) (responseExpected bool, err error) {
+func (r *Receiver) receive(from dhmessage.Peer, list []*dhproto.Message) (wait time.Duration, err error) {
 	for _, x := range list {
 		m, err := dhwire.MessageFromWire(x)
 		if err != nil {
@@ -98,28 +103,32 @@
 			continue
 		}
 		if !r.options.Receive(from, m) {
-			return false, connect.NewError(connect.CodeResourceExhausted, errors.New("the receiver's mailbox is full; messages are dropped"))
+			return 0, connect.NewError(connect.CodeResourceExhausted, errors.New("the receiver's mailbox is full; messages are dropped"))
 		}
-		responseExpected = responseExpected || expectsResponse(m)
+		wait = max(wait, responseWaitFor(m))
 	}
-	return responseExpected, nil
+	return wait, nil
 }
 
-// expectsResponse reports whether a message is usually answered within
-// responseWait.
-func expectsResponse(m dhmessage.Message) bool {
-	switch m.(type) {
-	case *dhmessage.VoteRequest, *dhmessage.AppendRequest, *dhmessage.Poll, *dhmessage.GrantRequest, *dhmessage.RelayedGrantRequests, *dhmessage.ProposeRequest, *dhmessage.ReservationRequest:
-		return true
+// responseWaitFor returns how long a call waits for the response to a message; 0 if there is
+// usually none in that time.
+func responseWaitFor(m dhmessage.Message) time.Duration {
+	switch m := m.(type) {
+	case *dhmessage.GrantRequest:
+		if slices.ContainsFunc(m.Demands(), func(d dhmessage.TokenDemand) bool { return d.Amount() > 0 }) {
+			return grantResponseWait
+		}
+		return 0
+	case *dhmessage.VoteRequest, *dhmessage.AppendRequest, *dhmessage.Poll, *dhmessage.RelayedGrantRequests, *dhmessage.ProposeRequest, *dhmessage.ReservationRequest:
+		return responseWait
 	default:
-		return false
+		return 0
 	}
 }
 
-// waitForResponse returns the first response that arrives within responseWait,
-// if any.
-func waitForResponse(ctx context.Context, responses chan dhmessage.Message) []dhmessage.Message {
-	timer := time.NewTimer(responseWait)
+// waitForResponse returns the first response that arrives within a time, if any.
+func waitForResponse(ctx context.Context, responses chan dhmessage.Message, wait time.Duration) []dhmessage.Message {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case m := <-responses:
