Acknowledge versions together in large clusters

Where there are more than 100 instances, one acknowledges what is new after as many milliseconds as there are instances, 250 at most. Its confirmations are younger for it than with the usual interval of 400 to 800 ms.

TestInstancesPollForEachVersion: 20 polls a second before, 3 to 5 wanted.

--- a/core/dhdistribution/ack_test.go
+++ b/core/dhdistribution/ack_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhmessage"
@@ -47,3 +48,48 @@
 		}
 	}
 }
+
+// TestInstancesPollForEachVersion has one of 273 instances get a version every 50 ms. It may
+// acknowledge them with four polls a second. One of 14 instances must acknowledge each at once.
+func TestInstancesPollForEachVersion(t *testing.T) {
+	for _, c := range []struct{ instances, least, most int }{{273, 3, 5}, {14, 20, 25}} {
+		objects := []dhcatalog.Object{dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "z", Region: "r"})}
+		for i := range c.instances {
+			objects = append(objects, dhcatalog.NewInstance(dhcatalog.InstanceOptions{
+				Name: fmt.Sprintf("i%03d", i), Zone: "z", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2",
+			}))
+		}
+		set := dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: objects})
+		leader, err := dhcatalog.New().Apply(set)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := New(Options{Self: "i000", Zone: "z", Voters: []string{"c1"}, Now: 1})
+		s.SetMembers([]dhmessage.Member{memberIn("c1", "z")})
+		var out dheffect.List
+		s.HandleUpdate(900, "c1", dhmessage.NewUpdate(dhmessage.UpdateOptions{PollSentAt: 899, Version: 1, EverConfirmed: true, Full: leader}), &out)
+		s.EndBatch(900, &out)
+		polls := 0
+		for now := dhclock.Millis(1000); now < 2000; now += 10 {
+			out.Reset()
+			if now%50 == 0 {
+				next, change := nextChange(s.Catalog())
+				s.HandleUpdate(now, "c1", dhmessage.NewUpdate(dhmessage.UpdateOptions{
+					PollSentAt: now - 5, Version: next.Version(), EverConfirmed: true, Changes: []dhcatalog.ChangeSet{change.ChangeSet()},
+				}), &out)
+				s.EndBatch(now, &out)
+			}
+			s.Tick(now, &out)
+			for _, e := range out.Items() {
+				if send, ok := e.(*dheffect.Send); ok {
+					if _, isPoll := send.Message().(*dhmessage.Poll); isPoll {
+						polls++
+					}
+				}
+			}
+		}
+		if polls < c.least || polls > c.most {
+			t.Errorf("one of %d instances sends %d polls in a second, want %d to %d", c.instances, polls, c.least, c.most)
+		}
+	}
+}
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -266,10 +266,14 @@
 
 // ackInterval returns the least time between two polls that forward new acknowledgements.
 func (s *State) ackInterval() dhclock.Millis {
-	if !s.isVoter {
+	if s.isVoter {
+		return max(ackInterval, ackIntervalStep*dhclock.Millis(len(s.members)))
+	}
+	instances := dhclock.Millis(s.catalog.InstanceCount())
+	if instances <= promptInstances {
 		return ackInterval
 	}
-	return max(ackInterval, ackIntervalStep*dhclock.Millis(len(s.members)))
+	return min(maxInstanceAckInterval, instanceAckIntervalStep*instances)
 }
 
 func (s *State) sendPoll(now dhclock.Millis, out *dheffect.List) {
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -45,6 +45,10 @@
 	// all of them poll the leader.
 	ackInterval     dhclock.Millis = 60
 	ackIntervalStep dhclock.Millis = 10
+	// instanceAckIntervalStep is what each instance of a large cluster adds to the time between
+	// two polls of an instance with new acknowledgements, up to maxInstanceAckInterval.
+	instanceAckIntervalStep dhclock.Millis = 1
+	maxInstanceAckInterval  dhclock.Millis = 250
 	// parentTimeout is the time without a response after which another parent
 	// is tried.
 	parentTimeout dhclock.Millis = 900
@@ -68,6 +72,9 @@
 	instanceTimeout dhclock.Millis = 3000
 )
 
+// promptInstances is the number of instances up to which each acknowledges a version at once.
+const promptInstances = 100
+
 // smallZone is the number of instances up to which a zone polls at the shortest
 // interval.
 const smallZone = 8
@@ -329,7 +336,11 @@
 		s.versionAdvanced = false
 		s.applyPendingConfirmation()
 		s.pushUpdates(now, out)
-		if !s.isVoter {
+		switch {
+		case s.isVoter:
+		case s.catalog.InstanceCount() > promptInstances:
+			s.hasNewAcks = true
+		default:
 			s.PollNow()
 			s.sendPoll(now, out)
 		}
