Bound the start time of an upstream that leaves without telling it

The process has started before its Leave arrived. A record that all its processes that started until then have departed is stored. It isn't deleted as that of a service that isn't configured.

--- a/core/dhcatalog/upstream.go
+++ b/core/dhcatalog/upstream.go
@@ -70,10 +70,19 @@
 // but the name and the incarnation matters.
 func NewDepartedUpstream(name string, incarnation int64) Upstream {
 	return NewUpstream(UpstreamOptions{
-		Name: name, Service: "departed", Zone: "departed", Address: "0.0.0.0:1", Slots: 1, Incarnation: incarnation, State: UpstreamGone,
+		Name: name, Service: departedService, Zone: departedService, Address: "0.0.0.0:1", Slots: 1, Incarnation: incarnation, State: UpstreamGone,
 	})
 }
 
+// departedService takes the place of the unknown service of an upstream that leaves without a
+// record.
+const departedService = "departed"
+
+// IsDeparted reports whether this is the record of an upstream that left without one.
+func (u Upstream) IsDeparted() bool {
+	return u.options.State == UpstreamGone && u.options.Service == departedService
+}
+
 // Ref implements Object.
 func (u Upstream) Ref() Ref { return NewRef(KindUpstream, u.options.Name) }
 
--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -1,6 +1,7 @@
 package dhcontrol
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -162,7 +163,7 @@
 	}
 	var list []dhcatalog.Ref
 	for _, v := range s.rivals(u) {
-		if v.Incarnation() > u.Incarnation() && !s.isConfigured(v) {
+		if v.Incarnation() > u.Incarnation() && !s.isConfigured(v) && !v.IsDeparted() {
 			list = append(list, v.Ref())
 		}
 	}
@@ -219,20 +220,21 @@
 }
 
 // handleUpstreamDeregistration handles an upstream's deregistration. For an upstream without a
-// record, whose registration may be under way, a record that it has departed is stored. Without
-// its incarnation that is impossible: it gets no requests if the configuration here is
-// current, else the outcome is unknown.
+// record, whose registration may be under way, a record that it has departed is stored. If its
+// incarnation can't be bounded that is impossible: it gets no requests if the configuration here
+// is current, else the outcome is unknown.
 func (s *State) handleUpstreamDeregistration(e *dhevent.UpstreamDeregistered, out *dheffect.List) {
 	old, found := s.distribution.Catalog().Get(dhcatalog.NewRef(dhcatalog.KindUpstream, e.Name())).(dhcatalog.Upstream)
 	confirmedAt, ok := s.distribution.ConfirmedAt()
+	departed := cmp.Or(e.Incarnation(), e.LatestIncarnation())
 	isOlder := found && e.Incarnation() != 0 && e.Incarnation() < old.Incarnation()
 	switch {
 	case isOlder && old.State() == dhcatalog.UpstreamReady:
 		s.replyDisregarded(e.CorrelationID(), out)
 	case isOlder, found && old.State() == dhcatalog.UpstreamGone && e.Incarnation() <= old.Incarnation():
 		s.reply(e.CorrelationID(), s.ackResult(), out)
-	case found && e.Incarnation() > old.Incarnation(), !found && e.Incarnation() != 0:
-		s.proposeStateChange(e.CorrelationID(), dhcatalog.NewDepartedUpstream(e.Name(), e.Incarnation()), out)
+	case found && e.Incarnation() > old.Incarnation(), !found && departed != 0:
+		s.proposeStateChange(e.CorrelationID(), dhcatalog.NewDepartedUpstream(e.Name(), departed), out)
 	case found:
 		s.proposeStateChange(e.CorrelationID(), old.WithState(dhcatalog.UpstreamGone), out)
 	case ok && s.now.Since(confirmedAt) < deregistrationFreshness:
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -284,6 +284,9 @@
 	// it doesn't. A request from an earlier incarnation than the registered one
 	// has no effect.
 	Incarnation int64 `journal:"Lifetime"`
+	// LatestIncarnation is the latest start time that the process can have if it doesn't report
+	// its own: when the request arrived. It is 0 if upstreams report no start times.
+	LatestIncarnation int64 `journal:"LatestIncarnation,omitZero"`
 }
 
 // UpstreamDeregistered is the request of a registered upstream to be removed.
@@ -307,6 +310,10 @@
 // it doesn't.
 func (e *UpstreamDeregistered) Incarnation() int64 { return e.options.Incarnation }
 
+// LatestIncarnation returns the latest start time that the process can have if it doesn't report
+// its own; 0 if upstreams report no start times.
+func (e *UpstreamDeregistered) LatestIncarnation() int64 { return e.options.LatestIncarnation }
+
 // SeedsChanged reports that the settings name other seeds than before.
 type SeedsChanged struct {
 	stamp
--- a/core/dhreducer/departure_test.go
+++ b/core/dhreducer/departure_test.go
@@ -144,9 +144,11 @@
 	})
 }
 
-func (d *departureTest) leaveAt(m *machine, name string, incarnation int64) dhmessage.Result {
+func (d *departureTest) leaveAt(m *machine, name string, incarnation, latest int64) dhmessage.Result {
 	return d.reportAt(m, func(id uint64, at dhclock.Millis) dhevent.Event {
-		return dhevent.NewUpstreamDeregistered(at, dhevent.UpstreamDeregisteredOptions{CorrelationID: id, Name: name, Incarnation: incarnation})
+		return dhevent.NewUpstreamDeregistered(at, dhevent.UpstreamDeregisteredOptions{
+			CorrelationID: id, Name: name, Incarnation: incarnation, LatestIncarnation: latest,
+		})
 	})
 }
 
@@ -160,23 +162,26 @@
 }
 
 // TestRegistrationUnderWayUndoesADeparture has an upstream leave at one control process before
-// another one proposes its registration, which a late heartbeat repeats. It must get no requests.
+// another one proposes its registration, which a late heartbeat repeats. It must get no requests,
+// whether or not it reports its start time when it leaves.
 func TestRegistrationUnderWayUndoesADeparture(t *testing.T) {
-	d := newDepartureTest(t)
-	if r := d.leaveAt(d.find("c2"), "u3", 500); !isAccepted(r) {
-		t.Fatalf("the departure has the result %+v", r)
-	}
-	for _, name := range []string{"c1", "c3", "c1"} {
-		d.heartbeatAt(d.find(name), incarnationOf(500, dhcatalog.UpstreamReady))
-		d.runRequests(2000)
-	}
-	if sent := len(d.forwarded["u3"]); sent > 0 {
-		t.Errorf("the upstream gets %d requests after its departure was accepted", sent)
-	}
-	d.heartbeatAt(d.find("c1"), incarnationOf(501, dhcatalog.UpstreamReady))
-	d.runRequests(3000)
-	if len(d.forwarded["u3"]) == 0 {
-		t.Error("the upstream gets no requests after it has started again")
+	for _, incarnation := range []int64{500, 0} {
+		d := newDepartureTest(t)
+		if r := d.leaveAt(d.find("c2"), "u3", incarnation, 900); !isAccepted(r) {
+			t.Fatalf("the departure has the result %+v", r)
+		}
+		for _, name := range []string{"c1", "c3", "c1"} {
+			d.heartbeatAt(d.find(name), incarnationOf(500, dhcatalog.UpstreamReady))
+			d.runRequests(2000)
+		}
+		if sent := len(d.forwarded["u3"]); sent > 0 {
+			t.Errorf("start time %d: the upstream gets %d requests after its departure was accepted", incarnation, sent)
+		}
+		d.heartbeatAt(d.find("c1"), incarnationOf(901, dhcatalog.UpstreamReady))
+		d.runRequests(3000)
+		if len(d.forwarded["u3"]) == 0 {
+			t.Errorf("start time %d: the upstream gets no requests after it has started again", incarnation)
+		}
 	}
 }
 
@@ -188,7 +193,7 @@
 	d.heartbeatAt(d.find("c1"), incarnationOf(2500, dhcatalog.UpstreamReady))
 	d.runRequests(2000)
 	results := map[string]dhmessage.Result{
-		"drain": d.heartbeatAt(d.find("c2"), incarnationOf(500, dhcatalog.UpstreamDraining)), "departure": d.leaveAt(d.find("c2"), "u3", 500),
+		"drain": d.heartbeatAt(d.find("c2"), incarnationOf(500, dhcatalog.UpstreamDraining)), "departure": d.leaveAt(d.find("c2"), "u3", 500, 0),
 	}
 	before := len(d.forwarded["u3"])
 	d.runRequests(4000)
--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -131,10 +131,11 @@
 }
 
 // DeregisterUpstream deregisters an upstream that stops. The incarnation is 0 if the
-// upstream doesn't report when it started.
-func (c *Client) DeregisterUpstream(ctx context.Context, name string, incarnation int64) (dhmessage.Result, error) {
+// upstream doesn't report when it started, and the latest incarnation the one that it has then
+// at the latest.
+func (c *Client) DeregisterUpstream(ctx context.Context, name string, incarnation, latestIncarnation int64) (dhmessage.Result, error) {
 	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
-		return dhevent.NewUpstreamDeregistered(at, dhevent.UpstreamDeregisteredOptions{CorrelationID: correlationID, Name: name, Incarnation: incarnation})
+		return dhevent.NewUpstreamDeregistered(at, dhevent.UpstreamDeregisteredOptions{CorrelationID: correlationID, Name: name, Incarnation: incarnation, LatestIncarnation: latestIncarnation})
 	})
 	return resultOf(e), err
 }
