Let no message wait for the tokens of others

Since tokens come in the responses of calls, a call to a member is open until the leader has responded, and four calls to one peer are under way at most: at instances with 30 requests a second and more, token requests and polls waited for a free call.

A call with a token request counts among the four for 20 ms, and more connections are kept for it.

TestMessagesWaitForTokens: a message behind eight token requests arrived after 153 ms before, at most 100 ms allowed.

--- a/io/dhpeer/encoded_test.go
+++ b/io/dhpeer/encoded_test.go
@@ -66,3 +66,26 @@
 		t.Errorf("a call with a report waits for %v", got)
 	}
 }
+
+// TestMessagesWaitForTokens sends eight requests for tokens that are answered after 150 ms, and then
+// another message, which must arrive long before.
+func TestMessagesWaitForTokens(t *testing.T) {
+	p := newPair(t, "secret")
+	p.responseDelay.Store(int64(150 * time.Millisecond))
+	startedAt := time.Now()
+	for id := range uint64(8) {
+		p.sender.Send("b", dhmessage.NewGrantRequest(dhmessage.GrantRequestOptions{
+			StartID: id, Demands: []dhmessage.TokenDemand{dhmessage.NewTokenDemand("o", dhmessage.Token, 0, 0)},
+		}))
+		time.Sleep(2 * time.Millisecond)
+	}
+	p.sender.Send("b", newPoll(1))
+	for m := range p.received {
+		if _, isPoll := m.(*dhmessage.Poll); isPoll {
+			break
+		}
+	}
+	if took := time.Since(startedAt); took > 100*time.Millisecond {
+		t.Errorf("the message arrived after %v, want 100 ms at most", took)
+	}
+}
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -35,6 +35,12 @@
 	// uses another connection, which works at once on a repaired link, while a call
 	// over a congested one goes on.
 	slotTimeout = 1 * time.Second
+	// grantSlotTimeout is that time for a call with a token request, which waits for a leader
+	// that may be far away: other messages must not wait for it as well.
+	grantSlotTimeout = 20 * time.Millisecond
+	// maxIdleConnections is how many unused connections to one peer are kept. Calls with token
+	// requests use more than maxConcurrentCalls at times.
+	maxIdleConnections = 16
 	// callTimeout ends a call without a response. It covers the round trips of a
 	// handshake and of the call over a congested link.
 	callTimeout = 6 * time.Second
@@ -105,7 +111,7 @@
 	client := &http.Client{Transport: responseLimiter{next: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSClientConfig:     o.TLS,
-		MaxIdleConnsPerHost: maxConcurrentCalls,
+		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     connectionIdleTimeout,
 		DisableCompression:  true,
 
@@ -201,7 +207,7 @@
 			calls <- struct{}{}
 			list := collectBatch(m, q)
 			release := sync.OnceFunc(func() { <-calls })
-			timer := time.AfterFunc(slotTimeout, release)
+			timer := time.AfterFunc(slotTimeoutOf(list), release)
 			s.goroutines.Go(func() {
 				defer release()
 				defer timer.Stop()
@@ -211,6 +217,14 @@
 	}
 }
 
+// slotTimeoutOf returns how long a call with some messages counts among maxConcurrentCalls.
+func slotTimeoutOf(list []dhmessage.Message) time.Duration {
+	if slices.ContainsFunc(list, func(m dhmessage.Message) bool { return responseWaitFor(m) == grantResponseWait }) {
+		return grantSlotTimeout
+	}
+	return slotTimeout
+}
+
 // removeIdleQueue removes the queue of a peer, unless a message has been queued
 // in the meantime. It reports whether it removed the queue.
 func (s *Sender) removeIdleQueue(to string, q chan dhmessage.Message) bool {
