--- a/core/dhdistribution/detachment.go
+++ b/core/dhdistribution/detachment.go
@@ -18,6 +18,7 @@
 	heardAt    dhclock.Millis
 	parentAge  dhclock.Millis
 	isDetached bool
+	lastUpdate dhclock.Millis // when isDetached was last updated
 	// lastProbe is when another candidate than the parent was last asked, and probes how often.
 	lastProbe dhclock.Millis
 	probes    int
@@ -33,12 +34,21 @@
 	s.detachment.heardAt, s.detachment.parentAge = now, m.Age()
 }
 
-// updateDetachment updates whether no newer confirmation is to be had.
+// maxUpdateGap is the longest time between two updates of a detachment in a process that runs, in
+// milliseconds.
+const maxUpdateGap dhclock.Millis = 500
+
+// updateDetachment updates whether no newer confirmation is to be had. While this process was
+// paused it heard nothing, which doesn't show that nobody has sent anything.
 func (s *State) updateDetachment(now dhclock.Millis) {
-	c := &s.detachment
-	isDetached := s.everConfirmed && (now.Since(c.heardAt) > c.timeout || c.parentAge > maxConfirmationAge)
-	if isDetached != c.isDetached {
-		c.isDetached, s.viewChanged = isDetached, true
+	d := &s.detachment
+	if gap := now.Since(d.lastUpdate); gap > maxUpdateGap {
+		d.heardAt += gap
+	}
+	d.lastUpdate = now
+	isDetached := s.everConfirmed && (now.Since(d.heardAt) > d.timeout || d.parentAge > maxConfirmationAge)
+	if isDetached != d.isDetached {
+		d.isDetached, s.viewChanged = isDetached, true
 	}
 }
 
--- a/core/dhreducer/departure_test.go
+++ b/core/dhreducer/departure_test.go
@@ -127,6 +127,25 @@
 	})
 }
 
+// TestPausedInstanceTakesItsPauseForSilence pauses an instance for 8 s, in which the drain of an
+// upstream is accepted. Requests that it gets before it has heard of anything must not go there.
+func TestPausedInstanceTakesItsPauseForSilence(t *testing.T) {
+	d := newDepartureTest(t)
+	d.entry.frozen = true
+	drain := d.propose(d.leader(), dhmessage.NewEdit("registry", []dhcatalog.Object{departingUpstream("u1", dhcatalog.UpstreamDraining)}, nil))
+	d.run(8000)
+	if r, replied := d.replies[drain]; !replied || !isAccepted(r) {
+		t.Fatalf("the drain has the result %+v", r)
+	}
+	before := len(d.forwarded["u1"])
+	d.entry.frozen = false
+	d.entryLinkDelay = 1000
+	d.runRequests(6000)
+	if sent := len(d.forwarded["u1"]) - before; sent > 0 {
+		t.Errorf("the upstream gets %d requests after the pause", sent)
+	}
+}
+
 // reportAt has a control process get an upstream's report and returns its reply.
 func (d *departureTest) reportAt(m *machine, report func(correlationID uint64, at dhclock.Millis) dhevent.Event) dhmessage.Result {
 	d.lastCorrelationID++
