Be ready once the traffic state has the configuration

An instance was ready as soon as its control state had a confirmed configuration. The traffic state gets it through a queue, and refuses requests until then: under load, callers that waited for readiness were refused.

That this race is the cause is likely, not shown.

TestInstanceIsReadyBeforeItsTrafficStateHasTheConfiguration was red.

--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -70,6 +70,8 @@
 	serverLog      *log.Logger
 	boundAddresses Addresses
 	leaving        atomic.Bool
+	// trafficView is the configuration that the traffic state has; nil before the first one.
+	trafficView atomic.Pointer[dhview.View]
 	// callerListener accepts connections of callers; nil without a listener for them.
 	callerListener net.Listener
 	// callerConnections is the number of open connections of callers.
@@ -398,6 +400,9 @@
 			return
 		case e := <-p.trafficEvents:
 			p.trafficState.Handle(func(dhclock.Millis) dhevent.Event { return e })
+			if published, ok := e.(*dhevent.ViewPublished); ok {
+				p.trafficView.Store(published.View())
+			}
 		}
 	}
 }
@@ -416,6 +421,12 @@
 		return errLeaving
 	}
 	v := p.View()
+	if p.trafficState != nil {
+		// The traffic state may not have the newest view yet.
+		if v = p.trafficView.Load(); v == nil {
+			return errNotFresh
+		}
+	}
 	if !v.Fresh(p.options.Clock.Now(), v.Catalog().LongestStaleGrace()) {
 		return errNotFresh
 	}
