Let members of small groups have several token requests under way

All members together may have 36 calls under way, and each one: nine members have four each, 27 one as before.

--- a/core/dhcontrol/grantpath_test.go
+++ b/core/dhcontrol/grantpath_test.go
@@ -103,3 +103,12 @@
 		t.Errorf("a leader that responds after 250 ms gets %d calls a second, want at most %d", got, maxCalls/2)
 	}
 }
+
+// TestTokenRequestWaitsForAnotherOnesWay passes requests on in a group of nine, whose leader is 110 ms
+// away and back. A request may wait for the interval, but not until the response to an earlier one
+// is there: it gets its own 110 ms later, and waits 200 ms at most.
+func TestTokenRequestWaitsForAnotherOnesWay(t *testing.T) {
+	if got := relayedCalls(9, 110); got < int(dhclock.Second/grantRelayInterval) {
+		t.Errorf("%d calls a second, want one in each %d ms", got, grantRelayInterval)
+	}
+}
--- a/core/dhcontrol/grantrelay.go
+++ b/core/dhcontrol/grantrelay.go
@@ -14,22 +14,29 @@
 	// grantRelayIntervalStep is that time for each member of a large consensus group: all of
 	// them call the leader.
 	grantRelayIntervalStep dhclock.Millis = 3
-	// grantRelayTimeout is the time without a response after which the next call is made.
+	// grantRelayTimeout is the time without a response after which a call counts no longer as
+	// under way.
 	grantRelayTimeout dhclock.Millis = 300
 )
 
+// maxRelayedCalls is how many calls with requests for tokens all members of the consensus group
+// together have under way, but each may have one.
+const maxRelayedCalls = 36
+
 // maxRelayedRequests bounds the requests that wait for the next call. Holders repeat those
 // that are dropped.
 const maxRelayedRequests = 1024
 
 // grantRelay holds the requests for tokens that a member of the consensus group passes on to
-// the leader. A call costs the leader many times what a request in it costs, so there is one at
-// a time: a leader that is late gets fewer calls with more requests each.
+// the leader. A call costs the leader many times what a request in it costs, so few are
+// under way at a time: a leader that is late gets fewer calls with more requests each.
 type grantRelay struct {
 	waiting   []dhmessage.HolderRequest
 	lastFlush dhclock.Millis
-	// awaited is the leader that has not responded to the last call; "" for none.
-	awaited string
+	// leader is the one that was called last, and sentAt are the times of the calls to it that it
+	// hasn't responded to, oldest first.
+	leader string
+	sentAt []dhclock.Millis
 }
 
 func (r *grantRelay) add(m dhmessage.HolderRequest) {
@@ -39,25 +46,30 @@
 }
 
 // flush sends the waiting requests to the leader of a group with a number of members, unless
-// others were sent within the interval or the leader has not responded to them. Without a leader
-// they are dropped.
+// others were sent within the interval or too many calls are under way. Without a leader they are
+// dropped.
 func (r *grantRelay) flush(now dhclock.Millis, leader string, members int, out *dheffect.List) {
-	interval := max(grantRelayInterval, grantRelayIntervalStep*dhclock.Millis(members))
-	if r.awaited != "" && r.awaited == leader {
-		interval = max(interval, grantRelayTimeout)
+	if leader != r.leader {
+		r.leader, r.sentAt = leader, nil
 	}
-	if len(r.waiting) == 0 || now.Since(r.lastFlush) < interval {
+	for len(r.sentAt) > 0 && now.Since(r.sentAt[0]) >= grantRelayTimeout {
+		r.sentAt = r.sentAt[1:]
+	}
+	interval := max(grantRelayInterval, grantRelayIntervalStep*dhclock.Millis(members))
+	isFull := len(r.sentAt) >= max(1, maxRelayedCalls/max(1, members))
+	if len(r.waiting) == 0 || now.Since(r.lastFlush) < interval || isFull {
 		return
 	}
 	if leader != "" {
 		out.Add(dheffect.NewSend(dheffect.SendOptions{To: leader, Message: dhmessage.NewRelayedGrantRequests(r.waiting)}))
+		r.sentAt = append(r.sentAt, now)
 	}
-	r.waiting, r.lastFlush, r.awaited = nil, now, leader
+	r.waiting, r.lastFlush = nil, now
 }
 
-// recordResponse records that a leader has responded to the last call.
+// recordResponse records that a leader has responded to a call.
 func (r *grantRelay) recordResponse(from string) {
-	if r.awaited == from {
-		r.awaited = ""
+	if r.leader == from && len(r.sentAt) > 0 {
+		r.sentAt = r.sentAt[1:]
 	}
 }
