Name the refusals for lack of a token in one place

The traffic state and the log of requests each listed the two kinds. Behaviour stays as it is: dhtraffic, dhjournal, dhmetrics and the log tests of dhprocess pass, and the linter.

--- a/core/dheffect/refusal.go
+++ b/core/dheffect/refusal.go
@@ -30,6 +30,10 @@
 	RefuseTooLarge              RefusalKind = "tooLarge"
 )
 
+// LacksToken reports whether a request is refused because it got no token of its organisation's
+// limit.
+func (k RefusalKind) LacksToken() bool { return k == RefuseOverLimit || k == RefuseLimitUnconfirmed }
+
 // Refusal tells a caller why its request was refused.
 type Refusal struct {
 	kind       RefusalKind
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -255,7 +255,7 @@
 	var ownerSilence *dhclock.Millis
 	if l, found := s.rateLimiters[r.organisation]; found {
 		withinRate = !l.holder.Exhausted(now)
-		if kind == dheffect.RefuseOverLimit || kind == dheffect.RefuseLimitUnconfirmed {
+		if kind.LacksToken() {
 			tokenWait, ownerSilence = now.Since(r.receivedAt), l.holder.OwnerSilence(now)
 		}
 	}
--- a/io/dhprocess/requestlog.go
+++ b/io/dhprocess/requestlog.go
@@ -36,7 +36,7 @@
 			"ms": e.Latency().Milliseconds(), "deadlineMs": e.Timeout().Milliseconds(), "late": e.ObjectiveMissed(),
 			"version": e.ConfigVersion(), "ageMs": e.ConfigAge().Milliseconds(), "attempts": attempts,
 		}
-		if e.RefusalKind() == dheffect.RefuseOverLimit || e.RefusalKind() == dheffect.RefuseLimitUnconfirmed {
+		if e.RefusalKind().LacksToken() {
 			fields["tokenMs"] = e.TokenWait().Milliseconds()
 		}
 		if silence := e.OwnerSilence(); silence != nil {
