Log the connection and the status of failed attempts

"attempt failed" now has the status of the response, the address of the connection on this side and how many requests that had carried before; the attempts of "request ended" have the last of these, and the status of a response that wasn't passed on.

--- a/core/dheffect/record.go
+++ b/core/dheffect/record.go
@@ -19,6 +19,8 @@
 	latency   dhclock.Millis
 	configAge dhclock.Millis `journal:"configAge,omitZero"`
 	limit     *dhsteer.RateLimit
+	status    int  `journal:"status,omitZero"`
+	carried   *int `journal:"carried,omitZero"`
 }
 
 // NewAttempt returns an attempt at a target, sent the given time after the
@@ -28,9 +30,12 @@
 	return Attempt{target: target, sentAfter: sentAfter, configAge: configAge, limit: limit}
 }
 
-// WithEnd returns the attempt with its end and latency.
-func (a Attempt) WithEnd(end dhevent.AttemptEnd, latency dhclock.Millis) Attempt {
-	a.end, a.latency = end, latency
+// WithEnd returns the attempt with what is known of its end.
+func (a Attempt) WithEnd(e *dhevent.AttemptEnded) Attempt {
+	a.end, a.latency, a.carried = e.End(), e.Latency(), e.Carried()
+	if e.End() != dhevent.EndAnswered {
+		a.status = e.Status()
+	}
 	return a
 }
 
@@ -51,6 +56,13 @@
 // Latency returns how long the attempt took, in milliseconds.
 func (a Attempt) Latency() dhclock.Millis { return a.latency }
 
+// Status returns the status code of a response of the target that the caller didn't get, or 0.
+func (a Attempt) Status() int { return a.status }
+
+// Carried returns how many requests the attempt's connection had carried before; nil if the
+// attempt got none.
+func (a Attempt) Carried() *int { return a.carried }
+
 // Limit returns the request rate that the target, an upstream, had reported as its
 // limit, or nil.
 func (a Attempt) Limit() *dhsteer.RateLimit { return a.limit }
--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -271,7 +271,8 @@
 	End AttemptEnd
 	// Latency is how long the attempt took, in milliseconds.
 	Latency dhclock.Millis
-	// Status is the response's status code, or 0.
+	// Status is the response's status code, or 0. An attempt that ended otherwise than with
+	// EndAnswered may have one too.
 	Status int
 	// BodyBytes is the size of the response's body, in bytes.
 	BodyBytes int `journal:"Size"`
@@ -297,6 +298,9 @@
 	// Resent is whether the request was sent again on another connection after the first
 	// one had failed. The end tells of the last sending only.
 	Resent bool `journal:"Resent,omitZero"`
+	// Carried is how many requests the attempt's connection had carried before; nil if the
+	// attempt got none.
+	Carried *int `journal:"Carried,omitZero"`
 }
 
 // AttemptEnded reports how an attempt at an upstream or another instance ended.
@@ -357,6 +361,10 @@
 	return e.options.ResponseMissed != nil && *e.options.ResponseMissed
 }
 
+// Carried returns how many requests the attempt's connection had carried before; nil if the
+// attempt got none.
+func (e *AttemptEnded) Carried() *int { return e.options.Carried }
+
 // StopScheduledOptions are the fields of a StopScheduled.
 type StopScheduledOptions struct {
 	// RefuseFrom is when the instance begins to refuse all requests.
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -194,7 +194,7 @@
 // recordEnded completes the record of the last attempt.
 func (r *request) recordEnded(e *dhevent.AttemptEnded) {
 	if n := len(r.attemptRecords); n > 0 {
-		r.attemptRecords[n-1] = r.attemptRecords[n-1].WithEnd(e.End(), e.Latency())
+		r.attemptRecords[n-1] = r.attemptRecords[n-1].WithEnd(e)
 	}
 }
 
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -138,6 +138,10 @@
 	resent     bool        // the transport sent the request again after a kept connection had failed
 	missed     bool        // the request was sent, and the head of its response not read
 	accepted   bool        // the response is to this request and from its upstream, though it may be truncated
+	// carried is how many requests the connection had carried before; nil if the attempt got
+	// none. connection is its address on this side, or "".
+	carried    *int
+	connection string
 }
 
 // attemptCounter is the number of the latest attempt of this process.
@@ -162,6 +166,7 @@
 				a.connected = new(true)
 			}
 			connection.Store(requestConnOf(i.Conn))
+			a.carried, a.connection = connection.Load().countRequest(), connection.Load().localAddress()
 			switch {
 			case !i.WasIdle && !t.outlivesCaller && dhnet.HasCallerLeft(ctx):
 				abandoned = errCallerLeft
@@ -261,6 +266,14 @@
 	return a
 }
 
+// status returns the status code of the response, or 0.
+func (a *attempt) status() int {
+	if a.response == nil {
+		return 0
+	}
+	return a.response.StatusCode
+}
+
 // close releases the response and the attempt's context. The transport closes a
 // connection whose response body wasn't read to its end instead of reusing it.
 func (a *attempt) close() {
--- a/io/dhentry/connection.go
+++ b/io/dhentry/connection.go
@@ -15,6 +15,8 @@
 	*net.TCPConn
 	unanswered atomic.Bool
 	abandoned  atomic.Pointer[error] // the error of writes after abandon
+	// carried is how many requests the transport has given the connection to.
+	carried atomic.Int64
 }
 
 // dialRequestConn returns a dial function for requestConns.
@@ -45,6 +47,23 @@
 	}
 }
 
+// countRequest counts a request that the connection carries, and returns how many it had
+// carried before; nil if that is unknown.
+func (c *requestConn) countRequest() *int {
+	if c == nil {
+		return nil
+	}
+	return new(int(c.carried.Add(1) - 1))
+}
+
+// localAddress returns the address of this side, which identifies the connection, or "".
+func (c *requestConn) localAddress() string {
+	if c == nil {
+		return ""
+	}
+	return c.LocalAddr().String()
+}
+
 // abandon lets nothing more be written to the connection, for a reason.
 func (c *requestConn) abandon(reason error) {
 	if c != nil {
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -342,11 +342,12 @@
 		s.options.DecisionLog.Write("attempt "+a.end.String(), func() (logrus.Fields, string) {
 			return logrus.Fields{
 				"request": x.in.id, "upstream": t.address, "end": a.end.String(), "reason": a.err.Error(),
+				"status": a.status(), "connection": a.connection, "carried": a.carried,
 				"timeoutMs": t.timeout.Milliseconds(), "ms": s.options.Clock.Now().Since(d.At()).Milliseconds(),
 			}, "attempt failed"
 		})
 		o := dhevent.AttemptEndedOptions{
-			End: a.end, ReportedLoad: s.options.Dialect.reportedLoad(a.response), ReportedLimit: s.options.Dialect.reportedLimit(a.response),
+			End: a.end, Status: a.status(), Carried: a.carried, ReportedLoad: s.options.Dialect.reportedLoad(a.response), ReportedLimit: s.options.Dialect.reportedLimit(a.response),
 			Connected: a.connected, ResponseMissed: new(a.missed), Resent: a.resent,
 		}
 		if a.accepted || a.end == dhevent.EndRefused || a.end == dhevent.EndUnattributed {
@@ -386,7 +387,7 @@
 	o := dhevent.AttemptEndedOptions{
 		End: dhevent.EndAnswered, Status: a.response.StatusCode, ResponseStarted: true, BodyBytes: len(a.bodyPrefix),
 		ReportedLoad: x.server.options.Dialect.reportedLoad(a.response), ReportedLimit: x.server.options.Dialect.reportedLimit(a.response),
-		RetryAfter: reportedRetryAfter(a.response), Connected: a.connected,
+		RetryAfter: reportedRetryAfter(a.response), Connected: a.connected, Carried: a.carried,
 	}
 	if a.complete {
 		if claimed {
--- a/io/dhprocess/requestlog.go
+++ b/io/dhprocess/requestlog.go
@@ -24,6 +24,12 @@
 			if age := a.ConfigAge(); age > 0 {
 				fields["ageMs"] = age.Milliseconds()
 			}
+			if a.Status() > 0 {
+				fields["status"] = a.Status()
+			}
+			if n := a.Carried(); n != nil {
+				fields["carried"] = *n
+			}
 			if l := a.Limit(); l != nil {
 				fields["limitPer1000s"] = l.PerThousandSeconds()
 			}
