Use no connection again on which a request was refused

Callers saw 503, the promise that a request didn't and won't run, for a request that ran.

Cause: a response was told by its ID alone. The copy of a refusal has the ID of the refused request, so on a connection that carries that ID again it was taken for the response to the second sending. And where the ID is another one, the attempt was taken for broken, although the true response followed.

Now a connection on which a response was a refusal, or belonged to no request, carries no request any more. The transport of net/http pools a connection as soon as it has read a response without a body, before that is checked; so an attempt acquires its connection first, which waits for the check of the last response. If the connection was retired meanwhile, nothing is written to it, and the attempt gets another one.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -20,6 +20,7 @@
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/io/dhnet"
+	"dogwoodhitch/io/dhtime"
 )
 
 // Size limits and timeouts of attempts.
@@ -138,10 +139,15 @@
 	resent     bool        // the transport sent the request again after a kept connection had failed
 	missed     bool        // the request was sent, and the head of its response not read
 	accepted   bool        // the response is to this request and from its upstream, though it may be truncated
-	// carried is how many requests the connection had carried before; nil if the attempt got
-	// none. connection is its address on this side, or "".
-	carried    *int
-	connection string
+	// gotConnection is whether the transport had a connection that may carry the request.
+	gotConnection bool
+	// connection is the one that the attempt has acquired, or nil.
+	connection atomic.Pointer[requestConn]
+	abandoned  error // why nothing was written to the last connection; nil otherwise
+	// carried is how many requests the last connection had carried before; nil if the attempt
+	// got none. localAddress is the connection's address on this side, or "".
+	carried      *int
+	localAddress string
 }
 
 // attemptCounter is the number of the latest attempt of this process.
@@ -155,52 +161,16 @@
 	startedAt := s.options.Clock.Now()
 	a.context, a.cancel = context.WithTimeout(ctx, time.Duration(t.timeout)*time.Millisecond)
 	a.stopAbort = context.AfterFunc(s.aborted, a.cancel)
-	gotConnection := false
-	var abandoned error
-	var connection atomic.Pointer[requestConn]
-	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) {
-			a.resent = gotConnection
-			gotConnection = true
-			if !i.Reused {
-				a.connected = new(true)
-			}
-			connection.Store(requestConnOf(i.Conn))
-			a.carried, a.connection = connection.Load().countRequest(), connection.Load().localAddress()
-			switch {
-			case !i.WasIdle && !t.outlivesCaller && dhnet.HasCallerLeft(ctx):
-				abandoned = errCallerLeft
-			case t.isTooLate(s.options.Clock.Now()):
-				abandoned = errLate
-			}
-			if abandoned != nil {
-				connection.Load().abandon(abandoned)
-				a.cancel()
-				return
-			}
-			connection.Load().setUnanswered(true)
-		},
-		GotFirstResponseByte: func() { connection.Load().setUnanswered(false) },
-	})
+	defer a.releaseConnection()
 	attemptID := s.options.Instance + "-" + strconv.FormatUint(attemptCounter.Add(1), 36)
-	request, err := s.newOutboundRequest(tracedCtx, in, t, attemptID)
-	if err != nil {
-		// The address is unusable, as those that an earlier release accepted may be.
-		return a.fail(dhevent.EndNotSent, err)
-	}
-	client := s.clients.pooled
-	if t.newConnection {
-		client = s.clients.newConnection
-	}
-	a.response, err = client.Do(request) //nolint:bodyclose // closed by attempt.close
-	if err != nil {
+	if err := s.roundTrip(ctx, a, in, t, attemptID); err != nil {
 		switch {
-		case errors.Is(abandoned, errCallerLeft):
+		case errors.Is(a.abandoned, errCallerLeft):
 			return a.fail(dhevent.EndAbandoned, err)
-		case errors.Is(abandoned, errLate):
+		case errors.Is(a.abandoned, errLate):
 			return a.fail(dhevent.EndUntried, errLate)
 		}
-		if !gotConnection {
+		if !a.gotConnection {
 			return a.failUnsent(ctx, err, s.options.Clock.Now().Since(startedAt))
 		}
 		a.missed = true
@@ -208,6 +178,8 @@
 	}
 	field, value := s.options.Dialect.expectedEcho(in, attemptID)
 	if err := s.checkResponse(a.response, t, field, value); err != nil {
+		// A copy of the response may follow, and be taken for the next one.
+		a.connection.Load().retire(errRetired)
 		end := attemptEndFor(err)
 		if isReused := a.connected == nil; end == dhevent.EndRefused && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
 			end = dhevent.EndUnattributed
@@ -223,6 +195,64 @@
 	return a
 }
 
+// roundTrip sends a request and reads the head of its response. While the connections that the
+// transport has may carry no request any more, it tries again with the next one.
+func (s *Server) roundTrip(ctx context.Context, a *attempt, in *inbound, t target, attemptID string) error {
+	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
+		GotConn:              func(i httptrace.GotConnInfo) { a.takeConnection(ctx, i, t, s.options.Clock) },
+		GotFirstResponseByte: func() { a.connection.Load().setUnanswered(false) },
+	})
+	client := s.clients.pooled
+	if t.newConnection {
+		client = s.clients.newConnection
+	}
+	for {
+		request, err := s.newOutboundRequest(tracedCtx, in, t, attemptID)
+		if err != nil {
+			// The address is unusable, as those that an earlier release accepted may be.
+			return err
+		}
+		a.gotConnection, a.abandoned = false, nil
+		a.response, err = client.Do(request) //nolint:bodyclose // closed by attempt.close
+		if err == nil || !errors.Is(a.abandoned, errRetired) || a.context.Err() != nil {
+			return err
+		}
+	}
+}
+
+// takeConnection acquires the connection that the transport has for the attempt. If the
+// request must not be sent on it, nothing is written to it.
+func (a *attempt) takeConnection(ctx context.Context, i httptrace.GotConnInfo, t target, clock dhtime.Clock) {
+	c := requestConnOf(i.Conn)
+	a.resent = a.resent || a.gotConnection && a.connection.Load().isWritten()
+	a.releaseConnection()
+	if !i.Reused {
+		a.connected = new(true)
+	}
+	if a.gotConnection = c.acquire(a.context); !a.gotConnection {
+		a.abandoned = errRetired
+		c.abandon(errRetired)
+		return
+	}
+	a.connection.Store(c)
+	a.carried, a.localAddress = c.countRequest(), c.localAddress()
+	switch {
+	case !i.WasIdle && !t.outlivesCaller && dhnet.HasCallerLeft(ctx):
+		a.abandoned = errCallerLeft
+	case t.isTooLate(clock.Now()):
+		a.abandoned = errLate
+	default:
+		a.abandoned = nil
+		c.setUnanswered(true)
+		return
+	}
+	c.abandon(a.abandoned)
+	a.cancel()
+}
+
+// releaseConnection lets other attempts acquire the connection of this one.
+func (a *attempt) releaseConnection() { a.connection.Swap(nil).release() }
+
 // failUnsent ends an attempt that got no connection. It is a failure of the other side only if
 // that refused the connection, or left the attempt without one for long.
 func (a *attempt) failUnsent(ctx context.Context, err error, latency dhclock.Millis) *attempt {
--- a/io/dhentry/connection.go
+++ b/io/dhentry/connection.go
@@ -11,20 +11,75 @@
 // requestConn is a connection to an upstream or a peer. If it is closed before the response
 // to a request has begun, it is reset: otherwise the kernel would go on to send what it holds
 // of the request, which could arrive seconds after the attempt has ended.
+//
+// The transport of net/http pools a connection as soon as it has read a response without a
+// body, before the attempt has checked it. So an attempt acquires the connection that it gets
+// from the transport, which waits for that check.
 type requestConn struct {
 	*net.TCPConn
 	unanswered atomic.Bool
 	abandoned  atomic.Pointer[error] // the error of writes after abandon
+	// checked holds a value unless an attempt has acquired the connection and not yet checked
+	// the response.
+	checked chan struct{}
+	// written is whether the attempt that acquired the connection last may have written to it.
+	written atomic.Bool
 	// carried is how many requests the transport has given the connection to.
 	carried atomic.Int64
 }
 
+func newRequestConn(c *net.TCPConn) *requestConn {
+	r := &requestConn{TCPConn: c, checked: make(chan struct{}, 1)}
+	r.release()
+	return r
+}
+
+// acquire waits until the previous response on the connection was checked, and reports
+// whether the connection may carry another request. If so, release must follow.
+func (c *requestConn) acquire(ctx context.Context) bool {
+	if c == nil {
+		return true
+	}
+	select {
+	case <-c.checked:
+	case <-ctx.Done():
+		return false
+	}
+	if c.abandoned.Load() != nil {
+		c.release()
+		return false
+	}
+	c.written.Store(false)
+	return true
+}
+
+// release lets the next attempt acquire the connection.
+func (c *requestConn) release() {
+	if c != nil {
+		c.checked <- struct{}{}
+	}
+}
+
+// retire closes the connection, which carries no request any more. It must be called between
+// acquire and release.
+func (c *requestConn) retire(reason error) {
+	if c != nil {
+		c.abandon(reason)
+		// A connection that can't be closed fails at the next write.
+		_ = c.Close()
+	}
+}
+
+// isWritten reports whether the attempt that acquired the connection last may have written
+// to it.
+func (c *requestConn) isWritten() bool { return c == nil || c.written.Load() }
+
 // dialRequestConn returns a dial function for requestConns.
 func dialRequestConn(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, address)
 		if tcp, ok := c.(*net.TCPConn); ok {
-			return &requestConn{TCPConn: tcp}, err
+			return newRequestConn(tcp), err
 		}
 		return c, err
 	}
@@ -75,6 +130,7 @@
 var (
 	errCallerLeft = errors.New("the caller has closed its connection")
 	errLate       = errors.New("the upstream may have departed: the configuration here is too old by now")
+	errRetired    = errors.New("an earlier response on the connection was a refusal, or belonged to no request")
 )
 
 // Write implements net.Conn.
@@ -82,6 +138,7 @@
 	if reason := c.abandoned.Load(); reason != nil {
 		return 0, *reason
 	}
+	c.written.Store(true)
 	return c.TCPConn.Write(b)
 }
 
--- /dev/null
+++ b/io/dhentry/copied_refusal_test.go
@@ -0,0 +1,130 @@
+package dhentry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/io/dhtime"
+)
+
+// echoingDialect returns a dialect in which upstreams echo the caller's request ID, which is the
+// same for all attempts of a request.
+func echoingDialect() *Dialect {
+	o := StandardDialect().options
+	o.AttemptHeader = ""
+	return NewDialect(o)
+}
+
+// copyTime is when an upstream writes the copy of a refusal.
+type copyTime int
+
+const (
+	withRefusal copyTime = iota // in the same segment
+	soonAfterRefusal
+	beforeNextResponse
+	copyTimes
+)
+
+// copyingUpstream refuses the first sending of each request ID, answers later ones, and writes a
+// copy of each refusal on its connection.
+type copyingUpstream struct {
+	mutex   sync.Mutex
+	sent    map[string]int // by request ID
+	refusal string         // with a verb for the request ID
+}
+
+func (u *copyingUpstream) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	owed := ""
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get(HeaderRequestID)
+		u.mutex.Lock()
+		u.sent[id]++
+		n := u.sent[id]
+		u.mutex.Unlock()
+		if n > 1 {
+			_, _ = fmt.Fprintf(c, "%sHTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 3\r\n\r\nran", owed, HeaderRequestID, id)
+			continue
+		}
+		refusal := fmt.Sprintf(u.refusal, id)
+		switch copyTime(len(id)) % copyTimes {
+		case withRefusal:
+			_, _ = io.WriteString(c, owed+refusal+refusal)
+		case soonAfterRefusal:
+			_, _ = io.WriteString(c, owed+refusal)
+			time.Sleep(100 * time.Microsecond)
+			_, _ = io.WriteString(c, refusal)
+		default:
+			_, _ = io.WriteString(c, owed+refusal)
+			owed = refusal
+		}
+	}
+}
+
+// TestCopyOfARefusalIsTakenForAResponse sends many requests beside each other over few
+// connections to an upstream that writes copies of its refusals. Each must be refused once and
+// then answered, whatever requests the connections carried before.
+func TestCopyOfARefusalIsTakenForAResponse(t *testing.T) {
+	const (
+		senders     = 24
+		requests    = 100
+		connections = 4
+	)
+	for _, refusal := range []string{
+		"HTTP/1.1 503 X\r\n" + HeaderRequestID + ": %s\r\n" + HeaderRun + ": " + NotRun + "\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 X\r\n" + HeaderRequestID + ": %s\r\n" + HeaderRun + ": " + NotRun + "\r\nContent-Length: 4\r\n\r\nfull",
+	} {
+		u := &copyingUpstream{sent: map[string]int{}, refusal: refusal}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go u.serve(c)
+			}
+		}()
+		s := New(Options{Clock: dhtime.System(), Dialect: echoingDialect(), MaxConnections: connections, ResponseBufferBytes: 1 << 10})
+		t.Cleanup(s.Close)
+		send := func(id string) dhevent.AttemptEnd {
+			in := &inbound{id: id, method: http.MethodPost, host: "h", url: &url.URL{Path: "/x"}, header: http.Header{}, body: []byte("x")}
+			a := s.sendAttempt(t.Context(), in, target{address: l.Addr().String(), timeout: 10_000, mustEcho: true}, 1<<10)
+			if a.end == dhevent.EndAnswered {
+				a.close()
+			}
+			return a.end
+		}
+		var all sync.WaitGroup
+		for n := range senders {
+			all.Go(func() {
+				for i := range requests {
+					id := fmt.Sprint(n, "-", i, strings.Repeat("x", (n+i)%int(copyTimes)))
+					if first, second := send(id), send(id); first != dhevent.EndRefused || second != dhevent.EndAnswered {
+						t.Errorf("request %s ended as %v, then as %v; want %v, then %v", id, first, second, dhevent.EndRefused, dhevent.EndAnswered)
+					}
+				}
+			})
+		}
+		all.Wait()
+	}
+}
