Pass on no promise of an upstream that it hasn't proven

An upstream that runs a request and responds 408, 429 or 503 itself, without the mark that it didn't run it, had its response passed on unchanged. The caller takes these statuses for the promise that the request hasn't run and never will, and sends it again.

For a request that may run at most once the promise goes first: the caller gets 502, without the upstream's stamp. A request that may be repeated gets the response as before. A peer that gets such a response says that the request may have run. The dialect says which statuses are a promise; the standard one has none, since its callers read Dogwoodhitch-Run.

--- a/core/dheffect/traffic.go
+++ b/core/dheffect/traffic.go
@@ -38,6 +38,10 @@
 	// SendBefore is the clock reading from which on the request must not be sent any more,
 	// because the upstream may have departed; 0 for none.
 	SendBefore dhclock.Millis `journal:"SendBefore,omitZero"`
+	// NeedsProof reports whether a response with a status that promises that the request has
+	// not run must prove it. Otherwise its caller would send the request again, which may run
+	// at most once.
+	NeedsProof bool `journal:"NeedsProof,omitZero"`
 }
 
 // ForwardToUpstream forwards a request to an upstream.
@@ -84,6 +88,10 @@
 // because the upstream may have departed; 0 for none.
 func (e *ForwardToUpstream) SendBefore() dhclock.Millis { return e.options.SendBefore }
 
+// NeedsProof reports whether a response with a status that promises that the request has not
+// run must prove it.
+func (e *ForwardToUpstream) NeedsProof() bool { return e.options.NeedsProof }
+
 func (*ForwardToUpstream) effect() {}
 
 // ForwardToPeerOptions are the fields of a ForwardToPeer.
--- a/core/dhevent/traffic.go
+++ b/core/dhevent/traffic.go
@@ -460,7 +460,7 @@
 
 // String returns the name of the end.
 func (e AttemptEnd) String() string {
-	names := [...]string{"answered", "notSent", "refused", "broken", "timedOut", "misplaced", "callerGone", "unattributed", "abandoned", "untried"}
+	names := [...]string{"answered", "notSent", "refused", "broken", "timedOut", "misplaced", "callerGone", "unattributed", "abandoned", "untried", "unproven"}
 	if e < 0 || int(e) >= len(names) {
 		return "unknown"
 	}
@@ -497,4 +497,7 @@
 	// EndUntried means that nothing was sent for a reason on this side, so that the request
 	// certainly did not run and nothing is known of the other side.
 	EndUntried
+	// EndUnproven means that the upstream responded with a status that promises that the
+	// request did not run, without the proof that the request needs. It may have run.
+	EndUnproven
 )
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -34,6 +34,9 @@
 		s.handleResponse(now, r, e, out)
 	case dhevent.EndNotSent, dhevent.EndRefused, dhevent.EndMisplaced, dhevent.EndUntried:
 		s.retry(now, r, s.noCapacityRefusal(now, r, dheffect.NewRefusal(notRunRefusalKind(e.End()), false, shortRetryAfter)), out)
+	case dhevent.EndUnproven:
+		s.acquit(now, r, e.Status(), out)
+		s.handleUnclearEnd(now, r, e, out)
 	case dhevent.EndBroken, dhevent.EndTimedOut, dhevent.EndUnattributed:
 		s.handleUnclearEnd(now, r, e, out)
 	case dhevent.EndCallerGone:
@@ -99,7 +102,7 @@
 		return
 	}
 	logRetryAfter(r.upstream.Name(), e, out)
-	if e.End() == dhevent.EndAnswered {
+	if e.End() == dhevent.EndAnswered || e.End() == dhevent.EndUnproven {
 		s.crashes.recordResponse(now, upstreamName{r.service, r.upstream.Name()})
 	}
 	p.Release(now, r.upstream, r.fromPeer, attemptOutcome(e), e.Latency(), responseOf(r, e))
@@ -190,6 +193,10 @@
 	s.end(now, r, "", e.Status(), out)
 }
 
+// needsProof reports whether an upstream's own promise that a request has not run must be
+// proven before the caller gets it.
+func (s *State) needsProof(r *request) bool { return s.statusesPromise && !r.route.Idempotent() }
+
 // handleUnclearEnd handles an attempt that may have run. It retries only an
 // idempotent request, and only if no part of a response has been written to the
 // caller.
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -202,6 +202,7 @@
 		Timeout: r.remaining(now), Claimed: r.claimGranted, Registered: true, SendBefore: s.sendBefore(),
 		// The transport can resend a request without a body on a pooled connection.
 		NewConnection: !r.route.Idempotent() && r.bodyBytes == 0,
+		NeedsProof:    s.needsProof(r),
 	}))
 }
 
--- a/core/dhtraffic/reachability.go
+++ b/core/dhtraffic/reachability.go
@@ -111,7 +111,7 @@
 // any more. Refused ones are: connections may live on where new ones are refused.
 func (r *reachability) recordResponse(now dhclock.Millis, end dhevent.AttemptEnd) {
 	switch end {
-	case dhevent.EndAnswered, dhevent.EndRefused, dhevent.EndUnattributed, dhevent.EndMisplaced:
+	case dhevent.EndAnswered, dhevent.EndRefused, dhevent.EndUnattributed, dhevent.EndUnproven, dhevent.EndMisplaced:
 		r.lastResponse = now
 		maps.DeleteFunc(r.unreachable, func(_ *dhsteer.Member, f failedConnection) bool { return f.timedOut })
 		r.isolated = r.isolated && r.isSuspected()
--- a/core/dhtraffic/slot.go
+++ b/core/dhtraffic/slot.go
@@ -136,6 +136,7 @@
 	out.Add(dheffect.NewForwardToUpstream(dheffect.ForwardToUpstreamOptions{
 		RequestID: r.id, Service: p.Service(), Upstream: u.Name(), Address: u.Address(), Organisation: r.organisation,
 		Timeout: r.remaining(now), Claimed: r.claimGranted, NewConnection: !r.route.Idempotent(), EchoesAttemptID: u.EchoesAttemptID(),
+		NeedsProof: s.needsProof(r),
 	}))
 }
 
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -33,6 +33,9 @@
 	// DepartureBound is the time after which a registered upstream whose drain or departure was
 	// accepted gets no more requests; 0 for no bound.
 	DepartureBound dhclock.Millis `journal:"DepartureBound,omitZero"`
+	// StatusesPromise reports whether callers take some status codes, of any response, for the
+	// promise that the request has not run and never will.
+	StatusesPromise bool `journal:"StatusesPromise,omitZero"`
 }
 
 // RetryBudget limits the retries that all instances together make for a service
@@ -59,6 +62,7 @@
 	groups           map[string]*group // by service with registered upstreams
 	splits           map[string]*split // by route
 	departureBound   dhclock.Millis
+	statusesPromise  bool
 	clusterRetries   RetryBudget
 	maxConnections   *int
 	requests         map[uint64]*request
@@ -87,12 +91,12 @@
 		splits:         map[string]*split{},
 		clusterRetries: o.Retries,
 		maxConnections: o.MaxConnections,
-		departureBound: o.DepartureBound,
-		requests:       map[uint64]*request{},
-		reachability:   newReachability(),
-		crashes:        newCrashDetector(),
-		suspects:       dhquarantine.NewSet(),
-		burn:           dhburn.New(),
+		departureBound: o.DepartureBound, statusesPromise: o.StatusesPromise,
+		requests:     map[uint64]*request{},
+		reachability: newReachability(),
+		crashes:      newCrashDetector(),
+		suspects:     dhquarantine.NewSet(),
+		burn:         dhburn.New(),
 	}
 }
 
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -113,6 +113,7 @@
 	newConnection bool
 	mustEcho      bool // refuse responses that don't repeat the attempt ID or request ID
 	toPeer        bool
+	needsProof    bool // see dheffect.ForwardToUpstreamOptions
 	useTLS        bool
 	// sendBefore is the clock reading from which on nothing may be sent; 0 for none.
 	sendBefore dhclock.Millis
@@ -185,6 +186,7 @@
 			end = dhevent.EndUnattributed
 		}
 		a.missed = end == dhevent.EndUnattributed || errors.Is(err, errWrongAttempt)
+		a.accepted = end == dhevent.EndUnproven
 		return a.fail(end, err)
 	}
 	a.accepted = true
@@ -371,6 +373,7 @@
 	errWrongAttempt   = errors.New("the response belongs to another attempt")
 	errCloseDelimited = errors.New("the response body has no length, so a truncated body can't be detected")
 	errNotRun         = errors.New("the upstream or peer refused the request without running it")
+	errUnproven       = errors.New("the status promises that the request didn't run, and nothing in the response proves it")
 	errMisplaced      = errors.New("another upstream answers at the address")
 	errMayHaveRun     = errors.New("the peer reports that the request may have run")
 	errPeerUnable     = errors.New("the peer can't reach any upstream either, or its configuration is older")
@@ -404,6 +407,8 @@
 		return errMisplaced
 	case dialect.NotRun(r.StatusCode, r.Header):
 		return errNotRun
+	case t.needsProof && dialect.Promises(r.StatusCode):
+		return errUnproven
 	default:
 		return nil
 	}
@@ -422,6 +427,8 @@
 		return dhevent.EndNotSent
 	case errors.Is(err, errMisplaced):
 		return dhevent.EndMisplaced
+	case errors.Is(err, errUnproven):
+		return dhevent.EndUnproven
 	default:
 		return dhevent.EndBroken
 	}
--- a/io/dhentry/dialect.go
+++ b/io/dhentry/dialect.go
@@ -43,6 +43,9 @@
 	// Misplaced reports whether a response comes from another upstream than the
 	// one that the request was addressed to.
 	Misplaced func(status int, h http.Header) bool
+	// Promises reports whether callers take the status of a response for the promise that the
+	// request has not run and never will. The function may be nil.
+	Promises func(status int) bool
 	// DecodeLoad returns the load that an upstream reports in a response, or nil.
 	// The function may be nil.
 	DecodeLoad func(h http.Header) *dhsteer.LoadReport
@@ -81,6 +84,10 @@
 	return strconv.FormatInt(int64((delay+dhclock.Second-1)/dhclock.Second), 10)
 }
 
+// StatusesPromise reports whether callers take some status codes for the promise that the request
+// has not run.
+func (d *Dialect) StatusesPromise() bool { return d != nil && d.options.Promises != nil }
+
 // expectedEcho returns the response header field that identifies the attempt, and
 // the value that it must have.
 func (d *Dialect) expectedEcho(in *inbound, attemptID string) (field, value string) {
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -300,7 +300,7 @@
 		}
 		return x.runAttempt(ctx, d, target{
 			address: e.Address(), timeout: e.Timeout(), newConnection: e.NewConnection(), mustEcho: e.EchoesAttemptID() || e.Registered(), extraHeader: extraHeader,
-			sendBefore: e.SendBefore(),
+			sendBefore: e.SendBefore(), needsProof: e.NeedsProof(),
 		}, e.Claimed())
 	case *dheffect.ForwardToPeer:
 		extraHeader := http.Header{}
