Accept no response that is put together from two

An upstream writes a response again, breaks off in its head, and goes on with the response to the next request on the connection. The two were read as one: with the status of the copy, fields of both, and the ID and body of the true response. A caller got 500, 201 or 503 for a request that had run and been answered with 200, or a foreign stamp.

The head of such a response contains a second status line, in its reason phrase or in a field. It counts as a response that belongs to no request: the attempt may have run, and the connection is retired.

TestCutCopyAndResponseAreTakenForOne cuts copies of four responses after each byte. It failed before, for each cut behind a status code and in a field that callers get; the caller got another status in most.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"regexp"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -185,7 +186,7 @@
 		if isReused := a.connected == nil; end == dhevent.EndRefused && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
 			end = dhevent.EndUnattributed
 		}
-		a.missed = end == dhevent.EndUnattributed || errors.Is(err, errWrongAttempt)
+		a.missed = end == dhevent.EndUnattributed || errors.Is(err, errWrongAttempt) || errors.Is(err, errTwoHeads)
 		a.accepted = end == dhevent.EndUnproven
 		return a.fail(end, err)
 	}
@@ -371,6 +372,7 @@
 // Errors of responses that are not forwarded to the caller.
 var (
 	errWrongAttempt   = errors.New("the response belongs to another attempt")
+	errTwoHeads       = errors.New("the head of the response contains the status line of another one")
 	errCloseDelimited = errors.New("the response body has no length, so a truncated body can't be detected")
 	errNotRun         = errors.New("the upstream or peer refused the request without running it")
 	errUnproven       = errors.New("the status promises that the request didn't run, and nothing in the response proves it")
@@ -385,6 +387,9 @@
 // or the response carries the field.
 func (s *Server) checkResponse(r *http.Response, t target, field, value string) error {
 	dialect := s.options.Dialect.options
+	if hasSecondStatusLine(r) {
+		return errTwoHeads
+	}
 	echo := r.Header.Get(field)
 	if echo != value && (echo != "" || t.mustEcho) {
 		return fmt.Errorf("%w: it echoes %q", errWrongAttempt, echo)
@@ -414,6 +419,23 @@
 	}
 }
 
+// hasSecondStatusLine reports whether the head of a response contains the status line of another
+// one. That is so if a response breaks off in its head and the connection goes on with the next.
+func hasSecondStatusLine(r *http.Response) bool {
+	if statusLine.MatchString(r.Status) {
+		return true
+	}
+	for _, values := range r.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
+// statusLine matches the start of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] \d{3}`)
+
 // isUnable reports whether a peer refused a request before it sent it to any upstream.
 func isUnable(kind dheffect.RefusalKind) bool {
 	return kind == dheffect.RefuseNoUpstream || kind == dheffect.RefuseConfigurationStale
