Keep the fields of refusals to instances

An upstream that runs a request and responds with Dogwoodhitch-Run: not-run had that field passed on. A peer that had forwarded the request took the response for a refusal: its caller got 503 for a request that ran, and on other routes it could be sent again. Callers of the standard dialect read the field too.

The fields with which instances speak about a request are removed from the responses of upstreams. A refusal of an upstream is read before.

TestFieldOfAnUpstreamDeniesARun failed before: 503 on unsafe and safe routes through a peer, and the fields reached callers.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -191,6 +191,9 @@
 		return a.fail(end, err)
 	}
 	a.accepted = true
+	if !t.toPeer {
+		removeOwnFields(a.response.Header)
+	}
 	if err := a.readBodyPrefix(bufferBytes); err != nil {
 		return a.fail(classifyFailure(ctx, a), err)
 	}
--- a/io/dhentry/refusal.go
+++ b/io/dhentry/refusal.go
@@ -48,6 +48,14 @@
 	HeaderReplayed = "Dogwoodhitch-Replayed"
 )
 
+// removeOwnFields removes from the response of an upstream the fields with which instances tell
+// callers and each other what became of a request.
+func removeOwnFields(h http.Header) {
+	for _, name := range []string{HeaderRun, HeaderRefusal, HeaderReplayed, HeaderLeavingUpstream} {
+		h.Del(name)
+	}
+}
+
 // The values of HeaderRun.
 const (
 	NotRun     = "not-run"
