Use no connection before what follows its last response is known

The transport of net/http pools a connection when a response ends, and looks for bytes behind it afterwards. A request that took the connection in between got the second response of an upstream for its own, or was ended when the transport closed the connection, though nothing of it may have been sent. Its caller got 502, and a request that may run at most once was lost to it.

The transport reads from a connection once nothing is left of what it has read. An attempt now waits for that on a connection that has carried a request, which takes no time unless the response has just ended; a connection that is closed instead isn't used, and the attempt gets another one.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -181,7 +181,7 @@
 	field, value := s.options.Dialect.expectedEcho(in, attemptID)
 	if err := s.checkResponse(a.response, t, field, value); err != nil {
 		// A copy of the response may follow, and be taken for the next one.
-		a.connection.Load().retire(errRetired)
+		a.connection.Load().retire()
 		end := attemptEndFor(err)
 		if isReused := a.connected == nil; end == dhevent.EndRefused && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
 			end = dhevent.EndUnattributed
@@ -235,7 +235,7 @@
 	if !i.Reused {
 		a.connected = new(true)
 	}
-	if a.gotConnection = c.acquire(a.context); !a.gotConnection {
+	if a.gotConnection = c.acquire(a.context, i.Reused); !a.gotConnection {
 		a.abandoned = errRetired
 		c.abandon(errRetired)
 		return
--- a/io/dhentry/connection.go
+++ b/io/dhentry/connection.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 )
 
@@ -12,9 +13,9 @@
 // to a request has begun, it is reset: otherwise the kernel would go on to send what it holds
 // of the request, which could arrive seconds after the attempt has ended.
 //
-// The transport of net/http pools a connection as soon as it has read a response without a
-// body, before the attempt has checked it. So an attempt acquires the connection that it gets
-// from the transport, which waits for that check.
+// The transport of net/http pools a connection as soon as it has read a response, before the
+// attempt has checked it and before it is known whether bytes follow the response. So an attempt
+// acquires the connection that it gets from the transport, which waits for both.
 type requestConn struct {
 	*net.TCPConn
 	unanswered atomic.Bool
@@ -26,6 +27,11 @@
 	written atomic.Bool
 	// carried is how many requests the transport has given the connection to.
 	carried atomic.Int64
+
+	mutex     sync.Mutex
+	isReading bool          // the transport waits for bytes
+	isClosed  bool          // by this side
+	changed   chan struct{} // closed at the next change of isReading or isClosed; nil if nobody waits
 }
 
 func newRequestConn(c *net.TCPConn) *requestConn {
@@ -34,9 +40,10 @@
 	return r
 }
 
-// acquire waits until the previous response on the connection was checked, and reports
-// whether the connection may carry another request. If so, release must follow.
-func (c *requestConn) acquire(ctx context.Context) bool {
+// acquire reports whether the connection may carry a request. If it has carried some before, it
+// waits until the last response was checked and the transport reads beyond it. After true,
+// release must follow.
+func (c *requestConn) acquire(ctx context.Context, isReused bool) bool {
 	if c == nil {
 		return true
 	}
@@ -45,7 +52,7 @@
 	case <-ctx.Done():
 		return false
 	}
-	if c.abandoned.Load() != nil {
+	if isReused && (c.abandoned.Load() != nil || !c.awaitRead(ctx)) {
 		c.release()
 		return false
 	}
@@ -53,6 +60,39 @@
 	return true
 }
 
+// awaitRead waits until the transport waits for bytes, and reports whether it does. The
+// transport closes an idle connection instead if it has bytes that belong to no request.
+func (c *requestConn) awaitRead(ctx context.Context) bool {
+	for {
+		c.mutex.Lock()
+		isReading, isClosed := c.isReading, c.isClosed
+		if c.changed == nil {
+			c.changed = make(chan struct{})
+		}
+		changed := c.changed
+		c.mutex.Unlock()
+		if isReading || isClosed {
+			return !isClosed
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// change changes the state that awaitRead waits for.
+func (c *requestConn) change(f func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	f()
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
+
 // release lets the next attempt acquire the connection.
 func (c *requestConn) release() {
 	if c != nil {
@@ -62,9 +102,9 @@
 
 // retire closes the connection, which carries no request any more. It must be called between
 // acquire and release.
-func (c *requestConn) retire(reason error) {
+func (c *requestConn) retire() {
 	if c != nil {
-		c.abandon(reason)
+		c.abandon(errRetired)
 		// A connection that can't be closed fails at the next write.
 		_ = c.Close()
 	}
@@ -130,9 +170,16 @@
 var (
 	errCallerLeft = errors.New("the caller has closed its connection")
 	errLate       = errors.New("the upstream may have departed: the configuration here is too old by now")
-	errRetired    = errors.New("an earlier response on the connection was a refusal, or belonged to no request")
+	errRetired    = errors.New("the connection is closed, or carries no request any more")
 )
 
+// Read implements net.Conn.
+func (c *requestConn) Read(b []byte) (int, error) {
+	c.change(func() { c.isReading = true })
+	defer c.change(func() { c.isReading = false })
+	return c.TCPConn.Read(b)
+}
+
 // Write implements net.Conn.
 func (c *requestConn) Write(b []byte) (int, error) {
 	if reason := c.abandoned.Load(); reason != nil {
@@ -144,6 +191,7 @@
 
 // Close implements net.Conn.
 func (c *requestConn) Close() error {
+	c.change(func() { c.isClosed = true })
 	if c.unanswered.Load() {
 		// If that fails, the connection is closed in the usual way.
 		_ = c.SetLinger(0)
--- a/io/dhentry/copied_refusal_test.go
+++ b/io/dhentry/copied_refusal_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -24,6 +24,39 @@
 	return NewDialect(o)
 }
 
+// startEchoingServer returns a server with a few connections to each upstream, which echo the
+// caller's request ID.
+func startEchoingServer(t *testing.T) *Server {
+	t.Helper()
+	s := New(Options{Clock: dhtime.System(), Dialect: echoingDialect(), MaxConnections: 4})
+	t.Cleanup(s.Close)
+	return s
+}
+
+// attemptOnce sends a request that must not be repeated to an upstream, and returns how the
+// attempt ended.
+func (s *Server) attemptOnce(ctx context.Context, address, id string) (dhevent.AttemptEnd, error) {
+	in := &inbound{id: id, method: http.MethodPost, host: "h", url: &url.URL{Path: "/x"}, header: http.Header{}, body: []byte("x")}
+	a := s.sendAttempt(ctx, in, target{address: address, timeout: 10_000, mustEcho: true}, 1<<10)
+	if a.end == dhevent.EndAnswered {
+		a.close()
+	}
+	return a.end, a.err
+}
+
+// sendBesideEachOther calls a function with 2,400 request IDs from 24 goroutines.
+func sendBesideEachOther(f func(id string)) {
+	var all sync.WaitGroup
+	for n := range 24 {
+		all.Go(func() {
+			for i := range 100 {
+				f(fmt.Sprint(n, "-", i))
+			}
+		})
+	}
+	all.Wait()
+}
+
 // copyTime is when an upstream writes the copy of a refusal.
 type copyTime int
 
@@ -55,14 +88,14 @@
 		id := r.Header.Get(HeaderRequestID)
 		u.mutex.Lock()
 		u.sent[id]++
-		n := u.sent[id]
+		isFirst, refusals := u.sent[id] == 1, len(u.sent)
 		u.mutex.Unlock()
-		if n > 1 {
+		if !isFirst {
 			_, _ = fmt.Fprintf(c, "%sHTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 3\r\n\r\nran", owed, HeaderRequestID, id)
 			continue
 		}
 		refusal := fmt.Sprintf(u.refusal, id)
-		switch copyTime(len(id)) % copyTimes {
+		switch copyTime(refusals) % copyTimes {
 		case withRefusal:
 			_, _ = io.WriteString(c, owed+refusal+refusal)
 		case soonAfterRefusal:
@@ -80,11 +113,6 @@
 // connections to an upstream that writes copies of its refusals. Each must be refused once and
 // then answered, whatever requests the connections carried before.
 func TestCopyOfARefusalIsTakenForAResponse(t *testing.T) {
-	const (
-		senders     = 24
-		requests    = 100
-		connections = 4
-	)
 	for _, refusal := range []string{
 		"HTTP/1.1 503 X\r\n" + HeaderRequestID + ": %s\r\n" + HeaderRun + ": " + NotRun + "\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 X\r\n" + HeaderRequestID + ": %s\r\n" + HeaderRun + ": " + NotRun + "\r\nContent-Length: 4\r\n\r\nfull",
@@ -104,27 +132,13 @@
 				go u.serve(c)
 			}
 		}()
-		s := New(Options{Clock: dhtime.System(), Dialect: echoingDialect(), MaxConnections: connections, ResponseBufferBytes: 1 << 10})
-		t.Cleanup(s.Close)
-		send := func(id string) dhevent.AttemptEnd {
-			in := &inbound{id: id, method: http.MethodPost, host: "h", url: &url.URL{Path: "/x"}, header: http.Header{}, body: []byte("x")}
-			a := s.sendAttempt(t.Context(), in, target{address: l.Addr().String(), timeout: 10_000, mustEcho: true}, 1<<10)
-			if a.end == dhevent.EndAnswered {
-				a.close()
+		s := startEchoingServer(t)
+		sendBesideEachOther(func(id string) {
+			first, _ := s.attemptOnce(t.Context(), l.Addr().String(), id)
+			second, err := s.attemptOnce(t.Context(), l.Addr().String(), id)
+			if first != dhevent.EndRefused || second != dhevent.EndAnswered {
+				t.Errorf("request %s ended as %v, then as %v (%v); want %v, then %v", id, first, second, err, dhevent.EndRefused, dhevent.EndAnswered)
 			}
-			return a.end
-		}
-		var all sync.WaitGroup
-		for n := range senders {
-			all.Go(func() {
-				for i := range requests {
-					id := fmt.Sprint(n, "-", i, strings.Repeat("x", (n+i)%int(copyTimes)))
-					if first, second := send(id), send(id); first != dhevent.EndRefused || second != dhevent.EndAnswered {
-						t.Errorf("request %s ended as %v, then as %v; want %v, then %v", id, first, second, dhevent.EndRefused, dhevent.EndAnswered)
-					}
-				}
-			})
-		}
-		all.Wait()
+		})
 	}
 }
