--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -182,11 +182,16 @@
 	if err := s.checkResponse(a.response, t, field, value); err != nil {
 		// A copy of the response may follow, and be taken for the next one.
 		a.connection.Load().retire()
+		s.retired.Add(1)
+		isForeign := errors.Is(err, errWrongAttempt) || errors.Is(err, errTwoHeads)
+		if isForeign {
+			s.foreign.Add(1)
+		}
 		end := attemptEndFor(err)
 		if isReused := a.connected == nil; end == dhevent.EndRefused && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
 			end = dhevent.EndUnattributed
 		}
-		a.missed = end == dhevent.EndUnattributed || errors.Is(err, errWrongAttempt) || errors.Is(err, errTwoHeads)
+		a.missed = end == dhevent.EndUnattributed || isForeign
 		a.accepted = end == dhevent.EndUnproven
 		return a.fail(end, err)
 	}
--- a/io/dhentry/copied_refusal_test.go
+++ b/io/dhentry/copied_refusal_test.go
@@ -140,5 +140,8 @@
 				t.Errorf("request %s ended as %v, then as %v (%v); want %v, then %v", id, first, second, err, dhevent.EndRefused, dhevent.EndAnswered)
 			}
 		})
+		if retired, foreign := s.RetiredConnections(), s.ForeignResponses(); retired != int64(len(u.sent)) || foreign != 0 {
+			t.Errorf("%d connections were retired for %d refusals, and %d responses belonged to no request", retired, len(u.sent), foreign)
+		}
 	}
 }
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -66,8 +66,11 @@
 	heldBytes atomic.Int64 // reserved for request bodies
 	// unanswered is the number of requests whose answer isn't written yet.
 	unanswered atomic.Int64
-	aborted    context.Context // done once Abort was called
-	abort      context.CancelFunc
+	// retired is the number of connections on which a response was a refusal or belonged to no
+	// request, foreign the number of the latter.
+	retired, foreign atomic.Int64
+	aborted          context.Context // done once Abort was called
+	abort            context.CancelFunc
 }
 
 // New returns a Server.
@@ -93,6 +96,13 @@
 // UnansweredRequests returns the number of requests whose answer isn't written yet.
 func (s *Server) UnansweredRequests() int64 { return s.unanswered.Load() }
 
+// RetiredConnections returns how many connections to upstreams and peers carry no request any more
+// because of a response: a refusal, or one that belonged to no request.
+func (s *Server) RetiredConnections() int64 { return s.retired.Load() }
+
+// ForeignResponses returns how many responses of upstreams and peers belonged to no request.
+func (s *Server) ForeignResponses() int64 { return s.foreign.Load() }
+
 // setClose marks a response as the last one on its connection after CloseConnections.
 func (s *Server) setClose(h http.Header) {
 	if s.closing.Load() {
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -295,6 +295,8 @@
 		DecisionLog: p.decisionLog, MaxBodyBytes: p.options.MaxBodyBytes, MaxHeldBytes: p.options.MaxHeldBytes,
 		ResponseBufferBytes: p.options.ResponseBufferBytes, MaxConnections: p.options.MaxConnections, PeerTLS: p.clientTLS(), Dialect: p.options.Dialect,
 	})
+	p.metrics.SetGaugeFunc(p.entry.RetiredConnections, "dogwoodhitch_connections_retired_total")
+	p.metrics.SetGaugeFunc(p.entry.ForeignResponses, "dogwoodhitch_foreign_responses_total")
 }
 
 // executeEffect executes an effect of the control or the traffic state. It never
