Discard a response that precedes its request

The latter was taken for the response to the request, of which nothing was written; with a foreign ID its caller got 502. Now the attempt goes on as if there were none.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -225,6 +225,11 @@
 		}
 		a.gotConnection, a.abandoned = false, nil
 		a.response, err = client.Do(request) //nolint:bodyclose // closed by attempt.close
+		if err == nil && a.abandoned != nil {
+			// The response was there before the request, of which nothing was written.
+			a.response.Body.Close()
+			a.response, err = nil, a.abandoned
+		}
 		if err == nil || !errors.Is(a.abandoned, errRetired) || a.context.Err() != nil {
 			return err
 		}
