Take no field that names a protocol for a second response

Found in review of: a response with Via: HTTP/1.1 192.168.0.5 was taken for two that were put together, so each response of such an upstream became 502 and counted as its failure. A status line has a code from 100 to 599 and then a space or its end; and only the responses on a connection that has carried a request before can follow another one.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -179,7 +179,11 @@
 		return a.fail(classifyFailure(ctx, a), err)
 	}
 	field, value := s.options.Dialect.expectedEcho(in, attemptID)
-	if err := s.checkResponse(a.response, t, field, value); err != nil {
+	err := s.checkResponse(a.response, t, field, value)
+	if a.sharesConnection() && hasSecondStatusLine(a.response) {
+		err = errTwoHeads
+	}
+	if err != nil {
 		// A copy of the response may follow, and be taken for the next one.
 		a.connection.Load().retire()
 		s.retired.Add(1)
@@ -266,6 +270,9 @@
 	a.cancel()
 }
 
+// sharesConnection reports whether the connection may have carried a request before.
+func (a *attempt) sharesConnection() bool { return a.carried == nil || *a.carried > 0 }
+
 // releaseConnection lets other attempts acquire the connection of this one.
 func (a *attempt) releaseConnection() { a.connection.Swap(nil).release() }
 
@@ -400,9 +407,6 @@
 // or the response carries the field.
 func (s *Server) checkResponse(r *http.Response, t target, field, value string) error {
 	dialect := s.options.Dialect.options
-	if hasSecondStatusLine(r) {
-		return errTwoHeads
-	}
 	echo := r.Header.Get(field)
 	if echo != value && (echo != "" || t.mustEcho) {
 		return fmt.Errorf("%w: it echoes %q", errWrongAttempt, echo)
@@ -446,8 +450,8 @@
 	return false
 }
 
-// statusLine matches the start of a status line.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] \d{3}`)
+// statusLine matches a status line, up to its reason phrase.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5]\d\d( |$)`)
 
 // isUnable reports whether a peer refused a request before it sent it to any upstream.
 func isUnable(kind dheffect.RefusalKind) bool {
