Find cut copies in fields that net/http takes out of the header

Found in review of: net/http moves the names of a Trailer field to the response and drops Transfer-Encoding of HTTP/1.0. A copy that is cut in one of them, and the next response behind it, were read as one; a caller got 500 with the body of a 200. Names of trailers are searched too, and a connection on which an HTTP/1.0 response came carries no other request.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -200,6 +200,11 @@
 		return a.fail(end, err)
 	}
 	a.accepted = true
+	if !a.response.ProtoAtLeast(1, 1) {
+		// What is left of a cut copy of it couldn't be told from the next response: net/http
+		// drops fields of HTTP/1.0 unseen.
+		a.connection.Load().abandon(errRetired)
+	}
 	if !t.toPeer {
 		removeOwnFields(a.response.Header)
 	}
@@ -438,10 +443,16 @@
 
 // hasSecondStatusLine reports whether the head of a response contains the status line of another
 // one. That is so if a response breaks off in its head and the connection goes on with the next.
+// Fields that net/http has moved out of the header are included.
 func hasSecondStatusLine(r *http.Response) bool {
 	if statusLine.MatchString(r.Status) {
 		return true
 	}
+	for name := range r.Trailer {
+		if statusLine.MatchString(name) {
+			return true
+		}
+	}
 	for _, values := range r.Header {
 		if slices.ContainsFunc(values, statusLine.MatchString) {
 			return true
