Believe no load or limit of another request's response

A copy with Server-Limit: 0 left 5 of 5 later requests with 503. They now count under the condition under which Retry-After does. TestLimitOfAResponseThatBelongsToNoRequestIsBelieved failed before (5 of 5).

--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -357,10 +357,11 @@
 			}, "attempt failed"
 		})
 		o := dhevent.AttemptEndedOptions{
-			End: a.end, Status: a.status(), Carried: a.carried, ReportedLoad: s.options.Dialect.reportedLoad(a.response), ReportedLimit: s.options.Dialect.reportedLimit(a.response),
+			End: a.end, Status: a.status(), Carried: a.carried,
 			Connected: a.connected, ResponseMissed: new(a.missed), Resent: a.resent,
 		}
 		if a.accepted || a.end == dhevent.EndRefused || a.end == dhevent.EndUnattributed {
+			o.ReportedLoad, o.ReportedLimit = s.options.Dialect.reportedLoad(a.response), s.options.Dialect.reportedLimit(a.response)
 			o.RetryAfter = reportedRetryAfter(a.response)
 		}
 		x.postAttemptEnded(o, d.At())
