Ask peers for the proof of a promise too

Found in review of: a peer of an earlier release, or one in whose configuration the route may be repeated, passes on an upstream's own 408, 429 or 503, and the instance that had forwarded the request passed it on to the caller as a promise. Refusals of peers carry Dogwoodhitch-Run and lose nothing.

--- a/core/dheffect/traffic.go
+++ b/core/dheffect/traffic.go
@@ -113,6 +113,8 @@
 	// MinDeclaration is the number of the declaration that the peer must have at
 	// least; nil if it may have any.
 	MinDeclaration *uint64
+	// NeedsProof is as in ForwardToUpstreamOptions.
+	NeedsProof bool `journal:"NeedsProof,omitZero"`
 }
 
 // Registered reports whether the upstream is registered with the entire
@@ -153,6 +155,10 @@
 // least; nil if it may have any.
 func (e *ForwardToPeer) MinDeclaration() *uint64 { return e.options.MinDeclaration }
 
+// NeedsProof reports whether a response with a status that promises that the request has not
+// run must prove it.
+func (e *ForwardToPeer) NeedsProof() bool { return e.options.NeedsProof }
+
 func (*ForwardToPeer) effect() {}
 
 // ProbeUpstreamOptions are the fields of a ProbeUpstream.
--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -193,8 +193,8 @@
 	s.end(now, r, "", e.Status(), out)
 }
 
-// needsProof reports whether an upstream's own promise that a request has not run must be
-// proven before the caller gets it.
+// needsProof reports whether a response that promises by its status that a request has not run
+// must prove it before the caller gets it.
 func (s *State) needsProof(r *request) bool { return s.statusesPromise && !r.route.Idempotent() }
 
 // handleUnclearEnd handles an attempt that may have run. It retries only an
--- a/core/dhtraffic/peer.go
+++ b/core/dhtraffic/peer.go
@@ -123,6 +123,7 @@
 	out.Add(dheffect.NewForwardToPeer(dheffect.ForwardToPeerOptions{
 		RequestID: r.id, Instance: to.instance.Name(), Address: to.instance.PeerAddress(),
 		Organisation: r.organisation, Timeout: r.remaining(now), Claimed: r.claimGranted, MinDeclaration: minDeclaration,
+		NeedsProof: s.needsProof(r),
 	}))
 	return true
 }
--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -408,7 +408,7 @@
 
 // checkResponse returns an error if a response belongs to another attempt, if its
 // end can't be distinguished from a broken connection, or if it is a refusal of the
-// upstream or peer. The header field must have the value if the target must echo it
+// upstream or peer, proven or not. The header field must have the value if the target must echo it
 // or the response carries the field.
 func (s *Server) checkResponse(r *http.Response, t target, field, value string) error {
 	dialect := s.options.Dialect.options
@@ -428,11 +428,9 @@
 		return errNotRun
 	case t.toPeer && run == MayHaveRun:
 		return errMayHaveRun
-	case t.toPeer:
-		return nil
-	case dialect.Misplaced(r.StatusCode, r.Header):
+	case !t.toPeer && dialect.Misplaced(r.StatusCode, r.Header):
 		return errMisplaced
-	case dialect.NotRun(r.StatusCode, r.Header):
+	case !t.toPeer && dialect.NotRun(r.StatusCode, r.Header):
 		return errNotRun
 	case t.needsProof && dialect.Promises(r.StatusCode):
 		return errUnproven
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -322,7 +322,7 @@
 		}
 		return x.runAttempt(ctx, d, target{
 			address: e.Address(), pathPrefix: peerPathPrefix, timeout: e.Timeout(), newConnection: e.Claimed() || x.in.isReplayableByKey(), toPeer: true,
-			useTLS: x.server.options.PeerTLS != nil, extraHeader: extraHeader,
+			useTLS: x.server.options.PeerTLS != nil, extraHeader: extraHeader, needsProof: e.NeedsProof(),
 		}, e.Claimed())
 	default:
 		return true
