Eject no upstream for responses that prove nothing

Found in review of: an upstream's own 408 or 429 that reached no caller counted as a failure of the upstream, which is ejected after some; before, it counted as a response. TestUnprovenStatusEjectsAnUpstream failed before.

--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -161,7 +161,7 @@
 // of 502, 503 or 504 counts as a failure of the upstream.
 func attemptOutcome(e *dhevent.AttemptEnded) dhsteer.AttemptOutcome {
 	switch e.End() {
-	case dhevent.EndAnswered:
+	case dhevent.EndAnswered, dhevent.EndUnproven:
 		if e.Status() >= statusBadGateway && e.Status() <= statusGatewayTimeout {
 			return dhsteer.Failed
 		}
--- a/core/dhtraffic/unclear_test.go
+++ b/core/dhtraffic/unclear_test.go
@@ -7,6 +7,7 @@
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhsteer"
 )
 
 // newRetryTest returns an instance with upstreams that are registered or announced, and a
@@ -70,3 +71,14 @@
 		t.Errorf("got refusal %s that didn't run", refusal.Kind())
 	}
 }
+
+// TestUnprovenStatusEjectsAnUpstream lets an upstream respond with its own 429 to requests that
+// may run at most once. It responds, so it isn't ejected for that.
+func TestUnprovenStatusEjectsAnUpstream(t *testing.T) {
+	for status, want := range map[int]dhsteer.AttemptOutcome{429: dhsteer.Answered, 503: dhsteer.Failed} {
+		e := dhevent.NewAttemptEnded(1, dhevent.AttemptEndedOptions{End: dhevent.EndUnproven, Status: status})
+		if got := attemptOutcome(e); got != want {
+			t.Errorf("status %d: got outcome %v, want %v", status, got, want)
+		}
+	}
+}
