--- a/io/dhcommand/explain.go
+++ b/io/dhcommand/explain.go
@@ -40,6 +40,8 @@
 	Upstream     string `json:"upstream"`
 	End          string `json:"end"`
 	Reason       string `json:"reason"`
+	Connection   string `json:"connection"`
+	Carried      int    `json:"carried"`
 	Attempts     []struct {
 		To     string `json:"to"`
 		SentMs int64  `json:"sentMs"`
@@ -109,6 +111,9 @@
 		fmt.Fprintf(w, "%s %s: %s\n", l.Time, l.Process, l.Message)
 		if l.Upstream != "" {
 			fmt.Fprintf(w, "    at %s: %s after %d ms: %s\n", l.Upstream, l.End, l.Ms, l.Reason)
+			if l.Connection != "" {
+				fmt.Fprintf(w, "    with status %d on connection %s, which had carried %d requests\n", l.Status, l.Connection, l.Carried)
+			}
 			continue
 		}
 		fmt.Fprintf(w, "    route %s, service %s, organisation %s, version %d confirmed %d ms before\n",
--- a/io/dhcommand/explain_test.go
+++ b/io/dhcommand/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -47,3 +48,18 @@
 		t.Errorf("missing file: got exit code %d and error %s, want ExitUsage", code, errors.String())
 	}
 }
+
+// TestExplainShowsTheConnection checks that explain tells on which connection an attempt failed.
+func TestExplainShowsTheConnection(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "run.log")
+	line := `{"msg":"attempt failed","process":"p","time":"2026-01-24T01:11:09Z","request":"r1","upstream":"10.0.0.2:80",` +
+		`"end":"refused","reason":"why","ms":4,"status":503,"connection":"10.0.0.1:3","carried":2}` + "\n"
+	if err := os.WriteFile(path, []byte(line), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errors bytes.Buffer
+	code := Main([]string{"dogwoodhitch", "explain", "r1", path}, &out, &errors)
+	if want := "with status 503 on connection 10.0.0.1:3, which had carried 2 requests"; code != ExitOK || !strings.Contains(out.String(), want) {
+		t.Errorf("got exit code %d and %q, want %q", code, out.String(), want)
+	}
+}
