Reset a connection on which a foreign response came

Found in review, by reading: a connection on which a response belonged to no request was closed in the usual way, though the true response to the request on it may not have begun. The kernel would go on to send what it holds of that request, which could run after its attempt had ended. TestKernelSendsRequestsAfterForeignResponses failed before (EOF in place of a reset).

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -146,10 +146,10 @@
 	// connection is the one that the attempt has acquired, or nil.
 	connection atomic.Pointer[requestConn]
 	abandoned  error // why nothing was written to the last connection; nil otherwise
-	// carried is how many requests the last connection had carried before; nil if the attempt
-	// got none. localAddress is the connection's address on this side, or "".
-	carried      *int
-	localAddress string
+	// carried is how many requests the last connection had carried before, which is used; both
+	// are nil if the attempt got none.
+	carried *int
+	used    *requestConn
 }
 
 // attemptCounter is the number of the latest attempt of this process.
@@ -184,13 +184,14 @@
 		err = errTwoHeads
 	}
 	if err != nil {
-		// A copy of the response may follow, and be taken for the next one.
-		a.connection.Load().retire()
-		s.retired.Add(1)
 		isForeign := errors.Is(err, errWrongAttempt) || errors.Is(err, errTwoHeads)
 		if isForeign {
 			s.foreign.Add(1)
+			a.connection.Load().setUnanswered(true)
 		}
+		// A copy of the response may follow, and be taken for the next one.
+		a.connection.Load().retire()
+		s.retired.Add(1)
 		end := attemptEndFor(err)
 		if isReused := a.connected == nil; end == dhevent.EndRefused && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
 			end = dhevent.EndUnattributed
@@ -260,7 +261,7 @@
 		return
 	}
 	a.connection.Store(c)
-	a.carried, a.localAddress = c.countRequest(), c.localAddress()
+	a.carried, a.used = c.countRequest(), c
 	switch {
 	case !i.WasIdle && !t.outlivesCaller && dhnet.HasCallerLeft(ctx):
 		a.abandoned = errCallerLeft
--- a/io/dhentry/connection_test.go
+++ b/io/dhentry/connection_test.go
@@ -80,3 +80,32 @@
 		})
 	}
 }
+
+// TestKernelSendsRequestsAfterForeignResponses lets an upstream write a response that belongs to
+// another request. The true one may not have begun, so the connection must be reset.
+func TestKernelSendsRequestsAfterForeignResponses(t *testing.T) {
+	ends := make(chan error, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		reader := bufio.NewReader(c)
+		if r, err := http.ReadRequest(reader); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: 0\r\n\r\n", HeaderAttempt)
+		_, err = reader.ReadByte()
+		ends <- err
+	}()
+	startEntryWithRegistered(t, l.Addr().String()).send(http.MethodPost, "/write/1", "x")
+	if err := <-ends; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want %v", err, syscall.ECONNRESET)
+	}
+}
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -352,7 +352,7 @@
 		s.options.DecisionLog.Write("attempt "+a.end.String(), func() (logrus.Fields, string) {
 			return logrus.Fields{
 				"request": x.in.id, "upstream": t.address, "end": a.end.String(), "reason": a.err.Error(),
-				"status": a.status(), "connection": a.localAddress, "carried": a.carried,
+				"status": a.status(), "connection": a.used.localAddress(), "carried": a.carried,
 				"timeoutMs": t.timeout.Milliseconds(), "ms": s.options.Clock.Now().Since(d.At()).Milliseconds(),
 			}, "attempt failed"
 		})
