Test late refusals of upstreams that don't echo attempts

Found in review: TestRepeatedRefusalWithoutEchoDeniesARun no longer reaches the end unattributed, since a connection isn't used again after a refusal. It is still needed: an upstream that writes one response twice has each later one arrive in place of the next, a refusal too. TestLateRefusalWithoutEchoDeniesARun is red without it.

--- a/io/dhentry/stale_refusal_test.go
+++ b/io/dhentry/stale_refusal_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/io/dhtime"
 )
 
 // TestRepeatedRefusalWithoutEchoDeniesARun lets an upstream that doesn't echo attempts write an
@@ -46,3 +50,45 @@
 		})
 	}
 }
+
+// TestLateRefusalWithoutEchoDeniesARun lets an upstream that doesn't echo attempts write its first
+// response twice. Each later response then arrives in place of the next one, a refusal too.
+func TestLateRefusalWithoutEchoDeniesARun(t *testing.T) {
+	received := make(chan struct{}, 8)
+	release := make(chan struct{})
+	u := startUpstream(t, func(_ *http.Request, n int64) (string, bool) {
+		received <- struct{}{}
+		switch n {
+		case 2:
+			return okResponse("copy"), false // the response to request 2 follows late
+		case 3:
+			<-release
+			return fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderRun, NotRun), false
+		default:
+			return okResponse("ran"), false
+		}
+	})
+	s := New(Options{Clock: dhtime.System(), MaxConnections: 1})
+	t.Cleanup(s.Close)
+	send := func() dhevent.AttemptEnd {
+		in := &inbound{id: "r", method: http.MethodPost, host: "h", url: &url.URL{Path: "/x"}, header: http.Header{}, body: []byte("x")}
+		a := s.sendAttempt(t.Context(), in, target{address: u.Addr().String(), timeout: 10_000}, 1<<10)
+		if a.end == dhevent.EndAnswered {
+			a.close()
+		}
+		return a.end
+	}
+	for n := range 2 {
+		if end := send(); end != dhevent.EndAnswered {
+			t.Fatalf("request %d ended as %v, want %v", n+1, end, dhevent.EndAnswered)
+		}
+		<-received
+	}
+	go func() {
+		<-received
+		close(release)
+	}()
+	if end := send(); end != dhevent.EndUnattributed {
+		t.Errorf("the refusal of request 2 in place of the response to request 3 ended it as %v, want %v", end, dhevent.EndUnattributed)
+	}
+}
