Keep the place of a retired connection until its upstream has closed it

A retired connection now closes its output alone and keeps its place in the transport's count until the upstream has closed it, for 100 ms at most. An attempt that gets it from the pool waits for that. A refusal with a body still costs its connection at once, as before.

TestRefusalBreaksRequestsAtTheConnectionLimit failed before.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -187,10 +187,12 @@
 		isForeign := errors.Is(err, errWrongAttempt) || errors.Is(err, errTwoHeads)
 		if isForeign {
 			s.foreign.Add(1)
-			a.connection.Load().setUnanswered(true)
+			// The true response may not have begun.
+			a.connection.Load().reset()
+		} else {
+			// A copy of the response may follow, and be taken for the next one.
+			a.connection.Load().retire()
 		}
-		// A copy of the response may follow, and be taken for the next one.
-		a.connection.Load().retire()
 		s.retired.Add(1)
 		end := attemptEndFor(err)
 		if isReused := a.connected == nil; end == dhevent.EndRefused && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
@@ -217,7 +219,7 @@
 }
 
 // roundTrip sends a request and reads the head of its response. While the connections that the
-// transport has may carry no request any more, it tries again with the next one.
+// transport has carry no request any more, it tries again with the next one.
 func (s *Server) roundTrip(ctx context.Context, a *attempt, in *inbound, t target, attemptID string) error {
 	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
 		GotConn:              func(i httptrace.GotConnInfo) { a.takeConnection(ctx, i, t, s.options.Clock) },
@@ -240,7 +242,7 @@
 			a.response.Body.Close()
 			a.response, err = nil, a.abandoned
 		}
-		if err == nil || !errors.Is(a.abandoned, errRetired) || a.context.Err() != nil {
+		if err == nil || a.context.Err() != nil || !errors.Is(a.abandoned, errRetired) {
 			return err
 		}
 	}
@@ -257,7 +259,8 @@
 	}
 	if a.gotConnection = c.acquire(a.context, i.Reused); !a.gotConnection {
 		a.abandoned = errRetired
-		c.abandon(errRetired)
+		c.retire()
+		c.awaitEnd(a.context)
 		return
 	}
 	a.connection.Store(c)
--- a/io/dhentry/connection.go
+++ b/io/dhentry/connection.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // requestConn is a connection to an upstream or a peer. If it is closed before the response
@@ -27,11 +28,13 @@
 	written atomic.Bool
 	// carried is how many requests the transport has given the connection to.
 	carried atomic.Int64
+	retired sync.Once
 
 	mutex     sync.Mutex
 	isReading bool          // the transport waits for bytes
 	isClosed  bool          // by this side
-	changed   chan struct{} // closed at the next change of isReading or isClosed; nil if nobody waits
+	hasEnded  bool          // by the other side, or broken
+	changed   chan struct{} // closed at the next change of one of these; nil if nobody waits
 }
 
 func newRequestConn(c *net.TCPConn) *requestConn {
@@ -63,26 +66,39 @@
 // awaitRead waits until the transport waits for bytes, and reports whether it does. The
 // transport closes an idle connection instead if it has bytes that belong to no request.
 func (c *requestConn) awaitRead(ctx context.Context) bool {
+	c.await(ctx, func() bool { return c.isReading || c.isClosed })
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.isReading && !c.isClosed
+}
+
+// awaitEnd waits until one side has closed the connection.
+func (c *requestConn) awaitEnd(ctx context.Context) {
+	c.await(ctx, func() bool { return c.hasEnded || c.isClosed })
+}
+
+// await waits until a condition on the state that change changes holds.
+func (c *requestConn) await(ctx context.Context, condition func() bool) {
 	for {
 		c.mutex.Lock()
-		isReading, isClosed := c.isReading, c.isClosed
+		holds := condition()
 		if c.changed == nil {
 			c.changed = make(chan struct{})
 		}
 		changed := c.changed
 		c.mutex.Unlock()
-		if isReading || isClosed {
-			return !isClosed
+		if holds {
+			return
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return false
+			return
 		}
 	}
 }
 
-// change changes the state that awaitRead waits for.
+// change changes the state that await waits for.
 func (c *requestConn) change(f func()) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -100,14 +116,34 @@
 	}
 }
 
-// retire closes the connection, which carries no request any more. It must be called between
-// acquire and release.
+// closeTimeout is how long the upstream has to close a retired connection.
+const closeTimeout = 100 * time.Millisecond
+
+// retire lets the connection carry no request any more. Only the output is closed at first, so
+// that the connection counts among those to the upstream until that has closed it too: an
+// upstream may reset connections beyond a number.
 func (c *requestConn) retire() {
-	if c != nil {
-		c.abandon(errRetired)
-		// A connection that can't be closed fails at the next write.
-		_ = c.Close()
+	if c == nil {
+		return
+	}
+	c.abandon(errRetired)
+	c.retired.Do(func() {
+		if c.CloseWrite() != nil {
+			_ = c.Close()
+			return
+		}
+		time.AfterFunc(closeTimeout, func() { _ = c.Close() })
+	})
+}
+
+// reset resets the connection, which carries no request any more.
+func (c *requestConn) reset() {
+	if c == nil {
+		return
 	}
+	c.abandon(errRetired)
+	c.setUnanswered(true)
+	_ = c.Close()
 }
 
 // isWritten reports whether the attempt that acquired the connection last may have written
@@ -176,8 +212,9 @@
 // Read implements net.Conn.
 func (c *requestConn) Read(b []byte) (int, error) {
 	c.change(func() { c.isReading = true })
-	defer c.change(func() { c.isReading = false })
-	return c.TCPConn.Read(b)
+	n, err := c.TCPConn.Read(b)
+	c.change(func() { c.isReading, c.hasEnded = false, c.hasEnded || err != nil })
+	return n, err
 }
 
 // Write implements net.Conn.
