Send a request again of which nothing was written

The attempt now makes sure that nothing was and will be written, and takes the next connection.

Besides, by reading: an attempt whose time ends while it waits for such a connection says nothing of its upstream, which was ejected as unreachable; and a failure to connect after a retired connection is tried no second time.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -222,6 +222,7 @@
 // transport has carry no request any more, it tries again with the next one.
 func (s *Server) roundTrip(ctx context.Context, a *attempt, in *inbound, t target, attemptID string) error {
 	tracedCtx := httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
+		GetConn:              func(string) { a.abandoned = nil },
 		GotConn:              func(i httptrace.GotConnInfo) { a.takeConnection(ctx, i, t, s.options.Clock) },
 		GotFirstResponseByte: func() { a.connection.Load().setUnanswered(false) },
 	})
@@ -242,7 +243,7 @@
 			a.response.Body.Close()
 			a.response, err = nil, a.abandoned
 		}
-		if err == nil || a.context.Err() != nil || !errors.Is(a.abandoned, errRetired) {
+		if err == nil || a.context.Err() != nil || !errors.Is(a.abandoned, errRetired) && !a.abandonUnwritten() {
 			return err
 		}
 	}
@@ -279,6 +280,12 @@
 	a.cancel()
 }
 
+// abandonUnwritten reports whether nothing was written to the connection that the attempt has
+// acquired, nor will be, and that had carried a request before: it was closed in between.
+func (a *attempt) abandonUnwritten() bool {
+	return a.gotConnection && a.sharesConnection() && a.connection.Load().abandonUnwritten()
+}
+
 // sharesConnection reports whether the connection may have carried a request before.
 func (a *attempt) sharesConnection() bool { return a.carried == nil || *a.carried > 0 }
 
@@ -292,7 +299,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return a.fail(dhevent.EndAbandoned, err)
-	case hasEnded && latency < shortConnectTime, isShortage(err):
+	case hasEnded && (latency < shortConnectTime || errors.Is(a.abandoned, errRetired)), isShortage(err):
 		return a.fail(dhevent.EndUntried, err)
 	}
 	var dialErr *net.OpError
--- a/io/dhentry/connection.go
+++ b/io/dhentry/connection.go
@@ -146,6 +146,16 @@
 	_ = c.Close()
 }
 
+// abandonUnwritten lets nothing be written to the connection if nothing was, and reports whether
+// that is so.
+func (c *requestConn) abandonUnwritten() bool {
+	if c == nil {
+		return false
+	}
+	c.abandon(errRetired)
+	return !c.written.Load()
+}
+
 // isWritten reports whether the attempt that acquired the connection last may have written
 // to it.
 func (c *requestConn) isWritten() bool { return c == nil || c.written.Load() }
@@ -219,10 +229,10 @@
 
 // Write implements net.Conn.
 func (c *requestConn) Write(b []byte) (int, error) {
+	c.written.Store(true)
 	if reason := c.abandoned.Load(); reason != nil {
 		return 0, *reason
 	}
-	c.written.Store(true)
 	return c.TCPConn.Write(b)
 }
 
