Log while the disk stalls

No log told why: the control loops of the leader and of another voter logged nothing for 15.7 and 14.8 s, and two voters heard from no leader. An election without a majority, a process that is stopped and a disk that stalls look alike.

Cause: the machine's disk stalled, which all six control processes of the test share. A control loop waits for its disk and neither leads nor votes meanwhile. The test waited too: it had to start a process at 14:18:20.137 and did at 14:18:26.413, when these loops went on. No figure of the disk was kept then.

A file that is written in advance and synced by fdatasync stalls at the same times, so to write the log that way would not help.

--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -252,7 +252,9 @@
 		Execute:      p.executeEffect,
 	}
 	if f := p.options.DataFolder; f != nil {
-		seams.Persist, seams.SaveSnapshot = f.Persist, f.SaveSnapshot
+		w := diskWatch{clock: p.options.Clock, log: p.log}
+		seams.Persist = func(list []*dheffect.Persist) error { return w.run(func() error { return f.Persist(list) }) }
+		seams.SaveSnapshot = func(e *dheffect.SaveSnapshot) error { return w.run(func() error { return f.SaveSnapshot(e) }) }
 		o.Suspects = f.State().Suspects()
 	}
 	if j := p.options.Journal; j != nil {
