Hand over the vote of a voter that stops after its start

Cause: a stop waits while this process has a vote by its committed list of members. A voter that is in neither took itself for no member and stopped at once.

Now the newest list of members in its log counts too, committed or not: a vote that may be this process's is handed over, or reported as not handed over.

TestVoterThatStopsAfterItsStartKeepsItsVote failed before for the first voter that is no founder: it had stopped with its vote, and two losses left two of five.

--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -159,6 +159,9 @@
 	return found
 }
 
+// IsVoter reports whether this node has a vote as of the newest entry, committed or not.
+func (n *Node) IsVoter() bool { return n.isVoter(n.self) }
+
 // isVoter reports whether a peer has a vote under the current members.
 func (n *Node) isVoter(p dhmessage.Peer) bool { return hasVote(n.log.members(), p) }
 
--- a/core/dhcontrol/leave.go
+++ b/core/dhcontrol/leave.go
@@ -36,7 +36,8 @@
 		return
 	}
 	self, isMember := s.ownMembership()
-	hasVote := isMember && !self.Learner()
+	// A process that has just started doesn't know yet which entries of its log are committed.
+	hasVote := isMember && !self.Learner() || s.voter != nil && s.voter.node.IsVoter()
 	mayHaveVote := hasVote || isMember && !self.Leaving()
 	if mayHaveVote && s.canHandOver() && s.now < s.leave.deadline {
 		return
--- a/core/dhreducer/handover_test.go
+++ b/core/dhreducer/handover_test.go
@@ -178,6 +178,26 @@
 	}
 }
 
+// TestVoterThatStopsAfterItsStartKeepsItsVote replaces a voter as planned that has just come back, and
+// kills two others as it has stopped. Its log alone says that it has a vote, until it hears from the
+// leader. A declaration must be accepted.
+func TestVoterThatStopsAfterItsStartKeepsItsVote(t *testing.T) {
+	for i := range 4 {
+		n := newReplacementNetwork(t, 6)
+		_, voters := n.leaderAndVoters()
+		stopping := voters[i]
+		n.startSuccessors([]*machine{stopping})
+		n.run(replacementTime + 100)
+		n.stop(stopping)
+		n.run(300)
+		n.start(stopping)
+		n.shutDown(stopping)
+		killed := slices.DeleteFunc(voters, func(m *machine) bool { return m == stopping })[:2]
+		n.stopAll(killed)
+		n.requireDeclaration(2, fmt.Sprintf("%s stopped after its start, %v killed:", stopping.name, namesOf(killed)))
+	}
+}
+
 // hasVote reports whether a process has a vote by its own list of members.
 func (n *network) hasVote(m *machine) bool {
 	return slices.ContainsFunc(n.status(m).Members(), func(v dheffect.MemberStatus) bool { return v.Name() == m.name && !v.Learner() })
