Look into the kernel for copies before a connection is used again

Read now waits for input without taking it, and says so before it takes it; so an attempt finds bytes that belong to no request in the kernel, or sees that they were taken. The transport closes the connection then, and the attempt gets another one. The price is a poll for each read and for each use of a connection.

What arrives after the check can't be told in time; its ID tells.

--- a/io/dhentry/connection.go
+++ b/io/dhentry/connection.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"dogwoodhitch/io/dhnet"
 )
 
 // requestConn is a connection to an upstream or a peer. If it is closed before the response
@@ -31,7 +33,7 @@
 	retired sync.Once
 
 	mutex     sync.Mutex
-	isReading bool          // the transport waits for bytes
+	isWaiting bool          // the transport waits for bytes, and has taken none
 	isClosed  bool          // by this side
 	hasEnded  bool          // by the other side, or broken
 	changed   chan struct{} // closed at the next change of one of these; nil if nobody waits
@@ -63,13 +65,16 @@
 	return true
 }
 
-// awaitRead waits until the transport waits for bytes, and reports whether it does. The
-// transport closes an idle connection instead if it has bytes that belong to no request.
+// awaitRead waits until the transport waits for bytes and there are none, and reports whether
+// that is so. The transport closes an idle connection instead if it gets bytes that belong to no
+// request.
 func (c *requestConn) awaitRead(ctx context.Context) bool {
-	c.await(ctx, func() bool { return c.isReading || c.isClosed })
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.isReading && !c.isClosed
+	isIdle := false
+	c.await(ctx, func() bool {
+		isIdle = c.isWaiting && !c.isClosed && !dhnet.HasInput(c)
+		return isIdle || c.isClosed
+	})
+	return isIdle
 }
 
 // awaitEnd waits until one side has closed the connection.
@@ -77,17 +82,11 @@
 	c.await(ctx, func() bool { return c.hasEnded || c.isClosed })
 }
 
-// await waits until a condition on the state that change changes holds.
+// await waits until a condition on the state that change changes holds, or the context ends.
 func (c *requestConn) await(ctx context.Context, condition func() bool) {
 	for {
-		c.mutex.Lock()
-		holds := condition()
-		if c.changed == nil {
-			c.changed = make(chan struct{})
-		}
-		changed := c.changed
-		c.mutex.Unlock()
-		if holds {
+		changed := c.changedUnless(condition)
+		if changed == nil {
 			return
 		}
 		select {
@@ -98,6 +97,20 @@
 	}
 }
 
+// changedUnless returns nil if a condition holds, else a channel that is closed at the next change
+// of the state.
+func (c *requestConn) changedUnless(condition func() bool) <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if condition() {
+		return nil
+	}
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	return c.changed
+}
+
 // change changes the state that await waits for.
 func (c *requestConn) change(f func()) {
 	c.mutex.Lock()
@@ -221,9 +234,13 @@
 
 // Read implements net.Conn.
 func (c *requestConn) Read(b []byte) (int, error) {
-	c.change(func() { c.isReading = true })
+	c.change(func() { c.isWaiting = true })
+	if dhnet.AwaitInput(c) == nil {
+		// Until this change is seen, awaitRead sees the bytes in the kernel.
+		c.change(func() { c.isWaiting = false })
+	}
 	n, err := c.TCPConn.Read(b)
-	c.change(func() { c.isReading, c.hasEnded = false, c.hasEnded || err != nil })
+	c.change(func() { c.isWaiting, c.hasEnded = false, c.hasEnded || err != nil })
 	return n, err
 }
 
--- a/io/dhnet/closed.go
+++ b/io/dhnet/closed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"syscall"
 
@@ -37,16 +38,51 @@
 // and may be called while another goroutine reads. If the system can't tell, the connection
 // counts as open.
 func IsClosedByPeer(c syscall.Conn) bool {
+	isReady, err := poll(c, unix.POLLRDHUP)
+	return err == nil && isReady
+}
+
+// HasInput reports whether bytes of a TCP connection, or its end, wait to be read. It doesn't
+// block, and may be called while another goroutine reads. If the system can't tell, they do.
+func HasInput(c syscall.Conn) bool {
+	isReady, err := poll(c, unix.POLLIN)
+	return err != nil || isReady
+}
+
+// AwaitInput waits until bytes of a connection, or its end, wait to be read, and reads none. The
+// connection's read deadline applies.
+func AwaitInput(c syscall.Conn) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		// Errors and hang-ups are reported whether or not they are asked for.
-		fds := [...]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		ready, err := unix.Poll(fds[:], 0)
-		closed = err == nil && ready > 0
+	var pollErr error
+	err = raw.Read(func(fd uintptr) bool {
+		isReady := false
+		isReady, pollErr = pollNow(fd, unix.POLLIN)
+		return pollErr != nil || isReady
 	})
-	return err == nil && closed
+	return errors.Join(err, pollErr)
+}
+
+// poll asks the system for an event on a connection.
+func poll(c syscall.Conn, event int16) (isReady bool, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	var pollErr error
+	err = raw.Control(func(fd uintptr) { isReady, pollErr = pollNow(fd, event) })
+	return isReady, errors.Join(err, pollErr)
+}
+
+// pollNow reports whether there is an event, an error or a hang-up on a descriptor.
+func pollNow(fd uintptr, event int16) (bool, error) {
+	fds := [...]unix.PollFd{{Fd: int32(fd), Events: event}}
+	for {
+		ready, err := unix.Poll(fds[:], 0)
+		if !errors.Is(err, unix.EINTR) {
+			return ready > 0, err
+		}
+	}
 }
