Keep the slots of a peer that passes on an unproven status

Found in the second review: since such a response cost the instance the slots that the peer had reserved for it, as a failure of the peer does. The peer has responded. TestUnprovenStatusTakesAPeersSlots failed before.

--- a/core/dhtraffic/peer.go
+++ b/core/dhtraffic/peer.go
@@ -61,7 +61,7 @@
 // failed, the peer gets no more requests until its next reservation response.
 func (p *peer) releaseSlot(end dhevent.AttemptEnd) {
 	p.running--
-	if end != dhevent.EndAnswered && !isNeutral(end) {
+	if end != dhevent.EndAnswered && end != dhevent.EndUnproven && !isNeutral(end) {
 		p.slots = 0
 	}
 }
