Ask the newest route about repetitions for announced upstreams too

The check now stands before both. TestAnnouncedRequestIsRepeatedOnARouteThatForbidsIt failed before.

--- a/core/dhtraffic/attempt.go
+++ b/core/dhtraffic/attempt.go
@@ -222,6 +222,11 @@
 // returns to the queue; it is refused if a peer forwarded it or its route has no
 // queue wait.
 func (s *State) retry(now dhclock.Millis, r *request, refusal dheffect.Refusal, out *dheffect.List) {
+	if route, found := s.view.Catalog().RouteFor(r.host, r.path); found && r.mayHaveRun && !route.Idempotent() {
+		// A newer version forbids to repeat the request.
+		s.refuse(now, r, refusal, out)
+		return
+	}
 	if r.group != nil {
 		s.retryOnMember(now, r, refusal, out)
 		return
--- a/core/dhtraffic/group.go
+++ b/core/dhtraffic/group.go
@@ -213,18 +213,13 @@
 // retryOnMember retries a request on another registered upstream, or through a peer if
 // this instance is isolated. It refuses the request if the route's attempts, the
 // deadline or the retry budget is exhausted; see uncountUnsent. It looks the route up
-// again, because the route may have changed since the request was received, and may now
-// forbid to repeat it.
+// again, because the route may have changed since the request was received.
 func (s *State) retryOnMember(now dhclock.Millis, r *request, refusal dheffect.Refusal, out *dheffect.List) {
 	route, found := s.view.Catalog().RouteFor(r.host, r.path)
 	if !found || !routesTo(route, r.service) || !r.hasAttemptsLeft(route) || r.remaining(now) <= 0 || s.quarantine(now, r) > 0 {
 		s.refuse(now, r, refusal, out)
 		return
 	}
-	if r.mayHaveRun && !route.Idempotent() {
-		s.refuse(now, r, refusal, out)
-		return
-	}
 	r.route = route
 	if !s.forwardInGroup(now, r, out) {
 		s.refuse(now, r, refusal, out)
