Believe no late 421 of an upstream that doesn't echo

Only announced upstreams on routes that may be repeated are concerned. TestLateMisplacementWithoutEchoDeniesARun failed before.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -195,7 +195,8 @@
 		}
 		s.retired.Add(1)
 		end := attemptEndFor(err)
-		if isReused := a.connected == nil; end == dhevent.EndRefused && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
+		saysNotRun := end == dhevent.EndRefused || end == dhevent.EndMisplaced
+		if isReused := a.connected == nil; saysNotRun && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
 			end = dhevent.EndUnattributed
 		}
 		a.missed = end == dhevent.EndUnattributed || isForeign
