Keep the place of a connection whose refusal has a body

A body of known and small size is read now; the timer of the retired connection bounds it. TestRefusalWithABodyBreaksRequestsAtTheConnectionLimit failed before.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -192,6 +192,10 @@
 		} else {
 			// A copy of the response may follow, and be taken for the next one.
 			a.connection.Load().retire()
+			if n := a.response.ContentLength; n > 0 && n <= int64(bufferBytes) {
+				// The transport would close the connection of an unread body at once.
+				_ = a.readBodyPrefix(bufferBytes)
+			}
 		}
 		s.retired.Add(1)
 		end := attemptEndFor(err)
--- a/io/dhentry/refused_limit_test.go
+++ b/io/dhentry/refused_limit_test.go
@@ -20,6 +20,7 @@
 	limit int64
 	open  atomic.Int64
 	reset atomic.Int64
+	body  string // of each response
 }
 
 func (u *limitedUpstream) serve(c *net.TCPConn) {
@@ -37,7 +38,7 @@
 		if strings.HasSuffix(id, "refused") {
 			head = "HTTP/1.1 503 X\r\n" + HeaderRun + ": " + NotRun + "\r\n"
 		}
-		_, _ = fmt.Fprintf(c, "%s%s: %s\r\nContent-Length: 0\r\n\r\n", head, HeaderRequestID, id)
+		_, _ = fmt.Fprintf(c, "%s%s: %s\r\nContent-Length: %d\r\n\r\n%s", head, HeaderRequestID, id, len(u.body), u.body)
 	}
 }
 
@@ -72,8 +73,18 @@
 // connections than the instance uses. A refusal must not break other requests, as it does if it
 // costs a connection whose end the upstream has yet to see when the next one arrives.
 func TestRefusalBreaksRequestsAtTheConnectionLimit(t *testing.T) {
+	refuseAtTheConnectionLimit(t, "")
+}
+
+// TestRefusalWithABodyBreaksRequestsAtTheConnectionLimit is the same with a body in each response.
+func TestRefusalWithABodyBreaksRequestsAtTheConnectionLimit(t *testing.T) {
+	refuseAtTheConnectionLimit(t, "no")
+}
+
+func refuseAtTheConnectionLimit(t *testing.T, body string) {
+	t.Helper()
 	const connections = 4 // of startEchoingServer
-	u := &limitedUpstream{limit: connections}
+	u := &limitedUpstream{limit: connections, body: body}
 	address := u.start(t)
 	s := startEchoingServer(t)
 	var all sync.WaitGroup
