Close retired connections within the shortest backoff

A retired connection is closed after 50 ms now, the shortest time for which an upstream that refused gets no request, and one with an HTTP/1.0 response retires with its body.

Besides, by reading: the time of such a wait counts no more as time to connect, for which an upstream is taken for unreachable, and after it the caller is asked for again before anything is sent.

--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -146,8 +146,12 @@
 	// connection is the one that the attempt has acquired, or nil.
 	connection atomic.Pointer[requestConn]
 	abandoned  error // why nothing was written to the last connection; nil otherwise
-	// carried is how many requests the last connection had carried before, which is used; both
-	// are nil if the attempt got none.
+	// startedAt is when the attempt asked the transport for its last connection.
+	startedAt dhclock.Millis
+	// hasWaited is set if the attempt has waited for the end of a retired connection.
+	hasWaited bool
+	// carried is how many requests the last connection that the attempt acquired had carried
+	// before, which is used; both are nil if there was none.
 	carried *int
 	used    *requestConn
 }
@@ -160,7 +164,6 @@
 // that no byte of the request can have been written.
 func (s *Server) sendAttempt(ctx context.Context, in *inbound, t target, bufferBytes int) *attempt {
 	a := &attempt{}
-	startedAt := s.options.Clock.Now()
 	a.context, a.cancel = context.WithTimeout(ctx, time.Duration(t.timeout)*time.Millisecond)
 	a.stopAbort = context.AfterFunc(s.aborted, a.cancel)
 	defer a.releaseConnection()
@@ -173,14 +176,14 @@
 			return a.fail(dhevent.EndUntried, errLate)
 		}
 		if !a.gotConnection {
-			return a.failUnsent(ctx, err, s.options.Clock.Now().Since(startedAt))
+			return a.failUnsent(ctx, err, s.options.Clock.Now().Since(a.startedAt))
 		}
 		a.missed = true
 		return a.fail(classifyFailure(ctx, a), err)
 	}
 	field, value := s.options.Dialect.expectedEcho(in, attemptID)
 	err := s.checkResponse(a.response, t, field, value)
-	if a.sharesConnection() && hasSecondStatusLine(a.response) {
+	if a.followsOthers() && hasSecondStatusLine(a.response) {
 		err = errTwoHeads
 	}
 	if err != nil {
@@ -208,17 +211,20 @@
 		return a.fail(end, err)
 	}
 	a.accepted = true
-	if !a.response.ProtoAtLeast(1, 1) {
-		// What is left of a cut copy of it couldn't be told from the next response: net/http
-		// drops fields of HTTP/1.0 unseen.
-		a.connection.Load().abandon(errRetired)
-	}
 	if !t.toPeer {
 		removeOwnFields(a.response.Header)
 	}
 	if err := a.readBodyPrefix(bufferBytes); err != nil {
 		return a.fail(classifyFailure(ctx, a), err)
 	}
+	if !a.response.ProtoAtLeast(1, 1) {
+		// What is left of a cut copy of it couldn't be told from the next response: net/http
+		// drops fields of HTTP/1.0 unseen.
+		a.connection.Load().abandon(errRetired)
+		if a.complete {
+			a.connection.Load().retire()
+		}
+	}
 	a.end = dhevent.EndAnswered
 	return a
 }
@@ -241,7 +247,7 @@
 			// The address is unusable, as those that an earlier release accepted may be.
 			return err
 		}
-		a.gotConnection, a.abandoned = false, nil
+		a.gotConnection, a.abandoned, a.startedAt = false, nil, s.options.Clock.Now()
 		a.response, err = client.Do(request) //nolint:bodyclose // closed by attempt.close
 		if err == nil && a.abandoned != nil {
 			// The response was there before the request, of which nothing was written.
@@ -267,12 +273,13 @@
 		a.abandoned = errRetired
 		c.retire()
 		c.awaitEnd(a.context)
+		a.hasWaited = true
 		return
 	}
 	a.connection.Store(c)
 	a.carried, a.used = c.countRequest(), c
 	switch {
-	case !i.WasIdle && !t.outlivesCaller && dhnet.HasCallerLeft(ctx):
+	case (!i.WasIdle || a.hasWaited) && !t.outlivesCaller && dhnet.HasCallerLeft(ctx):
 		a.abandoned = errCallerLeft
 	case t.isTooLate(clock.Now()):
 		a.abandoned = errLate
@@ -288,11 +295,11 @@
 // abandonUnwritten reports whether nothing was written to the connection that the attempt has
 // acquired, nor will be, and that had carried a request before: it was closed in between.
 func (a *attempt) abandonUnwritten() bool {
-	return a.gotConnection && a.sharesConnection() && a.connection.Load().abandonUnwritten()
+	return a.gotConnection && a.followsOthers() && a.connection.Load().abandonUnwritten()
 }
 
-// sharesConnection reports whether the connection may have carried a request before.
-func (a *attempt) sharesConnection() bool { return a.carried == nil || *a.carried > 0 }
+// followsOthers reports whether the connection may have carried a request before.
+func (a *attempt) followsOthers() bool { return a.carried == nil || *a.carried > 0 }
 
 // releaseConnection lets other attempts acquire the connection of this one.
 func (a *attempt) releaseConnection() { a.connection.Swap(nil).release() }
--- a/io/dhentry/connection.go
+++ b/io/dhentry/connection.go
@@ -23,8 +23,8 @@
 	*net.TCPConn
 	unanswered atomic.Bool
 	abandoned  atomic.Pointer[error] // the error of writes after abandon
-	// checked holds a value unless an attempt has acquired the connection and not yet checked
-	// the response.
+	// checked holds a token unless an attempt has acquired the connection and not yet released
+	// it.
 	checked chan struct{}
 	// written is whether the attempt that acquired the connection last may have written to it.
 	written atomic.Bool
@@ -129,8 +129,9 @@
 	}
 }
 
-// closeTimeout is how long the upstream has to close a retired connection.
-const closeTimeout = 100 * time.Millisecond
+// closeTimeout is how long the upstream has to close a retired connection. It is the shortest
+// time for which an upstream that refused gets no request.
+const closeTimeout = 50 * time.Millisecond
 
 // retire lets the connection carry no request any more. Only the output is closed at first, so
 // that the connection counts among those to the upstream until that has closed it too: an
@@ -159,8 +160,8 @@
 	_ = c.Close()
 }
 
-// abandonUnwritten lets nothing be written to the connection if nothing was, and reports whether
-// that is so.
+// abandonUnwritten lets nothing be written to the connection any more, and reports whether
+// nothing was. The alert with which TLS closes a connection counts as written.
 func (c *requestConn) abandonUnwritten() bool {
 	if c == nil {
 		return false
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -66,8 +66,8 @@
 	heldBytes atomic.Int64 // reserved for request bodies
 	// unanswered is the number of requests whose answer isn't written yet.
 	unanswered atomic.Int64
-	// retired is the number of connections on which a response was a refusal or belonged to no
-	// request, foreign the number of the latter.
+	// retired is the number of connections with a response that wasn't accepted, foreign the
+	// number of those with a response that belonged to no request.
 	retired, foreign atomic.Int64
 	aborted          context.Context // done once Abort was called
 	abort            context.CancelFunc
@@ -97,7 +97,7 @@
 func (s *Server) UnansweredRequests() int64 { return s.unanswered.Load() }
 
 // RetiredConnections returns how many connections to upstreams and peers carry no request any more
-// because of a response: a refusal, or one that belonged to no request.
+// because of a response that wasn't accepted, most of them refusals.
 func (s *Server) RetiredConnections() int64 { return s.retired.Load() }
 
 // ForeignResponses returns how many responses of upstreams and peers belonged to no request.
