--- a/io/dhentry/attempt.go
+++ b/io/dhentry/attempt.go
@@ -187,28 +187,7 @@
 		err = errTwoHeads
 	}
 	if err != nil {
-		isForeign := errors.Is(err, errWrongAttempt) || errors.Is(err, errTwoHeads)
-		if isForeign {
-			s.foreign.Add(1)
-			// The true response may not have begun.
-			a.connection.Load().reset()
-		} else {
-			// A copy of the response may follow, and be taken for the next one.
-			a.connection.Load().retire()
-			if n := a.response.ContentLength; n > 0 && n <= int64(bufferBytes) {
-				// The transport would close the connection of an unread body at once.
-				_ = a.readBodyPrefix(bufferBytes)
-			}
-		}
-		s.retired.Add(1)
-		end := attemptEndFor(err)
-		saysNotRun := end == dhevent.EndRefused || end == dhevent.EndMisplaced
-		if isReused := a.connected == nil; saysNotRun && isReused && !t.toPeer && a.response.Header.Get(field) == "" {
-			end = dhevent.EndUnattributed
-		}
-		a.missed = end == dhevent.EndUnattributed || isForeign
-		a.accepted = end == dhevent.EndUnproven
-		return a.fail(end, err)
+		return s.reject(a, t, field, err, bufferBytes)
 	}
 	a.accepted = true
 	if !t.toPeer {
@@ -229,6 +208,32 @@
 	return a
 }
 
+// reject ends an attempt whose response wasn't accepted for a reason. Its connection carries no
+// request any more, since a copy of the response may follow, and be taken for the next one.
+func (s *Server) reject(a *attempt, t target, echoField string, reason error, bufferBytes int) *attempt {
+	s.retired.Add(1)
+	isForeign := errors.Is(reason, errWrongAttempt) || errors.Is(reason, errTwoHeads)
+	if isForeign {
+		s.foreign.Add(1)
+		// The true response may not have begun.
+		a.connection.Load().reset()
+	} else {
+		a.connection.Load().retire()
+		if n := a.response.ContentLength; n > 0 && n <= int64(bufferBytes) {
+			// The transport would close the connection of an unread body at once.
+			_ = a.readBodyPrefix(bufferBytes)
+		}
+	}
+	end := attemptEndFor(reason)
+	saysNotRun := end == dhevent.EndRefused || end == dhevent.EndMisplaced
+	if isReused := a.connected == nil; saysNotRun && isReused && !t.toPeer && a.response.Header.Get(echoField) == "" {
+		end = dhevent.EndUnattributed
+	}
+	a.missed = end == dhevent.EndUnattributed || isForeign
+	a.accepted = end == dhevent.EndUnproven
+	return a.fail(end, reason)
+}
+
 // roundTrip sends a request and reads the head of its response. While the connections that the
 // transport has carry no request any more, it tries again with the next one.
 func (s *Server) roundTrip(ctx context.Context, a *attempt, in *inbound, t target, attemptID string) error {
