Share the bodies of twin tests

Checks and expectations stay; the one of the late 421 is that of the 503, which is stricter. limitedUpstream keeps its own loop, since it counts in the order of acceptance.

--- a/core/dhtraffic/unclear_route_test.go
+++ b/core/dhtraffic/unclear_route_test.go
@@ -12,7 +12,17 @@
 // that may be repeated. Meanwhile a new version sends its path to a route whose requests may run
 // at most once.
 func TestRequestThatMayHaveRunIsRepeatedOnARouteThatForbidsIt(t *testing.T) {
-	s := newRetryTest(t, true, true)
+	forbidRepetition(t, true)
+}
+
+// TestAnnouncedRequestIsRepeatedOnARouteThatForbidsIt is the same with announced upstreams.
+func TestAnnouncedRequestIsRepeatedOnARouteThatForbidsIt(t *testing.T) {
+	forbidRepetition(t, false)
+}
+
+func forbidRepetition(t *testing.T, isRegistered bool) {
+	t.Helper()
+	s := newRetryTest(t, true, isRegistered)
 	if _, ok := s.send(1000, "/any/", false).(*dheffect.ForwardToUpstream); !ok {
 		t.Fatal("the request isn't forwarded")
 	}
--- a/io/dhentry/copied_refusal_test.go
+++ b/io/dhentry/copied_refusal_test.go
@@ -67,6 +67,26 @@
 	all.Wait()
 }
 
+// serveConnections accepts connections for a function, which closes them.
+func serveConnections(t *testing.T, serve func(c *net.TCPConn)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
 // copyTime is when an upstream writes the copy of a refusal.
 type copyTime int
 
@@ -85,7 +105,7 @@
 	refusal string         // with a verb for the request ID
 }
 
-func (u *copyingUpstream) serve(c net.Conn) {
+func (u *copyingUpstream) serve(c *net.TCPConn) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
 	owed := ""
@@ -128,24 +148,11 @@
 		"HTTP/1.1 503 X\r\n" + HeaderRequestID + ": %s\r\n" + HeaderRun + ": " + NotRun + "\r\nContent-Length: 4\r\n\r\nfull",
 	} {
 		u := &copyingUpstream{sent: map[string]int{}, refusal: refusal}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go u.serve(c)
-			}
-		}()
+		address := serveConnections(t, u.serve)
 		s := startEchoingServer(t)
 		sendBesideEachOther(func(id string) {
-			first, _ := s.attemptOnce(t.Context(), l.Addr().String(), id)
-			second, err := s.attemptOnce(t.Context(), l.Addr().String(), id)
+			first, _ := s.attemptOnce(t.Context(), address, id)
+			second, err := s.attemptOnce(t.Context(), address, id)
 			if first != dhevent.EndRefused || second != dhevent.EndAnswered {
 				t.Errorf("request %s ended as %v, then as %v (%v); want %v, then %v", id, first, second, err, dhevent.EndRefused, dhevent.EndAnswered)
 			}
--- a/io/dhentry/stale_refusal_test.go
+++ b/io/dhentry/stale_refusal_test.go
@@ -54,6 +54,20 @@
 // TestLateRefusalWithoutEchoDeniesARun lets an upstream that doesn't echo attempts write its first
 // response twice. Each later response then arrives in place of the next one, a refusal too.
 func TestLateRefusalWithoutEchoDeniesARun(t *testing.T) {
+	requireUnattributed(t, StandardDialect(), fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderRun, NotRun))
+}
+
+// TestLateMisplacementWithoutEchoDeniesARun is the same with a 421.
+func TestLateMisplacementWithoutEchoDeniesARun(t *testing.T) {
+	o := StandardDialect().options
+	o.Misplaced = func(status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest }
+	requireUnattributed(t, NewDialect(o), "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+}
+
+// requireUnattributed sends three requests to an upstream that writes a refusal of the second in
+// place of the response to the third.
+func requireUnattributed(t *testing.T, d *Dialect, refusal string) {
+	t.Helper()
 	received := make(chan struct{}, 8)
 	release := make(chan struct{})
 	u := startUpstream(t, func(_ *http.Request, n int64) (string, bool) {
@@ -63,12 +77,12 @@
 			return okResponse("copy"), false // the response to request 2 follows late
 		case 3:
 			<-release
-			return fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderRun, NotRun), false
+			return refusal, false
 		default:
 			return okResponse("ran"), false
 		}
 	})
-	s := New(Options{Clock: dhtime.System(), MaxConnections: 1})
+	s := New(Options{Clock: dhtime.System(), Dialect: d, MaxConnections: 1})
 	t.Cleanup(s.Close)
 	send := func() dhevent.AttemptEnd {
 		in := &inbound{id: "r", method: http.MethodPost, host: "h", url: &url.URL{Path: "/x"}, header: http.Header{}, body: []byte("x")}
