Refer an order away from a process that is cut off

Callers saw: a valid configuration isn't acknowledged within the operator's time (SHORT). An operator waits a second for each process that doesn't answer, and longer after each failure, so three failed tries use up the four seconds.

Cause: a control process without a majority held each order for 900 ms and then answered 503, although it had known for seconds that it couldn't commit anything. Class of fault: a request that can't be served waits until its time has passed.

Change: a process refers the caller at once to a voter that it doesn't hear from, which is on the other side; a follower of a leader without a majority to that leader, which knows whom it reaches. An election isn't mistaken for a cut: candidates hear from each voter that they reach.

--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -37,6 +37,7 @@
 	lastSent      dhclock.Millis
 	wasSent       bool
 	expires       bool // the command must not be applied after the deadline
+	isReferable   bool // the caller can send the command to another process
 }
 
 func newProposals(startID uint64, voters []string) proposals {
@@ -49,12 +50,16 @@
 	s.proposals.lastID++
 	s.proposals.outstanding[s.proposals.lastID] = &proposal{
 		correlationID: e.CorrelationID(), command: e.Command(), deadline: s.now + e.Timeout(),
-		expires: e.Expires() && canUndoLater(e.Command()),
+		expires: e.Expires() && canUndoLater(e.Command()), isReferable: e.IsReferable(),
 	}
 	if err := checkCommand(e.Command()); err != nil {
 		s.proposals.complete(s.proposals.lastID, s.now, dhmessage.NewResult(dhmessage.ResultOptions{Err: err}), out)
 		return
 	}
+	if r := s.unknownOutcome(e.IsReferable()); r.Referral() != "" {
+		s.proposals.complete(s.proposals.lastID, s.now, r, out)
+		return
+	}
 	s.proposals.send(s.proposals.lastID, s.now, s.leader(), out)
 }
 
@@ -101,14 +106,15 @@
 	})}))
 }
 
-// retry resends proposals without a response and completes those past their
+// retryProposals resends proposals without a response and completes those past their
 // deadline with an unknown outcome. A proposal that the known leader didn't
 // respond to goes to the voters in turn, since that leader may have failed.
-func (p *proposals) retry(now dhclock.Millis, leader string, out *dheffect.List) {
+func (s *State) retryProposals(out *dheffect.List) {
+	p, now, leader := &s.proposals, s.now, s.leader()
 	for _, id := range slices.Sorted(maps.Keys(p.outstanding)) {
 		o := p.outstanding[id]
 		if now >= o.deadline {
-			p.complete(id, now, dhmessage.NewResult(dhmessage.ResultOptions{OutcomeUnknown: true}), out)
+			p.complete(id, now, s.unknownOutcome(o.isReferable), out)
 			continue
 		}
 		if o.wasSent && now.Since(o.lastSent) < retryInterval {
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -60,6 +60,7 @@
 	grantPath    grantPath
 	grantRelay   grantRelay
 	leave        *pendingLeave // nil unless this process waits to hand over its vote
+	reachability reachability
 	// hasMajority reports whether the configuration was confirmed as current
 	// within the last freshness lease.
 	hasMajority bool
@@ -99,6 +100,8 @@
 		proposals:  newProposals(o.StartID, o.Voters),
 		registry:   newRegistry(),
 		automation: newAutomation(o.Managed, o.Zone, o.Now),
+
+		reachability: newReachability(o.Now),
 	}
 	if o.Consensus == nil {
 		return s
@@ -171,6 +174,7 @@
 		s.voter.dropExpiredAnswers(s.now)
 	}
 	s.syncLeadership()
+	s.tickReachability()
 	s.logConnectivity(out)
 	s.logDetachment(out)
 	s.tickRegistry(out)
@@ -180,7 +184,7 @@
 	}
 	s.tickAutomation(out)
 	s.distribution.Tick(s.now, out)
-	s.proposals.retry(s.now, s.leader(), out)
+	s.retryProposals(out)
 	s.completeReads(out)
 	s.completeLeave(out)
 }
@@ -272,6 +276,7 @@
 	if s.voter == nil {
 		return
 	}
+	s.reachability.recordMessage(from.Name(), s.now)
 	s.voter.node.Step(s.now, from, m, out)
 	if a, ok := m.(*dhmessage.AppendRequest); ok && s.voter.node.Leader() == from.Name() && s.voter.node.Term() == a.Term() {
 		s.proposals.recordRound(dhmessage.NewRound(a.Term(), a.Round()), s.now)
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -100,6 +100,8 @@
 	// Expires is set if the command must not be applied any more once the timeout has
 	// passed.
 	Expires bool `journal:"Expires,omitZero"`
+	// IsReferable is set if the caller can send the command to another process at once.
+	IsReferable bool `journal:"IsReferable,omitZero"`
 }
 
 // ProposalRequested requests that a command be committed.
@@ -126,6 +128,9 @@
 // passed.
 func (e *ProposalRequested) Expires() bool { return e.options.Expires }
 
+// IsReferable reports whether the caller can send the command to another process at once.
+func (e *ProposalRequested) IsReferable() bool { return e.options.IsReferable }
+
 // ReadRequestedOptions are the fields of a ReadRequested.
 type ReadRequestedOptions struct {
 	// CorrelationID is the number that the reply repeats.
--- a/core/dhmessage/result.go
+++ b/core/dhmessage/result.go
@@ -13,6 +13,8 @@
 	// OutcomeUnknown reports whether the outcome is unknown: a command may have
 	// been committed or may still be, or a read was not confirmed in time.
 	OutcomeUnknown bool `journal:"Unsure"`
+	// Referral names the process to which to send the command instead, or is "".
+	Referral string `journal:"Referral,omitZero"`
 }
 
 // Result is the result of a command.
@@ -37,6 +39,10 @@
 // been committed or may still be, or a read was not confirmed in time.
 func (r Result) OutcomeUnknown() bool { return r.options.OutcomeUnknown }
 
+// Referral returns the name of the control process to which to send the command instead,
+// because the one that answers is cut off from the majority; "" if there is none. The outcome is unknown then.
+func (r Result) Referral() string { return r.options.Referral }
+
 // RefusedError is a refusal with a machine-readable kind and a remedy.
 type RefusedError struct {
 	kind   string
--- /dev/null
+++ b/core/dhreducer/referral_test.go
@@ -0,0 +1,128 @@
+package dhreducer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhevent"
+	"dogwoodhitch/core/dhmessage"
+)
+
+// referralLimit is how long a process may take to refer a caller, in milliseconds.
+const referralLimit dhclock.Millis = 60
+
+// maxReferrals is the number of referrals that a caller follows.
+const maxReferrals = 2
+
+// referableOrder sends a declaration to a machine for a caller that can follow a referral, and
+// returns the result, the time that it took, and whether there was one in time.
+func (n *network) referableOrder(m *machine, number uint64) (dhmessage.Result, dhclock.Millis, bool) {
+	n.lastCorrelationID++
+	id, start := n.lastCorrelationID, n.now
+	n.handle(m, dhevent.NewProposalRequested(n.clock(m), dhevent.ProposalRequestedOptions{
+		CorrelationID: id, Command: declareCommand(number), Timeout: orderTimeout, Expires: true, IsReferable: true,
+	}))
+	for n.now-start <= orderTimeout {
+		if r, found := n.replies[id]; found {
+			return r, n.now - start, true
+		}
+		n.run(20)
+	}
+	return dhmessage.Result{}, n.now - start, false
+}
+
+// followOrder sends a declaration to a machine and follows its referrals. It returns a description
+// of the problem, or "" if the declaration was accepted.
+func (n *network) followOrder(m *machine, number uint64) string {
+	path := m.name
+	for range maxReferrals + 1 {
+		r, took, answered := n.referableOrder(m, number)
+		switch {
+		case answered && r.Err() == nil && !r.OutcomeUnknown():
+			return ""
+		case !answered || r.Referral() == "":
+			return fmt.Sprintf("%s waits %d ms in vain", path, took)
+		case took > referralLimit:
+			return fmt.Sprintf("%s refers after %d ms", path, took)
+		}
+		m = n.find(r.Referral())
+		path += " > " + m.name
+	}
+	return path + " refers a third time"
+}
+
+// TestOrderAtACutOffProcessWaitsInVain cuts each control process off, then each half of them from
+// the other, and sends a declaration to each process of the smaller side. With two referrals at
+// most it must be accepted.
+func TestOrderAtACutOffProcessWaitsInVain(t *testing.T) {
+	var cuts [][]int
+	for i := range 6 {
+		cuts = append(cuts, []int{i})
+		for j := range i {
+			cuts = append(cuts, []int{i, j})
+			for k := range j {
+				cuts = append(cuts, []int{i, j, k})
+			}
+		}
+	}
+	number := uint64(0)
+	for _, cut := range cuts {
+		n := newManagedNetwork(t, 6)
+		n.run(4000)
+		for _, i := range cut {
+			n.partitioned[n.machines[i].name] = true
+		}
+		n.run(3000)
+		leader := n.leader()
+		if leader == nil {
+			t.Fatalf("%v cut off: no side has a majority", cut)
+		}
+		for _, m := range n.machines {
+			if n.partitioned[m.name] == n.partitioned[leader.name] {
+				continue
+			}
+			number++
+			if problem := n.followOrder(m, number); problem != "" {
+				t.Errorf("%v cut off: %s", cut, problem)
+			}
+		}
+	}
+}
+
+// TestOrderIsReferredAlthoughItCanBeServed sends declarations while a leader is replaced and after
+// a restart of all processes. None must be referred: an election takes less time than a wrong
+// referral to the process that was lost.
+func TestOrderIsReferredAlthoughItCanBeServed(t *testing.T) {
+	n := newManagedNetwork(t, 6)
+	n.run(4000)
+	n.stop(n.leader())
+	number := uint64(0)
+	check := func(what string) {
+		for range 30 {
+			for _, m := range n.machines {
+				if m.state == nil {
+					continue
+				}
+				number++
+				n.lastCorrelationID++
+				n.handle(m, dhevent.NewProposalRequested(n.clock(m), dhevent.ProposalRequestedOptions{
+					CorrelationID: n.lastCorrelationID, Command: declareCommand(number), Timeout: orderTimeout, Expires: true, IsReferable: true,
+				}))
+				if r := n.replies[n.lastCorrelationID]; r.Referral() != "" {
+					t.Fatalf("%s: %s refers to %s", what, m.name, r.Referral())
+				}
+			}
+			n.run(100)
+		}
+	}
+	check("leader lost")
+	for _, m := range n.machines {
+		n.start(m)
+	}
+	check("all restarted")
+	if i := slices.IndexFunc(n.machines, func(m *machine) bool { return n.declarationNumber(m) < number-60 }); i >= 0 {
+		t.Errorf("%s has declaration %d of %d", n.machines[i].name, n.declarationNumber(n.machines[i]), number)
+	}
+}
--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -90,12 +90,23 @@
 	delete(c.pending, correlationID)
 }
 
+// ProposeOptions are a command and what its caller can do.
+type ProposeOptions struct {
+	Command dhmessage.Command
+	Timeout dhclock.Millis
+	// IsReferable is set if the caller can follow the referral of a result.
+	IsReferable bool
+}
+
 // Propose proposes a command to the voters and returns its result once it is
 // applied. Without a result within the timeout the outcome is unknown; a command that
-// later ones may contradict isn't applied any more then.
-func (c *Client) Propose(ctx context.Context, command dhmessage.Command, timeout dhclock.Millis) (dhmessage.Result, error) {
+// later ones may contradict isn't applied any more then. The outcome is unknown at once, with a
+// referral, if the caller can follow one and this process is cut off from the voters.
+func (c *Client) Propose(ctx context.Context, o ProposeOptions) (dhmessage.Result, error) {
 	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
-		return dhevent.NewProposalRequested(at, dhevent.ProposalRequestedOptions{CorrelationID: correlationID, Command: command, Timeout: timeout, Expires: true})
+		return dhevent.NewProposalRequested(at, dhevent.ProposalRequestedOptions{
+			CorrelationID: correlationID, Command: o.Command, Timeout: o.Timeout, Expires: true, IsReferable: o.IsReferable,
+		})
 	})
 	return resultOf(e), err
 }
--- a/io/dhoperator/change.go
+++ b/io/dhoperator/change.go
@@ -12,6 +12,7 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhcontrolclient"
 	"dogwoodhitch/io/dherrors"
 	"dogwoodhitch/io/dhproto"
 	"dogwoodhitch/io/dhwire"
@@ -81,7 +82,7 @@
 }
 
 func (a *API) propose(ctx context.Context, c dhmessage.Command) (dhmessage.Result, error) {
-	result, err := a.options.Control.Propose(ctx, c, operationTimeout)
+	result, err := a.options.Control.Propose(ctx, dhcontrolclient.ProposeOptions{Command: c, Timeout: operationTimeout})
 	switch {
 	case err != nil:
 		return result, dherrors.New(dherrors.KindOutcomeUnknown, "the request was cancelled before the result arrived", "resend it with the same id")
--- a/io/dhprocess/cluster_test.go
+++ b/io/dhprocess/cluster_test.go
@@ -17,6 +17,7 @@
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/core/dhtraffic"
+	"dogwoodhitch/io/dhcontrolclient"
 	"dogwoodhitch/io/dhdisk"
 	"dogwoodhitch/io/dhlogs"
 	"dogwoodhitch/io/dhsettings"
@@ -166,7 +167,7 @@
 	command := dhmessage.NewChange(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{
 		ID: fmt.Sprint("change-", c.version), Base: c.version, Author: "test", Puts: puts,
 	}))
-	r, err := c.voters[0].ControlClient().Propose(c.t.Context(), command, 20_000)
+	r, err := c.voters[0].ControlClient().Propose(c.t.Context(), dhcontrolclient.ProposeOptions{Command: command, Timeout: 20_000})
 	if err != nil || r.Err() != nil || r.OutcomeUnknown() {
 		c.t.Fatalf("proposing a change set: result %+v, error %v", r, err)
 	}
@@ -228,7 +229,7 @@
 func (c *cluster) proposeResolve(i int) {
 	k := dhmessage.NewClaimKey("org", fmt.Sprint(time.Now().UnixNano(), "-", i))
 	command := dhmessage.NewResolve(k, true) // a log entry of about a claim's size, whose result goes to the proposer
-	if _, err := c.voters[0].ControlClient().Propose(c.t.Context(), command, 20_000); err != nil {
+	if _, err := c.voters[0].ControlClient().Propose(c.t.Context(), dhcontrolclient.ProposeOptions{Command: command, Timeout: 20_000}); err != nil {
 		c.t.Error(err)
 	}
 }
