Take a response whose status ends no request for a broken one

Callers saw: their connection ends without an answer when an upstream in trouble answers with status 000 (also -00, 042 and 099), and the statuses 101, 600 and more as if they were answers.

Cause: net/http reads any three digits as a status. It panics when one below 100 is to be written, which broke the caller's connection and skipped what follows an attempt; 101 was passed on although nobody had asked for it.

Change: a response whose status isn't from 200 to 599 is broken like one that can't be read: the attempt may have run, a request that may run again is retried, and the caller gets 502.

Test, red before: dhentry TestStatusOutsideTheProtocolReachesTheCaller (000, -00, 042, 099: the connection ends; 101, 600, 999: passed on; each on an idempotent route and on one that isn't).

--- a/io/dhentry/response.go
+++ b/io/dhentry/response.go
@@ -15,6 +15,7 @@
 // Errors of responses that are not forwarded to the caller.
 var (
 	errWrongAttempt   = errors.New("the response belongs to another attempt")
+	errInvalidStatus  = errors.New("the status code of the response is invalid")
 	errTwoHeads       = errors.New("the head of the response contains the status line of another one")
 	errCloseDelimited = errors.New("the response body has no length, so a truncated body can't be detected")
 	errNotRun         = errors.New("the upstream or peer refused the request without running it")
@@ -24,8 +25,11 @@
 	errPeerUnable     = errors.New("the peer can't reach any upstream either, or its configuration is older")
 )
 
-// checkResponse returns an error if a response belongs to another attempt, if its
-// end can't be distinguished from a broken connection, or if it is a refusal of the
+// maxStatus is the highest status code that HTTP defines a class for.
+const maxStatus = 599
+
+// checkResponse returns an error if a response belongs to another attempt, if its status doesn't
+// end a request, if its end can't be distinguished from a broken connection, or if it is a refusal of the
 // upstream or peer, proven or not. The header field must have the value if the target must echo it
 // or the response carries the field.
 func (s *Server) checkResponse(r *http.Response, t target, field, value string) error {
@@ -34,6 +38,9 @@
 	if echo != value && (echo != "" || t.mustEcho) {
 		return fmt.Errorf("%w: it echoes %q", errWrongAttempt, echo)
 	}
+	if r.StatusCode < http.StatusOK || r.StatusCode > maxStatus {
+		return fmt.Errorf("%w: %q", errInvalidStatus, r.Status)
+	}
 	closeDelimited := r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.ProtoMajor == 1 && r.Request.Method != http.MethodHead
 	if closeDelimited && !dialect.AllowCloseDelimited {
 		return errCloseDelimited
