Refer upstreams away from a process that is cut off

Cause, of the same class as the orders: a control process that is cut off acknowledged heartbeats of which the leader doesn't learn, and held drains and departures for 900 ms.

Change: heartbeats, drains and deregistrations are referred like orders. A call that waits is referred once the process knows that it is cut off, unless it may still be applied before it expires.

--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -107,16 +107,22 @@
 }
 
 // retryProposals resends proposals without a response and completes those past their
-// deadline with an unknown outcome. A proposal that the known leader didn't
+// deadline, and those whose callers are referred, with an unknown outcome. A proposal that the known leader didn't
 // respond to goes to the voters in turn, since that leader may have failed.
 func (s *State) retryProposals(out *dheffect.List) {
 	p, now, leader := &s.proposals, s.now, s.leader()
 	for _, id := range slices.Sorted(maps.Keys(p.outstanding)) {
 		o := p.outstanding[id]
 		if now >= o.deadline {
-			p.complete(id, now, s.unknownOutcome(o.isReferable), out)
+			p.complete(id, now, dhmessage.NewResult(dhmessage.ResultOptions{OutcomeUnknown: true}), out)
 			continue
 		}
+		if !o.expires { // one that expires may still be applied if it was sent
+			if r := s.unknownOutcome(o.isReferable); r.Referral() != "" {
+				p.complete(id, now, r, out)
+				continue
+			}
+		}
 		if o.wasSent && now.Since(o.lastSent) < retryInterval {
 			continue
 		}
--- a/core/dhcontrol/referral.go
+++ b/core/dhcontrol/referral.go
@@ -100,7 +100,7 @@
 	return silent[s.reachability.referralCount%len(silent)]
 }
 
-// unknownOutcome returns the result of a command that wasn't committed in time, with a referral if
+// unknownOutcome returns the result of a command that isn't known to be committed, with a referral if
 // the caller can follow one.
 func (s *State) unknownOutcome(isReferable bool) dhmessage.Result {
 	o := dhmessage.ResultOptions{OutcomeUnknown: true}
--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -92,6 +92,9 @@
 		s.reply(e.CorrelationID(), dhmessage.NewResult(dhmessage.ResultOptions{Err: err}), out)
 		return
 	}
+	if s.referUpstream(e.CorrelationID(), e.IsReferable(), out) {
+		return
+	}
 	if s.displacesConfigured(u) {
 		out.Add(dheffect.NewLog(dheffect.LogOptions{
 			Layer: "registry", Text: "ignores a heartbeat of an unknown service in place of another upstream", Peer: u.Name(),
@@ -122,7 +125,7 @@
 	case found && !u.Supersedes(old):
 		s.reply(e.CorrelationID(), s.ackResult(), out)
 	case u.State() != dhcatalog.UpstreamReady:
-		s.proposeStateChange(e.CorrelationID(), u, out)
+		s.proposeStateChange(e.CorrelationID(), u, e.IsReferable(), out)
 	default:
 		s.queueRegistration(u, out)
 		s.reply(e.CorrelationID(), s.ackResult(), out)
@@ -207,12 +210,22 @@
 
 // proposeStateChange proposes an upstream's record and answers the upstream
 // once a majority has stored it.
-func (s *State) proposeStateChange(correlationID uint64, u dhcatalog.Upstream, out *dheffect.List) {
+func (s *State) proposeStateChange(correlationID uint64, u dhcatalog.Upstream, isReferable bool, out *dheffect.List) {
 	s.propose(dhevent.NewProposalRequested(s.now, dhevent.ProposalRequestedOptions{
-		CorrelationID: correlationID, Command: registrationEdit(u), Timeout: stateChangeTimeout,
+		CorrelationID: correlationID, Command: registrationEdit(u), Timeout: stateChangeTimeout, IsReferable: isReferable,
 	}), out)
 }
 
+// referUpstream answers an upstream with a referral if this process is cut off from the voters. The
+// leader removes the records of upstreams whose heartbeats it doesn't learn of.
+func (s *State) referUpstream(correlationID uint64, isReferable bool, out *dheffect.List) bool {
+	r := s.unknownOutcome(isReferable)
+	if r.Referral() != "" {
+		s.reply(correlationID, r, out)
+	}
+	return r.Referral() != ""
+}
+
 // replyDisregarded tells an upstream that its drain or departure isn't certain: the record that
 // requests follow is of a later start of it, or of the same process before its clock was set back.
 func (s *State) replyDisregarded(correlationID uint64, out *dheffect.List) {
@@ -227,6 +240,9 @@
 	old, found := s.distribution.Catalog().Get(dhcatalog.NewRef(dhcatalog.KindUpstream, e.Name())).(dhcatalog.Upstream)
 	confirmedAt, ok := s.distribution.ConfirmedAt()
 	departed := cmp.Or(e.Incarnation(), e.LatestIncarnation())
+	if s.referUpstream(e.CorrelationID(), e.IsReferable(), out) {
+		return
+	}
 	isOlder := found && e.Incarnation() != 0 && e.Incarnation() < old.Incarnation()
 	switch {
 	case isOlder && old.State() == dhcatalog.UpstreamReady:
@@ -234,9 +250,9 @@
 	case isOlder, found && old.State() == dhcatalog.UpstreamGone && e.Incarnation() <= old.Incarnation():
 		s.reply(e.CorrelationID(), s.ackResult(), out)
 	case found && e.Incarnation() > old.Incarnation(), !found && departed != 0:
-		s.proposeStateChange(e.CorrelationID(), dhcatalog.NewDepartedUpstream(e.Name(), departed), out)
+		s.proposeStateChange(e.CorrelationID(), dhcatalog.NewDepartedUpstream(e.Name(), departed), e.IsReferable(), out)
 	case found:
-		s.proposeStateChange(e.CorrelationID(), old.WithState(dhcatalog.UpstreamGone), out)
+		s.proposeStateChange(e.CorrelationID(), old.WithState(dhcatalog.UpstreamGone), e.IsReferable(), out)
 	case ok && s.now.Since(confirmedAt) < deregistrationFreshness:
 		s.reply(e.CorrelationID(), s.ackResult(), out)
 	default:
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -259,6 +259,8 @@
 	CorrelationID uint64 `journal:"Ticket"`
 	// Upstream is the record that the upstream reports.
 	Upstream dhcatalog.Upstream
+	// IsReferable is set if the upstream can send the heartbeat to another process at once.
+	IsReferable bool `journal:"IsReferable,omitZero"`
 }
 
 // UpstreamHeartbeatReceived is a heartbeat of an upstream that registers with
@@ -276,6 +278,9 @@
 // CorrelationID returns the number that the reply repeats.
 func (e *UpstreamHeartbeatReceived) CorrelationID() uint64 { return e.options.CorrelationID }
 
+// IsReferable reports whether the upstream can send the heartbeat to another process at once.
+func (e *UpstreamHeartbeatReceived) IsReferable() bool { return e.options.IsReferable }
+
 // Upstream returns the record that the upstream reports.
 func (e *UpstreamHeartbeatReceived) Upstream() dhcatalog.Upstream { return e.options.Upstream }
 
@@ -292,6 +297,8 @@
 	// LatestIncarnation is the latest start time that the process can have if it doesn't report
 	// its own: when the request arrived. It is 0 if upstreams report no start times.
 	LatestIncarnation int64 `journal:"LatestIncarnation,omitZero"`
+	// IsReferable is set if the upstream can send the request to another process at once.
+	IsReferable bool `journal:"IsReferable,omitZero"`
 }
 
 // UpstreamDeregistered is the request of a registered upstream to be removed.
@@ -319,6 +326,9 @@
 // its own; 0 if upstreams report no start times.
 func (e *UpstreamDeregistered) LatestIncarnation() int64 { return e.options.LatestIncarnation }
 
+// IsReferable reports whether the upstream can send the request to another process at once.
+func (e *UpstreamDeregistered) IsReferable() bool { return e.options.IsReferable }
+
 // SeedsChanged reports that the settings name other seeds than before.
 type SeedsChanged struct {
 	stamp
--- a/core/dhreducer/referral_test.go
+++ b/core/dhreducer/referral_test.go
@@ -126,3 +126,29 @@
 		t.Errorf("%s has declaration %d of %d", n.machines[i].name, n.declarationNumber(n.machines[i]), number)
 	}
 }
+
+// TestPendingOrderWaitsOnAtACutOffProcess cuts off a process, which doesn't know it yet when it gets a
+// declaration and an evacuation. The declaration must be referred once it knows. The evacuation was
+// sent to the leader, which may still apply it until it expires.
+func TestPendingOrderWaitsOnAtACutOffProcess(t *testing.T) {
+	n := newManagedNetwork(t, 6)
+	n.run(4000)
+	m := n.followers()[0]
+	n.partitioned[m.name] = true
+	n.run(1200)
+	n.lastCorrelationID++
+	evacuation := n.lastCorrelationID
+	n.handle(m, dhevent.NewProposalRequested(n.clock(m), dhevent.ProposalRequestedOptions{
+		CorrelationID: evacuation, Command: orderEdit(true), Timeout: orderTimeout, Expires: true, IsReferable: true,
+	}))
+	if r, took, answered := n.referableOrder(m, 1); !answered || r.Referral() == "" || took == 0 {
+		t.Errorf("the declaration is answered: %v, after %d ms, refers to %q", answered, took, r.Referral())
+	}
+	if r, found := n.replies[evacuation]; found {
+		t.Errorf("the evacuation is answered before it expires, refers to %q", r.Referral())
+	}
+	n.run(orderTimeout)
+	if r := n.replies[evacuation]; !r.OutcomeUnknown() || r.Referral() != "" {
+		t.Errorf("the evacuation ends unknown: %v, refers to %q", r.OutcomeUnknown(), r.Referral())
+	}
+}
--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -133,20 +133,32 @@
 
 // RecordUpstreamHeartbeat registers an upstream, or updates it, with the state that
 // its heartbeat reports. If the state changes to draining or gone, the call returns
-// once a majority of voters has stored the change.
-func (c *Client) RecordUpstreamHeartbeat(ctx context.Context, u dhcatalog.Upstream) (dhmessage.Result, error) {
+// once a majority of voters has stored the change. The result has a referral if the upstream can
+// follow one and this process is cut off from the voters.
+func (c *Client) RecordUpstreamHeartbeat(ctx context.Context, u dhcatalog.Upstream, isReferable bool) (dhmessage.Result, error) {
 	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
-		return dhevent.NewUpstreamHeartbeatReceived(at, dhevent.UpstreamHeartbeatReceivedOptions{CorrelationID: correlationID, Upstream: u})
+		return dhevent.NewUpstreamHeartbeatReceived(at, dhevent.UpstreamHeartbeatReceivedOptions{CorrelationID: correlationID, Upstream: u, IsReferable: isReferable})
 	})
 	return resultOf(e), err
 }
 
-// DeregisterUpstream deregisters an upstream that stops. The incarnation is 0 if the
-// upstream doesn't report when it started, and the latest incarnation the one that it has then
-// at the latest.
-func (c *Client) DeregisterUpstream(ctx context.Context, name string, incarnation, latestIncarnation int64) (dhmessage.Result, error) {
+// DeregisterOptions describe an upstream that stops.
+type DeregisterOptions struct {
+	Name string
+	// Incarnation is 0 if the upstream doesn't report when it started, and LatestIncarnation the
+	// one that it has then at the latest.
+	Incarnation, LatestIncarnation int64
+	// IsReferable is set if the upstream can follow the referral of a result.
+	IsReferable bool
+}
+
+// DeregisterUpstream deregisters an upstream that stops. The result has a referral as that of
+// RecordUpstreamHeartbeat.
+func (c *Client) DeregisterUpstream(ctx context.Context, o DeregisterOptions) (dhmessage.Result, error) {
 	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
-		return dhevent.NewUpstreamDeregistered(at, dhevent.UpstreamDeregisteredOptions{CorrelationID: correlationID, Name: name, Incarnation: incarnation, LatestIncarnation: latestIncarnation})
+		return dhevent.NewUpstreamDeregistered(at, dhevent.UpstreamDeregisteredOptions{
+			CorrelationID: correlationID, Name: o.Name, Incarnation: o.Incarnation, LatestIncarnation: o.LatestIncarnation, IsReferable: o.IsReferable,
+		})
 	})
 	return resultOf(e), err
 }
