Keep upstreams whose heartbeats a leader without a majority can't learn of

Cause: the leader removes upstreams without a heartbeat for 8 s, and went on to do so while it had no majority and other processes' reports didn't reach it. Where no other leader was elected meanwhile, its removals were committed as soon as the cut ended. Class of fault: a judgement on others that doesn't ask whether one could have heard of them.

Change: a leader removes upstreams once it has led with a majority for as long as they may be silent, instead of that long after its election.

--- a/core/dhcontrol/referral.go
+++ b/core/dhcontrol/referral.go
@@ -19,6 +19,8 @@
 	// last changed.
 	hasLeader bool
 	changedAt dhclock.Millis
+	// majoritySince is since when this process has led with a majority.
+	majoritySince dhclock.Millis
 	// referralCount rotates the voters to which callers are referred.
 	referralCount int
 }
@@ -43,13 +45,23 @@
 	maps.DeleteFunc(r.lastHeard, func(name string, _ dhclock.Millis) bool { return !r.hears(name, now) })
 }
 
-// tickReachability records whether this process knows a leader.
+// tickReachability records whether this process knows a leader, and whether it leads with a majority.
 func (s *State) tickReachability() {
-	if s.voter != nil {
-		s.reachability.setHasLeader(s.voter.node.Leader() != "", s.now)
+	if s.voter == nil {
+		return
+	}
+	s.reachability.setHasLeader(s.voter.node.Leader() != "", s.now)
+	if !s.voter.node.IsLeader() || s.lacksMajority() {
+		s.reachability.majoritySince = s.now
 	}
 }
 
+// lacksMajority reports whether this leader hasn't been confirmed by a majority for contactTimeout.
+func (s *State) lacksMajority() bool {
+	confirmedAt, _ := s.voter.node.ConfirmedAt()
+	return s.now.Since(max(confirmedAt, s.voter.node.ElectedAt())) >= contactTimeout
+}
+
 // referral returns the process to which a caller is referred; "" if this process may be able to
 // serve the caller itself.
 func (s *State) referral() string {
@@ -59,8 +71,7 @@
 	n := s.voter.node
 	switch {
 	case n.IsLeader():
-		confirmedAt, _ := n.ConfirmedAt()
-		if s.now.Since(max(confirmedAt, n.ElectedAt())) < contactTimeout {
+		if !s.lacksMajority() {
 			return ""
 		}
 	case n.Leader() != "":
--- a/core/dhcontrol/registry.go
+++ b/core/dhcontrol/registry.go
@@ -314,10 +314,10 @@
 	}
 }
 
-// pruneUpstreams removes expired records, at the leader. A leader that was just
-// elected has received no heartbeats yet.
+// pruneUpstreams removes expired records, at the leader. A leader that was just elected, or has just
+// regained a majority, hasn't learned yet of the heartbeats that other processes received.
 func (s *State) pruneUpstreams(out *dheffect.List) {
-	if s.now.Since(s.voter.node.ElectedAt()) <= upstreamTimeout {
+	if s.now.Since(s.reachability.majoritySince) <= upstreamTimeout {
 		return
 	}
 	var deletes []dhcatalog.Ref
