Acknowledge a repeated declaration without another log entry

Where a majority needs more than the 900 ms of a call for a large one, no repetition is ever acknowledged.

Cause: the leader appended each declaration to the log, also one whose number isn't higher than that of the current one, with its text and objects. Class of fault: a repetition that costs as much as the first.

Change: a leader that knows every committed entry completes it at once. An acknowledgement says that a majority has stored this number or a higher one, which the committed state proves. An invalid one is refused as before.

--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -288,14 +288,14 @@
 	return r, true
 }
 
-// previewDeclare refuses a declaration that can't be accepted, so that it takes
-// no space in the log.
+// previewDeclare completes a declaration that can't be accepted, or that changes nothing because
+// its number isn't higher than the current one, so that it takes no space in the log.
 func (v *voter) previewDeclare(d dhmessage.Declare) (dhmessage.Result, bool) {
 	if _, confirmed := v.node.ConfirmedAt(); !confirmed {
 		return dhmessage.Result{}, false
 	}
-	r := v.ledger.PreviewDeclare(d)
-	return r, r.Err() != nil
+	r, changes := v.ledger.PreviewDeclare(d)
+	return r, !changes
 }
 
 // editMembers returns the list of members after an edit.
--- a/core/dhledger/declare.go
+++ b/core/dhledger/declare.go
@@ -27,10 +27,10 @@
 }
 
 // PreviewDeclare returns the result that committing a declaration now would
-// have.
-func (l *Ledger) PreviewDeclare(d dhmessage.Declare) dhmessage.Result {
-	_, _, result := l.evaluateDeclare(d)
-	return result
+// have, and whether it would change the configuration.
+func (l *Ledger) PreviewDeclare(d dhmessage.Declare) (result dhmessage.Result, changes bool) {
+	next, _, result := l.evaluateDeclare(d)
+	return result, next != nil
 }
 
 // evaluateDeclare returns the catalog that a declaration leads to, the change
