--- a/core/dhmessage/result.go
+++ b/core/dhmessage/result.go
@@ -39,8 +39,9 @@
 // been committed or may still be, or a read was not confirmed in time.
 func (r Result) OutcomeUnknown() bool { return r.options.OutcomeUnknown }
 
-// Referral returns the name of the control process to which to send the command instead,
-// because the one that answers is cut off from the majority; "" if there is none. The outcome is unknown then.
+// Referral returns the name of the control process to which to send the command instead, because
+// the one that answers is cut off from the majority; "" if there is none. With one the outcome is
+// unknown.
 func (r Result) Referral() string { return r.options.Referral }
 
 // RefusedError is a refusal with a machine-readable kind and a remedy.
--- a/core/dhreducer/cut_off_upstream_test.go
+++ b/core/dhreducer/cut_off_upstream_test.go
@@ -43,21 +43,9 @@
 		service := dhcatalog.NewService(dhcatalog.ServiceOptions{Name: "s", HealthPath: "/health"})
 		n.propose(n.leader(), dhmessage.NewEdit("test", []dhcatalog.Object{service}, nil))
 		n.run(500)
-		for _, i := range cut {
-			n.partitioned[n.machines[i].name] = true
-		}
-		n.run(1500)
-		leader := n.leader()
-		if leader == nil {
-			t.Fatalf("%v cut off: no side has a majority", cut)
-		}
+		leader, cutOff := n.cutOff(cut)
 		record := upstreamRecord("u", dhcatalog.UpstreamReady)
-		var target *machine
-		for _, m := range n.machines {
-			if m.disk != nil && n.partitioned[m.name] != n.partitioned[leader.name] {
-				target = m
-			}
-		}
+		target := cutOff[len(cutOff)-1]
 		for end := n.now + cutTime; n.now < end; n.run(heartbeatInterval) {
 			n.referableHeartbeat(target, record)
 			if end-n.now > cutTime-5*dhclock.Second {
--- a/core/dhreducer/referral_test.go
+++ b/core/dhreducer/referral_test.go
@@ -53,6 +53,19 @@
 	return path + " refers a third time"
 }
 
+// cutOff cuts control processes off from the others for three seconds, and returns the leader and the
+// control processes on the other side than it.
+func (n *network) cutOff(indexes []int) (leader *machine, cutOff []*machine) {
+	for _, i := range indexes {
+		n.partitioned[n.machines[i].name] = true
+	}
+	n.run(3000)
+	if leader = n.leader(); leader == nil {
+		n.t.Fatalf("%v cut off: no side has a majority", indexes)
+	}
+	return leader, slices.DeleteFunc(n.controls(), func(m *machine) bool { return n.partitioned[m.name] == n.partitioned[leader.name] })
+}
+
 // TestOrderAtACutOffProcessWaitsInVain cuts each control process off, then each half of them from
 // the other, and sends a declaration to each process of the smaller side. With two referrals at
 // most it must be accepted.
@@ -71,18 +84,8 @@
 	for _, cut := range cuts {
 		n := newManagedNetwork(t, 6)
 		n.run(4000)
-		for _, i := range cut {
-			n.partitioned[n.machines[i].name] = true
-		}
-		n.run(3000)
-		leader := n.leader()
-		if leader == nil {
-			t.Fatalf("%v cut off: no side has a majority", cut)
-		}
-		for _, m := range n.machines {
-			if n.partitioned[m.name] == n.partitioned[leader.name] {
-				continue
-			}
+		_, cutOff := n.cutOff(cut)
+		for _, m := range cutOff {
 			number++
 			if problem := n.followOrder(m, number); problem != "" {
 				t.Errorf("%v cut off: %s", cut, problem)
