Keep instances in look-ups that a leader without a majority can't hear of

Cause: a leader that is cut off went on to judge which instances are lost, by acknowledgements that other members get and can't pass on to it. Its look-ups, which callers of its zone ask first, named the few instances that still polled it, or none. Class of fault: a judgement on others that doesn't ask whether one could have heard of them, as with upstreams.

Evidence: the reducer: the leader takes 12 of 24 running instances for lost.

Change: a leader without a majority leaves its list as it is, and for a second after it has one again, in which acknowledgements arrive.

Test, red before: dhreducer TestLeaderWithoutMajorityTakesInstancesForLost.

--- a/core/dhdistribution/availability.go
+++ b/core/dhdistribution/availability.go
@@ -150,8 +150,15 @@
 }
 
 // updateUnavailable determines, at the leader, which instances look-ups must not
-// return. What the last leader decided holds until an instance reports.
+// return. What the last leader decided holds until an instance reports. A leader without a majority
+// decides nothing: it may not hear of acknowledgements that other members get.
 func (s *State) updateUnavailable(now dhclock.Millis) {
+	if now.Since(max(s.confirmedAt, s.leadershipChangedAt)) > maxConfirmationAge {
+		s.unconfirmedAt = now
+	}
+	if s.unconfirmedAt != 0 && now.Since(s.unconfirmedAt) < quietReportTime {
+		return
+	}
 	if now.Since(s.lastAvailabilityCheck) < availabilityCheckInterval {
 		return
 	}
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -122,6 +122,8 @@
 	appliedAt     dhclock.Millis
 	confirmedAt   dhclock.Millis
 	everConfirmed bool
+	// unconfirmedAt is when this process last led without a recent confirmation; 0 if never.
+	unconfirmedAt dhclock.Millis
 	// pendingConfirmation is a confirmation of a version that isn't here yet; nil for none.
 	pendingConfirmation *pendingConfirmation
 	unavailable         []dhmessage.UnavailableInstance
