--- a/review/stand2/behind.go
+++ b/review/stand2/behind.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// Doses of case 9.
+// Doses of case 10.
 const (
 	earlyChanges   = 225 // before any trouble, one each 0.06 s
 	darkTime       = 3 * time.Second
--- a/review/stand2/kit.go
+++ b/review/stand2/kit.go
@@ -20,7 +20,7 @@
 	"time"
 )
 
-// errCantRun is the exit code of a case that couldn't run.
+// exitCantRun is the exit code of a case that couldn't run.
 const exitCantRun = 2
 
 // record is the file with what was sent, answered and run.
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -20,7 +20,7 @@
 		os.Exit(exitCantRun)
 	}
 	rec := &record{file: f, start: time.Now()}
-	cases := map[string]func(*record, bool) int{"6": playMemory, "7": playEncodedPath, "8": playDevices, "9": playBehind}
+	cases := map[string]func(*record, bool) int{"6": playMemory, "8": playDevices, "9": playEncodedPath, "10": playBehind}
 	play, found := cases[os.Args[1]]
 	if !found {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
