--- a/review/stand2/devices.go
+++ b/review/stand2/devices.go
@@ -142,6 +142,11 @@
 
 // playDevices takes one of two front machines away, so that all devices connect to the other one.
 func playDevices(rec *record, trouble bool) int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < devices+200 {
+		rec.printf("can't run: this process may have %d descriptors, %v", limit.Cur, err)
+		return exitCantRun
+	}
 	c, servers, err := startSmall(rec, 2, 12, 9, func(c *cluster) { c.fronts[1].zone = c.fronts[0].zone }, []route{{
 		Name: "r-1", PathPrefix: "/xapu221/ny95/", Kind: "unsafe", Timeout: deviceTimeout.Seconds(), Objective: 0.8, Service: "gate-check", MaxAttempts: 2, HomeRegions: []string{},
 	}}, func(*http.Request, []byte) (time.Duration, []byte) { return 20 * time.Millisecond, []byte("done") })
