Count the bytes that the control state holds by kind

A MemoryRequested event asks the control state for the approximate size of the configuration, the history, the recorded responses and the log; /metrics asks it at each scrape and waits 200 ms at most. Sizes of objects count their strings and lists instead of 200 bytes each, so that the log is compacted, sent in parts and sent in bulk by what its entries hold.

--- a/core/dhconsensus/log.go
+++ b/core/dhconsensus/log.go
@@ -11,6 +11,7 @@
 type log struct {
 	snapshot dhmessage.Snapshot
 	entries  []dhmessage.Entry
+	bytes    int // approximate size of the entries
 	// baseMembers is the list of members before the first Members entry of this
 	// log.
 	baseMembers []dhmessage.Member
@@ -86,6 +87,7 @@
 		l.truncate(e.Index())
 	}
 	l.entries = append(l.entries, e)
+	l.bytes += e.ApproximateBytes()
 	if _, ok := e.Command().(dhmessage.Members); ok {
 		l.memberChanges = append(l.memberChanges, e.Index())
 	}
@@ -93,7 +95,11 @@
 
 // truncate removes the entry at an index and all that follow.
 func (l *log) truncate(index uint64) {
-	l.entries = slices.Clip(l.entries[:index-l.snapshot.Index()-1])
+	kept := index - l.snapshot.Index() - 1
+	for _, e := range l.entries[kept:] {
+		l.bytes -= e.ApproximateBytes()
+	}
+	l.entries = slices.Clip(l.entries[:kept])
 	for len(l.memberChanges) > 0 && l.memberChanges[len(l.memberChanges)-1] >= index {
 		l.memberChanges = l.memberChanges[:len(l.memberChanges)-1]
 	}
--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -145,6 +145,9 @@
 // SnapshotIndex returns the index that the newest snapshot covers.
 func (n *Node) SnapshotIndex() uint64 { return n.log.snapshot.Index() }
 
+// LogBytes returns the approximate size of the log entries after the snapshot, in bytes.
+func (n *Node) LogBytes() int { return n.log.bytes }
+
 // Members returns the voters and learners as of the newest entry, committed or
 // not.
 func (n *Node) Members() []dhmessage.Member { return n.log.members() }
--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -19,6 +19,8 @@
 	// minCompactBytes is the least size of such entries, in bytes. A declaration
 	// alone may have a megabyte.
 	minCompactBytes = 8 << 20
+	// stateObjectBytes is the approximate size of an object of the state, in bytes.
+	stateObjectBytes = 200
 )
 
 // leadership is what a leader has recorded since its election.
@@ -129,7 +131,7 @@
 	}
 	entries := v.ledger.Index() - v.node.SnapshotIndex()
 	state := v.ledger.Catalog().Len() + v.ledger.Catalog().BlockCount()/16 + v.ledger.ClaimCount() + len(v.ledger.RecentChanges())
-	if entries < uint64(max(v.compactEntries, state/2)) && v.appliedBytes < max(minCompactBytes, state/2*dhmessage.ObjectBytes) {
+	if entries < uint64(max(v.compactEntries, state/2)) && v.appliedBytes < max(minCompactBytes, state/2*stateObjectBytes) {
 		return
 	}
 	v.appliedBytes = 0
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -146,6 +146,8 @@
 		s.distribution.PollNow()
 	case *dhevent.StatusRequested:
 		out.Add(dheffect.NewStatusReply(dheffect.StatusReplyOptions{CorrelationID: e.CorrelationID(), Status: s.status()}))
+	case *dhevent.MemoryRequested:
+		out.Add(dheffect.NewMemoryReply(dheffect.MemoryReplyOptions{CorrelationID: e.CorrelationID(), Memory: s.memoryStatus()}))
 	case *dhevent.HistoryRequested:
 		out.Add(dheffect.NewHistoryReply(dheffect.HistoryReplyOptions{CorrelationID: e.CorrelationID(), Changes: s.distribution.History()}))
 	case *dhevent.ClaimRequested:
--- a/core/dhcontrol/status.go
+++ b/core/dhcontrol/status.go
@@ -104,6 +104,18 @@
 	return dheffect.NewStatus(o)
 }
 
+// memoryStatus returns what the control state holds, by kind.
+func (s *State) memoryStatus() dheffect.MemoryStatus {
+	o := dheffect.MemoryStatusOptions{Configuration: s.distribution.Catalog().ApproximateBytes()}
+	for _, a := range s.distribution.History() {
+		o.History += a.ApproximateBytes()
+	}
+	if s.voter != nil {
+		o.Responses, o.Log = s.voter.ledger.ResponseBytes(), s.voter.node.LogBytes()
+	}
+	return dheffect.NewMemoryStatus(o)
+}
+
 func memberStatus(m dhconsensus.MemberProgress, n *dhconsensus.Node) dheffect.MemberStatus {
 	lag := uint64(0)
 	if n.IsLeader() && n.LastIndex() > m.MatchIndex() {
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -177,6 +177,26 @@
 // CorrelationID returns the number that the reply repeats.
 func (e *StatusRequested) CorrelationID() uint64 { return e.options.CorrelationID }
 
+// MemoryRequestedOptions are the fields of a MemoryRequested.
+type MemoryRequestedOptions struct {
+	// CorrelationID is the number that the reply repeats.
+	CorrelationID uint64
+}
+
+// MemoryRequested asks how much the control state holds.
+type MemoryRequested struct {
+	stamp
+	options MemoryRequestedOptions
+}
+
+// NewMemoryRequested returns a MemoryRequested.
+func NewMemoryRequested(at dhclock.Millis, o MemoryRequestedOptions) *MemoryRequested {
+	return &MemoryRequested{stamp: stamp{at: at}, options: o}
+}
+
+// CorrelationID returns the number that the reply repeats.
+func (e *MemoryRequested) CorrelationID() uint64 { return e.options.CorrelationID }
+
 // HistoryRequestedOptions are the fields of a HistoryRequested.
 type HistoryRequestedOptions struct {
 	// CorrelationID is the number that the reply repeats.
--- a/core/dhledger/claim.go
+++ b/core/dhledger/claim.go
@@ -68,7 +68,7 @@
 		return claimResult(old.State(), old.Response())
 	}
 	state, response := o.State(), o.Response()
-	if l.responseBytes+responseSize(response) > MaxResponseBytes {
+	if l.responseBytes+response.Size() > MaxResponseBytes {
 		state, response = dhmessage.ClaimRan, nil
 	}
 	l.putClaim(dhmessage.ClaimRecordOptions{
@@ -128,30 +128,17 @@
 func (l *Ledger) storeClaim(c dhmessage.ClaimRecord) {
 	l.deleteClaim(c.Key())
 	l.claims[c.Key()] = c
-	l.responseBytes += responseSize(c.Response())
+	l.responseBytes += c.Response().Size()
 	l.expiry.push(c.Expiry(), c.Key())
 }
 
 func (l *Ledger) deleteClaim(k dhmessage.ClaimKey) {
 	if c, found := l.claims[k]; found {
-		l.responseBytes -= responseSize(c.Response())
+		l.responseBytes -= c.Response().Size()
 		delete(l.claims, k)
 	}
 }
 
-// responseSize returns the bytes of a response that count towards
-// MaxResponseBytes: its body and the names and values of its header fields.
-func responseSize(r *dhmessage.Response) int {
-	if r == nil {
-		return 0
-	}
-	size := len(r.Body())
-	for _, f := range r.Header() {
-		size += len(f.Name()) + len(f.Value())
-	}
-	return size
-}
-
 // deleteExpiredClaims deletes the claims that have expired by the current log
 // time.
 func (l *Ledger) deleteExpiredClaims() {
--- a/core/dhledger/ledger.go
+++ b/core/dhledger/ledger.go
@@ -87,6 +87,9 @@
 // ClaimCount returns the number of claims that are kept.
 func (l *Ledger) ClaimCount() int { return len(l.claims) }
 
+// ResponseBytes returns the size of the recorded responses of all claims, in bytes.
+func (l *Ledger) ResponseBytes() int { return l.responseBytes }
+
 // Claim returns the stored record of a claim; false if none is kept.
 func (l *Ledger) Claim(k dhmessage.ClaimKey) (dhmessage.ClaimRecord, bool) {
 	c, found := l.claims[k]
--- a/core/dhmessage/claim.go
+++ b/core/dhmessage/claim.go
@@ -81,6 +81,19 @@
 // Body returns the body. The caller must not change it.
 func (r *Response) Body() []byte { return r.body }
 
+// Size returns the size of the body and of the names and values of the header fields, in bytes;
+// 0 for no response.
+func (r *Response) Size() int {
+	if r == nil {
+		return 0
+	}
+	size := len(r.body)
+	for _, f := range r.header {
+		size += len(f.name) + len(f.value)
+	}
+	return size
+}
+
 // ClaimOptions are the fields of a Claim.
 type ClaimOptions struct {
 	// Key is the identity of the claim.
--- a/core/dhmessage/command.go
+++ b/core/dhmessage/command.go
@@ -31,29 +31,26 @@
 // Command returns the command to apply.
 func (e Entry) Command() Command { return e.command }
 
-// ObjectBytes is the approximate size of an object of the configuration, in bytes.
-const ObjectBytes = 200
+// entryBytes is the approximate size of a log entry without what its command holds, in bytes.
+const entryBytes = 200
 
-// ApproximateBytes returns the approximate size of a change set, in bytes.
-func ApproximateBytes(s dhcatalog.ChangeSet) int {
-	return ObjectBytes * (1 + len(s.Puts()) + len(s.Deletes()) + len(s.Blocks()))
-}
+// ApproximateBytes returns the approximate size of the entry in memory, in bytes.
+func (e Entry) ApproximateBytes() int { return entryBytes + CommandBytes(e.command) }
 
-// ApproximateBytes returns the approximate size of the entry's command, in bytes.
-func (e Entry) ApproximateBytes() int {
-	switch c := e.command.(type) {
+// CommandBytes returns the approximate size of what a command holds, in bytes.
+func CommandBytes(c Command) int {
+	switch c := c.(type) {
 	case Change:
-		return ApproximateBytes(c.ChangeSet())
+		return c.ChangeSet().ApproximateBytes()
 	case Edit:
-		return ObjectBytes * (1 + len(c.Puts()) + len(c.Deletes()))
+		return dhcatalog.ObjectsBytes(c.Puts()) + dhcatalog.RefsBytes(c.Deletes())
 	case Declare:
-		return ObjectBytes*(1+len(c.Objects())) + len(c.Declaration().Text())
+		return dhcatalog.ObjectsBytes(c.Objects()) + len(c.Declaration().Text())
 	case Outcome:
-		if c.Response() != nil {
-			return ObjectBytes + len(c.Response().Body())
-		}
+		return c.Response().Size()
+	default:
+		return 0
 	}
-	return ObjectBytes
 }
 
 // Command is a command in the replicated log.
--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -55,6 +55,8 @@
 		return e.CorrelationID(), true
 	case *dheffect.StatusReply:
 		return e.CorrelationID(), true
+	case *dheffect.MemoryReply:
+		return e.CorrelationID(), true
 	case *dheffect.HistoryReply:
 		return e.CorrelationID(), true
 	case *dheffect.ClaimReply:
@@ -181,6 +183,17 @@
 	return dheffect.Status{}, err
 }
 
+// Memory returns how much the control state of this process holds.
+func (c *Client) Memory(ctx context.Context) (dheffect.MemoryStatus, error) {
+	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+		return dhevent.NewMemoryRequested(at, dhevent.MemoryRequestedOptions{CorrelationID: correlationID})
+	})
+	if r, ok := e.(*dheffect.MemoryReply); ok {
+		return r.Memory(), nil
+	}
+	return dheffect.MemoryStatus{}, err
+}
+
 // History returns the accepted change sets that this process keeps.
 func (c *Client) History(ctx context.Context) ([]dhmessage.AcceptedChange, error) {
 	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -338,7 +338,7 @@
 			return true
 		}
 		for _, c := range m.Changes() {
-			size += dhmessage.ApproximateBytes(c)
+			size += c.ApproximateBytes()
 		}
 	}
 	return size >= bulkBytes
--- a/io/dhprocess/operator_test.go
+++ b/io/dhprocess/operator_test.go
@@ -104,6 +104,7 @@
 		{"GET", "/readyz", "", "", 200, "{}"},
 		{"GET", "/metrics", "", "", 200, "dogwoodhitch_version 1"},
 		{"GET", "/metrics", "", "", 200, `dogwoodhitch_queued_events{to="control"}`},
+		{"GET", "/metrics", "", "", 200, `dogwoodhitch_control_bytes{kind="history"}`},
 	}
 	for _, c := range cases {
 		status, body := o.call(c.method, c.path, c.secret, c.body)
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -142,7 +142,7 @@
 func (p *Process) operatorHandler() http.Handler {
 	return dhoperator.New(dhoperator.Options{
 		Control: p.controlClient, View: p.View, TrafficState: p.trafficState, Secret: p.options.Secrets.Operators,
-		Metrics: p.metrics, Ready: p.ready, Log: p.options.Logs.Logger("operator"),
+		Metrics: http.HandlerFunc(p.serveMetrics), Ready: p.ready, Log: p.options.Logs.Logger("operator"),
 	}).Handler()
 }
 
