Bound the history of accepted changes in bytes

Cause: the history was bounded by 4096 changes at control processes and 1024 at instances, whatever each holds, and one change may replace every route. A count by kind showed 118 MB of history (set and inverse) beside 0.2 MB of configuration after 600 changes.

It copies what it keeps when it drops changes, since a slice would hold the others in memory. A process that is further behind gets the full configuration.

TestDrainEndsOnceItsChangeIsDropped and TestResendIsRefusedOnceItsContentIsDropped fail without their fields.

--- a/core/dhcatalog/size.go
+++ b/core/dhcatalog/size.go
@@ -8,10 +8,11 @@
 	referenceBytes = 32
 	// blockChangeBytes is the size of a BlockChange.
 	blockChangeBytes = 48
-	// storedBlockBytes is the size of a client block in a catalog.
-	storedBlockBytes = 9
 )
 
+// StoredBlockBytes is the approximate size of a client block in a catalog, in bytes.
+const StoredBlockBytes = 9
+
 // ApproximateBytes returns the approximate size of an object in memory, in bytes.
 func ApproximateBytes(o Object) int {
 	switch o := o.(type) {
@@ -90,7 +91,7 @@
 // ApproximateBytes returns the approximate size of the catalog in memory, in bytes. It visits
 // each object.
 func (c *Catalog) ApproximateBytes() int {
-	size := c.BlockCount() * storedBlockBytes
+	size := c.BlockCount() * StoredBlockBytes
 	for _, o := range c.objects {
 		size += ApproximateBytes(o)
 	}
--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -10,8 +10,8 @@
 	"dogwoodhitch/core/dhview"
 )
 
-// A snapshot is taken once the log has a number of entries or bytes. A large state is
-// written less often, so that the cost of snapshots stays in proportion to the log.
+// A snapshot is taken once the log has a number of entries or bytes, and half the size of the
+// state, so that the cost of snapshots stays in proportion to the log.
 const (
 	// defaultCompactEntries is the least number of log entries between two
 	// snapshots, unless they exceed minCompactBytes.
@@ -19,8 +19,6 @@
 	// minCompactBytes is the least size of such entries, in bytes. A declaration
 	// alone may have a megabyte.
 	minCompactBytes = 8 << 20
-	// stateObjectBytes is the approximate size of an object of the state, in bytes.
-	stateObjectBytes = 200
 )
 
 // leadership is what a leader has recorded since its election.
@@ -120,18 +118,16 @@
 
 // distributeCatalog passes the ledger's configuration to the distribution.
 func (s *State) distributeCatalog() {
-	s.distribution.SetCatalog(s.now, s.voter.ledger.Catalog(), s.voter.ledger.RecentChanges())
+	s.distribution.SetCatalog(s.now, s.voter.ledger.Catalog(), s.voter.ledger.History())
 }
 
 // compactLog takes a snapshot when the log has outgrown the state.
 func (s *State) compactLog(out *dheffect.List) {
 	v := s.voter
-	if v == nil {
+	if v == nil || v.appliedBytes < v.ledger.ApproximateBytes()/2 {
 		return
 	}
-	entries := v.ledger.Index() - v.node.SnapshotIndex()
-	state := v.ledger.Catalog().Len() + v.ledger.Catalog().BlockCount()/16 + v.ledger.ClaimCount() + len(v.ledger.RecentChanges())
-	if entries < uint64(max(v.compactEntries, state/2)) && v.appliedBytes < max(minCompactBytes, state/2*stateObjectBytes) {
+	if v.ledger.Index()-v.node.SnapshotIndex() < uint64(v.compactEntries) && v.appliedBytes < minCompactBytes {
 		return
 	}
 	v.appliedBytes = 0
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -149,7 +149,7 @@
 	case *dhevent.MemoryRequested:
 		out.Add(dheffect.NewMemoryReply(dheffect.MemoryReplyOptions{CorrelationID: e.CorrelationID(), Memory: s.memoryStatus()}))
 	case *dhevent.HistoryRequested:
-		out.Add(dheffect.NewHistoryReply(dheffect.HistoryReplyOptions{CorrelationID: e.CorrelationID(), Changes: s.distribution.History()}))
+		out.Add(s.historyReply(e))
 	case *dhevent.ClaimRequested:
 		out.Add(s.claimReply(e))
 	case *dhevent.GrantsRequested:
@@ -330,6 +330,15 @@
 	out.Add(dheffect.NewReply(dheffect.ReplyOptions{CorrelationID: correlationID, Result: r}))
 }
 
+// historyReply returns the reply with the accepted change sets that this process keeps.
+func (s *State) historyReply(e *dhevent.HistoryRequested) dheffect.Effect {
+	o := dheffect.HistoryReplyOptions{CorrelationID: e.CorrelationID(), Changes: s.distribution.History().Changes()}
+	if s.voter != nil {
+		o.Older = append([]dhmessage.Receipt(nil), s.voter.ledger.OlderReceipts()...)
+	}
+	return dheffect.NewHistoryReply(o)
+}
+
 // claimReply returns the reply with the voter's record of a claim.
 func (s *State) claimReply(e *dhevent.ClaimRequested) dheffect.Effect {
 	o := dheffect.ClaimReplyOptions{CorrelationID: e.CorrelationID()}
--- a/core/dhcontrol/status.go
+++ b/core/dhcontrol/status.go
@@ -60,24 +60,14 @@
 	s.distribution.SetInForce(max(s.distribution.MinAckedVersion(), v.leadership.newestPastGrace(s.now, dhview.FreshnessLease)))
 }
 
-// drainAges returns how long ago each drain was accepted. A drain older than
-// the retained change sets has certainly finished; its ramp stands for its age.
+// drainAges returns how long ago each drain was accepted. Without a recorded start a drain
+// was accepted long ago, under an earlier release; its ramp stands for its age.
 func (s *State) drainAges() []dhmessage.DrainAge {
 	v := s.voter
-	drains := v.ledger.Catalog().Drains()
-	if len(drains) == 0 {
-		return nil
-	}
-	started := map[string]dhclock.Millis{}
-	for _, a := range v.ledger.RecentChanges() {
-		for _, o := range a.ChangeSet().Puts() {
-			started[o.Ref().String()] = a.LogTime()
-		}
-	}
 	var list []dhmessage.DrainAge
-	for _, d := range drains {
+	for _, d := range v.ledger.Catalog().Drains() {
 		age := d.Ramp()
-		if at, found := started[d.Ref().String()]; found {
+		if at, found := v.ledger.DrainStart(d.Name()); found {
 			age = v.node.LogTime().Since(at)
 		}
 		list = append(list, dhmessage.NewDrainAge(d.Name(), age))
@@ -106,9 +96,8 @@
 
 // memoryStatus returns what the control state holds, by kind.
 func (s *State) memoryStatus() dheffect.MemoryStatus {
-	o := dheffect.MemoryStatusOptions{Configuration: s.distribution.Catalog().ApproximateBytes()}
-	for _, a := range s.distribution.History() {
-		o.History += a.ApproximateBytes()
+	o := dheffect.MemoryStatusOptions{
+		Configuration: s.distribution.Catalog().ApproximateBytes(), History: s.distribution.History().ApproximateBytes(),
 	}
 	if s.voter != nil {
 		o.Responses, o.Log = s.voter.ledger.ResponseBytes(), s.voter.node.LogBytes()
--- a/core/dhdistribution/contacts_test.go
+++ b/core/dhdistribution/contacts_test.go
@@ -6,6 +6,7 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhhistory"
 	"dogwoodhitch/core/dhmessage"
 )
 
@@ -19,7 +20,7 @@
 		t.Fatal(err)
 	}
 	s := New(Options{Self: name, IsVoter: true, Voters: []string{"c1", "c2", "c3"}, Now: 1})
-	s.SetCatalog(1, c, nil)
+	s.SetCatalog(1, c, dhhistory.History{})
 	s.SetLeader("c1")
 	return s
 }
--- a/core/dhdistribution/declaration_test.go
+++ b/core/dhdistribution/declaration_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.SetCatalog(now, next, append(s.History(), dhmessage.NewAcceptedChange(next.Version(), 0, set, old.Undo(set))))
+	s.SetCatalog(now, next, s.History().With(dhmessage.NewAcceptedChange(next.Version(), 0, set, old.Undo(set))))
 }
 
 // TestInstancesGetTheTextsOfDeclarations sends a declaration to instances, one of which lacks
--- a/core/dhdistribution/distribution_test.go
+++ b/core/dhdistribution/distribution_test.go
@@ -8,6 +8,7 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhhistory"
 	"dogwoodhitch/core/dhmessage"
 )
 
@@ -35,7 +36,7 @@
 		c, a = nextChange(c)
 		history = append(history, a)
 	}
-	s.SetCatalog(1, c, history[len(history)-retained:])
+	s.SetCatalog(1, c, dhhistory.New(history[len(history)-retained:]))
 	s.RecordConfirmation(1)
 	return s
 }
@@ -213,7 +214,7 @@
 		t.Errorf("in 10 s all changes were sent %d times and a part of them %d times; want 6 and 0", all, partial)
 	}
 	c, a := nextChange(s.Catalog())
-	s.SetCatalog(10_100, c, append(s.History(), a))
+	s.SetCatalog(10_100, c, s.History().With(a))
 	if all, partial := countSent(10_100, 10_300, startupPollInterval, 0); all != 0 || partial != 1 {
 		t.Errorf("after one more change all changes were sent %d times and a part of them %d times; want 0 and 1", all, partial)
 	}
@@ -232,7 +233,7 @@
 	var out dheffect.List
 	s.HandlePoll(10, "c2", dhmessage.NewPoll(dhmessage.PollOptions{Version: 3, SentAt: 10, Replica: true}), &out)
 	c, a := nextChange(s.Catalog())
-	s.SetCatalog(20, c, append(s.History(), a))
+	s.SetCatalog(20, c, s.History().With(a))
 	s.EndBatch(20, &out)
 	for _, x := range out.Items() {
 		if send, ok := x.(*dheffect.Send); ok && len(send.Message().(*dhmessage.Update).Changes()) > 0 {
@@ -250,7 +251,7 @@
 		t.Fatal("got no full configuration")
 	}
 	c, a := nextChange(s.Catalog())
-	s.SetCatalog(20, c, append(s.History(), a))
+	s.SetCatalog(20, c, s.History().With(a))
 	if n := len(poll(s, 110, "i", 0).Changes()); n != 1 {
 		t.Fatalf("%d changes were sent after the full configuration; want 1", n)
 	}
@@ -295,7 +296,7 @@
 	poll(s, now, "i", 20)
 	for round := range 4 {
 		c, a := nextChange(s.Catalog())
-		s.SetCatalog(now, c, append(s.History(), a))
+		s.SetCatalog(now, c, s.History().With(a))
 		var out dheffect.List
 		s.EndBatch(now, &out)
 		copies := 1
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -17,7 +17,7 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
-	"dogwoodhitch/core/dhledger"
+	"dogwoodhitch/core/dhhistory"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/core/dhquarantine"
 	"dogwoodhitch/core/dhview"
@@ -79,10 +79,6 @@
 // interval.
 const smallZone = 8
 
-// maxHistory is the number of change sets that a process retains for its
-// children.
-const maxHistory = 512
-
 // Options configure the distribution in one process.
 type Options struct {
 	Self   string
@@ -118,7 +114,7 @@
 	advertised *dhcatalog.Instance
 
 	catalog       *dhcatalog.Catalog
-	history       []dhmessage.AcceptedChange
+	history       dhhistory.History
 	appliedAt     dhclock.Millis
 	confirmedAt   dhclock.Millis
 	everConfirmed bool
@@ -180,9 +176,8 @@
 // Catalog returns the configuration in force in this process.
 func (s *State) Catalog() *dhcatalog.Catalog { return s.catalog }
 
-// History returns the newest change sets, oldest first. The caller must not
-// change the slice.
-func (s *State) History() []dhmessage.AcceptedChange { return s.history }
+// History returns the newest change sets.
+func (s *State) History() dhhistory.History { return s.history }
 
 // Leader returns the name of the leader, or "" if unknown.
 func (s *State) Leader() string { return s.leader }
@@ -225,7 +220,7 @@
 }
 
 // SetCatalog installs a newer configuration from the ledger.
-func (s *State) SetCatalog(now dhclock.Millis, c *dhcatalog.Catalog, history []dhmessage.AcceptedChange) {
+func (s *State) SetCatalog(now dhclock.Millis, c *dhcatalog.Catalog, history dhhistory.History) {
 	if c.Version() <= s.catalog.Version() {
 		return
 	}
@@ -303,7 +298,7 @@
 // that follow this process's version.
 func (s *State) applyUpdate(now dhclock.Millis, full *dhcatalog.Catalog, sets []dhcatalog.ChangeSet) {
 	if full != nil && full.Version() > s.catalog.Version() {
-		s.catalog, s.appliedAt, s.history = full, now, nil
+		s.catalog, s.appliedAt, s.history = full, now, dhhistory.History{}
 		s.limitsChangedAt = now
 		s.viewChanged, s.versionAdvanced = true, true
 	}
@@ -320,12 +315,9 @@
 		if c.AffectsLimits() {
 			s.limitsChangedAt = now
 		}
-		s.history = append(s.history, dhmessage.NewAcceptedChange(next.Version(), 0, c, undo))
+		s.history = s.history.With(dhmessage.NewAcceptedChange(next.Version(), 0, c, undo))
 		s.viewChanged, s.versionAdvanced = true, true
 	}
-	if len(s.history) > 2*maxHistory {
-		s.history = slices.Clone(s.history[len(s.history)-maxHistory:])
-	}
 }
 
 // EndBatch ends a batch of events: it pushes a new version to the children and
@@ -361,5 +353,5 @@
 // changeSetsSince returns the change sets that follow a version; false if they
 // are no longer retained.
 func (s *State) changeSetsSince(version uint64) ([]dhcatalog.ChangeSet, bool) {
-	return dhledger.ChangeSetsSince(s.history, s.catalog.Version(), version)
+	return s.history.Since(s.catalog.Version(), version)
 }
--- a/core/dheffect/control.go
+++ b/core/dheffect/control.go
@@ -276,8 +276,10 @@
 type HistoryReplyOptions struct {
 	// CorrelationID is the number of the request.
 	CorrelationID uint64 `journal:"Ticket"`
-	// Changes are the accepted change sets that are kept, oldest first.
+	// Changes are the newest accepted change sets, oldest first.
 	Changes []dhmessage.AcceptedChange `journal:"Accepted"`
+	// Older are the receipts of the change sets before Changes, oldest first, set only at a voter.
+	Older []dhmessage.Receipt `journal:"Older,omitZero"`
 }
 
 // HistoryReply answers a HistoryRequested.
@@ -293,7 +295,10 @@
 // CorrelationID returns the number of the request.
 func (e *HistoryReply) CorrelationID() uint64 { return e.options.CorrelationID }
 
-// Changes returns the accepted change sets that are kept, oldest first.
+// Older returns the receipts of the change sets before Changes, oldest first, set only at a voter.
+func (e *HistoryReply) Older() []dhmessage.Receipt { return e.options.Older }
+
+// Changes returns the newest accepted change sets, oldest first.
 func (e *HistoryReply) Changes() []dhmessage.AcceptedChange { return e.options.Changes }
 
 func (*HistoryReply) effect() {}
--- a/core/dhledger/ledger.go
+++ b/core/dhledger/ledger.go
@@ -12,14 +12,10 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhhistory"
 	"dogwoodhitch/core/dhmessage"
 )
 
-// MaxRecentChanges bounds the accepted change sets that are kept: for the
-// history, to recognise resends, and to bring instances up to date with the
-// change sets that they lack.
-const MaxRecentChanges = 4096
-
 // MaxClaims bounds the number of claims that are kept at once.
 const MaxClaims = 200_000
 
@@ -28,42 +24,47 @@
 // response.
 const MaxResponseBytes = 64 << 20
 
+// recordBytes is the approximate size of an object, a receipt or a claim without its response, in
+// bytes.
+const recordBytes = 200
+
 // Ledger is the replicated state after the log entry at Index.
 type Ledger struct {
 	index         uint64
 	term          uint64
 	logTime       dhclock.Millis
 	catalog       *dhcatalog.Catalog
-	recentChanges []dhmessage.AcceptedChange
-	changesByID   map[string]dhmessage.AcceptedChange
+	records       records
 	claims        map[dhmessage.ClaimKey]dhmessage.ClaimRecord
 	expiry        expiryQueue
 	responseBytes int // bytes of recorded responses
-	// limitsChangedAt is the log time of the last change of limits, or of the
-	// instances among which limits are divided.
-	limitsChangedAt dhclock.Millis
 }
 
-// New returns a ledger with the state of a snapshot.
+// New returns a ledger with the state of a snapshot. Of a snapshot of an earlier release, which
+// bounded the history by its number of change sets, it keeps the content of the newest ones.
 func New(s dhmessage.Snapshot) *Ledger {
+	loader := NewLoader()
+	loader.SetLimitsChangedAt(s.LimitsChangedAt())
+	for _, r := range s.Receipts() {
+		loader.AddReceipt(r)
+	}
+	for _, a := range s.RecentChanges() {
+		loader.AddChange(a)
+	}
+	for _, d := range s.DrainStarts() {
+		loader.AddDrainStart(d)
+	}
 	l := &Ledger{
-		index:         s.Index(),
-		term:          s.Term(),
-		logTime:       s.LogTime(),
-		catalog:       s.Catalog(),
-		recentChanges: slices.Clone(s.RecentChanges()),
-		changesByID:   map[string]dhmessage.AcceptedChange{},
-		claims:        map[dhmessage.ClaimKey]dhmessage.ClaimRecord{},
+		index:   s.Index(),
+		term:    s.Term(),
+		logTime: s.LogTime(),
+		catalog: s.Catalog(),
+		records: loader.records,
+		claims:  map[dhmessage.ClaimKey]dhmessage.ClaimRecord{},
 	}
 	if l.catalog == nil {
 		l.catalog = dhcatalog.New()
 	}
-	for i, a := range l.recentChanges {
-		a = a.WithoutText() // an earlier release may have stored the texts
-		l.recentChanges[i] = a
-		l.changesByID[a.ChangeSet().ID()] = a
-		l.recordLimitsChange(a)
-	}
 	for _, c := range s.Claims() {
 		l.storeClaim(c)
 	}
@@ -76,13 +77,24 @@
 // Catalog returns the current version of the configuration.
 func (l *Ledger) Catalog() *dhcatalog.Catalog { return l.catalog }
 
-// RecentChanges returns up to MaxRecentChanges accepted change sets, oldest
-// first. The caller must not change the slice.
-func (l *Ledger) RecentChanges() []dhmessage.AcceptedChange { return l.recentChanges }
+// History returns the newest accepted change sets.
+func (l *Ledger) History() dhhistory.History { return l.records.history }
+
+// OlderReceipts returns the receipts of the accepted change sets before the history, oldest first.
+// The caller must not change the slice.
+func (l *Ledger) OlderReceipts() []dhmessage.Receipt {
+	return l.records.olderReceipts()
+}
+
+// DrainStart returns the log time at which a drain was accepted; false if it isn't recorded.
+func (l *Ledger) DrainStart(name string) (dhclock.Millis, bool) {
+	at, found := l.records.drainStarts[name]
+	return at, found
+}
 
 // LimitsChangedAt returns the log time at which limits, or the instances among
 // which they are divided, last changed; 0 if no change is recorded.
-func (l *Ledger) LimitsChangedAt() dhclock.Millis { return l.limitsChangedAt }
+func (l *Ledger) LimitsChangedAt() dhclock.Millis { return l.records.limitsChangedAt }
 
 // ClaimCount returns the number of claims that are kept.
 func (l *Ledger) ClaimCount() int { return len(l.claims) }
@@ -90,6 +102,13 @@
 // ResponseBytes returns the size of the recorded responses of all claims, in bytes.
 func (l *Ledger) ResponseBytes() int { return l.responseBytes }
 
+// ApproximateBytes returns the approximate size of the state in memory, in bytes. It counts
+// objects, receipts and claims alike.
+func (l *Ledger) ApproximateBytes() int {
+	records := l.catalog.Len() + len(l.records.receipts) + len(l.claims)
+	return recordBytes*records + l.catalog.BlockCount()*dhcatalog.StoredBlockBytes + l.records.history.ApproximateBytes() + l.responseBytes
+}
+
 // Claim returns the stored record of a claim; false if none is kept.
 func (l *Ledger) Claim(k dhmessage.ClaimKey) (dhmessage.ClaimRecord, bool) {
 	c, found := l.claims[k]
@@ -141,9 +160,10 @@
 // Snapshot returns a snapshot of the state, with the members that the caller
 // supplies.
 func (l *Ledger) Snapshot(members []dhmessage.Member) dhmessage.Snapshot {
-	return dhmessage.NewSnapshot(dhmessage.SnapshotOptions{
-		Index: l.index, Term: l.term, LogTime: l.logTime,
-		Members: members, Catalog: l.catalog, RecentChanges: slices.Clone(l.recentChanges),
+	o := dhmessage.SnapshotOptions{
+		Index: l.index, Term: l.term, LogTime: l.logTime, Members: members, Catalog: l.catalog,
 		Claims: l.Claims(func(dhmessage.ClaimRecord) bool { return true }),
-	})
+	}
+	l.records.addTo(&o)
+	return dhmessage.NewSnapshot(o)
 }
--- a/core/dhmessage/snapshot.go
+++ b/core/dhmessage/snapshot.go
@@ -17,8 +17,15 @@
 	Members []Member `journal:"Voters"`
 	// Catalog is the configuration; nil stands for the empty one.
 	Catalog *dhcatalog.Catalog
-	// RecentChanges are the newest accepted change sets, oldest first.
+	// RecentChanges are the newest accepted change sets with their content, oldest first.
 	RecentChanges []AcceptedChange `journal:"Recent"`
+	// Receipts are those of the accepted change sets before RecentChanges, oldest first.
+	Receipts []Receipt `journal:"Receipts,omitZero"`
+	// LimitsChangedAt is the log time of the last change of limits, or of the instances that
+	// share them; 0 if none is recorded.
+	LimitsChangedAt dhclock.Millis `journal:"LimitsChangedAt,omitZero"`
+	// DrainStarts are the log times at which the drains were accepted, sorted by name.
+	DrainStarts []DrainStart `journal:"DrainStarts,omitZero"`
 	// Claims are all claims that are kept.
 	Claims []ClaimRecord
 }
@@ -44,9 +51,19 @@
 // Catalog returns the configuration; nil stands for the empty one.
 func (s Snapshot) Catalog() *dhcatalog.Catalog { return s.options.Catalog }
 
-// RecentChanges returns the newest accepted change sets, oldest first.
+// RecentChanges returns the newest accepted change sets with their content, oldest first.
 func (s Snapshot) RecentChanges() []AcceptedChange { return s.options.RecentChanges }
 
+// Receipts returns those of the accepted change sets before RecentChanges, oldest first.
+func (s Snapshot) Receipts() []Receipt { return s.options.Receipts }
+
+// LimitsChangedAt returns the log time of the last change of limits, or of the instances that
+// share them; 0 if none is recorded.
+func (s Snapshot) LimitsChangedAt() dhclock.Millis { return s.options.LimitsChangedAt }
+
+// DrainStarts returns the log times at which the drains were accepted, sorted by name.
+func (s Snapshot) DrainStarts() []DrainStart { return s.options.DrainStarts }
+
 // Claims returns all claims that are kept.
 func (s Snapshot) Claims() []ClaimRecord { return s.options.Claims }
 
@@ -89,6 +106,65 @@
 // ChangeSet returns the change set.
 func (a AcceptedChange) ChangeSet() dhcatalog.ChangeSet { return a.changeSet }
 
+// Receipt returns what is kept of the change once its content is dropped.
+func (a AcceptedChange) Receipt() Receipt {
+	return NewReceipt(ReceiptOptions{
+		Version: a.version, LogTime: a.logTime, ID: a.changeSet.ID(), Author: a.changeSet.Author(), Digest: a.changeSet.Digest(),
+	})
+}
+
+// ReceiptOptions are the fields of a Receipt.
+type ReceiptOptions struct {
+	// Version is the version that the change set created.
+	Version uint64
+	// LogTime is the log time of acceptance, in milliseconds.
+	LogTime dhclock.Millis
+	// ID is the identifier that resends share.
+	ID string
+	// Author is the operator or component that made the change.
+	Author string
+	// Digest is the hash of the content.
+	Digest dhcatalog.Hash
+}
+
+// Receipt tells of an accepted change set without its content. It identifies resends.
+type Receipt struct{ options ReceiptOptions }
+
+// NewReceipt returns a receipt.
+func NewReceipt(o ReceiptOptions) Receipt { return Receipt{options: o} }
+
+// Version returns the version that the change set created.
+func (r Receipt) Version() uint64 { return r.options.Version }
+
+// LogTime returns the log time of acceptance, in milliseconds.
+func (r Receipt) LogTime() dhclock.Millis { return r.options.LogTime }
+
+// ID returns the identifier that resends share.
+func (r Receipt) ID() string { return r.options.ID }
+
+// Author returns the operator or component that made the change.
+func (r Receipt) Author() string { return r.options.Author }
+
+// Digest returns the hash of the content.
+func (r Receipt) Digest() dhcatalog.Hash { return r.options.Digest }
+
+// DrainStart tells when a drain was accepted.
+type DrainStart struct {
+	name    string
+	logTime dhclock.Millis
+}
+
+// NewDrainStart returns a drain with the log time at which it was accepted, in milliseconds.
+func NewDrainStart(name string, logTime dhclock.Millis) DrainStart {
+	return DrainStart{name: name, logTime: logTime}
+}
+
+// Name returns the name of the drain.
+func (d DrainStart) Name() string { return d.name }
+
+// LogTime returns the log time at which the drain was accepted, in milliseconds.
+func (d DrainStart) LogTime() dhclock.Millis { return d.logTime }
+
 // ClaimRecordOptions are the fields of a ClaimRecord.
 type ClaimRecordOptions struct {
 	// Key is the identity of the claim.
--- a/io/dhcommand/change.go
+++ b/io/dhcommand/change.go
@@ -156,6 +156,10 @@
 			return printValue(c, list, func(t *table) {
 				t.header = []string{"VERSION", "ID", "AUTHOR", "PUTS", "DELETES", "BLOCKS"}
 				for _, a := range list {
+					if a.ContentOmitted {
+						t.add(a.Version, a.ID, a.Author, "no longer kept", "", "")
+						continue
+					}
 					t.add(a.Version, a.ID, a.Author, a.Puts, a.Deletes, a.Blocks)
 				}
 			})
--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -194,13 +194,13 @@
 	return dheffect.MemoryStatus{}, err
 }
 
-// History returns the accepted change sets that this process keeps.
-func (c *Client) History(ctx context.Context) ([]dhmessage.AcceptedChange, error) {
+// History returns what this process keeps of the accepted change sets.
+func (c *Client) History(ctx context.Context) (*dheffect.HistoryReply, error) {
 	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewHistoryRequested(at, dhevent.HistoryRequestedOptions{CorrelationID: correlationID})
 	})
 	if r, ok := e.(*dheffect.HistoryReply); ok {
-		return r.Changes(), nil
+		return r, nil
 	}
 	return nil, err
 }
--- a/io/dhoperator/change.go
+++ b/io/dhoperator/change.go
@@ -114,11 +114,11 @@
 }
 
 func (a *API) history(r *http.Request) (any, error) {
-	list, err := a.options.Control.History(r.Context())
+	history, err := a.options.Control.History(r.Context())
 	if err != nil {
 		return nil, err
 	}
 	return struct {
 		Changes []Accepted `json:"changes"`
-	}{acceptedOf(list)}, nil
+	}{acceptedOf(history)}, nil
 }
--- a/io/dhoperator/diff.go
+++ b/io/dhoperator/diff.go
@@ -31,13 +31,18 @@
 	if err != nil {
 		return nil, err
 	}
-	catalog := a.options.View().Catalog()
+	catalog, changes := a.options.View().Catalog(), history.Changes()
 	current := catalog.Version()
-	if since >= current || current-since > uint64(len(history)) {
+	if since >= current || current-since > uint64(len(changes)+len(history.Older())) {
 		return nil, dherrors.New(dherrors.KindNotFound, "version "+strconv.FormatUint(since, 10)+" isn't in the history",
 			"see 'history' for the versions; the current version is "+strconv.FormatUint(current, 10))
 	}
-	return diffOf(since, catalog, history[uint64(len(history))-(current-since):])
+	kept := uint64(len(changes))
+	if current-since > kept {
+		return nil, dherrors.New(dherrors.KindNotFound, "what changed after version "+strconv.FormatUint(since, 10)+" is no longer kept",
+			"compare with version "+strconv.FormatUint(current-kept, 10)+" or a later one, or apply the earlier objects from a copy of your own")
+	}
+	return diffOf(since, catalog, changes[kept-(current-since):])
 }
 
 func diffOf(since uint64, c *dhcatalog.Catalog, list []dhmessage.AcceptedChange) (Diff, error) {
--- a/io/dhoperator/types.go
+++ b/io/dhoperator/types.go
@@ -65,14 +65,16 @@
 	Leaving            bool   `json:"leaving,omitempty"`
 }
 
-// Accepted is an accepted change set.
+// Accepted is an accepted change set. If its content is no longer kept, ContentOmitted is set, and
+// nothing tells what it changed.
 type Accepted struct {
-	Version uint64   `json:"version"`
-	ID      string   `json:"id"`
-	Author  string   `json:"author"`
-	Puts    []string `json:"puts,omitempty"`
-	Deletes []string `json:"deletes,omitempty"`
-	Blocks  int      `json:"blocks,omitempty"`
+	Version        uint64   `json:"version"`
+	ID             string   `json:"id"`
+	Author         string   `json:"author"`
+	Puts           []string `json:"puts,omitempty"`
+	Deletes        []string `json:"deletes,omitempty"`
+	Blocks         int      `json:"blocks,omitempty"`
+	ContentOmitted bool     `json:"contentOmitted,omitempty"`
 }
 
 // Pool describes the upstreams of a service at one instance. Waiting requests wait
@@ -155,9 +157,12 @@
 	return o
 }
 
-func acceptedOf(list []dhmessage.AcceptedChange) []Accepted {
+func acceptedOf(h *dheffect.HistoryReply) []Accepted {
 	out := []Accepted{}
-	for _, a := range list {
+	for _, r := range h.Older() {
+		out = append(out, Accepted{Version: r.Version(), ID: r.ID(), Author: r.Author(), ContentOmitted: true})
+	}
+	for _, a := range h.Changes() {
 		x := Accepted{Version: a.Version(), ID: a.ChangeSet().ID(), Author: a.ChangeSet().Author(), Blocks: len(a.ChangeSet().Blocks())}
 		for _, o := range a.ChangeSet().Puts() {
 			x.Puts = append(x.Puts, o.Ref().String())
--- a/io/dhwire/log.go
+++ b/io/dhwire/log.go
@@ -5,6 +5,7 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhledger"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhproto"
 )
@@ -166,7 +167,13 @@
 func SnapshotToWire(s dhmessage.Snapshot) *dhproto.Snapshot {
 	m := &dhproto.Snapshot{
 		Index: s.Index(), Term: s.Term(), AtMs: s.LogTime().Milliseconds(),
-		Voters: MembersToWire(s.Members()), Catalog: catalogToWire(s.Catalog()),
+		Voters: MembersToWire(s.Members()), Catalog: catalogToWire(s.Catalog()), LimitsChangedAtMs: s.LimitsChangedAt().Milliseconds(),
+	}
+	for _, r := range s.Receipts() {
+		m.Receipts = append(m.Receipts, receiptToWire(r))
+	}
+	for _, d := range s.DrainStarts() {
+		m.DrainStarts = append(m.DrainStarts, &dhproto.DrainStart{Name: d.Name(), AtMs: d.LogTime().Milliseconds()})
 	}
 	for _, a := range s.RecentChanges() {
 		m.Recent = append(m.Recent, &dhproto.Accepted{Version: a.Version(), AtMs: a.LogTime().Milliseconds(), Set: ChangeSetToWire(a.ChangeSet()), Undo: ChangeSetToWire(a.Undo())})
@@ -191,6 +198,11 @@
 		Index: m.GetIndex(), Term: m.GetTerm(), LogTime: dhclock.Millis(m.GetAtMs()),
 		Members: MembersFromWire(m.GetVoters()), Catalog: c,
 	}
+	loader := dhledger.NewLoader()
+	loader.SetLimitsChangedAt(dhclock.Millis(m.GetLimitsChangedAtMs()))
+	for _, w := range m.GetReceipts() {
+		loader.AddReceipt(receiptFromWire(w))
+	}
 	for _, w := range m.GetRecent() {
 		set, err := ChangeSetFromWire(w.GetSet())
 		if err != nil {
@@ -200,7 +212,10 @@
 		if err != nil {
 			return dhmessage.Snapshot{}, err
 		}
-		o.RecentChanges = append(o.RecentChanges, dhmessage.NewAcceptedChange(w.GetVersion(), dhclock.Millis(w.GetAtMs()), set, undo))
+		loader.AddChange(dhmessage.NewAcceptedChange(w.GetVersion(), dhclock.Millis(w.GetAtMs()), set, undo))
+	}
+	for _, w := range m.GetDrainStarts() {
+		loader.AddDrainStart(dhmessage.NewDrainStart(w.GetName(), dhclock.Millis(w.GetAtMs())))
 	}
 	for _, w := range m.GetClaims() {
 		o.Claims = append(o.Claims, dhmessage.NewClaimRecord(dhmessage.ClaimRecordOptions{
@@ -210,5 +225,15 @@
 			Deadline: dhclock.Millis(w.GetDeadlineMs()), Expiry: dhclock.Millis(w.GetExpiryMs()),
 		}))
 	}
-	return dhmessage.NewSnapshot(o), nil
+	return loader.Snapshot(o), nil
+}
+
+func receiptToWire(r dhmessage.Receipt) *dhproto.Receipt {
+	return &dhproto.Receipt{Version: r.Version(), AtMs: r.LogTime().Milliseconds(), Id: r.ID(), Author: r.Author(), Digest: digestToWire(r.Digest())}
+}
+
+func receiptFromWire(w *dhproto.Receipt) dhmessage.Receipt {
+	return dhmessage.NewReceipt(dhmessage.ReceiptOptions{
+		Version: w.GetVersion(), LogTime: dhclock.Millis(w.GetAtMs()), ID: w.GetId(), Author: w.GetAuthor(), Digest: digestFromWire(w.GetDigest()),
+	})
 }
--- a/io/dhwire/wire_test.go
+++ b/io/dhwire/wire_test.go
@@ -83,6 +83,8 @@
 	}
 	snapshot := dhmessage.NewSnapshot(dhmessage.SnapshotOptions{
 		Index: 1, Term: 2, LogTime: 3, Members: voters, Catalog: c, RecentChanges: []dhmessage.AcceptedChange{dhmessage.NewAcceptedChange(1, 2, set, dhcatalog.New().Undo(set))},
+		Receipts:        []dhmessage.Receipt{dhmessage.NewReceipt(dhmessage.ReceiptOptions{Version: 7, LogTime: 1, ID: "i", Author: "a", Digest: dhcatalog.Hash{2}})},
+		LimitsChangedAt: 2, DrainStarts: []dhmessage.DrainStart{dhmessage.NewDrainStart("d", 2)},
 		Claims: []dhmessage.ClaimRecord{dhmessage.NewClaimRecord(dhmessage.ClaimRecordOptions{
 			Key: key, Claimant: claimant, Digest: dhcatalog.Hash{1}, State: dhmessage.ClaimDone, Response: response, Deadline: 5, Expiry: 6,
 		})},
