--- a/core/dhcatalog/catalog.go
+++ b/core/dhcatalog/catalog.go
@@ -301,28 +301,3 @@
 	c.blocks4.forEach(func(x blockEntry[uint32]) { check(x.meta) })
 	c.blocks6.forEach(func(x blockEntry[uint64]) { check(x.meta) })
 }
-
-// Restore rebuilds a catalog from a stored version. The content was validated
-// when its change sets were accepted, so an error means that the stored copy is
-// corrupt.
-func Restore(version uint64, objects []Object, blocks []BlockChange) (*Catalog, error) {
-	if version == 0 {
-		return New(), nil
-	}
-	empty := New()
-	if len(objects) == 0 && len(blocks) == 0 {
-		empty.version = version
-		return empty, nil
-	}
-	next, err := empty.Follow(NewChangeSet(ChangeSetOptions{
-		ID: "restore", Author: "restore", Puts: objects, Blocks: blocks,
-	}))
-	if err != nil {
-		return nil, err
-	}
-	next.version = version
-	for kind := range next.revisions {
-		next.revisions[kind] = version
-	}
-	return next, nil
-}
--- a/core/dhcatalog/reindex_test.go
+++ b/core/dhcatalog/reindex_test.go
@@ -134,7 +134,9 @@
 				for _, r := range next.refs {
 					objects = append(objects, next.objects[r])
 				}
-				if next, err = Restore(next.version, objects, nil); err != nil {
+				b := &Builder{}
+				b.AddObjects(objects)
+				if next, err = b.Catalog(next.version); err != nil {
 					t.Fatal(err)
 				}
 			}
--- a/io/dhdisk/folder.go
+++ b/io/dhdisk/folder.go
@@ -106,6 +106,10 @@
 // State returns the state that Open read from the folder.
 func (f *Folder) State() State { return f.state }
 
+// ReleaseState drops what Open read from the folder but its identity, once the process has taken it:
+// the folder would hold it as long as the process runs.
+func (f *Folder) ReleaseState() { f.state = State{identity: f.state.identity} }
+
 // Inspect reads a data folder without locking or changing it.
 func Inspect(path string) (State, error) {
 	s, _, err := readState(path)
--- a/io/dhdisk/record.go
+++ b/io/dhdisk/record.go
@@ -1,7 +1,9 @@
 package dhdisk
 
 import (
+	"bufio"
 	"encoding/binary"
+	"errors"
 	"hash/crc32"
 	"os"
 )
@@ -9,16 +11,21 @@
 // Layout of a file: an 8-byte magic header, then records. A record has a header
 // of two little-endian integers of 4 bytes each, the length of the payload and
 // the CRC-32C of length and payload, followed by the payload, an encoded
-// Protobuf message.
+// Protobuf message. A snapshot has a record for each of its fragments and ends in
+// an empty one.
 const (
-	logMagic         = "dhLog001"
-	snapshotMagic    = "dhSnap01"
-	identityMagic    = "dhIden01"
-	suspectsMagic    = "dhSusp01"
-	magicSize        = 8
-	recordHeaderSize = 8
+	logMagic      = "dhLog001"
+	snapshotMagic = "dhSnap02"
+	identityMagic = "dhIden01"
+	suspectsMagic = "dhSusp01"
+	// wholeSnapshotMagic begins the snapshots of earlier releases, which have a single record.
+	wholeSnapshotMagic = "dhSnap01"
+	magicSize          = 8
+	recordHeaderSize   = 8
 	// maxPayload is the maximum length of a payload, in bytes.
 	maxPayload = 1 << 30
+	// bufferBytes is the size of the buffer between records and a file, in bytes.
+	bufferBytes = 64 << 10
 )
 
 var castagnoliTable = crc32.MakeTable(crc32.Castagnoli)
@@ -92,20 +99,32 @@
 // writeRecordFile atomically creates or replaces a file that contains a single
 // record, and syncs it.
 func writeRecordFile(path, magic string, payload []byte) error {
+	return writeRecords(path, magic, func(add func(payload []byte) error) error { return add(payload) })
+}
+
+// writeRecords atomically creates or replaces a file that contains the records that
+// write adds, and syncs it.
+func writeRecords(path, magic string, write func(add func(payload []byte) error) error) error {
 	temporary := path + ".tmp"
 	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermission)
 	if err != nil {
 		return err
 	}
-	if _, err := f.Write(appendRecord([]byte(magic), payload)); err != nil {
-		f.Close()
-		return err
+	w := bufio.NewWriterSize(f, bufferBytes)
+	_, err = w.WriteString(magic)
+	if err == nil {
+		err = write(func(payload []byte) error {
+			_, err := w.Write(appendRecord(nil, payload))
+			return err
+		})
 	}
-	if err := f.Sync(); err != nil {
-		f.Close()
-		return err
+	if err == nil {
+		err = w.Flush()
+	}
+	if err == nil {
+		err = f.Sync()
 	}
-	if err := f.Close(); err != nil {
+	if err = errors.Join(err, f.Close()); err != nil {
 		return err
 	}
 	if err := os.Rename(temporary, path); err != nil {
--- a/io/dhdisk/snapshot.go
+++ b/io/dhdisk/snapshot.go
@@ -1,14 +1,22 @@
 package dhdisk
 
 import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
 	"fmt"
+	"hash/crc32"
+	"io"
 	"os"
 	"path/filepath"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhproto"
 	"dogwoodhitch/io/dhwire"
 )
 
@@ -56,12 +64,8 @@
 // storeSnapshot writes and syncs a snapshot, and then removes older snapshots and
 // the segments before firstSegment, the one that the snapshot started.
 func (f *Folder) storeSnapshot(s dhmessage.Snapshot, firstSegment uint64) error {
-	payload, err := proto.Marshal(dhwire.SnapshotToWire(s))
-	if err != nil {
-		return err
-	}
 	path := filepath.Join(f.path, fmt.Sprintf("snapshot-%020d", s.Index()))
-	if err := writeRecordFile(path, snapshotMagic, payload); err != nil {
+	if err := writeSnapshot(path, s); err != nil {
 		return fmt.Errorf("write snapshot: %w", err)
 	}
 	for _, old := range listNumbered(f.path, "snapshot-") {
@@ -76,3 +80,187 @@
 	}
 	return nil
 }
+
+// writeSnapshot writes a snapshot fragment by fragment, so that it isn't in memory a second time.
+func writeSnapshot(path string, s dhmessage.Snapshot) error {
+	return writeRecords(path, snapshotMagic, func(add func(payload []byte) error) error {
+		for fragment := range dhwire.SnapshotFragments(s) {
+			payload, err := proto.Marshal(fragment)
+			if err != nil {
+				return err
+			}
+			if err := add(payload); err != nil {
+				return err
+			}
+		}
+		return add(nil)
+	})
+}
+
+// readSnapshot reads a snapshot of this or an earlier release, a part at a time.
+func readSnapshot(path string) (dhmessage.Snapshot, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return dhmessage.Snapshot{}, fmt.Errorf("read snapshot: %w", err)
+	}
+	defer f.Close()
+	r := snapshotReader{path: path, file: f, reader: bufio.NewReaderSize(f, bufferBytes), assembler: dhwire.NewSnapshotAssembler()}
+	if err := r.read(); err != nil {
+		return dhmessage.Snapshot{}, err
+	}
+	s, err := r.assembler.Snapshot()
+	if err != nil {
+		return s, r.corruption(err.Error())
+	}
+	return s, nil
+}
+
+// snapshotReader reads a snapshot from a file.
+type snapshotReader struct {
+	path      string
+	file      *os.File
+	reader    *bufio.Reader
+	offset    int64 // of the record that is read
+	assembler *dhwire.SnapshotAssembler
+}
+
+func (r *snapshotReader) corruption(reason string) error {
+	return CorruptionError{path: r.path, offset: r.offset, reason: reason}
+}
+
+func (r *snapshotReader) read() error {
+	magic := make([]byte, magicSize)
+	if _, err := io.ReadFull(r.reader, magic); err != nil {
+		return r.corruption("the magic header is missing: " + err.Error())
+	}
+	r.offset = magicSize
+	switch string(magic) {
+	case snapshotMagic:
+		return r.readFragments()
+	case wholeSnapshotMagic:
+		return r.readWhole()
+	default:
+		return r.corruption("the magic header " + snapshotMagic + " is missing; a later release may have written the file")
+	}
+}
+
+// readHeader reads the header of a record.
+func (r *snapshotReader) readHeader() (header [recordHeaderSize]byte, length int64, err error) {
+	if _, err := io.ReadFull(r.reader, header[:]); err != nil {
+		return header, 0, r.corruption("a record is incomplete: " + err.Error())
+	}
+	length = int64(binary.LittleEndian.Uint32(header[:4]))
+	if length > maxPayload {
+		return header, 0, r.corruption("a record is longer than any that is written")
+	}
+	return header, length, nil
+}
+
+// readFragments reads the records up to the empty one at the end.
+func (r *snapshotReader) readFragments() error {
+	for {
+		header, length, err := r.readHeader()
+		if err != nil {
+			return err
+		}
+		payload, err := r.readBytes(length)
+		if err != nil {
+			return err
+		}
+		if checksum(header[:4], payload) != binary.LittleEndian.Uint32(header[4:]) {
+			return r.corruption("the checksum of a record is wrong")
+		}
+		if length == 0 {
+			return r.requireEnd()
+		}
+		if err := r.add(payload); err != nil {
+			return err
+		}
+		r.offset += recordHeaderSize + length
+	}
+}
+
+// readBytes reads a number of bytes. It allocates them as they arrive, because a corrupt file may
+// name any number.
+func (r *snapshotReader) readBytes(length int64) ([]byte, error) {
+	var b bytes.Buffer
+	if n, err := io.CopyN(&b, r.reader, length); err != nil {
+		return nil, r.corruption(fmt.Sprintf("a record has %d of %d bytes: %v", n, length, err))
+	}
+	return b.Bytes(), nil
+}
+
+func (r *snapshotReader) add(payload []byte) error {
+	m := &dhproto.Snapshot{}
+	if err := proto.Unmarshal(payload, m); err != nil {
+		return r.corruption(err.Error())
+	}
+	if err := r.assembler.Add(m); err != nil {
+		return r.corruption(err.Error())
+	}
+	return nil
+}
+
+func (r *snapshotReader) requireEnd() error {
+	if _, err := r.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		return r.corruption("the file goes on behind its last record")
+	}
+	return nil
+}
+
+// readWhole reads the single record of an earlier release field by field. Its history may be many
+// times as large as the memory of the process.
+func (r *snapshotReader) readWhole() error {
+	header, length, err := r.readHeader()
+	if err != nil {
+		return err
+	}
+	sum := crc32.New(castagnoliTable)
+	sum.Write(header[:4])
+	if n, err := io.CopyN(sum, r.reader, length); err != nil {
+		return r.corruption(fmt.Sprintf("the record has %d of %d bytes: %v", n, length, err))
+	}
+	if sum.Sum32() != binary.LittleEndian.Uint32(header[4:]) {
+		return r.corruption("the checksum of the record is wrong")
+	}
+	if err := r.requireEnd(); err != nil {
+		return err
+	}
+	r.offset += recordHeaderSize
+	if _, err := r.file.Seek(r.offset, io.SeekStart); err != nil {
+		return fmt.Errorf("read snapshot: %w", err)
+	}
+	r.reader.Reset(r.file)
+	for {
+		field, err := r.readField()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := r.add(field); err != nil {
+			return err
+		}
+		r.offset += int64(len(field))
+	}
+}
+
+// readField reads the next field of the message with its tag. It returns io.EOF at the end.
+func (r *snapshotReader) readField() ([]byte, error) {
+	tag, err := binary.ReadUvarint(r.reader)
+	if err != nil {
+		return nil, err
+	}
+	number, kind := protowire.DecodeTag(tag)
+	value, err := binary.ReadUvarint(r.reader)
+	if err != nil || number <= 0 || kind != protowire.VarintType && kind != protowire.BytesType || value > maxPayload && kind == protowire.BytesType {
+		return nil, r.corruption("a field is invalid")
+	}
+	field := protowire.AppendVarint(protowire.AppendTag(nil, number, kind), value)
+	if kind == protowire.VarintType {
+		return field, nil
+	}
+	content, err := r.readBytes(int64(value))
+	return append(field, content...), err
+}
--- a/io/dhdisk/state.go
+++ b/io/dhdisk/state.go
@@ -90,19 +90,9 @@
 	if len(snapshots) == 0 {
 		return nil
 	}
-	latest := snapshots[len(snapshots)-1].path
-	raw, err := readRecordFile(latest, snapshotMagic)
-	if err != nil {
-		return err
-	}
-	m := &dhproto.Snapshot{}
-	if err := proto.Unmarshal(raw, m); err != nil {
-		return CorruptionError{path: latest, reason: err.Error()}
-	}
-	if s.snapshot, err = dhwire.SnapshotFromWire(m); err != nil {
-		return CorruptionError{path: latest, reason: err.Error()}
-	}
-	return nil
+	var err error
+	s.snapshot, err = readSnapshot(snapshots[len(snapshots)-1].path)
+	return err
 }
 
 // readLog reads the segments in order and applies their records. It returns the
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -261,6 +261,9 @@
 		seams.Record = j.ControlRecorder(o)
 	}
 	p.loop = dhloop.New(dhreducer.NewControl(o), seams)
+	if p.options.DataFolder != nil {
+		p.options.DataFolder.ReleaseState()
+	}
 	p.metrics.SetGaugeFunc(func() int64 { return int64(p.loop.QueueLength()) }, "dogwoodhitch_queued_events", "to", "control")
 }
 
--- a/io/dhwire/catalog.go
+++ b/io/dhwire/catalog.go
@@ -336,28 +336,39 @@
 	if c == nil {
 		return nil
 	}
-	m := &dhproto.Catalog{Version: c.Version(), Blocks: &dhproto.BlockTable{}}
+	m := &dhproto.Catalog{Version: c.Version()}
 	for _, k := range dhcatalog.Kinds() {
-		for _, o := range c.List(k) {
-			m.Objects = append(m.Objects, ObjectToWire(o))
-		}
+		m.Objects = append(m.Objects, objectsToWire(c.List(k))...)
 	}
-	siteNumbers := map[string]uint32{}
-	c.EachBlock(func(b dhcatalog.Block, site string) {
-		n, found := siteNumbers[site]
-		if !found {
-			n = uint32(len(m.Blocks.SiteNames))
-			siteNumbers[site] = n
-			m.Blocks.SiteNames = append(m.Blocks.SiteNames, site)
-		}
-		m.Blocks.Starts = append(m.Blocks.Starts, b.Start())
-		m.Blocks.Bits = append(m.Blocks.Bits, byte(b.Bits()))
-		m.Blocks.Sites = append(m.Blocks.Sites, n)
-		m.Blocks.Families = append(m.Blocks.Families, familyOf(b))
-	})
+	t := newBlockTable()
+	c.EachBlock(t.add)
+	m.Blocks = t.table
 	return m
 }
 
+// blockTable collects client blocks in the columns of a protobuf table.
+type blockTable struct {
+	table       *dhproto.BlockTable
+	siteNumbers map[string]uint32
+}
+
+func newBlockTable() *blockTable {
+	return &blockTable{table: &dhproto.BlockTable{}, siteNumbers: map[string]uint32{}}
+}
+
+func (t *blockTable) add(b dhcatalog.Block, site string) {
+	n, found := t.siteNumbers[site]
+	if !found {
+		n = uint32(len(t.table.SiteNames))
+		t.siteNumbers[site] = n
+		t.table.SiteNames = append(t.table.SiteNames, site)
+	}
+	t.table.Starts = append(t.table.Starts, b.Start())
+	t.table.Bits = append(t.table.Bits, byte(b.Bits()))
+	t.table.Sites = append(t.table.Sites, n)
+	t.table.Families = append(t.table.Families, familyOf(b))
+}
+
 // The address families in a BlockTable.
 const (
 	familyIPv4 byte = 4
@@ -371,30 +382,53 @@
 	return familyIPv4
 }
 
-func catalogFromWire(m *dhproto.Catalog) (*dhcatalog.Catalog, error) {
-	if m == nil {
-		return nil, nil
-	}
+// blocksAtOnce is the number of client blocks that are converted from protobuf together.
+const blocksAtOnce = 32 << 10
+
+// addCatalogFromWire adds the objects and blocks of a configuration, or of a part of one, to a
+// builder.
+func addCatalogFromWire(b *dhcatalog.Builder, m *dhproto.Catalog) error {
 	objects, err := objectsFromWire(m.GetObjects())
 	if err != nil {
-		return nil, err
+		return err
 	}
+	b.AddObjects(objects)
 	t := m.GetBlocks()
 	if len(t.GetBits()) != len(t.GetStarts()) || len(t.GetSites()) != len(t.GetStarts()) || len(t.GetFamilies()) != len(t.GetStarts()) {
-		return nil, FormatError{"blocks", "columns of different lengths", "read the configuration from another copy"}
+		return FormatError{"blocks", "columns of different lengths", "read the configuration from another copy"}
 	}
-	blocks := make([]dhcatalog.BlockChange, 0, len(t.GetStarts()))
-	for i, start := range t.GetStarts() {
-		n := t.GetSites()[i]
-		if int(n) >= len(t.GetSiteNames()) {
-			return nil, FormatError{"blocks", "the number of an unknown site", "read the configuration from another copy"}
+	for first := 0; first < len(t.GetStarts()); first += blocksAtOnce {
+		blocks := make([]dhcatalog.BlockChange, 0, blocksAtOnce)
+		for i := first; i < min(first+blocksAtOnce, len(t.GetStarts())); i++ {
+			n := t.GetSites()[i]
+			if int(n) >= len(t.GetSiteNames()) {
+				return FormatError{"blocks", "the number of an unknown site", "read the configuration from another copy"}
+			}
+			b := dhcatalog.NewBlock(t.GetStarts()[i], int(t.GetBits()[i]), t.GetFamilies()[i] == familyIPv6)
+			blocks = append(blocks, dhcatalog.NewBlockChange(b, t.GetSiteNames()[n]))
+		}
+		if err := b.AddBlocks(blocks); err != nil {
+			return fmt.Errorf("restore client blocks: %w", err)
 		}
-		b := dhcatalog.NewBlock(start, int(t.GetBits()[i]), t.GetFamilies()[i] == familyIPv6)
-		blocks = append(blocks, dhcatalog.NewBlockChange(b, t.GetSiteNames()[n]))
 	}
-	c, err := dhcatalog.Restore(m.GetVersion(), objects, blocks)
+	return nil
+}
+
+func catalogFromWire(m *dhproto.Catalog) (*dhcatalog.Catalog, error) {
+	if m == nil {
+		return nil, nil
+	}
+	b := &dhcatalog.Builder{}
+	if err := addCatalogFromWire(b, m); err != nil {
+		return nil, err
+	}
+	return buildCatalog(b, m.GetVersion())
+}
+
+func buildCatalog(b *dhcatalog.Builder, version uint64) (*dhcatalog.Catalog, error) {
+	c, err := b.Catalog(version)
 	if err != nil {
-		return nil, fmt.Errorf("restore configuration version %d: %w", m.GetVersion(), err)
+		return nil, fmt.Errorf("restore configuration version %d: %w", version, err)
 	}
 	return c, nil
 }
--- a/io/dhwire/log.go
+++ b/io/dhwire/log.go
@@ -5,7 +5,6 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
-	"dogwoodhitch/core/dhledger"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhproto"
 )
@@ -163,71 +162,6 @@
 	return dhmessage.NewEntry(m.GetIndex(), m.GetTerm(), dhclock.Millis(m.GetAtMs()), c), nil
 }
 
-// SnapshotToWire converts a snapshot to protobuf.
-func SnapshotToWire(s dhmessage.Snapshot) *dhproto.Snapshot {
-	m := &dhproto.Snapshot{
-		Index: s.Index(), Term: s.Term(), AtMs: s.LogTime().Milliseconds(),
-		Voters: MembersToWire(s.Members()), Catalog: catalogToWire(s.Catalog()), LimitsChangedAtMs: s.LimitsChangedAt().Milliseconds(),
-	}
-	for _, r := range s.Receipts() {
-		m.Receipts = append(m.Receipts, receiptToWire(r))
-	}
-	for _, d := range s.DrainStarts() {
-		m.DrainStarts = append(m.DrainStarts, &dhproto.DrainStart{Name: d.Name(), AtMs: d.LogTime().Milliseconds()})
-	}
-	for _, a := range s.RecentChanges() {
-		m.Recent = append(m.Recent, &dhproto.Accepted{Version: a.Version(), AtMs: a.LogTime().Milliseconds(), Set: ChangeSetToWire(a.ChangeSet()), Undo: ChangeSetToWire(a.Undo())})
-	}
-	for _, c := range s.Claims() {
-		m.Claims = append(m.Claims, &dhproto.ClaimRecord{
-			Key: claimKeyToWire(c.Key()), Claimant: claimantToWire(c.Claimant()), Digest: digestToWire(c.Digest()),
-			State: int32(c.State()), Answer: responseToWire(c.Response()),
-			DeadlineMs: c.Deadline().Milliseconds(), ExpiryMs: c.Expiry().Milliseconds(),
-		})
-	}
-	return m
-}
-
-// SnapshotFromWire converts a snapshot from protobuf, or returns an error.
-func SnapshotFromWire(m *dhproto.Snapshot) (dhmessage.Snapshot, error) {
-	c, err := catalogFromWire(m.GetCatalog())
-	if err != nil {
-		return dhmessage.Snapshot{}, err
-	}
-	o := dhmessage.SnapshotOptions{
-		Index: m.GetIndex(), Term: m.GetTerm(), LogTime: dhclock.Millis(m.GetAtMs()),
-		Members: MembersFromWire(m.GetVoters()), Catalog: c,
-	}
-	loader := dhledger.NewLoader()
-	loader.SetLimitsChangedAt(dhclock.Millis(m.GetLimitsChangedAtMs()))
-	for _, w := range m.GetReceipts() {
-		loader.AddReceipt(receiptFromWire(w))
-	}
-	for _, w := range m.GetRecent() {
-		set, err := ChangeSetFromWire(w.GetSet())
-		if err != nil {
-			return dhmessage.Snapshot{}, err
-		}
-		undo, err := ChangeSetFromWire(w.GetUndo())
-		if err != nil {
-			return dhmessage.Snapshot{}, err
-		}
-		loader.AddChange(dhmessage.NewAcceptedChange(w.GetVersion(), dhclock.Millis(w.GetAtMs()), set, undo))
-	}
-	for _, w := range m.GetDrainStarts() {
-		loader.AddDrainStart(dhmessage.NewDrainStart(w.GetName(), dhclock.Millis(w.GetAtMs())))
-	}
-	for _, w := range m.GetClaims() {
-		o.Claims = append(o.Claims, dhmessage.NewClaimRecord(dhmessage.ClaimRecordOptions{
-			Key: claimKeyFromWire(w.GetKey()), Claimant: claimantFromWire(w.GetClaimant()),
-			Digest: digestFromWire(w.GetDigest()), State: dhmessage.ClaimState(w.GetState()),
-			Response: responseFromWire(w.GetAnswer()),
-			Deadline: dhclock.Millis(w.GetDeadlineMs()), Expiry: dhclock.Millis(w.GetExpiryMs()),
-		}))
-	}
-	return loader.Snapshot(o), nil
-}
-
 func receiptToWire(r dhmessage.Receipt) *dhproto.Receipt {
 	return &dhproto.Receipt{Version: r.Version(), AtMs: r.LogTime().Milliseconds(), Id: r.ID(), Author: r.Author(), Digest: digestToWire(r.Digest())}
 }
