Send a lost full configuration again as soon as lost changes

What callers would see: an instance that loses the full configuration which it gets in place of dropped changes stays behind for up to 10 s, while a configuration must be in force everywhere within 4 s. So far only processes that had just started got one; with a history that is bounded in bytes every process does that falls behind some large changes.

Cause: a full configuration was sent again after 10 s whatever its size, as its transfer may be large and slow. Now it counts like changes of as many objects, a client block as an eighth of one, and at least 2 s. 412 routes are sent again after 2.4 s, 2.4 million blocks still after minutes.

TestLostFullConfigurationIsMissedForTenSeconds fails on the commit before.

--- a/core/dhdistribution/children.go
+++ b/core/dhdistribution/children.go
@@ -71,13 +71,18 @@
 	// batchTransferTime is how much later changes are sent again for each transferBatch
 	// objects in them: what these take on a link of 1 Mbit/s.
 	batchTransferTime dhclock.Millis = 100
-	// fullResendTimeout is the time after which a full configuration is sent
-	// again. Its transfer may be large and slow.
-	fullResendTimeout dhclock.Millis = 10_000
+	// minFullResendTimeout is the least time after which a full configuration is sent again,
+	// besides the time that its transfer takes.
+	minFullResendTimeout = maxFirstResendTimeout
 )
 
-// transferBatch is a number of objects; see batchTransferTime.
-const transferBatch = 100
+const (
+	// transferBatch is a number of objects; see batchTransferTime.
+	transferBatch = 100
+	// blocksPerObject is the number of client blocks whose transfer takes as long as that of an
+	// object.
+	blocksPerObject = 8
+)
 
 // recordPoll records a child's version. A child with an older version than
 // before has restarted, and the updates in flight to it are lost. A child that
@@ -127,7 +132,7 @@
 	}
 	c.transferTime += dhclock.Millis(objects/transferBatch) * batchTransferTime
 	if full {
-		c.resendTimeout = fullResendTimeout
+		c.resendTimeout = max(c.resendTimeout, minFullResendTimeout)
 	}
 	c.sentVersion = to
 }
@@ -213,10 +218,11 @@
 	if from, missing := c.missingSince(now, s.catalog.Version()); missing && s.serves(c) {
 		// Only a replica, which gets the log instead, needs the texts of declarations.
 		sets, retained := s.changeSetsSince(from)
+		objects := 0
 		if !retained {
 			o.Full = s.catalog.WithoutText()
+			objects = o.Full.Len() + o.Full.BlockCount()/blocksPerObject
 		}
-		objects := 0
 		for _, set := range sets {
 			o.Changes = append(o.Changes, set.WithoutText())
 			objects += len(set.Puts()) + len(set.Deletes())
--- a/core/dhdistribution/distribution_test.go
+++ b/core/dhdistribution/distribution_test.go
@@ -61,7 +61,7 @@
 	if u := poll(s, 400, "old", 2); u.Full() != nil || len(u.Changes()) != 0 {
 		t.Error("old version: the full configuration was sent again while it was in flight")
 	}
-	if u := poll(s, 10+fullResendTimeout, "old", 2); u.Full() == nil {
+	if u := poll(s, 10+minFullResendTimeout, "old", 2); u.Full() == nil {
 		t.Error("old version: the full configuration was not sent again after its timeout")
 	}
 	if u := poll(s, 10, "current", 20); u.Full() != nil || len(u.Changes()) != 0 {
@@ -69,6 +69,22 @@
 	}
 }
 
+// TestLostFullConfigurationIsMissedForTenSeconds loses the full configuration that an instance gets
+// in place of changes which are no longer kept. The instance polls on, and a configuration must be
+// in force everywhere within 4 s.
+func TestLostFullConfigurationIsMissedForTenSeconds(t *testing.T) {
+	s := newLeader(20, 5)
+	if u := poll(s, 10, "i", 2); u.Full() == nil {
+		t.Fatal("got no full configuration")
+	}
+	for now := 10 + pollInterval; now <= 4000; now += pollInterval {
+		if poll(s, now, "i", 2).Full() != nil {
+			return
+		}
+	}
+	t.Error("the full configuration isn't sent again within 4 s")
+}
+
 // TestVersionNeverDecreases sends an instance late and repeated updates of
 // older versions. An instance that applied one would accept revoked keys again.
 func TestVersionNeverDecreases(t *testing.T) {
