Bound the bytes that wait for a peer

What callers would see: a process whose peers read slowly or are cut off uses a message's memory for each change until the calls time out, and is ended by its memory.

Messages to a peer and in calls to it have 4 MB of approximate size now, and 16 MB for all peers. What is beyond is dropped, as messages may be: a follower asks for entries that it lacks, and changes are sent again to instances. Calls that had the time to transfer what they hold, a second and a second a megabyte, are cancelled for new messages, so that a repaired link works before their timeout. A single message may be larger, and whole states stay outside the bound: their senders bound them. A follower that catches up gets entries in messages of 2 MB instead of 8, which leave room for new ones.

--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -43,7 +43,7 @@
 
 // maxAppendBytes is the approximate size from which on a message gets no further entry, in
 // bytes. A declaration alone may have a megabyte.
-const maxAppendBytes = 8 << 20
+const maxAppendBytes = 2 << 20
 
 // layer is the name of this package in logs.
 const layer = "consensus"
--- a/io/dhpeer/endless_test.go
+++ b/io/dhpeer/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhtime"
 )
 
 // serveEndless accepts connections, and answers each request with a start and then the same
@@ -94,7 +95,7 @@
 			log.SetOutput(io.Discard)
 			ctx, cancel := context.WithCancel(t.Context())
 			s := NewSender(ctx, SenderOptions{
-				Self: dhmessage.NewPeer("a", "f"), Lookup: func(string) string { return address }, Log: log.WithField("test", name),
+				Clock: dhtime.System(), Self: dhmessage.NewPeer("a", "f"), Lookup: func(string) string { return address }, Log: log.WithField("test", name),
 				Receive: func(dhmessage.Peer, dhmessage.Message) bool { return true },
 			})
 			read := countBytesRead(s)
--- a/io/dhpeer/odd_test.go
+++ b/io/dhpeer/odd_test.go
@@ -12,6 +12,7 @@
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhproto"
 	"dogwoodhitch/io/dhproto/dhprotoconnect"
+	"dogwoodhitch/io/dhtime"
 	"dogwoodhitch/io/dhwire"
 )
 
@@ -79,9 +80,9 @@
 		s := httptest.NewServer(handler)
 		defer s.Close()
 		sender := NewSender(t.Context(), SenderOptions{
-			Log: logrus.NewEntry(log), Receive: receive, Lookup: func(string) string { return strings.TrimPrefix(s.URL, "http://") },
+			Clock: dhtime.System(), Log: logrus.NewEntry(log), Receive: receive, Lookup: func(string) string { return strings.TrimPrefix(s.URL, "http://") },
 		})
-		sender.deliver("b", []dhmessage.Message{newPoll(1)})
+		sender.deliver(t.Context(), "b", []dhmessage.Message{newPoll(1)})
 		checkPolls(t, received)
 	})
 }
--- a/io/dhpeer/peer_test.go
+++ b/io/dhpeer/peer_test.go
@@ -18,6 +18,7 @@
 
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhtime"
 	"dogwoodhitch/io/dhwire"
 )
 
@@ -49,7 +50,7 @@
 	log.SetOutput(io.Discard)
 	book := NewAddressBook(nil)
 	senderOfB := NewSender(t.Context(), SenderOptions{
-		Log: logrus.NewEntry(log), Lookup: func(string) string { return "" },
+		Clock: dhtime.System(), Log: logrus.NewEntry(log), Lookup: func(string) string { return "" },
 	})
 	receiver := NewReceiver(ReceiverOptions{
 		Self: dhmessage.NewPeer("b", "other"), CollectResponses: senderOfB.CollectResponses, Secret: "secret", RecordAddress: book.RecordAddress, Log: logrus.NewEntry(log),
@@ -81,7 +82,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	p.sender = NewSender(ctx, SenderOptions{
-		Self: dhmessage.NewPeer("a", "folder"), Address: "10.0.0.1:1", Secret: secret, Log: logrus.NewEntry(log),
+		Clock: dhtime.System(), Self: dhmessage.NewPeer("a", "folder"), Address: "10.0.0.1:1", Secret: secret, Log: logrus.NewEntry(log),
 		Receive: func(from dhmessage.Peer, m dhmessage.Message) bool {
 			p.lastSender.Store(from)
 			p.responses <- m
--- /dev/null
+++ b/io/dhpeer/queue.go
@@ -0,0 +1,148 @@
+package dhpeer
+
+import (
+	"context"
+	"slices"
+
+	"dogwoodhitch/core/dhclock"
+	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhtime"
+)
+
+// Bounds of the messages that wait for a peer or are in calls to it, by their approximate size in
+// bytes. A peer that is slow or cut off must not fill the memory of this process.
+const (
+	// maxPeerBytes bounds those for one peer. A single message may be larger.
+	maxPeerBytes = 4 << 20
+	// maxPendingBytes bounds those for all peers.
+	maxPendingBytes = 16 << 20
+	// minTransferRate is how much a call is given time to transfer, in bytes a second of approximate
+	// size. Compressed, that is some tenths of a link of 1 Mbit/s.
+	minTransferRate = 1 << 20
+	// bulkBytes is the size from which on a message is sent in bulk.
+	bulkBytes = 1 << 20
+)
+
+// queuedMessage is a message with its approximate size in bytes.
+type queuedMessage struct {
+	message dhmessage.Message
+	bytes   int
+}
+
+// queue holds the messages to one peer.
+type queue struct {
+	messages chan queuedMessage
+	// pendingBytes is the size of the messages that wait or are in a call.
+	pendingBytes int
+	calls        []*call // the oldest first
+}
+
+// call is a call to a peer.
+type call struct {
+	bytes     int // size of its messages
+	startedAt dhclock.Millis
+	cancel    context.CancelFunc
+}
+
+// isOverdue reports whether the call has had the time to transfer its messages.
+func (c *call) isOverdue(now dhclock.Millis) bool {
+	return now.Since(c.startedAt) > dhtime.Millis(slotTimeout)+dhclock.Millis(c.bytes)*dhclock.Second/minTransferRate
+}
+
+// collectBatch returns the first message and those that are queued after it, up to maxBatchSize
+// messages, and their size.
+func (q *queue) collectBatch(first queuedMessage) (list []dhmessage.Message, size int) {
+	list, size = []dhmessage.Message{first.message}, first.bytes
+	for len(list) < maxBatchSize {
+		select {
+		case m := <-q.messages:
+			list, size = append(list, m.message), size+m.bytes
+		default:
+			return list, size
+		}
+	}
+	return list, size
+}
+
+// startCall returns the context of a call to a peer. The function end must be called after it.
+func (s *Sender) startCall(q *queue, size int) (ctx context.Context, end func()) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	c := &call{bytes: size, startedAt: s.options.Clock.Now(), cancel: cancel}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	q.calls = append(q.calls, c)
+	return ctx, func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.endCall(q, c)
+	}
+}
+
+// endCall cancels a call, if it still runs, and releases its size. The caller must hold the mutex.
+func (s *Sender) endCall(q *queue, c *call) {
+	c.cancel()
+	s.addPending(q, -c.bytes)
+	c.bytes = 0
+	if i := slices.Index(q.calls, c); i >= 0 {
+		q.calls = slices.Delete(q.calls, i, i+1)
+	}
+}
+
+// makeRoom reports whether a message of some size may be queued for a peer. Where the bounds are
+// reached, it cancels calls that had the time to transfer their messages, so that what is sent once
+// a link works again doesn't wait for their timeout. A message for which nothing else waits is
+// always queued. The caller must hold the mutex.
+func (s *Sender) makeRoom(q *queue, size int) bool {
+	fits := func() bool {
+		return size == 0 || q.pendingBytes <= 0 || q.pendingBytes+size <= maxPeerBytes && s.pendingBytes+size <= maxPendingBytes
+	}
+	for now := s.options.Clock.Now(); !fits(); {
+		i := slices.IndexFunc(q.calls, func(c *call) bool { return c.bytes > 0 && c.isOverdue(now) })
+		if i < 0 {
+			return false
+		}
+		s.endCall(q, q.calls[i])
+	}
+	return true
+}
+
+// addPending adds to the size of what is pending. The caller must hold the mutex.
+func (s *Sender) addPending(q *queue, size int) {
+	q.pendingBytes += size
+	s.pendingBytes += size
+}
+
+// boundedBytes returns the approximate size of what a message holds of the log or of changes, in
+// bytes; 0 for one that holds nothing of either, and for one that replaces the state of a peer: the
+// peer can't go on without it, and the control state bounds how often it sends one.
+func boundedBytes(m dhmessage.Message) int {
+	size := 0
+	switch m := m.(type) {
+	case *dhmessage.AppendRequest:
+		for _, e := range m.Entries() {
+			size += e.ApproximateBytes()
+		}
+	case *dhmessage.Update:
+		for _, c := range m.Changes() {
+			size += c.ApproximateBytes()
+		}
+	case *dhmessage.ProposeRequest:
+		return dhmessage.CommandBytes(m.Command())
+	}
+	return size
+}
+
+// replacesState reports whether a message carries a complete snapshot or configuration.
+func replacesState(m dhmessage.Message) bool {
+	switch m := m.(type) {
+	case *dhmessage.InstallSnapshot:
+		return true
+	case *dhmessage.Update:
+		return m.Full() != nil
+	default:
+		return false
+	}
+}
+
+// isBulk reports whether a message carries a complete snapshot or configuration, or as much as one.
+func isBulk(m dhmessage.Message) bool { return replacesState(m) || boundedBytes(m) >= bulkBytes }
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -18,6 +18,7 @@
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhproto"
 	"dogwoodhitch/io/dhproto/dhprotoconnect"
+	"dogwoodhitch/io/dhtime"
 	"dogwoodhitch/io/dhwire"
 )
 
@@ -58,8 +59,6 @@
 	// is decompressed. Bulk messages have calls of their own.
 	maxResponseBytes       = 16 << 20
 	maxResponseHeaderBytes = 64 << 10
-	// bulkBytes is the approximate size from which on a message is sent in bulk.
-	bulkBytes = 1 << 20
 )
 
 // secretHeader is the header field with the secret that the system's processes
@@ -76,6 +75,8 @@
 	Secret string
 	// Lookup returns the address of a process, or "" if it is unknown.
 	Lookup func(name string) string
+	// Clock returns the clock readings of calls.
+	Clock dhtime.Clock
 	// Log is the logger of the peer layer.
 	Log *logrus.Entry
 	// Receive is called with each message that a Deliver response carries. It
@@ -97,7 +98,9 @@
 	goroutines sync.WaitGroup
 	mutex      sync.Mutex
 	// queues are the messages to send, by name of the receiving peer.
-	queues map[string]chan dhmessage.Message
+	queues map[string]*queue
+	// pendingBytes is the sum over the queues.
+	pendingBytes int
 	// openCalls are the channels for responses in calls that peers have open to
 	// this process, by name of the calling peer.
 	openCalls map[string][]chan dhmessage.Message
@@ -117,7 +120,7 @@
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}}
-	return &Sender{options: o, client: client, ctx: ctx, queues: map[string]chan dhmessage.Message{}, openCalls: map[string][]chan dhmessage.Message{}, unknown: map[string]bool{}}
+	return &Sender{options: o, client: client, ctx: ctx, queues: map[string]*queue{}, openCalls: map[string][]chan dhmessage.Message{}, unknown: map[string]bool{}}
 }
 
 // Send queues a message for a process. If that process has an open call to this
@@ -134,12 +137,18 @@
 		if s.ctx.Err() != nil {
 			return
 		}
-		q = make(chan dhmessage.Message, queueSize)
+		q = &queue{messages: make(chan queuedMessage, queueSize)}
 		s.queues[to] = q
 		s.goroutines.Go(func() { s.runQueue(to, q) })
 	}
+	size := boundedBytes(m)
+	if !s.makeRoom(q, size) {
+		s.options.Log.WithField("peer", to).Debug("message to the peer dropped: too many bytes wait for it")
+		return
+	}
 	select {
-	case q <- m:
+	case q.messages <- queuedMessage{message: m, bytes: size}:
+		s.addPending(q, size)
 	default:
 	}
 }
@@ -190,7 +199,7 @@
 
 // runQueue sends the queued messages of one peer. It returns when the queue has
 // been empty for queueIdleTimeout or the context ends.
-func (s *Sender) runQueue(to string, q chan dhmessage.Message) {
+func (s *Sender) runQueue(to string, q *queue) {
 	calls := make(chan struct{}, maxConcurrentCalls)
 	idle := time.NewTimer(queueIdleTimeout)
 	defer idle.Stop()
@@ -203,15 +212,17 @@
 			if s.removeIdleQueue(to, q) {
 				return
 			}
-		case m := <-q:
+		case m := <-q.messages:
 			calls <- struct{}{}
-			list := collectBatch(m, q)
+			list, size := q.collectBatch(m)
+			ctx, end := s.startCall(q, size)
 			release := sync.OnceFunc(func() { <-calls })
 			timer := time.AfterFunc(slotTimeoutOf(list), release)
 			s.goroutines.Go(func() {
 				defer release()
 				defer timer.Stop()
-				s.deliver(to, list)
+				defer end()
+				s.deliver(ctx, to, list)
 			})
 		}
 	}
@@ -227,34 +238,19 @@
 
 // removeIdleQueue removes the queue of a peer, unless a message has been queued
 // in the meantime. It reports whether it removed the queue.
-func (s *Sender) removeIdleQueue(to string, q chan dhmessage.Message) bool {
+func (s *Sender) removeIdleQueue(to string, q *queue) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if len(q) > 0 {
+	if len(q.messages) > 0 {
 		return false
 	}
 	delete(s.queues, to)
 	return true
 }
 
-// collectBatch returns the first message and those that are queued after it, up
-// to maxBatchSize messages.
-func collectBatch(first dhmessage.Message, q chan dhmessage.Message) []dhmessage.Message {
-	list := []dhmessage.Message{first}
-	for len(list) < maxBatchSize {
-		select {
-		case m := <-q:
-			list = append(list, m)
-		default:
-			return list
-		}
-	}
-	return list
-}
-
 // deliver sends messages in one call and receives the messages of the response.
 // Errors are logged only: the messages count as lost.
-func (s *Sender) deliver(to string, list []dhmessage.Message) {
+func (s *Sender) deliver(ctx context.Context, to string, list []dhmessage.Message) {
 	address := s.options.Lookup(to)
 	s.logUnknown(to, address == "")
 	if address == "" {
@@ -274,7 +270,7 @@
 		}
 	}
 	countMessages(s.options.CountBytes, to, request.GetMessages())
-	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	client := dhprotoconnect.NewPeerServiceClient(s.client, s.scheme()+"://"+address,
 		connect.WithInterceptors(withSecret(s.options.Secret)), connect.WithReadMaxBytes(maxResponseBytes), connect.WithCompressMinBytes(minCompressedBytes),
@@ -322,28 +318,6 @@
 	return "http"
 }
 
-// isBulk reports whether a message carries a complete snapshot or
-// configuration, or as much as one.
-func isBulk(m dhmessage.Message) bool {
-	size := 0
-	switch m := m.(type) {
-	case *dhmessage.InstallSnapshot:
-		return true
-	case *dhmessage.AppendRequest:
-		for _, e := range m.Entries() {
-			size += e.ApproximateBytes()
-		}
-	case *dhmessage.Update:
-		if m.Full() != nil {
-			return true
-		}
-		for _, c := range m.Changes() {
-			size += c.ApproximateBytes()
-		}
-	}
-	return size >= bulkBytes
-}
-
 // withSecret returns an interceptor that sets the shared secret in each call.
 func withSecret(secret string) connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -157,7 +157,7 @@
 	p.initLoop(self, startID)
 	p.sender = dhpeer.NewSender(p.ctx, dhpeer.SenderOptions{
 		Self: self, Address: p.boundAddresses.Peers, Secret: p.options.Secrets.Peers,
-		Lookup: p.addressBook.Lookup, Log: p.options.Logs.Logger("peer"), Receive: p.receiveMessage,
+		Lookup: p.addressBook.Lookup, Clock: p.options.Clock, Log: p.options.Logs.Logger("peer"), Receive: p.receiveMessage,
 		CountBytes: p.countBytes, TLS: p.clientTLS(),
 	})
 	p.goroutines.Go(func() { p.reportFailure(p.loop.Run(p.ctx)) })
