Let a large group send a large change at once

A declaration of 1,400 routes with its text has 0.6 MB of approximate size, so that 26 members of a group take 16 MB for one. With a bound of 16 MB for all peers the next change would be dropped for the members that still receive the first, and sent again after their rejections. 48 MB leave room for three.

--- a/io/dhpeer/queue.go
+++ b/io/dhpeer/queue.go
@@ -14,8 +14,9 @@
 const (
 	// maxPeerBytes bounds those for one peer. A single message may be larger.
 	maxPeerBytes = 4 << 20
-	// maxPendingBytes bounds those for all peers.
-	maxPendingBytes = 16 << 20
+	// maxPendingBytes bounds those for all peers. Peers that get the same message share what it
+	// holds, but each counts, as each call encodes it.
+	maxPendingBytes = 48 << 20
 	// minTransferRate is how much a call is given time to transfer, in bytes a second of approximate
 	// size. Compressed, that is some tenths of a link of 1 Mbit/s.
 	minTransferRate = 1 << 20
