Bound the bytes of orders and messages that wait for the control loop

What callers would see: a control process whose disk stalls, or that leads without a majority, or instances without a leader, use memory for each change that arrives meanwhile, until they are ended. The same class as the history of changes: the mailbox was bounded by 8192 events of any size, orders that wait for a leader and log entries that wait for a majority not at all.

The mailbox takes 16 MB of content; messages beyond it are lost, as with a full mailbox, and orders get a BusyError. A process holds 16 MB of orders that have no result yet, a leader 16 MB of entries that aren't committed; what is beyond is refused at once as 'busy' (503), since it is known that it can't be served. A single order may be larger, and outcomes of claims are never refused: their requests have run. Followers record no times of acceptance any more, which only a leader uses and which grew by 16 bytes a version.

--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -148,6 +148,16 @@
 // LogBytes returns the approximate size of the log entries after the snapshot, in bytes.
 func (n *Node) LogBytes() int { return n.log.bytes }
 
+// UncommittedBytes returns the approximate size of the log entries that this node doesn't know to be
+// committed, in bytes.
+func (n *Node) UncommittedBytes() int {
+	size := 0
+	for _, e := range n.log.entries[n.commitIndex-n.log.snapshot.Index():] {
+		size += e.ApproximateBytes()
+	}
+	return size
+}
+
 // Members returns the voters and learners as of the newest entry, committed or
 // not.
 func (n *Node) Members() []dhmessage.Member { return n.log.members() }
--- a/core/dhcontrol/apply.go
+++ b/core/dhcontrol/apply.go
@@ -68,7 +68,9 @@
 		v.appliedMembers = m.List()
 	}
 	if version := v.ledger.Catalog().Version(); version != before {
-		v.leadership.recordAccepted(version, s.now, v.ledger.Catalog())
+		if v.wasLeader {
+			v.leadership.recordAccepted(version, s.now, v.ledger.Catalog())
+		}
 		if v.ledger.LimitsChangedAt() == e.LogTime() {
 			s.distribution.SetLimitsChangedAt(s.now)
 			if e.Term() < v.knownTerm {
--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -23,6 +23,7 @@
 	retryCount  int // alternates retries between the leader and the voters
 	nextVoter   int // round-robin position
 	outstanding map[uint64]*proposal
+	bytes       int // approximate size of the outstanding commands
 	// round is the leader's newest heartbeat round that is known here, and roundAt when
 	// this process learned of it.
 	round   dhmessage.Round
@@ -52,6 +53,11 @@
 		correlationID: e.CorrelationID(), command: e.Command(), deadline: s.now + e.Timeout(),
 		expires: e.Expires() && canUndoLater(e.Command()), isReferable: e.IsReferable(),
 	}
+	s.proposals.bytes += dhmessage.CommandBytes(e.Command())
+	if err := s.proposals.checkCapacity(e.Command()); err != nil {
+		s.proposals.complete(s.proposals.lastID, s.now, dhmessage.NewResult(dhmessage.ResultOptions{Err: err}), out)
+		return
+	}
 	if err := checkCommand(e.Command()); err != nil {
 		s.proposals.complete(s.proposals.lastID, s.now, dhmessage.NewResult(dhmessage.ResultOptions{Err: err}), out)
 		return
@@ -63,6 +69,32 @@
 	s.proposals.send(s.proposals.lastID, s.now, s.leader(), out)
 }
 
+// Bounds of the commands that wait for a majority, by their approximate size in bytes. Commands
+// beyond them are refused at once. A single one may be larger.
+const (
+	// maxOutstandingBytes bounds those that a process has proposed.
+	maxOutstandingBytes = 16 << 20
+	// maxUncommittedBytes bounds the log entries of a leader that aren't committed.
+	maxUncommittedBytes = 16 << 20
+)
+
+// newBusyError returns the error for a command that has to wait for others.
+func newBusyError() error {
+	return dhmessage.NewRefusedError("busy", "too many changes wait for a majority of the voters; this one is not applied", "send it again later, or to another process")
+}
+
+// checkCapacity returns a RefusedError if the outstanding commands, with this one among them, are
+// too large. The outcome of a claim is never refused: its request has run.
+func (p *proposals) checkCapacity(c dhmessage.Command) error {
+	if _, ok := c.(dhmessage.Outcome); ok {
+		return nil
+	}
+	if size := dhmessage.CommandBytes(c); size == 0 || p.bytes == size || p.bytes <= maxOutstandingBytes {
+		return nil
+	}
+	return newBusyError()
+}
+
 // checkCommand returns an InvalidError if an edit or a declaration has a value that is
 // invalid in any configuration.
 func checkCommand(c dhmessage.Command) error {
@@ -147,6 +179,7 @@
 func (p *proposals) complete(id uint64, now dhclock.Millis, r dhmessage.Result, out *dheffect.List) {
 	o := p.outstanding[id]
 	delete(p.outstanding, id)
+	p.bytes -= dhmessage.CommandBytes(o.command)
 	switch o.command.(type) {
 	case dhmessage.Claim:
 		out.Add(dheffect.NewPostToTraffic(dheffect.PostToTrafficOptions{
@@ -231,6 +264,10 @@
 		s.sendProposeResponse(p, result, out)
 		return
 	}
+	if size := dhmessage.CommandBytes(command); size > 0 && v.node.UncommittedBytes()+size > max(maxUncommittedBytes, size) {
+		s.sendProposeResponse(p, dhmessage.NewResult(dhmessage.ResultOptions{Err: newBusyError()}), out)
+		return
+	}
 	if edit, ok := command.(dhmessage.Edit); ok && isRegistration(edit) {
 		v.pendingKeys[p.key] = true
 		v.registrations.add(p, edit)
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -177,6 +177,20 @@
 // CorrelationID returns the number that the reply repeats.
 func (e *StatusRequested) CorrelationID() uint64 { return e.options.CorrelationID }
 
+// ContentBytes returns the approximate size of what an event holds of the log, the configuration
+// or changes, in bytes; 0 for one that holds nothing of these.
+func ContentBytes(e Event) int {
+	switch e := e.(type) {
+	case *MessageReceived:
+		state, _ := dhmessage.StateBytes(e.Message())
+		return state + dhmessage.ChangeBytes(e.Message())
+	case *ProposalRequested:
+		return dhmessage.CommandBytes(e.Command())
+	default:
+		return 0
+	}
+}
+
 // MemoryRequestedOptions are the fields of a MemoryRequested.
 type MemoryRequestedOptions struct {
 	// CorrelationID is the number that the reply repeats.
--- a/core/dhledger/ledger.go
+++ b/core/dhledger/ledger.go
@@ -24,10 +24,6 @@
 // response.
 const MaxResponseBytes = 64 << 20
 
-// recordBytes is the approximate size of an object, a receipt or a claim without its response, in
-// bytes.
-const recordBytes = 200
-
 // Ledger is the replicated state after the log entry at Index.
 type Ledger struct {
 	index         uint64
@@ -106,7 +102,7 @@
 // objects, receipts and claims alike.
 func (l *Ledger) ApproximateBytes() int {
 	records := l.catalog.Len() + len(l.records.receipts) + len(l.claims)
-	return recordBytes*records + l.catalog.BlockCount()*dhcatalog.StoredBlockBytes + l.records.history.ApproximateBytes() + l.responseBytes
+	return dhmessage.RecordBytes*records + l.catalog.BlockCount()*dhcatalog.StoredBlockBytes + l.records.history.ApproximateBytes() + l.responseBytes
 }
 
 // Claim returns the stored record of a claim; false if none is kept.
--- a/core/dhmessage/command.go
+++ b/core/dhmessage/command.go
@@ -31,28 +31,6 @@
 // Command returns the command to apply.
 func (e Entry) Command() Command { return e.command }
 
-// entryBytes is the approximate size of a log entry without what its command holds, in bytes.
-const entryBytes = 200
-
-// ApproximateBytes returns the approximate size of the entry in memory, in bytes.
-func (e Entry) ApproximateBytes() int { return entryBytes + CommandBytes(e.command) }
-
-// CommandBytes returns the approximate size of what a command holds, in bytes.
-func CommandBytes(c Command) int {
-	switch c := c.(type) {
-	case Change:
-		return c.ChangeSet().ApproximateBytes()
-	case Edit:
-		return dhcatalog.ObjectsBytes(c.Puts()) + dhcatalog.RefsBytes(c.Deletes())
-	case Declare:
-		return dhcatalog.ObjectsBytes(c.Objects()) + len(c.Declaration().Text())
-	case Outcome:
-		return c.Response().Size()
-	default:
-		return 0
-	}
-}
-
 // Command is a command in the replicated log.
 type Command interface{ command() }
 
--- a/core/dhmessage/snapshot.go
+++ b/core/dhmessage/snapshot.go
@@ -87,12 +87,6 @@
 	return a
 }
 
-// ApproximateBytes returns the approximate size of the change and its inverse in memory, in
-// bytes.
-func (a AcceptedChange) ApproximateBytes() int {
-	return a.changeSet.ApproximateBytes() + a.undo.ApproximateBytes()
-}
-
 // Undo returns the objects, deletions and blocks that restore the version
 // before.
 func (a AcceptedChange) Undo() dhcatalog.ChangeSet { return a.undo }
--- a/io/dherrors/errors.go
+++ b/io/dherrors/errors.go
@@ -12,6 +12,7 @@
 	"dogwoodhitch/core/dhconsensus"
 	"dogwoodhitch/core/dhmessage"
 	"dogwoodhitch/io/dhdisk"
+	"dogwoodhitch/io/dhloop"
 	"dogwoodhitch/io/dhwire"
 )
 
@@ -29,6 +30,8 @@
 	KindMalformed      Kind = "malformed"
 	KindNotFound       Kind = "notFound"
 	KindDenied         Kind = "denied"
+	// KindBusy means that a change isn't applied because too many others wait.
+	KindBusy Kind = "busy"
 	// KindOutcomeUnknown means that a change may or may not take effect, or that
 	// a process can't confirm that its configuration is current.
 	KindOutcomeUnknown Kind = "unsure"
@@ -53,6 +56,7 @@
 	KindNotFound:       http.StatusNotFound,
 	KindDenied:         http.StatusUnauthorized,
 	KindOutcomeUnknown: http.StatusGatewayTimeout,
+	KindBusy:           http.StatusServiceUnavailable,
 	KindUnreachable:    http.StatusBadGateway,
 	KindInternal:       http.StatusInternalServerError,
 }
@@ -85,6 +89,7 @@
 	var refused dhmessage.RefusedError
 	var format dhwire.FormatError
 	var corrupt dhdisk.CorruptionError
+	var busy dhloop.BusyError
 	switch {
 	case errors.As(err, &conflict):
 		return KindConflict
@@ -100,6 +105,8 @@
 		return KindMalformed
 	case errors.As(err, &corrupt):
 		return KindDataFolder
+	case errors.As(err, &busy):
+		return KindBusy
 	default:
 		return KindInternal
 	}
--- a/io/dhloop/loop.go
+++ b/io/dhloop/loop.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"dogwoodhitch/core/dhclock"
@@ -23,6 +25,10 @@
 const (
 	// mailboxSize is the capacity of the mailbox, in events.
 	mailboxSize = 8192
+	// maxMailboxBytes bounds what the events in the mailbox hold of the log, the
+	// configuration and changes, by their approximate size in bytes. A single event may be
+	// larger. While the disk stalls, the mailbox gets what the leader goes on sending.
+	maxMailboxBytes = 16 << 20
 	// maxBatchSize bounds the events that the loop takes from the mailbox to
 	// complete a batch.
 	maxBatchSize = 256
@@ -61,11 +67,13 @@
 
 // Loop owns the control state and is the only one to change it.
 type Loop struct {
-	state       *dhreducer.State
-	seams       Seams
-	mailbox     chan dhevent.Event
-	localEvents []dhevent.Event // caused by effects of the batch, for the next one
-	effects     dheffect.List   // of the batch
+	state   *dhreducer.State
+	seams   Seams
+	mailbox chan dhevent.Event
+	// mailboxBytes is the approximate size of what the events in the mailbox hold.
+	mailboxBytes atomic.Int64
+	localEvents  []dhevent.Event // caused by effects of the batch, for the next one
+	effects      dheffect.List   // of the batch
 }
 
 // New returns a loop that is not running.
@@ -73,13 +81,41 @@
 	return &Loop{state: s, seams: seams, mailbox: make(chan dhevent.Event, mailboxSize)}
 }
 
+// BusyError reports an event that the mailbox has no room for.
+type BusyError struct{ bytes int }
+
+// Bytes returns the approximate size of the event, in bytes.
+func (e BusyError) Bytes() int { return e.bytes }
+
+// Error implements error.
+func (e BusyError) Error() string {
+	return fmt.Sprintf("an order of %d bytes: the control loop has too much to do; use another process or retry", e.bytes)
+}
+
+// reserve reports whether an event's content fits into the mailbox. If it does, release must be
+// called once the event isn't in the mailbox any more.
+func (l *Loop) reserve(e dhevent.Event) bool {
+	size := int64(dhevent.ContentBytes(e))
+	if n := l.mailboxBytes.Add(size); size == 0 || n <= maxMailboxBytes || n == size {
+		return true
+	}
+	l.mailboxBytes.Add(-size)
+	return false
+}
+
+func (l *Loop) release(e dhevent.Event) { l.mailboxBytes.Add(-int64(dhevent.ContentBytes(e))) }
+
 // Post adds an event to the mailbox. It waits while the mailbox is full, until
-// the context ends.
+// the context ends. It returns a BusyError if the content of the mailbox is too large.
 func (l *Loop) Post(ctx context.Context, e dhevent.Event) error {
+	if !l.reserve(e) {
+		return BusyError{bytes: dhevent.ContentBytes(e)}
+	}
 	select {
 	case l.mailbox <- e:
 		return nil
 	case <-ctx.Done():
+		l.release(e)
 		return ctx.Err()
 	}
 }
@@ -87,10 +123,14 @@
 // TryPost adds an event to the mailbox without waiting, and reports whether the
 // mailbox had capacity. It is for events that may be lost, such as messages.
 func (l *Loop) TryPost(e dhevent.Event) bool {
+	if !l.reserve(e) {
+		return false
+	}
 	select {
 	case l.mailbox <- e:
 		return true
 	default:
+		l.release(e)
 		return false
 	}
 }
@@ -108,7 +148,7 @@
 		case <-ctx.Done():
 			return nil
 		case e := <-l.mailbox:
-			l.reduce(e)
+			l.reducePosted(e)
 		case <-ticker.C:
 			l.reduce(dhevent.NewTicked(l.now(), dhevent.TickedOptions{Random: l.seams.Random()}))
 		}
@@ -120,6 +160,12 @@
 
 func (l *Loop) now() dhclock.Millis { return l.seams.Clock.Now() }
 
+// reducePosted reduces an event from the mailbox.
+func (l *Loop) reducePosted(e dhevent.Event) {
+	l.release(e)
+	l.reduce(e)
+}
+
 func (l *Loop) reduce(e dhevent.Event) {
 	before := len(l.effects.Items())
 	dhreducer.Reduce(l.state, e, &l.effects)
@@ -154,7 +200,7 @@
 	for range maxBatchSize {
 		select {
 		case e := <-l.mailbox:
-			l.reduce(e)
+			l.reducePosted(e)
 		default:
 			return
 		}
--- a/io/dhpeer/queue.go
+++ b/io/dhpeer/queue.go
@@ -113,37 +113,15 @@
 	s.pendingBytes += size
 }
 
-// boundedBytes returns the approximate size of what a message holds of the log or of changes, in
-// bytes; 0 for one that holds nothing of either, and for one that replaces the state of a peer: the
-// peer can't go on without it, and the control state bounds how often it sends one.
-func boundedBytes(m dhmessage.Message) int {
-	size := 0
-	switch m := m.(type) {
-	case *dhmessage.AppendRequest:
-		for _, e := range m.Entries() {
-			size += e.ApproximateBytes()
-		}
-	case *dhmessage.Update:
-		for _, c := range m.Changes() {
-			size += c.ApproximateBytes()
-		}
-	case *dhmessage.ProposeRequest:
-		return dhmessage.CommandBytes(m.Command())
-	}
-	return size
-}
-
-// replacesState reports whether a message carries a complete snapshot or configuration.
+// replacesState reports whether a message carries a complete snapshot or configuration. It stays
+// outside the bounds: the peer can't go on without it, and the control state bounds how often it
+// sends one.
 func replacesState(m dhmessage.Message) bool {
-	switch m := m.(type) {
-	case *dhmessage.InstallSnapshot:
-		return true
-	case *dhmessage.Update:
-		return m.Full() != nil
-	default:
-		return false
-	}
+	_, replaces := dhmessage.StateBytes(m)
+	return replaces
 }
 
 // isBulk reports whether a message carries a complete snapshot or configuration, or as much as one.
-func isBulk(m dhmessage.Message) bool { return replacesState(m) || boundedBytes(m) >= bulkBytes }
+func isBulk(m dhmessage.Message) bool {
+	return replacesState(m) || dhmessage.ChangeBytes(m) >= bulkBytes
+}
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -141,7 +141,7 @@
 		s.queues[to] = q
 		s.goroutines.Go(func() { s.runQueue(to, q) })
 	}
-	size := boundedBytes(m)
+	size := dhmessage.ChangeBytes(m)
 	if !s.makeRoom(q, size) {
 		s.options.Log.WithField("peer", to).Debug("message to the peer dropped: too many bytes wait for it")
 		return
