--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -70,7 +70,7 @@
 }
 
 // Bounds of the commands that wait for a majority, by their approximate size in bytes. Commands
-// beyond them are refused at once. A single one may be larger.
+// beyond them are refused at once; see dhmessage.Fits.
 const (
 	// maxOutstandingBytes bounds those that a process has proposed.
 	maxOutstandingBytes = 16 << 20
@@ -89,10 +89,10 @@
 	if _, ok := c.(dhmessage.Outcome); ok {
 		return nil
 	}
-	if size := dhmessage.CommandBytes(c); size == 0 || p.bytes == size || p.bytes <= maxOutstandingBytes {
-		return nil
+	if size := dhmessage.CommandBytes(c); !dhmessage.Fits(p.bytes-size, size, maxOutstandingBytes) {
+		return newBusyError()
 	}
-	return newBusyError()
+	return nil
 }
 
 // checkCommand returns an InvalidError if an edit or a declaration has a value that is
@@ -264,7 +264,7 @@
 		s.sendProposeResponse(p, result, out)
 		return
 	}
-	if size := dhmessage.CommandBytes(command); size > 0 && v.node.UncommittedBytes()+size > max(maxUncommittedBytes, size) {
+	if !dhmessage.Fits(v.node.UncommittedBytes(), dhmessage.CommandBytes(command), maxUncommittedBytes) {
 		s.sendProposeResponse(p, dhmessage.NewResult(dhmessage.ResultOptions{Err: newBusyError()}), out)
 		return
 	}
--- a/core/dhmessage/size.go
+++ b/core/dhmessage/size.go
@@ -79,3 +79,10 @@
 	}
 	return 0, false
 }
+
+// Fits reports whether content of some size may wait beside pending content, given a bound in
+// bytes. Content that is larger than the bound itself fits while the rest is within it: otherwise it
+// would never get through. Content without size always fits.
+func Fits(pending, size, bound int) bool {
+	return size == 0 || pending+size <= bound || size > bound && pending <= bound
+}
--- a/io/dhloop/loop.go
+++ b/io/dhloop/loop.go
@@ -26,8 +26,8 @@
 	// mailboxSize is the capacity of the mailbox, in events.
 	mailboxSize = 8192
 	// maxMailboxBytes bounds what the events in the mailbox hold of the log, the
-	// configuration and changes, by their approximate size in bytes. A single event may be
-	// larger. While the disk stalls, the mailbox gets what the leader goes on sending.
+	// configuration and changes, by their approximate size in bytes; see dhmessage.Fits. While
+	// the disk stalls, the mailbox gets what the leader goes on sending.
 	maxMailboxBytes = 16 << 20
 	// maxBatchSize bounds the events that the loop takes from the mailbox to
 	// complete a batch.
@@ -95,11 +95,11 @@
 // reserve reports whether an event's content fits into the mailbox. If it does, release must be
 // called once the event isn't in the mailbox any more.
 func (l *Loop) reserve(e dhevent.Event) bool {
-	size := int64(dhevent.ContentBytes(e))
-	if n := l.mailboxBytes.Add(size); size == 0 || n <= maxMailboxBytes || n == size {
+	size := dhevent.ContentBytes(e)
+	if pending := l.mailboxBytes.Add(int64(size)) - int64(size); dhmessage.Fits(int(pending), size, maxMailboxBytes) {
 		return true
 	}
-	l.mailboxBytes.Add(-size)
+	l.mailboxBytes.Add(-int64(size))
 	return false
 }
 
--- a/io/dhpeer/queue.go
+++ b/io/dhpeer/queue.go
@@ -12,7 +12,7 @@
 // Bounds of the messages that wait for a peer or are in calls to it, by their approximate size in
 // bytes. A peer that is slow or cut off must not fill the memory of this process.
 const (
-	// maxPeerBytes bounds those for one peer. A single message may be larger.
+	// maxPeerBytes bounds those for one peer; see dhmessage.Fits.
 	maxPeerBytes = 4 << 20
 	// maxPendingBytes bounds those for all peers. Peers that get the same message share what it
 	// holds, but each counts, as each call encodes it.
@@ -91,11 +91,11 @@
 
 // makeRoom reports whether a message of some size may be queued for a peer. Where the bounds are
 // reached, it cancels calls that had the time to transfer their messages, so that what is sent once
-// a link works again doesn't wait for their timeout. A message for which nothing else waits is
-// always queued. The caller must hold the mutex.
+// a link works again doesn't wait for their timeout. A peer for which nothing else waits gets a
+// message whatever waits for the others. The caller must hold the mutex.
 func (s *Sender) makeRoom(q *queue, size int) bool {
 	fits := func() bool {
-		return size == 0 || q.pendingBytes <= 0 || q.pendingBytes+size <= maxPeerBytes && s.pendingBytes+size <= maxPendingBytes
+		return dhmessage.Fits(q.pendingBytes, size, maxPeerBytes) && (q.pendingBytes <= 0 || dhmessage.Fits(s.pendingBytes, size, maxPendingBytes))
 	}
 	for now := s.options.Clock.Now(); !fits(); {
 		i := slices.IndexFunc(q.calls, func(c *call) bool { return c.bytes > 0 && c.isOverdue(now) })
--- a/io/dhpeer/receiver.go
+++ b/io/dhpeer/receiver.go
@@ -43,7 +43,10 @@
 }
 
 // Receiver receives the messages of other processes.
-type Receiver struct{ options ReceiverOptions }
+type Receiver struct {
+	options ReceiverOptions
+	parts   partsAssembly
+}
 
 // NewReceiver returns a receiver.
 func NewReceiver(o ReceiverOptions) *Receiver { return &Receiver{options: o} }
@@ -97,19 +100,41 @@
 // release, counts as lost and doesn't affect the others.
 func (r *Receiver) receive(from dhmessage.Peer, list []*dhproto.Message) (wait time.Duration, err error) {
 	for _, x := range list {
+		if part := x.GetInstallPart(); part != nil {
+			if err := r.receivePart(from, part); err != nil {
+				return 0, err
+			}
+			continue
+		}
 		m, err := dhwire.MessageFromWire(x)
 		if err != nil {
 			r.options.Log.WithError(err).WithField("peer", from.Name()).Warn("peer message can't be decoded; it is dropped")
 			continue
 		}
 		if !r.options.Receive(from, m) {
-			return 0, connect.NewError(connect.CodeResourceExhausted, errors.New("the receiver's mailbox is full; messages are dropped"))
+			return 0, errMailboxFull()
 		}
 		wait = max(wait, responseWaitFor(m))
 	}
 	return wait, nil
 }
 
+// receivePart adds a part of a snapshot, and passes the snapshot on once it has all parts.
+func (r *Receiver) receivePart(from dhmessage.Peer, part *dhproto.InstallPart) error {
+	m, err := r.parts.add(from.Name(), part)
+	if err != nil || m == nil {
+		return err
+	}
+	if !r.options.Receive(from, m) {
+		return errMailboxFull()
+	}
+	return nil
+}
+
+func errMailboxFull() error {
+	return connect.NewError(connect.CodeResourceExhausted, errors.New("the receiver's mailbox is full; messages are dropped"))
+}
+
 // responseWaitFor returns how long a call waits for the response to a message; 0 if there is
 // usually none in that time.
 func responseWaitFor(m dhmessage.Message) time.Duration {
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -107,6 +107,8 @@
 	// unknown are the peers whose address was unknown at the last message to them.
 	unknown map[string]bool
 	encoded encodedMessages
+	// transfers are the peers to which a snapshot is being sent in parts.
+	transfers map[string]bool
 }
 
 // NewSender returns a sender that runs until the context ends.
@@ -120,7 +122,7 @@
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}}
-	return &Sender{options: o, client: client, ctx: ctx, queues: map[string]*queue{}, openCalls: map[string][]chan dhmessage.Message{}, unknown: map[string]bool{}}
+	return &Sender{options: o, client: client, ctx: ctx, queues: map[string]*queue{}, openCalls: map[string][]chan dhmessage.Message{}, unknown: map[string]bool{}, transfers: map[string]bool{}}
 }
 
 // Send queues a message for a process. If that process has an open call to this
@@ -248,40 +250,41 @@
 	return true
 }
 
-// deliver sends messages in one call and receives the messages of the response.
-// Errors are logged only: the messages count as lost.
+// deliver sends messages in one call, and large snapshots in further ones. Errors are logged only:
+// the messages count as lost.
 func (s *Sender) deliver(ctx context.Context, to string, list []dhmessage.Message) {
 	address := s.options.Lookup(to)
 	s.logUnknown(to, address == "")
 	if address == "" {
 		return
 	}
-	request := &dhproto.DeliverRequest{
-		Protocol: dhwire.ProtocolVersion,
-		From: &dhproto.Peer{
-			Name: s.options.Self.Name(), Folder: s.options.Self.FolderID(), Address: s.options.Address,
-		},
-	}
 	timeout := callTimeout
+	var encoded []*dhproto.Message
+	var inParts []*dhmessage.InstallSnapshot
 	for _, m := range list {
-		request.Messages = append(request.Messages, s.encoded.message(m))
+		if snapshot, ok := m.(*dhmessage.InstallSnapshot); ok && isSentInParts(snapshot) {
+			inParts = append(inParts, snapshot)
+			continue
+		}
+		encoded = append(encoded, s.encoded.message(m))
 		if isBulk(m) {
 			timeout = bulkTimeout
 		}
 	}
-	countMessages(s.options.CountBytes, to, request.GetMessages())
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	client := dhprotoconnect.NewPeerServiceClient(s.client, s.scheme()+"://"+address,
-		connect.WithInterceptors(withSecret(s.options.Secret)), connect.WithReadMaxBytes(maxResponseBytes), connect.WithCompressMinBytes(minCompressedBytes),
-		connect.WithAcceptCompression(compressionName, newDecompressor, newCompressor), connect.WithSendCompression(compressionName))
-	response, err := client.Deliver(ctx, request)
-	if err != nil {
-		if s.ctx.Err() == nil {
-			s.options.Log.WithError(err).WithField("peer", to).Debug("sending to the peer failed; messages may be lost")
+	if len(encoded) > 0 {
+		if response, err := s.call(ctx, to, address, encoded, timeout); err != nil {
+			s.logFailure(to, err)
+		} else {
+			s.receiveResponse(to, response)
 		}
-		return
 	}
+	for _, m := range inParts {
+		s.deliverParts(ctx, to, m)
+	}
+}
+
+// receiveResponse receives the messages of the response to a call.
+func (s *Sender) receiveResponse(to string, response *dhproto.DeliverResponse) {
 	from := dhmessage.NewPeer(response.GetFrom().GetName(), response.GetFrom().GetFolder())
 	for _, x := range response.GetMessages() {
 		m, err := dhwire.MessageFromWire(x)
@@ -296,6 +299,29 @@
 	}
 }
 
+// call sends encoded messages in one call and returns the response.
+func (s *Sender) call(ctx context.Context, to, address string, list []*dhproto.Message, timeout time.Duration) (*dhproto.DeliverResponse, error) {
+	countMessages(s.options.CountBytes, to, list)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	client := dhprotoconnect.NewPeerServiceClient(s.client, s.scheme()+"://"+address,
+		connect.WithInterceptors(withSecret(s.options.Secret)), connect.WithReadMaxBytes(maxResponseBytes), connect.WithCompressMinBytes(minCompressedBytes),
+		connect.WithAcceptCompression(compressionName, newDecompressor, newCompressor), connect.WithSendCompression(compressionName))
+	return client.Deliver(ctx, &dhproto.DeliverRequest{
+		Protocol: dhwire.ProtocolVersion,
+		From: &dhproto.Peer{
+			Name: s.options.Self.Name(), Folder: s.options.Self.FolderID(), Address: s.options.Address,
+		},
+		Messages: list,
+	})
+}
+
+func (s *Sender) logFailure(to string, err error) {
+	if s.ctx.Err() == nil {
+		s.options.Log.WithError(err).WithField("peer", to).Debug("sending to the peer failed; messages may be lost")
+	}
+}
+
 // logUnknown logs that the address of a peer has become unknown.
 func (s *Sender) logUnknown(peer string, isUnknown bool) {
 	s.mutex.Lock()
