Release large buffers, and tell what waits in bytes

The buffer for log records and the encoded forms of the last four messages stayed as large as the largest change that ever went through them. The buffer is dropped beyond 1 MB, and of the encoded forms 4 MB are kept, the newest whatever its size. dogwoodhitch_queued_bytes tells what waits for the control loop and for peers.

--- a/io/dhdisk/folder.go
+++ b/io/dhdisk/folder.go
@@ -135,12 +135,9 @@
 			return fmt.Errorf("encode log: %w", err)
 		}
 	}
-	if _, err := f.log.Write(f.buffer); err != nil {
+	if err := f.flush(f.log); err != nil {
 		return fmt.Errorf("write log: %w", err)
 	}
-	if err := f.log.Sync(); err != nil {
-		return fmt.Errorf("sync log: %w", err)
-	}
 	return nil
 }
 
--- a/io/dhdisk/log.go
+++ b/io/dhdisk/log.go
@@ -52,11 +52,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := log.Write(f.buffer); err != nil {
-		log.Close()
-		return err
-	}
-	if err := log.Sync(); err != nil {
+	if err := f.flush(log); err != nil {
 		log.Close()
 		return err
 	}
@@ -67,6 +63,21 @@
 	return syncParent(path)
 }
 
+// maxKeptBuffer is the size up to which the buffer is kept for the next records, in bytes.
+const maxKeptBuffer = 1 << 20
+
+// flush writes the buffer to a segment and syncs it.
+func (f *Folder) flush(log *os.File) error {
+	_, err := log.Write(f.buffer)
+	if cap(f.buffer) > maxKeptBuffer {
+		f.buffer = nil
+	}
+	if err != nil {
+		return err
+	}
+	return log.Sync()
+}
+
 // encodeRecords appends one record for the term and vote and one for each entry
 // to the buffer.
 func (f *Folder) encodeRecords(term uint64, votedFor string, entries []dhmessage.Entry) error {
--- a/io/dhloop/loop.go
+++ b/io/dhloop/loop.go
@@ -138,6 +138,10 @@
 // QueueLength returns the number of events in the mailbox.
 func (l *Loop) QueueLength() int { return len(l.mailbox) }
 
+// QueuedBytes returns the approximate size of what the events in the mailbox hold of the log, the
+// configuration and changes.
+func (l *Loop) QueuedBytes() int64 { return l.mailboxBytes.Load() }
+
 // Run processes events until the context ends or writing to the data folder
 // fails.
 func (l *Loop) Run(ctx context.Context) error {
--- a/io/dhpeer/encoded.go
+++ b/io/dhpeer/encoded.go
@@ -1,6 +1,7 @@
 package dhpeer
 
 import (
+	"slices"
 	"sync"
 
 	"dogwoodhitch/core/dhmessage"
@@ -8,19 +9,25 @@
 	"dogwoodhitch/io/dhwire"
 )
 
-// maxEncodedMessages is the number of messages whose encoded form is kept.
-const maxEncodedMessages = 4
+// Bounds of the messages whose encoded form is kept. The newest one is kept whatever its size.
+const (
+	maxEncodedMessages = 4
+	// maxEncodedBytes bounds their approximate size, in bytes.
+	maxEncodedBytes = 4 << 20
+)
 
 // encodedMessages holds the protobuf form of the log entries that were sent last: a leader sends
 // one message to all members of its group.
 type encodedMessages struct {
 	mutex sync.Mutex
 	list  []encodedMessage // the newest last
+	bytes int              // approximate size of the messages
 }
 
 type encodedMessage struct {
 	message *dhmessage.AppendRequest
 	encoded *dhproto.Message
+	bytes   int // approximate size of the message
 }
 
 // message returns the protobuf form of a message. Neither may be changed.
@@ -37,9 +44,11 @@
 		}
 	}
 	encoded := dhwire.MessageToWire(m)
-	e.list = append(e.list, encodedMessage{message: request, encoded: encoded})
-	if len(e.list) > maxEncodedMessages {
-		e.list = e.list[1:]
+	e.list = append(e.list, encodedMessage{message: request, encoded: encoded, bytes: dhmessage.ChangeBytes(m)})
+	e.bytes += dhmessage.ChangeBytes(m)
+	for len(e.list) > maxEncodedMessages || len(e.list) > 1 && e.bytes > maxEncodedBytes {
+		e.bytes -= e.list[0].bytes
+		e.list = slices.Delete(e.list, 0, 1)
 	}
 	return encoded
 }
--- a/io/dhpeer/queue.go
+++ b/io/dhpeer/queue.go
@@ -107,6 +107,14 @@
 	return true
 }
 
+// PendingBytes returns the approximate size of the messages that wait for peers or are in calls to
+// them, without complete snapshots and configurations.
+func (s *Sender) PendingBytes() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return int64(s.pendingBytes)
+}
+
 // addPending adds to the size of what is pending. The caller must hold the mutex.
 func (s *Sender) addPending(q *queue, size int) {
 	q.pendingBytes += size
--- a/io/dhprocess/operator_test.go
+++ b/io/dhprocess/operator_test.go
@@ -105,6 +105,7 @@
 		{"GET", "/metrics", "", "", 200, "dogwoodhitch_version 1"},
 		{"GET", "/metrics", "", "", 200, `dogwoodhitch_queued_events{to="control"}`},
 		{"GET", "/metrics", "", "", 200, `dogwoodhitch_control_bytes{kind="history"}`},
+		{"GET", "/metrics", "", "", 200, `dogwoodhitch_queued_bytes{to="peers"} 0`},
 	}
 	for _, c := range cases {
 		status, body := o.call(c.method, c.path, c.secret, c.body)
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -160,6 +160,7 @@
 		Lookup: p.addressBook.Lookup, Clock: p.options.Clock, Log: p.options.Logs.Logger("peer"), Receive: p.receiveMessage,
 		CountBytes: p.countBytes, TLS: p.clientTLS(),
 	})
+	p.metrics.SetGaugeFunc(p.sender.PendingBytes, "dogwoodhitch_queued_bytes", "to", "peers")
 	p.goroutines.Go(func() { p.reportFailure(p.loop.Run(p.ctx)) })
 	p.goroutines.Go(p.watchSchedulingDelay)
 	if p.options.DataFolder != nil {
@@ -265,6 +266,7 @@
 		p.options.DataFolder.ReleaseState()
 	}
 	p.metrics.SetGaugeFunc(func() int64 { return int64(p.loop.QueueLength()) }, "dogwoodhitch_queued_events", "to", "control")
+	p.metrics.SetGaugeFunc(p.loop.QueuedBytes, "dogwoodhitch_queued_bytes", "to", "control")
 }
 
 // consensusOptions returns the options of a voter, with the state that its data
