--- a/io/dhdisk/snapshot.go
+++ b/io/dhdisk/snapshot.go
@@ -89,6 +89,9 @@
 			if err != nil {
 				return err
 			}
+			if len(payload) == 0 {
+				continue // an empty record would end the snapshot
+			}
 			if err := add(payload); err != nil {
 				return err
 			}
--- a/io/dhdisk/snapshot_test.go
+++ b/io/dhdisk/snapshot_test.go
@@ -58,3 +58,27 @@
 		check("cut", len(intact)-1, intact[:len(intact)-1])
 	}
 }
+
+// TestLastFragmentThatIsFullEndsTheSnapshot stores a snapshot whose last change fills its fragment. The
+// one after it is empty and mustn't be written: it would be read as the end, with another one behind it.
+func TestLastFragmentThatIsFullEndsTheSnapshot(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "snapshot")
+	change := routesChange(0, 4000)
+	c, err := dhcatalog.New().Apply(change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, s := range map[string]dhmessage.Snapshot{
+		"a large change at the end": dhmessage.NewSnapshot(dhmessage.SnapshotOptions{Index: 1, Term: 1, Catalog: c, RecentChanges: []dhmessage.AcceptedChange{
+			dhmessage.NewAcceptedChange(1, 1, change, dhcatalog.New().Undo(change)),
+		}}),
+		"nothing at all": {},
+	} {
+		if err := writeSnapshot(path, s); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := readSnapshot(path); err != nil || len(got.RecentChanges()) != len(s.RecentChanges()) {
+			t.Errorf("%s: got %d changes and error %v", name, len(got.RecentChanges()), err)
+		}
+	}
+}
--- a/io/dhwire/snapshot.go
+++ b/io/dhwire/snapshot.go
@@ -46,7 +46,6 @@
 		f.begin()
 		f.addHeader(s)
 		if c := s.Catalog(); c != nil {
-			f.current.Catalog = &dhproto.Catalog{Version: c.Version()}
 			f.addObjects(c)
 			f.addBlocks(c)
 		}
@@ -64,12 +63,15 @@
 			f.current.Claims = append(f.current.Claims, claimRecordToWire(c))
 			f.added(claimBytes + c.Response().Size())
 		}
-		f.flush()
+		if f.bytes > 0 {
+			f.flush()
+		}
 	}
 }
 
 // Approximate sizes in protobuf objects, in bytes.
 const (
+	headerBytes     = 500
 	receiptBytes    = 300
 	claimBytes      = 500
 	tableBlockBytes = 14
@@ -109,6 +111,10 @@
 	for _, d := range s.DrainStarts() {
 		m.DrainStarts = append(m.DrainStarts, &dhproto.DrainStart{Name: d.Name(), AtMs: d.LogTime().Milliseconds()})
 	}
+	if c := s.Catalog(); c != nil {
+		f.catalog().Version = c.Version()
+	}
+	f.added(headerBytes)
 }
 
 func (f *fragmenter) catalog() *dhproto.Catalog {
