Take outcomes of claims whatever waits for a majority

A leader with 16 MB of entries that aren't committed refused the outcome of a claim as well, so that the claim of a request that has run stayed unclear. TestOrdersWithoutAMajorityFillTheMemory proposes one and fails on the commit before.

--- a/core/dhcontrol/busy_test.go
+++ b/core/dhcontrol/busy_test.go
@@ -94,6 +94,14 @@
 		}
 	}
 	t.Logf("%d of 40 are in the log", appended)
+	before := s.voter.node.LastIndex()
+	outcome := dhmessage.NewOutcome(dhmessage.NewClaimKey("o", "k"), dhmessage.NewClaimant("a1-1", 1, 1), dhmessage.ClaimDone, dhmessage.NewResponse(200, nil, make([]byte, 1<<20)))
+	handle(dhevent.NewMessageReceived(s.now, dhevent.MessageReceivedOptions{
+		From: dhmessage.NewPeer("a1-1", ""), Message: dhmessage.NewProposeRequest(dhmessage.ProposeRequestOptions{CorrelationID: 99, Command: outcome}),
+	}))
+	if s.voter.node.LastIndex() == before {
+		t.Error("the outcome of a request that has run is refused")
+	}
 	if appended == 0 || appended > mostWaiting || appended+refused != 40 {
 		t.Errorf("%d declarations of 1 MB are in the log and %d are refused, want 1 to %d and the rest", appended, refused, mostWaiting)
 	}
--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -53,8 +53,9 @@
 		correlationID: e.CorrelationID(), command: e.Command(), deadline: s.now + e.Timeout(),
 		expires: e.Expires() && canUndoLater(e.Command()), isReferable: e.IsReferable(),
 	}
+	pending := s.proposals.bytes
 	s.proposals.bytes += dhmessage.CommandBytes(e.Command())
-	if err := s.proposals.checkCapacity(e.Command()); err != nil {
+	if err := checkCapacity(pending, e.Command(), maxOutstandingBytes); err != nil {
 		s.proposals.complete(s.proposals.lastID, s.now, dhmessage.NewResult(dhmessage.ResultOptions{Err: err}), out)
 		return
 	}
@@ -83,16 +84,13 @@
 	return dhmessage.NewRefusedError("busy", "too many changes wait for a majority of the voters; this one is not applied", "send it again later, or to another process")
 }
 
-// checkCapacity returns a RefusedError if the outstanding commands, with this one among them, are
-// too large. The outcome of a claim is never refused: its request has run.
-func (p *proposals) checkCapacity(c dhmessage.Command) error {
-	if _, ok := c.(dhmessage.Outcome); ok {
+// checkCapacity returns a RefusedError if a command doesn't fit beside the pending ones. The outcome
+// of a claim is never refused: its request has run.
+func checkCapacity(pending int, c dhmessage.Command, bound int) error {
+	if _, ok := c.(dhmessage.Outcome); ok || dhmessage.Fits(pending, dhmessage.CommandBytes(c), bound) {
 		return nil
 	}
-	if size := dhmessage.CommandBytes(c); !dhmessage.Fits(p.bytes-size, size, maxOutstandingBytes) {
-		return newBusyError()
-	}
-	return nil
+	return newBusyError()
 }
 
 // checkCommand returns an InvalidError if an edit or a declaration has a value that is
@@ -264,8 +262,8 @@
 		s.sendProposeResponse(p, result, out)
 		return
 	}
-	if !dhmessage.Fits(v.node.UncommittedBytes(), dhmessage.CommandBytes(command), maxUncommittedBytes) {
-		s.sendProposeResponse(p, dhmessage.NewResult(dhmessage.ResultOptions{Err: newBusyError()}), out)
+	if err := checkCapacity(v.node.UncommittedBytes(), command, maxUncommittedBytes); err != nil {
+		s.sendProposeResponse(p, dhmessage.NewResult(dhmessage.ResultOptions{Err: err}), out)
 		return
 	}
 	if edit, ok := command.(dhmessage.Edit); ok && isRegistration(edit) {
