Let the path that is forwarded select the route

A caller without a key reached the upstreams of a keyed route below which a public one with a longer prefix stands.

Cause: the route was looked up by the decoded path and the request sent with the path as received. The prefixes of look-ups and of the hop between peers were compared after decoding too.

The path that is forwarded selects the route now, byte by byte, for callers, the hop and the reserved prefix alike. Host names are compared without a final dot.

--- a/core/dhcatalog/routing.go
+++ b/core/dhcatalog/routing.go
@@ -63,7 +63,8 @@
 
 // RouteFor returns the route with the longest matching path prefix. Routes of
 // the given host come first; if none of them matches, routes without a host
-// apply.
+// apply. The path is that of the request as it is forwarded, with its percent-encoding: an encoded
+// slash isn't a slash, and dot segments are no instruction to anyone before the upstream.
 func (c *Catalog) RouteFor(host, path string) (Route, bool) {
 	if r, found := c.index.routesByHost[host].find(path); found {
 		return r, true
--- a/io/dhentry/request.go
+++ b/io/dhentry/request.go
@@ -134,13 +134,23 @@
 // was received, in bytes.
 const maxPreallocatedBodyBytes = 1 << 20
 
-// hostName returns the requested host name in lower case, without a port.
+// targetPath returns the path that selects the route: the one that is forwarded, with its
+// percent-encoding.
+func (in *inbound) targetPath() string {
+	if in.verbatimPath != "" {
+		return in.verbatimPath
+	}
+	return in.url.EscapedPath()
+}
+
+// hostName returns the requested host name in lower case, without a port and without the dot that
+// may end it.
 func (in *inbound) hostName() string {
 	name := in.host
 	if host, _, err := net.SplitHostPort(name); err == nil {
 		name = host
 	}
-	return strings.ToLower(name)
+	return strings.TrimSuffix(strings.ToLower(name), ".")
 }
 
 // requestID returns the caller's request ID if it is valid, else a random one.
--- a/io/dhentry/server.go
+++ b/io/dhentry/server.go
@@ -123,7 +123,7 @@
 		s.writeRefusal(w, randomID(), dheffect.NewRefusal(dheffect.RefuseNoRoute, false, 0))
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, dhcatalog.ReservedPrefix) {
+		if strings.HasPrefix(r.URL.EscapedPath(), dhcatalog.ReservedPrefix) {
 			s.setClose(w.Header())
 			reserved.ServeHTTP(w, r)
 			return
@@ -136,7 +136,7 @@
 // requests to next. Like the handler for callers it doesn't use http.ServeMux.
 func (s *Server) PeerHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.HasPrefix(r.URL.Path, peerPathPrefix+"/") {
+		if !strings.HasPrefix(r.RequestURI, peerPathPrefix+"/") {
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -214,7 +214,7 @@
 	}
 	in.header.Del(s.options.Dialect.options.OrganisationHeader)
 	o := dhevent.RequestReceivedOptions{
-		CallerRequestID: in.id, Host: in.hostName(), Path: in.url.Path, ObjectHash: in.objectHash, Random: rand.Uint64(),
+		CallerRequestID: in.id, Host: in.hostName(), Path: in.targetPath(), ObjectHash: in.objectHash, Random: rand.Uint64(),
 		APIKeyHash: in.apiKeyHash, Timeout: in.timeout, IdempotencyKey: in.idempotencyKey, Digest: in.digest, BodyBytes: len(in.body),
 		CallerLeft: dhnet.HasCallerLeft(r.Context()),
 	}
