--- a/io/dhloop/loop.go
+++ b/io/dhloop/loop.go
@@ -1,9 +1,10 @@
 // Package dhloop runs the one goroutine that owns a process's control state.
 //
 // It receives events from a bounded mailbox in batches, reduces them, and
-// executes the resulting effects. All Persist effects of a batch are written
-// first, with a single sync; so every message or reply that the batch sends
-// depends only on durable state. If a voter's disk stalls, its loop stalls too
+// executes the resulting effects. What a batch stores is stored first, in the
+// order of its effects and with a single sync unless the leader has sent a
+// snapshot; so every message or reply that the batch sends depends only on
+// durable state. If a voter's disk stalls, its loop stalls too
 // and the voter loses its leadership, so that another voter can take over.
 package dhloop
 
@@ -211,10 +212,10 @@
 	}
 }
 
-// executeEffects executes the effects of the batch, Persist effects first.
+// executeEffects executes the effects of the batch, those that store the log first.
 func (l *Loop) executeEffects() error {
 	defer l.effects.Reset()
-	if err := l.persist(); err != nil {
+	if err := l.storeLog(); err != nil {
 		return err
 	}
 	for _, e := range l.effects.Items() {
@@ -223,6 +224,9 @@
 		case *dheffect.Send:
 			l.send(e)
 		case *dheffect.SaveSnapshot:
+			if e.Installed() {
+				continue
+			}
 			if err := l.seams.SaveSnapshot(e); err != nil {
 				return err
 			}
@@ -245,15 +249,34 @@
 	}))
 }
 
-// persist writes all Persist effects of the batch with one sync, and queues a
-// LogSynced event for the last log entry among them.
-func (l *Loop) persist() error {
+// storeLog executes the Persist effects of the batch, and the snapshots of the leader, which
+// replace the log. Entries that follow such a snapshot are written after it: the segment that
+// has the entries before it is removed.
+func (l *Loop) storeLog() error {
 	var list []*dheffect.Persist
 	for _, e := range l.effects.Items() {
-		if p, ok := e.(*dheffect.Persist); ok {
-			list = append(list, p)
+		switch e := e.(type) {
+		case *dheffect.Persist:
+			list = append(list, e)
+		case *dheffect.SaveSnapshot:
+			if !e.Installed() {
+				continue
+			}
+			if err := l.persist(list); err != nil {
+				return err
+			}
+			list = nil
+			if err := l.seams.SaveSnapshot(e); err != nil {
+				return err
+			}
 		}
 	}
+	return l.persist(list)
+}
+
+// persist writes Persist effects with one sync, and queues a LogSynced event for the
+// last log entry among them.
+func (l *Loop) persist(list []*dheffect.Persist) error {
 	if len(list) == 0 {
 		return nil
 	}
