--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -182,8 +182,7 @@
 func ContentBytes(e Event) int {
 	switch e := e.(type) {
 	case *MessageReceived:
-		state, _ := dhmessage.StateBytes(e.Message())
-		return state + dhmessage.ChangeBytes(e.Message())
+		return dhmessage.StateBytes(e.Message()) + dhmessage.ChangeBytes(e.Message())
 	case *ProposalRequested:
 		return dhmessage.CommandBytes(e.Command())
 	default:
--- a/core/dhmessage/size.go
+++ b/core/dhmessage/size.go
@@ -66,18 +66,31 @@
 	return size
 }
 
+// CarriesState reports whether a message carries a complete snapshot or configuration, which
+// replaces the state of its receiver.
+func CarriesState(m Message) bool {
+	switch m := m.(type) {
+	case *InstallSnapshot:
+		return true
+	case *Update:
+		return m.Full() != nil
+	default:
+		return false
+	}
+}
+
 // StateBytes returns the approximate size of the complete snapshot or configuration that a message
-// holds, in bytes, and false if it holds none.
-func StateBytes(m Message) (int, bool) {
+// carries, in bytes; 0 if it carries none. It visits each object, change set and claim.
+func StateBytes(m Message) int {
 	switch m := m.(type) {
 	case *InstallSnapshot:
-		return m.Snapshot().ApproximateBytes(), true
+		return m.Snapshot().ApproximateBytes()
 	case *Update:
 		if m.Full() != nil {
-			return m.Full().ApproximateBytes(), true
+			return m.Full().ApproximateBytes()
 		}
 	}
-	return 0, false
+	return 0
 }
 
 // Fits reports whether content of some size may wait beside pending content, given a bound in
--- a/io/dhpeer/queue.go
+++ b/io/dhpeer/queue.go
@@ -10,15 +10,17 @@
 )
 
 // Bounds of the messages that wait for a peer or are in calls to it, by their approximate size in
-// bytes. A peer that is slow or cut off must not fill the memory of this process.
+// bytes. A peer that is slow or cut off must not fill the memory of this process. Messages that carry
+// a complete snapshot or configuration stay outside: the peer can't go on without them, and the
+// control state bounds how often it sends one.
 const (
 	// maxPeerBytes bounds those for one peer; see dhmessage.Fits.
 	maxPeerBytes = 4 << 20
 	// maxPendingBytes bounds those for all peers. Peers that get the same message share what it
 	// holds, but each counts, as each call encodes it.
 	maxPendingBytes = 48 << 20
-	// minTransferRate is how much a call is given time to transfer, in bytes a second of approximate
-	// size. Compressed, that is some tenths of a link of 1 Mbit/s.
+	// minTransferRate is the rate at which a call must be able to transfer its messages, in bytes
+	// of approximate size a second. They are sent compressed.
 	minTransferRate = 1 << 20
 	// bulkBytes is the size from which on a message is sent in bulk.
 	bulkBytes = 1 << 20
@@ -121,15 +123,8 @@
 	s.pendingBytes += size
 }
 
-// replacesState reports whether a message carries a complete snapshot or configuration. It stays
-// outside the bounds: the peer can't go on without it, and the control state bounds how often it
-// sends one.
-func replacesState(m dhmessage.Message) bool {
-	_, replaces := dhmessage.StateBytes(m)
-	return replaces
-}
-
-// isBulk reports whether a message carries a complete snapshot or configuration, or as much as one.
-func isBulk(m dhmessage.Message) bool {
-	return replacesState(m) || dhmessage.ChangeBytes(m) >= bulkBytes
+// isBulk reports whether a message with changes of some size is sent in bulk: one that carries a
+// complete snapshot or configuration, or as much as one.
+func isBulk(m dhmessage.Message, changeBytes int) bool {
+	return dhmessage.CarriesState(m) || changeBytes >= bulkBytes
 }
--- a/io/dhpeer/sender.go
+++ b/io/dhpeer/sender.go
@@ -129,9 +129,10 @@
 // one, the message is returned in the response of the call instead. Send never
 // blocks: when the queue is full, the message is dropped.
 func (s *Sender) Send(to string, m dhmessage.Message) {
+	size := dhmessage.ChangeBytes(m)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.respondInCall(to, m) {
+	if s.respondInCall(to, m, size) {
 		return
 	}
 	q, found := s.queues[to]
@@ -143,7 +144,6 @@
 		s.queues[to] = q
 		s.goroutines.Go(func() { s.runQueue(to, q) })
 	}
-	size := dhmessage.ChangeBytes(m)
 	if !s.makeRoom(q, size) {
 		s.options.Log.WithField("peer", to).Debug("message to the peer dropped: too many bytes wait for it")
 		return
@@ -158,8 +158,8 @@
 // respondInCall passes a message to an open call of a process, and reports
 // whether there is one. Bulk messages need a call of their own, which has a
 // longer timeout.
-func (s *Sender) respondInCall(to string, m dhmessage.Message) bool {
-	if isBulk(m) {
+func (s *Sender) respondInCall(to string, m dhmessage.Message, changeBytes int) bool {
+	if isBulk(m, changeBytes) {
 		return false
 	}
 	for _, c := range s.openCalls[to] {
@@ -267,7 +267,7 @@
 			continue
 		}
 		encoded = append(encoded, s.encoded.message(m))
-		if isBulk(m) {
+		if isBulk(m, dhmessage.ChangeBytes(m)) {
 			timeout = bulkTimeout
 		}
 	}
