Follow a parent that has the majority's news when the present one is cut off

Callers saw requests reach upstreams up to 2.9 s after these had left (bound 2.5 s), and requests handled by a configuration that an accepted one had replaced more than 2.5 s before. It happened where a control process was cut off from the others, but not from the instances, shortly after another one had ended.

Cause: (1) each answer of a parent set the list of members, whatever its age. While the lists of the cut-off process and of the majority differed, the majority's answer led an instance back to the first candidate, the cut-off one, whose answer set the old list again. (2) One old answer of a member made the instance detached, which lifts the bound on departures, although other members had newer confirmations. (3) An answer of another candidate with newer versions, which an instance that is behind always gets, never made that candidate the parent.

Now members, leader, drains and unavailable instances count only from a confirmation that is no older than the one known here. An instance whose confirmation is old asks every member within 200 ms, and follows the first one with a recent confirmation if its parent has none. It is detached once every member has told of old confirmations or has not responded for 600 ms, and one at least has told so. A response of another process no longer counts as one of the parent.

--- a/core/dhdistribution/detachment.go
+++ b/core/dhdistribution/detachment.go
@@ -14,24 +14,42 @@
 type detachment struct {
 	timeout dhclock.Millis
 	// heardAt is when the last message of a process arrived that isn't cut off itself, and
-	// parentAge the age that the sender's confirmation had then.
-	heardAt    dhclock.Millis
-	parentAge  dhclock.Millis
-	isDetached bool
-	lastUpdate dhclock.Millis // when isDetached was last updated
-	// lastProbe is when another candidate than the parent was last asked, and probes how often.
+	// newestHeard the newest confirmation that any process has told of.
+	heardAt     dhclock.Millis
+	newestHeard dhclock.Millis
+	isDetached  bool
+	lastUpdate  dhclock.Millis // when isDetached was last updated
+	// lastProbe is when another candidate than the parent was last asked, and probes how often
+	// since this process's confirmation became old.
 	lastProbe dhclock.Millis
 	probes    int
+	// searchedAt is when the last of the members was asked.
+	searchedAt dhclock.Millis
+	// cutOff names the members that have told only of old confirmations since then.
+	cutOff []string
 }
 
-// recordHeard records that a parent's update has arrived. An instance with an old confirmation
-// may be cut off itself.
+// Times of the search for a newer confirmation, in milliseconds.
+const (
+	// searchTime is how long it takes to ask all members of the consensus group once.
+	searchTime dhclock.Millis = 200
+	// searchTimeout is how long after that those that haven't responded count as unreachable.
+	searchTimeout dhclock.Millis = 600
+)
+
+// recordHeard records that a parent's update has arrived. A process with an old confirmation may be
+// cut off itself.
 func (s *State) recordHeard(now dhclock.Millis, from string, m *dhmessage.Update) {
-	hasRecentConfirmation := m.EverConfirmed() && m.Age() <= maxConfirmationAge
-	if !hasRecentConfirmation && !slices.Contains(dhmessage.MemberNames(s.members), from) {
-		return
+	d := &s.detachment
+	if m.EverConfirmed() {
+		d.newestHeard = max(d.newestHeard, now-m.Age())
+	}
+	switch {
+	case m.EverConfirmed() && m.Age() <= maxConfirmationAge:
+		d.heardAt, d.cutOff = now, nil
+	case d.probes > 0 && slices.Contains(s.MemberNames(), from) && !slices.Contains(d.cutOff, from):
+		d.cutOff = append(d.cutOff, from)
 	}
-	s.detachment.heardAt, s.detachment.parentAge = now, m.Age()
 }
 
 // maxUpdateGap is the longest time between two updates of a detachment in a process that runs, in
@@ -44,29 +62,65 @@
 	d := &s.detachment
 	if gap := now.Since(d.lastUpdate); gap > maxUpdateGap {
 		d.heardAt += gap
+		d.probes, d.cutOff = 0, nil
 	}
 	d.lastUpdate = now
-	isDetached := s.everConfirmed && (now.Since(d.heardAt) > d.timeout || d.parentAge > maxConfirmationAge)
+	if !s.hasOldConfirmation(now) {
+		d.probes, d.cutOff = 0, nil
+	}
+	isDetached := s.everConfirmed && (now.Since(d.heardAt) > d.timeout || s.foundNoMajority(now))
 	if isDetached != d.isDetached {
 		d.isDetached, s.viewChanged = isDetached, true
 	}
 }
 
-// probeOthers asks the candidates other than the parent in turn for a confirmation while this
-// instance has an old one. Parents that have died would otherwise hide for the sum of their
-// timeouts that others have a newer one, or that none has.
+// hasOldConfirmation reports whether this process looks for another parent.
+func (s *State) hasOldConfirmation(now dhclock.Millis) bool {
+	return now.Since(s.confirmedAt) > maxConfirmationAge
+}
+
+// foundNoMajority reports whether this process has asked all members and each is cut off or doesn't
+// respond.
+func (s *State) foundNoMajority(now dhclock.Millis) bool {
+	d := &s.detachment
+	members := len(s.nearMembers) + len(s.farMembers)
+	if len(d.cutOff) == 0 || d.probes < members || now.Since(d.newestHeard) <= maxConfirmationAge {
+		return false
+	}
+	return len(d.cutOff) >= members || now.Since(d.searchedAt) > searchTimeout
+}
+
+// probeOthers asks the parent and the members, and then all candidates other than the parent in turn,
+// for a confirmation while this instance has an old one. Parents that have died would otherwise hide
+// for the sum of their timeouts that others have a newer one, or that none has.
 func (s *State) probeOthers(now dhclock.Millis, out *dheffect.List) {
 	d := &s.detachment
-	if s.isVoter || !s.everConfirmed || now.Since(s.confirmedAt) <= maxConfirmationAge || now.Since(d.lastProbe) < pollInterval {
+	if s.isVoter || !s.everConfirmed || !s.hasOldConfirmation(now) {
+		return
+	}
+	members := slices.Concat(s.farMembers, s.nearMembers)
+	if d.probes < len(members) {
+		if d.probes == 0 {
+			s.PollNow()
+		}
+		if now.Since(d.lastProbe) >= searchTime/dhclock.Millis(len(members)) {
+			s.probe(now, members[d.probes], out)
+			d.searchedAt = now
+		}
 		return
 	}
-	candidates := s.parentCandidates()
-	if len(candidates) < 2 {
+	if candidates := s.parentCandidates(); len(candidates) > 1 && now.Since(d.lastProbe) >= pollInterval {
+		s.probe(now, candidates[(s.parent.candidateIndex+1+d.probes%(len(candidates)-1))%len(candidates)], out)
+	}
+}
+
+// probe asks a process other than the parent, which is polled anyway, for a confirmation.
+func (s *State) probe(now dhclock.Millis, to string, out *dheffect.List) {
+	s.detachment.lastProbe = now
+	s.detachment.probes++
+	if to == s.parent.polledCandidate {
 		return
 	}
-	to := candidates[(s.parent.candidateIndex+1+d.probes%(len(candidates)-1))%len(candidates)]
-	d.lastProbe = now
-	d.probes++
 	out.Add(dheffect.NewSend(dheffect.SendOptions{To: to, Message: dhmessage.NewPoll(dhmessage.PollOptions{
 		Version: s.catalog.Version(), SentAt: now, Acks: []dhmessage.Ack{s.ownAck()}, Probe: true,
 	})}))
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -18,6 +18,14 @@
 	lastPoll         dhclock.Millis
 	timeouts         int  // candidates left since the last response
 	polled           bool // false makes the next poll due immediately
+	// isSilent is set from when a candidate was left without a response until the next one
+	// responds. isStale is whether the last response of the candidate that was polled had an old
+	// confirmation.
+	isSilent, isStale bool
+	// alternative is another candidate that has responded with a newer confirmation than this
+	// process's, last at alternativeAt.
+	alternative   string
+	alternativeAt dhclock.Millis
 	// probing is set from when another candidate was left until this one responds.
 	probing bool
 	// isLost is set while no parent has confirmed the configuration for parentLossTime, and there
@@ -37,6 +45,15 @@
 // come before them. Members are listed from an index derived from the process's name, which
 // distributes the load. A voter or learner polls only the leader.
 func (s *State) parentCandidates() []string {
+	list := s.ordinaryCandidates()
+	if s.parent.isLost {
+		return interleave(s.fallbackParents(), list)
+	}
+	return list
+}
+
+// ordinaryCandidates lists the parentCandidates without the fallbackParents.
+func (s *State) ordinaryCandidates() []string {
 	if s.isVoter {
 		if s.leader == "" || s.leader == s.self {
 			return nil
@@ -45,11 +62,7 @@
 	}
 	relays := s.relays()
 	first := min(1, len(relays))
-	list := slices.Concat(s.nearMembers, relays[:first], s.farMembers, relays[first:])
-	if s.parent.isLost {
-		return interleave(s.fallbackParents(), list)
-	}
-	return list
+	return slices.Concat(s.nearMembers, relays[:first], s.farMembers, relays[first:])
 }
 
 // fallbackParents lists the processes to poll between the other candidates while none of those
@@ -162,11 +175,41 @@
 	p.probing = true
 }
 
-// keep selects the candidate with an index again, whose response was late. On a slow
-// network path every parent responds late.
-func (p *parent) keep(now dhclock.Millis, index int) {
-	if index >= 0 && p.awaitingResponse {
-		p.selectCandidate(now, index)
+// recordAlternative records a candidate other than the parent that has a newer confirmation than
+// this process. Where the parent didn't respond in time, it may be the parent itself: on a slow
+// network path every response is late.
+func (s *State) recordAlternative(now dhclock.Millis, from string, m *dhmessage.Update) {
+	p := &s.parent
+	if from == p.polledCandidate || !p.isSilent && m.Age() > maxConfirmationAge || !slices.Contains(s.ordinaryCandidates(), from) {
+		return
+	}
+	p.alternative, p.alternativeAt = from, now
+	s.followAlternative(now)
+}
+
+// followAlternative selects the alternative, and reports whether it did. That is done only where the
+// parent itself gives no recent confirmation, because each parent of a process sends it the changes.
+func (s *State) followAlternative(now dhclock.Millis) bool {
+	p := &s.parent
+	if !p.isSilent && !p.isStale || p.alternative == "" || now.Since(p.alternativeAt) > maxConfirmationAge {
+		return false
+	}
+	index := slices.Index(s.parentCandidates(), p.alternative)
+	p.alternative = ""
+	if index < 0 {
+		return false
+	}
+	p.selectCandidate(now, index)
+	p.isSilent, p.isStale = false, false
+	s.PollNow()
+	return true
+}
+
+// leaveParent selects the alternative, or else the next candidate.
+func (s *State) leaveParent(now dhclock.Millis) {
+	if !s.followAlternative(now) {
+		s.parent.switchTo(now, s.parent.candidateIndex+1)
+		s.PollNow()
 	}
 }
 
@@ -211,15 +254,16 @@
 	p := &s.parent
 	if p.awaitingResponse && now.Since(p.oldestUnanswered) > s.parentTimeout() {
 		p.timeouts++
-		p.switchTo(now, p.candidateIndex+1)
-		s.PollNow()
+		p.isSilent = true
+		s.leaveParent(now)
 	}
 	if (!s.everConfirmed || now.Since(s.confirmedAt) > maxConfirmationAge) && now.Since(p.selectedAt) > maxConfirmationAge {
 		// The parent responds, but it has lost its own parent or never had one.
-		p.switchTo(now, p.candidateIndex+1)
-		s.PollNow()
+		p.isStale = true
+		s.leaveParent(now)
 	}
 	if p.candidateIndex > 0 && now.Since(p.selectedAt) > preferredParentRetryInterval {
+		p.alternative, p.alternativeAt = p.polledCandidate, now
 		p.switchTo(now, 0)
 	}
 	s.updateParentLoss(now)
@@ -330,13 +374,29 @@
 	return a.WithAdvertisedInstance(*s.advertised)
 }
 
+// recordMembers records the members that a parent names, unless those known here are newer. The
+// confirmation of the parent's configuration tells when it knew them.
+func (s *State) recordMembers(m *dhmessage.Update) {
+	if s.isVoter || len(m.Members()) == 0 || s.membersConfirmed && !m.EverConfirmed() {
+		return
+	}
+	if at := m.PollSentAt() - m.Age(); m.EverConfirmed() {
+		if s.membersConfirmed && at < s.membersAt {
+			return
+		}
+		s.membersAt, s.membersConfirmed = at, true
+	}
+	s.SetMembers(m.Members())
+}
+
 // followReferral records the members that a parent with a newer version names, and selects
 // the preferred parent again if they have changed.
-func (s *State) followReferral(now dhclock.Millis, from string, members []dhmessage.Member) {
-	if s.isVoter || len(members) == 0 || slices.Equal(members, s.members) {
+func (s *State) followReferral(now dhclock.Millis, from string, m *dhmessage.Update) {
+	before := s.members
+	s.recordMembers(m)
+	if slices.Equal(before, s.members) {
 		return
 	}
-	s.SetMembers(members)
 	first := 0
 	if s.parent.isLost {
 		s.parent.referrer, first = from, 1
@@ -367,32 +427,49 @@
 	if s.isVoter && from == s.leader && from == m.Leader() && m.EverConfirmed() && m.Version() >= s.catalog.Version() {
 		s.contacts = s.contacts.followedBy(newLeaderContacts(now, now, m.Silences()))
 	}
-	s.parent.timeouts = 0
-	if m.PollSentAt() >= s.parent.oldestUnanswered {
-		s.parent.awaitingResponse = false
-	}
-	if s.parent.probing && from == s.parent.polledCandidate {
-		s.parent.probing = false
-		s.PollNow()
-	}
+	s.recordResponse(now, from, m)
+	isNewer := m.EverConfirmed() && (!s.everConfirmed || m.PollSentAt()-m.Age() > s.confirmedAt)
 	if s.catalog.Version() < m.Version() {
 		s.deferConfirmation(m)
-		s.followReferral(now, from, m.Members())
-		return
+		s.followReferral(now, from, m)
+	}
+	if isNewer && (s.everConfirmed || s.catalog.Version() >= m.Version()) {
+		s.recordAlternative(now, from, m)
 	}
-	if !m.EverConfirmed() {
+	if s.catalog.Version() >= m.Version() && m.EverConfirmed() {
+		s.recordState(now, m)
+	}
+}
+
+// recordResponse records that a candidate has responded to a poll.
+func (s *State) recordResponse(now dhclock.Millis, from string, m *dhmessage.Update) {
+	p := &s.parent
+	p.timeouts = 0
+	if from != p.polledCandidate {
 		return
 	}
-	if m.PollSentAt()-m.Age() > s.confirmedAt {
-		s.parent.keep(now, slices.Index(s.parentCandidates(), from))
+	if m.PollSentAt() >= p.oldestUnanswered {
+		p.awaitingResponse = false
+	}
+	p.isSilent, p.isStale = false, !m.EverConfirmed() || m.Age() > maxConfirmationAge
+	if p.probing {
+		p.probing = false
+		s.PollNow()
 	}
-	s.RecordConfirmation(m.PollSentAt() - m.Age())
+	s.followAlternative(now)
+}
+
+// recordState records what a parent confirms, unless this process has a newer confirmation.
+func (s *State) recordState(now dhclock.Millis, m *dhmessage.Update) {
 	s.SetInForce(m.InForce())
+	s.recordMembers(m)
+	at := m.PollSentAt() - m.Age()
+	if s.everConfirmed && at < s.confirmedAt {
+		return
+	}
+	s.RecordConfirmation(at)
 	s.SetLimitsChangedAt(now - m.LimitsAge())
 	s.setDrains(now, m.DrainAges())
-	if !s.isVoter && len(m.Members()) > 0 {
-		s.SetMembers(m.Members())
-	}
 	if !s.isVoter && m.Leader() != "" {
 		s.SetLeader(m.Leader())
 	}
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -125,6 +125,9 @@
 	unavailable         []dhmessage.UnavailableInstance
 	inForce             uint64
 	members             []dhmessage.Member
+	// membersAt is when the members were confirmed that an instance knows, if membersConfirmed.
+	membersAt        dhclock.Millis
+	membersConfirmed bool
 	// nearMembers, farMembers and nearestMembers name the members; see sortMembers.
 	nearMembers, farMembers, nearestMembers []string
 	// otherSeeds names the processes of the settings that aren't known as members.
@@ -162,7 +165,7 @@
 // New returns the state of a process without a configuration.
 func New(o Options) *State {
 	s := &State{
-		detachment: detachment{timeout: cmp.Or(o.ContactTimeout, dhview.FreshnessLease)},
+		detachment: detachment{timeout: cmp.Or(o.ContactTimeout, dhview.FreshnessLease), heardAt: o.Now, lastUpdate: o.Now},
 		self:       o.Self, zone: o.Zone, configuredVoters: o.Voters, isVoter: o.IsVoter, advertised: o.Advertised,
 		catalog: dhcatalog.New(), appliedAt: o.Now, limitsChangedAt: o.Now, suspects: dhquarantine.NewSet(),
 		children: map[string]*child{}, ackRecords: map[string]*ackRecord{},
