Don't refuse requests by a configuration that may have been replaced

What callers could see: 404 or 401 for a route or key that had been accepted more than the promised time (2.5 s on the platform) ago, from an instance whose last confirmation was 2.5 to 3 s old.

Cause: such refusals were bound by the freshness lease, a constant of 3 s, not by the time within which the deployment promises that a change is in force.

Now the promised time, less what the way over a congested link may take, bounds them too: the caller is told that the configuration is stale and returns in 200 ms.

--- a/core/dhtraffic/admission.go
+++ b/core/dhtraffic/admission.go
@@ -40,7 +40,7 @@
 	}
 	route, found := s.view.Catalog().RouteFor(e.Host(), e.Path())
 	if !found {
-		s.refuse(now, r, s.unknownRouteRefusal(now), out)
+		s.refuse(now, r, s.configurationRefusal(now, dheffect.RefuseNoRoute), out)
 		return
 	}
 	r.route = route
@@ -83,7 +83,7 @@
 	if remaining := s.quarantine(now, r); remaining > 0 {
 		return dheffect.NewRefusal(dheffect.RefuseQuarantined, false, remaining), false
 	}
-	return s.setClaimKey(r, e)
+	return s.setClaimKey(now, r, e)
 }
 
 // declarationNumber returns the number of the declaration in force here; 0 for none.
@@ -92,14 +92,17 @@
 	return d.Number()
 }
 
-// unknownRouteRefusal returns the refusal of a request that matches no route.
-// An instance with an expired freshness lease reports stale configuration
-// instead, because a newer version may have the route.
-func (s *State) unknownRouteRefusal(now dhclock.Millis) dheffect.Refusal {
-	if !s.view.Fresh(now, 0) {
+// configurationRefusal returns the refusal of a request that the configuration doesn't allow. An
+// instance that may lack an accepted change reports stale configuration instead, because a newer
+// version may allow the request.
+func (s *State) configurationRefusal(now dhclock.Millis, kind dheffect.RefusalKind) dheffect.Refusal {
+	switch {
+	case !s.view.Fresh(now, 0):
 		return dheffect.NewRefusal(dheffect.RefuseConfigurationStale, false, longRetryAfter)
+	case s.changeBound > 0 && now >= s.view.ConfirmedAt()+s.changeBound-transferAllowance:
+		return dheffect.NewRefusal(dheffect.RefuseConfigurationStale, false, shortRetryAfter)
 	}
-	return dheffect.NewRefusal(dheffect.RefuseNoRoute, false, 0)
+	return dheffect.NewRefusal(kind, false, 0)
 }
 
 // authenticate sets the organisation that a request's key belongs to and its
@@ -110,7 +113,7 @@
 		return dheffect.Refusal{}, true
 	}
 	if hash == (dhcatalog.Hash{}) {
-		return dheffect.NewRefusal(dheffect.RefuseKeyMissing, false, 0), false
+		return s.configurationRefusal(now, dheffect.RefuseKeyMissing), false
 	}
 	r.key = hash
 	if refusal, ok := s.checkKey(now, r); !ok {
@@ -136,7 +139,7 @@
 		return dheffect.NewRefusal(dheffect.RefuseConfigurationStale, false, longRetryAfter), false
 	}
 	if !found {
-		return dheffect.NewRefusal(dheffect.RefuseKeyUnknown, false, 0), false
+		return s.configurationRefusal(now, dheffect.RefuseKeyUnknown), false
 	}
 	return dheffect.Refusal{}, true
 }
@@ -144,12 +147,12 @@
 // setClaimKey sets the claim key and the digest of a request on a route that
 // requires a claim. It returns false and a refusal if the caller sent no
 // idempotency key.
-func (s *State) setClaimKey(r *request, e *dhevent.RequestReceived) (dheffect.Refusal, bool) {
+func (s *State) setClaimKey(now dhclock.Millis, r *request, e *dhevent.RequestReceived) (dheffect.Refusal, bool) {
 	if !r.route.ClaimRequired() {
 		return dheffect.Refusal{}, true
 	}
 	if e.IdempotencyKey() == "" {
-		return dheffect.NewRefusal(dheffect.RefuseIdempotencyKeyMissing, false, 0), false
+		return s.configurationRefusal(now, dheffect.RefuseIdempotencyKeyMissing), false
 	}
 	key := dhmessage.NewClaimKey(r.organisation, e.IdempotencyKey())
 	r.claimKey = &key
--- a/core/dhtraffic/state.go
+++ b/core/dhtraffic/state.go
@@ -33,6 +33,8 @@
 	// DepartureBound is the time after which a registered upstream whose drain or departure was
 	// accepted gets no more requests; 0 for no bound.
 	DepartureBound dhclock.Millis `journal:"DepartureBound,omitZero"`
+	// ChangeBound is the time after which an accepted change is in force; 0 for no bound.
+	ChangeBound dhclock.Millis `journal:"ChangeBound,omitZero"`
 	// StatusesPromise reports whether callers take some status codes, of any response, for the
 	// promise that the request has not run and never will.
 	StatusesPromise bool `journal:"StatusesPromise,omitZero"`
@@ -62,6 +64,7 @@
 	groups           map[string]*group // by service with registered upstreams
 	splits           map[string]*split // by route
 	departureBound   dhclock.Millis
+	changeBound      dhclock.Millis
 	statusesPromise  bool
 	clusterRetries   RetryBudget
 	maxConnections   *int
@@ -91,7 +94,7 @@
 		splits:         map[string]*split{},
 		clusterRetries: o.Retries,
 		maxConnections: o.MaxConnections,
-		departureBound: o.DepartureBound, statusesPromise: o.StatusesPromise,
+		departureBound: o.DepartureBound, changeBound: o.ChangeBound, statusesPromise: o.StatusesPromise,
 		requests:     map[uint64]*request{},
 		reachability: newReachability(),
 		crashes:      newCrashDetector(),
--- a/io/dhprocess/options.go
+++ b/io/dhprocess/options.go
@@ -104,6 +104,8 @@
 	// DepartureBound is the time after which a registered upstream whose drain or departure was
 	// accepted gets no more requests; 0 for no bound.
 	DepartureBound dhclock.Millis
+	// ChangeBound is the time after which an accepted change is in force; 0 for no bound.
+	ChangeBound dhclock.Millis
 	// ContactTimeout is the time without a response from another process after which this one
 	// counts as cut off; 0 stands for the freshness lease.
 	ContactTimeout dhclock.Millis
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -290,6 +290,7 @@
 	o := dhtraffic.Options{
 		Instance: p.options.Name, Zone: p.options.Zone, StartID: startID, Now: p.options.Clock.Now(),
 		Retries: p.options.RetryBudget, MaxConnections: &p.options.MaxConnections, DepartureBound: p.options.DepartureBound,
+		ChangeBound:     p.options.ChangeBound,
 		StatusesPromise: p.options.Dialect.StatusesPromise(),
 	}
 	if j := p.options.Journal; j != nil {
