--- a/core/dhreducer/cut_off_parent_test.go
+++ b/core/dhreducer/cut_off_parent_test.go
@@ -120,6 +120,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCutOffParentTest(t)
 		controls := rapid.Permutation(c.controls()).Draw(t, "controls")
+		c.messageDelay = rapid.SampledFrom([]dhclock.Millis{20, 100}).Draw(t, "messageDelay")
 		interval := rapid.SampledFrom([]dhclock.Millis{60, 300, 2000}).Draw(t, "interval")
 		events := rapid.Permutation([]string{"cut", rapid.SampledFrom([]string{"cut", "kill", "restart", "none"}).Draw(t, "other")}).Draw(t, "events")
 		for i, e := range events {
@@ -139,6 +140,13 @@
 			}
 			c.runChanges(dhclock.Millis(rapid.IntRange(0, 5000).Draw(t, "gap")), interval)
 		}
+		if rapid.Bool().Draw(t, "instancesRestart") {
+			for _, m := range c.instances {
+				if m.zone == controls[0].zone {
+					c.start(m)
+				}
+			}
+		}
 		c.runChanges(contactTime, interval)
 		for range 40 {
 			c.runChanges(100, interval)
