Ask every member again before an instance is detached

An instance that has asked all members, then hears of a newer confirmation from one that ends right after, was detached at the next old answer of a cut-off parent, without an answer of the others: the search before counted. No caller has seen it.

TestDetachedBeforeEachMemberIsAskedAgain failed before: detached 20 ms after the newest confirmation became old. Now the search begins anew once the newest confirmation that was heard of becomes old.

--- a/core/dhdistribution/detachment.go
+++ b/core/dhdistribution/detachment.go
@@ -19,11 +19,11 @@
 	newestHeard dhclock.Millis
 	isDetached  bool
 	lastUpdate  dhclock.Millis // when isDetached was last updated
-	// lastProbe is when another candidate than the parent was last asked, and probes how often
-	// since this process's confirmation became old.
-	lastProbe dhclock.Millis
-	probes    int
-	// searchedAt is when the last of the members was asked.
+	// lastProbe is when another candidate than the parent was last asked, and probes how often since
+	// the search for a newer confirmation began. The members are asked first, the last of them at
+	// searchedAt.
+	lastProbe  dhclock.Millis
+	probes     int
 	searchedAt dhclock.Millis
 	// cutOff names the members that have told only of old confirmations since then.
 	cutOff []string
@@ -65,7 +65,9 @@
 		d.probes, d.cutOff = 0, nil
 	}
 	d.lastUpdate = now
-	if !s.hasOldConfirmation(now) {
+	// Members that were asked before may have had the newest confirmation that was heard of.
+	wasSearchedBefore := now.Since(d.newestHeard) > maxConfirmationAge && d.searchedAt.Since(d.newestHeard) <= maxConfirmationAge
+	if !s.hasOldConfirmation(now) || wasSearchedBefore {
 		d.probes, d.cutOff = 0, nil
 	}
 	isDetached := s.everConfirmed && (now.Since(d.heardAt) > d.timeout || s.foundNoMajority(now))
