Check at entry instances which version is in force in the soak of the core

TestCore had control processes alone, so that it said nothing of CONFIG at instances. An instance in each zone gets requests whose route or key only some versions have; what it answers tells by which versions it can have handled them.

--- a/soak/core_fault_test.go
+++ b/soak/core_fault_test.go
@@ -160,6 +160,7 @@
 	for _, m := range list {
 		c.timeLine.add("%s: %v (error %v)", m.Name(), s, m.Signal(s))
 	}
+	c.faults.lastAt = time.Now()
 	if s == syscall.SIGSTOP {
 		c.lossAt = time.Now()
 	}
@@ -176,6 +177,10 @@
 	}
 	dhtestcluster.KillAll(machines)
 	c.lossAt = time.Now()
+	c.faults.lastAt = c.lossAt
+	if len(list) > maxLost {
+		c.faults.lossAt = c.lossAt
+	}
 }
 
 func (c *core) loseDisks(list []*coreMachine) {
@@ -252,6 +257,7 @@
 		}
 		for _, m := range old {
 			m.Terminate(syscall.SIGTERM)
+			c.faults.lastAt = time.Now()
 			c.timeLine.add("%s: %v", m.Name(), syscall.SIGTERM)
 		}
 		return true
--- a/soak/core_test.go
+++ b/soak/core_test.go
@@ -58,7 +58,8 @@
 )
 
 // TestCore loses, replaces, pauses and restarts control processes of the platform's program, up to
-// what its settings tolerate, while an operator changes and reads the configuration.
+// what its settings tolerate, while an operator changes and reads the configuration, and callers send
+// requests that only some versions allow to entry instances.
 func TestCore(t *testing.T) {
 	program, err := dhtestcluster.BuildProgram("dogwoodhitch-platform")
 	if err != nil {
@@ -106,10 +107,14 @@
 	acks     []acknowledgement
 	reads    int // with status 200
 	members  int // successors that became members
+	entries  []*entry
+	beating  sync.WaitGroup // the upstreams' heartbeats
+	faults   coreFaults
+	probes   map[int]int // by status
 }
 
 func newCore(t *testing.T, seed uint64, program string) *core {
-	c := &core{t: t, program: program, folder: t.TempDir(), slots: make([]coreSlot, len(coreZones))}
+	c := &core{t: t, program: program, folder: t.TempDir(), slots: make([]coreSlot, len(coreZones)), probes: map[int]int{}}
 	c.client = http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
 	r := newRandom(seed, "core")
 	for i := range coreRegions {
@@ -122,8 +127,8 @@
 		for _, e := range c.events {
 			kinds[e.kind]++
 		}
-		t.Logf("seed %d: %v, %d changes acknowledged of %d, %d reads, %d successors are members, %d failures, %v",
-			seed, kinds, len(c.acks), c.sent, c.reads, c.members, len(c.failures.lines), time.Since(startedAt).Round(time.Second))
+		t.Logf("seed %d: %v, %d changes acknowledged of %d, %d reads, %d successors are members, probes %v, %d failures, %v",
+			seed, kinds, len(c.acks), c.sent, c.reads, c.members, c.probes, len(c.failures.lines), time.Since(startedAt).Round(time.Second))
 		if t.Failed() {
 			c.keep(folder, fmt.Sprintf("go test ./soak -run 'TestCore$' -seed %d -seeds 1", seed))
 		}
@@ -147,7 +152,11 @@
 	c.lossAt = time.Now()
 	ctx, cancel := context.WithCancel(c.t.Context())
 	defer cancel()
+	c.startEntries(ctx)
 	var operating sync.WaitGroup
+	for i, e := range c.entries {
+		operating.Go(func() { c.probeAll(ctx, e, newRandom(seed, fmt.Sprint("entry ", i))) })
+	}
 	operating.Go(func() {
 		for ctx.Err() == nil {
 			c.put(ctx, o)
@@ -166,11 +175,18 @@
 	}
 	c.running.Wait()
 	c.waitUntil(func() bool { return c.countLost() == 0 })
+	sleep(ctx, calmTime)
 	cancel()
 	operating.Wait()
+	c.beating.Wait()
 	c.endAll(newRandom(seed, "end"))
 	sleep(c.t.Context(), recoveryTime)
 	c.checkReadBack()
+	for _, e := range c.entries {
+		for _, p := range e.Problems() {
+			c.fail("no process ends by itself, panics or has a data race: %s", p)
+		}
+	}
 	for _, m := range c.machines {
 		for _, p := range m.Problems() {
 			c.fail("no process ends by itself, panics or has a data race: %s", p)
@@ -214,6 +230,7 @@
 		return
 	}
 	c.t.Cleanup(m.Kill)
+	c.faults.lastAt = time.Now()
 	c.timeLine.add("%s (%s): start", m.Name(), m.Host())
 }
 
@@ -296,7 +313,7 @@
 	c.sent++
 	version := c.sent
 	c.mutex.Unlock()
-	raw := fmt.Appendf(nil, `{"version": %d, "services": [], "tenants": [{"name": "glenmorven", "api_keys": ["key-%d"]}], "hosts": []}`, version, version)
+	raw := fmt.Appendf(nil, `{"version": %d, %s}`, version, routesJSON(version))
 	sentAt, isLate := time.Now(), false
 	for zone := r.IntN(len(coreZones)); ctx.Err() == nil; zone = (zone + 1) % len(coreZones) {
 		m := c.newest(zone)[0]
@@ -387,6 +404,9 @@
 	for _, m := range c.machines {
 		err = errors.Join(err, m.SaveLogs(folder))
 	}
+	for _, e := range c.entries {
+		err = errors.Join(err, e.SaveLogs(folder))
+	}
 	if err = errors.Join(err, os.WriteFile(filepath.Join(folder, "timeline.txt"), []byte(text), 0o600)); err != nil {
 		c.t.Error(err)
 	}
