--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -176,8 +176,8 @@
 }
 
 // recordAlternative records a candidate other than the parent that has a newer confirmation than
-// this process. Where the parent didn't respond in time, it may be the parent itself: on a slow
-// network path every response is late.
+// this process. After a timeout that may be the previous parent: on a slow network path every
+// response is late.
 func (s *State) recordAlternative(now dhclock.Millis, from string, m *dhmessage.Update) {
 	p := &s.parent
 	if from == p.polledCandidate || !p.isSilent && m.Age() > maxConfirmationAge || !slices.Contains(s.ordinaryCandidates(), from) {
