--- a/core/dhdistribution/ack_test.go
+++ b/core/dhdistribution/ack_test.go
@@ -49,21 +49,25 @@
 	}
 }
 
+// catalogOfZone returns a configuration with instances in one zone, i000 and so on.
+func catalogOfZone(t *testing.T, instances int) *dhcatalog.Catalog {
+	t.Helper()
+	objects := []dhcatalog.Object{dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "z", Region: "r"})}
+	for i := range instances {
+		objects = append(objects, newInstance(fmt.Sprintf("i%03d", i)))
+	}
+	c, err := dhcatalog.New().Apply(dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: objects}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // TestInstancesPollForEachVersion has one of 273 instances get a version every 50 ms. It may
 // acknowledge them with four polls a second. One of 14 instances must acknowledge each at once.
 func TestInstancesPollForEachVersion(t *testing.T) {
 	for _, c := range []struct{ instances, least, most int }{{273, 3, 5}, {14, 20, 25}} {
-		objects := []dhcatalog.Object{dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "z", Region: "r"})}
-		for i := range c.instances {
-			objects = append(objects, dhcatalog.NewInstance(dhcatalog.InstanceOptions{
-				Name: fmt.Sprintf("i%03d", i), Zone: "z", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2",
-			}))
-		}
-		set := dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: objects})
-		leader, err := dhcatalog.New().Apply(set)
-		if err != nil {
-			t.Fatal(err)
-		}
+		leader := catalogOfZone(t, c.instances)
 		s := New(Options{Self: "i000", Zone: "z", Voters: []string{"c1"}, Now: 1})
 		s.SetMembers([]dhmessage.Member{memberIn("c1", "z")})
 		var out dheffect.List
--- a/core/dhdistribution/detachment_test.go
+++ b/core/dhdistribution/detachment_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"testing"
 
-	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhmessage"
@@ -50,17 +49,7 @@
 func TestInstancesAskAllMembersAtOnce(t *testing.T) {
 	const instances, maxPollsPerSecond = 864, 1000
 	voters := []string{"c1", "c2", "c3", "c4", "c5", "c6", "c7"}
-	puts := []dhcatalog.Object{dhcatalog.NewZone(dhcatalog.ZoneOptions{Name: "z", Region: "r"})}
-	for i := range instances {
-		puts = append(puts, dhcatalog.NewInstance(dhcatalog.InstanceOptions{
-			Name: fmt.Sprintf("i%03d", i), Zone: "z", CallerAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2",
-		}))
-	}
-	set := dhcatalog.NewChangeSet(dhcatalog.ChangeSetOptions{ID: "x", Author: "test", Puts: puts})
-	full, err := dhcatalog.New().Apply(set)
-	if err != nil {
-		t.Fatal(err)
-	}
+	full := catalogOfZone(t, instances)
 	polls := map[string]int{} // in the first 200 ms
 	for i := range instances {
 		s := New(Options{Self: fmt.Sprintf("i%03d", i), Zone: "z", Voters: voters, Now: 1})
