End a control process whose control loop has ended

The stop that follows asks this loop for a successor of its vote and waits for the answer without a bound, since only the loop keeps the timeout. So the process never ends, is never started again, and its listeners go on: each call waits in the mailbox of a loop that isn't there. The class: a wait that only the party waited for can end.

An ended loop turns events away, calls that wait for it end at once, and the handover has a bound of its own, which also holds while the disk stalls.

--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -11,6 +11,7 @@
 	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhloop"
 	"dogwoodhitch/io/dhtime"
 )
 
@@ -19,6 +20,9 @@
 	Clock dhtime.Clock
 	// Post queues an event for the control loop.
 	Post func(ctx context.Context, e dhevent.Event) error
+	// LoopEnded returns a channel that is closed once the control loop has ended. Calls that wait
+	// for a reply end then.
+	LoopEnded func() <-chan struct{}
 }
 
 // Client sends requests to the control loop under correlation IDs and passes each
@@ -81,6 +85,8 @@
 	select {
 	case e := <-reply:
 		return e, nil
+	case <-c.options.LoopEnded():
+		return nil, dhloop.EndedError{}
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/io/dherrors/errors.go
+++ b/io/dherrors/errors.go
@@ -90,6 +90,7 @@
 	var format dhwire.FormatError
 	var corrupt dhdisk.CorruptionError
 	var busy dhloop.BusyError
+	var ended dhloop.EndedError
 	switch {
 	case errors.As(err, &conflict):
 		return KindConflict
@@ -107,6 +108,8 @@
 		return KindDataFolder
 	case errors.As(err, &busy):
 		return KindBusy
+	case errors.As(err, &ended):
+		return KindOutcomeUnknown
 	default:
 		return KindInternal
 	}
--- a/io/dhloop/loop.go
+++ b/io/dhloop/loop.go
@@ -75,11 +75,33 @@
 	mailboxBytes atomic.Int64
 	localEvents  []dhevent.Event // caused by effects of the batch, for the next one
 	effects      dheffect.List   // of the batch
+	ended        chan struct{}   // closed once Run has returned
 }
 
 // New returns a loop that is not running.
 func New(s *dhreducer.State, seams Seams) *Loop {
-	return &Loop{state: s, seams: seams, mailbox: make(chan dhevent.Event, mailboxSize)}
+	return &Loop{state: s, seams: seams, mailbox: make(chan dhevent.Event, mailboxSize), ended: make(chan struct{})}
+}
+
+// EndedError reports an event that the loop can't reduce any more, because it has ended.
+type EndedError struct{}
+
+// Error implements error.
+func (EndedError) Error() string {
+	return "the control loop of this process has ended; use another process"
+}
+
+// Ended returns a channel that is closed once the loop has ended. Events are turned away then, and
+// those that wait in the mailbox are never reduced.
+func (l *Loop) Ended() <-chan struct{} { return l.ended }
+
+func (l *Loop) hasEnded() bool {
+	select {
+	case <-l.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // BusyError reports an event that the mailbox has no room for.
@@ -107,14 +129,21 @@
 func (l *Loop) release(e dhevent.Event) { l.mailboxBytes.Add(-int64(dhevent.ContentBytes(e))) }
 
 // Post adds an event to the mailbox. It waits while the mailbox is full, until
-// the context ends. It returns a BusyError if the content of the mailbox is too large.
+// the context ends. It returns a BusyError if the content of the mailbox is too large, and an
+// EndedError if the loop has ended.
 func (l *Loop) Post(ctx context.Context, e dhevent.Event) error {
+	if l.hasEnded() {
+		return EndedError{}
+	}
 	if !l.reserve(e) {
 		return BusyError{bytes: dhevent.ContentBytes(e)}
 	}
 	select {
 	case l.mailbox <- e:
 		return nil
+	case <-l.ended:
+		l.release(e)
+		return EndedError{}
 	case <-ctx.Done():
 		l.release(e)
 		return ctx.Err()
@@ -122,9 +151,9 @@
 }
 
 // TryPost adds an event to the mailbox without waiting, and reports whether the
-// mailbox had capacity. It is for events that may be lost, such as messages.
+// mailbox had capacity and the loop runs. It is for events that may be lost, such as messages.
 func (l *Loop) TryPost(e dhevent.Event) bool {
-	if !l.reserve(e) {
+	if l.hasEnded() || !l.reserve(e) {
 		return false
 	}
 	select {
@@ -146,6 +175,7 @@
 // Run processes events until the context ends or writing to the data folder
 // fails.
 func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.ended)
 	ticker := time.NewTicker(l.seams.TickInterval)
 	defer ticker.Stop()
 	for {
--- a/io/dhloop/mailbox_test.go
+++ b/io/dhloop/mailbox_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"dogwoodhitch/core/dhcatalog"
-	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhconsensus"
 	"dogwoodhitch/core/dhcontrol"
 	"dogwoodhitch/core/dheffect"
@@ -27,27 +26,31 @@
 	})
 }
 
+// newLoopWithDisk returns the loop of the only voter of a group, with a function that stores its log.
+func newLoopWithDisk(persist func([]*dheffect.Persist) error) *Loop {
+	self := dhmessage.NewPeer("c2", "f2")
+	return New(dhreducer.NewControl(dhcontrol.Options{
+		Self: self, Now: 1,
+		Consensus: &dhconsensus.Options{Self: self, Founders: []dhmessage.Member{dhmessage.NewMember(self, "", false)}},
+	}), Seams{
+		Self: self, Clock: dhtime.System(), TickInterval: time.Millisecond, Random: func() uint64 { return 1 },
+		Send: func(string, dhmessage.Message) {}, Persist: persist,
+		SaveSnapshot: func(*dheffect.SaveSnapshot) error { return nil },
+		Execute:      func(dheffect.Effect) {},
+	})
+}
+
 // TestMailboxOfAStalledProcessFillsTheMemory sends a process whose disk stalls entries of 1 MB. It
 // must turn most of them away, other messages must get through, and all once the disk works again.
 func TestMailboxOfAStalledProcessFillsTheMemory(t *testing.T) {
 	stalled, release := make(chan struct{}, 1), make(chan struct{})
-	now := dhclock.Millis(1)
-	loop := New(dhreducer.NewControl(dhcontrol.Options{
-		Self: dhmessage.NewPeer("c2", "f2"), Now: now,
-		Consensus: &dhconsensus.Options{Self: dhmessage.NewPeer("c2", "f2"), Founders: []dhmessage.Member{dhmessage.NewMember(dhmessage.NewPeer("c2", "f2"), "", false)}},
-	}), Seams{
-		Self: dhmessage.NewPeer("c2", "f2"), Clock: dhtime.System(), TickInterval: time.Millisecond, Random: func() uint64 { return 1 },
-		Send: func(string, dhmessage.Message) {},
-		Persist: func([]*dheffect.Persist) error {
-			select {
-			case stalled <- struct{}{}:
-			default:
-			}
-			<-release
-			return nil
-		},
-		SaveSnapshot: func(*dheffect.SaveSnapshot) error { return nil },
-		Execute:      func(dheffect.Effect) {},
+	loop := newLoopWithDisk(func([]*dheffect.Persist) error {
+		select {
+		case stalled <- struct{}{}:
+		default:
+		}
+		<-release
+		return nil
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -92,7 +92,7 @@
 	p.serverLog = o.Logs.StandardLogger(o.Clock)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.addressBook = dhpeer.NewAddressBook(addressesOf(o.Voters))
-	p.controlClient = dhcontrolclient.New(dhcontrolclient.Options{Clock: o.Clock, Post: p.post})
+	p.controlClient = dhcontrolclient.New(dhcontrolclient.Options{Clock: o.Clock, Post: p.post, LoopEnded: func() <-chan struct{} { return p.loop.Ended() }})
 	return p
 }
 
--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -44,6 +44,8 @@
 	// requests before it closes its listeners, so that late callers get a
 	// refusal instead of a connection error, in milliseconds.
 	minRefusalTime dhclock.Millis = 500
+	// handoverReplyTime is how long the control loop may take to answer after HandoverTimeout.
+	handoverReplyTime = 100 * time.Millisecond
 	// quietTicks is for how many stopCheckIntervals no caller must have sent anything
 	// before a stopping instance closes connections that callers keep open: longer than a
 	// request takes on its way between distant regions. They are counted, because time also
@@ -263,12 +265,14 @@
 }
 
 // handOverVote waits until another control process has the vote of this one, if votes move
-// automatically.
+// automatically. The control loop, which keeps HandoverTimeout, may stand still or have ended.
 func (p *Process) handOverVote() {
 	if p.options.Managed == nil {
 		return
 	}
-	result, err := p.controlClient.Leave(p.ctx, p.options.HandoverTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, dhtime.Duration(p.options.HandoverTimeout)+handoverReplyTime)
+	defer cancel()
+	result, err := p.controlClient.Leave(ctx, p.options.HandoverTimeout)
 	if err != nil || result.OutcomeUnknown() {
 		p.log.WithError(err).Warn("stopping without a successor for this process's vote")
 	}
