Let a leader that hears no majority give way

Callers saw no change accepted anywhere for as long as a leader reached the others and wasn't reached: followers that hear a leader elect nobody and grant no vote, and a leader had no rule to give way.

A leader gives way once no majority has responded for 1 s. It counts from when responses arrive, not from the age of the confirmed round, which grows with the round trip on slow links. It stays in its term, sends no more heartbeats, and stands later than those that time out. A candidate leaves an election to one with a lower name for 700 ms at most: one that isn't reached asks again and again without winning.

--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -84,6 +84,7 @@
 	n.role = leader
 	n.leader = n.self.Name()
 	n.grantedVotes = nil
+	clear(n.deferredSince)
 	n.leaderState = leaderState{
 		electedAt:         n.now,
 		progress:          map[string]*progress{},
@@ -134,6 +135,10 @@
 }
 
 func (n *Node) tickLeader(out *dheffect.List) {
+	if n.now.Since(n.lastQuorumContact()) >= quorumTimeout {
+		n.giveWay(out)
+		return
+	}
 	isHeartbeatDue := n.now.Since(n.leaderState.lastBroadcast) >= HeartbeatInterval
 	if isHeartbeatDue || n.leaderState.learnersBehind && n.areLearnersDue() {
 		n.broadcastAppend(out)
@@ -141,6 +146,26 @@
 	n.proposeMemberUpdate(out)
 }
 
+// lastQuorumContact returns when a majority had responded to this leader at that time or later; its
+// election counts as a response. The age of the confirmed round doesn't tell: on slow links it grows
+// with the round trip, while responses arrive all the time.
+func (n *Node) lastQuorumContact() dhclock.Millis {
+	at := n.quorumValue(uint64(n.now), func(p *progress) uint64 { return uint64(p.lastContact) })
+	return max(dhclock.Millis(at), n.leaderState.electedAt)
+}
+
+// giveWay ends the leadership of a node that reaches others, but isn't reached: followers that hear
+// from a leader elect no other one. Its lease has ended by then, so it may vote at once. It stands
+// later than they do.
+func (n *Node) giveWay(out *dheffect.List) {
+	out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: layer, Text: "gives way: a majority doesn't respond", Number: n.term}))
+	n.becomeFollower()
+	n.leader = ""
+	n.lastContact = n.now - ElectionTimeout
+	n.resetElectionTimeout()
+	n.electionTimeout += ElectionTimeout + lateElectionDelay
+}
+
 // Parameters of messages to learners, on which no commit waits.
 const (
 	// promptLearners is the number of learners that get each change at once.
--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -23,6 +23,9 @@
 	ElectionTimeout dhclock.Millis = 400
 	// ElectionJitter is the range of the random part of the timeout.
 	ElectionJitter dhclock.Millis = 300
+	// quorumTimeout is how long a leader leads on without responses of a majority. It is longer than
+	// the gap that links leave whose delay varies by up to an election timeout each way.
+	quorumTimeout = 5 * ElectionTimeout / 2
 	// preVoteRetryInterval is the least time after an unsuccessful pre-vote
 	// until the next one, and preVoteJitter the range of the random part. The
 	// interval is short because a pre-vote binds no voter, and because after a
@@ -101,6 +104,9 @@
 	// or pre-vote; nil if the node leaves it to another candidate.
 	grantedVotes map[string]bool
 	preVote      bool
+	// deferredSince has since when this node leaves elections to each other candidate, while it knows
+	// no leader.
+	deferredSince map[string]dhclock.Millis
 	// resigned is set once the process is about to stop: it leaves elections to others.
 	resigned bool
 
@@ -120,6 +126,7 @@
 		lastContact:  o.Now,
 		lastAppendAt: o.Now,
 
+		deferredSince:     map[string]dhclock.Millis{},
 		externalPromotion: o.ExternalPromotion,
 	}
 	n.resetElectionTimeout()
--- a/core/dhconsensus/vote.go
+++ b/core/dhconsensus/vote.go
@@ -45,8 +45,7 @@
 	if !m.PreVote() && m.Term() > n.term && granted {
 		n.stepDown(m.Term(), out)
 	}
-	if granted && m.PreVote() && n.role == candidate && n.preVote && from.Name() < n.self.Name() {
-		// Two elections at once would split the votes.
+	if granted && m.PreVote() && n.role == candidate && n.preVote && n.defersTo(from) {
 		n.grantedVotes = nil
 		n.lastContact = n.now
 	}
@@ -64,6 +63,20 @@
 	}), out)
 }
 
+// deferTimeout is how long a candidate leaves an election to another one.
+const deferTimeout = ElectionTimeout + ElectionJitter
+
+// defersTo reports whether this candidate leaves the election to another one: two elections at once
+// would split the votes. A candidate that hasn't won for long may reach others without being reached.
+func (n *Node) defersTo(other dhmessage.Peer) bool {
+	since, found := n.deferredSince[other.Name()]
+	if !found {
+		since = n.now
+		n.deferredSince[other.Name()] = since
+	}
+	return other.Name() < n.self.Name() && n.now.Since(since) < deferTimeout
+}
+
 // canGrantVote applies the rules for granting a vote. A voter that had contact
 // with a leader within the election timeout grants no vote, so that the
 // leader's lease holds and a voter that returns from a partition doesn't
--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -84,6 +84,9 @@
 	due  dhclock.Millis // earliest time at which run delivers it
 }
 
+// link is the way of packets from one machine to another one.
+type link struct{ from, to string }
+
 // fatalReporter is the part of testing.TB and rapid.T that ends a test.
 type fatalReporter interface {
 	Fatalf(format string, args ...any)
@@ -98,6 +101,7 @@
 	voters            []string
 	packets           []packet
 	partitioned       map[string]bool // machines that reach only each other
+	cutLinks          map[link]bool   // links on which packets are dropped
 	random            uint64
 	lastCorrelationID uint64
 	replies           map[uint64]dhmessage.Result
@@ -128,7 +132,7 @@
 // newNetwork returns a network of running voters and entry instances.
 func newNetwork(t fatalReporter, voters int, entries ...string) *network {
 	n := &network{
-		t: t, now: 1_000_000, partitioned: map[string]bool{}, random: 1, replies: map[uint64]dhmessage.Result{},
+		t: t, now: 1_000_000, partitioned: map[string]bool{}, cutLinks: map[link]bool{}, random: 1, replies: map[uint64]dhmessage.Result{},
 		crashBeforeEffects: func(*machine) bool { return false },
 	}
 	var founders []dhmessage.Member
@@ -277,12 +281,12 @@
 	m.version, m.view = v.Catalog().Version(), v
 }
 
-// deliver removes the packet at an index and delivers it, unless a partition
+// deliver removes the packet at an index and delivers it, unless a partition or a cut link
 // separates sender and receiver.
 func (n *network) deliver(i int) {
 	p := n.packets[i]
 	n.packets = slices.Delete(n.packets, i, i+1)
-	if n.partitioned[p.from.Name()] != n.partitioned[p.to] && p.from.Name() != p.to {
+	if n.partitioned[p.from.Name()] != n.partitioned[p.to] && p.from.Name() != p.to || n.cutLinks[link{p.from.Name(), p.to}] {
 		return
 	}
 	m := n.find(p.to)
@@ -372,7 +376,7 @@
 // recover.
 func (n *network) heal() {
 	n.crashBeforeEffects = func(*machine) bool { return false }
-	n.partitioned = map[string]bool{}
+	n.partitioned, n.cutLinks = map[string]bool{}, map[link]bool{}
 	n.packets = nil
 	n.lossPercent, n.delayPercent, n.duplicatePercent = 0, 0, 0
 	for _, m := range n.machines {
