Add full disks and one-way silence to the test cluster

SetDiskFull sets RLIMIT_FSIZE of a running process by prlimit, which needs no root; the Go runtime ignores SIGXFSZ, so a write fails with EFBIG. Cluster.SetSilent holds back what a process gets or what it sends, whichever side opened the connection; SetCallsSilent only the requests of others to it.

--- a/io/dhtestcluster/cluster.go
+++ b/io/dhtestcluster/cluster.go
@@ -180,6 +180,30 @@
 	}
 }
 
+// SetSilent holds back what others send to a process, ToTarget, or what it sends to them, FromTarget:
+// requests and responses, on connections that either side has opened. What several processes send over
+// one link counts as sent to the accepting one only.
+func (c *Cluster) SetSilent(name string, d Direction, silent bool) {
+	for key, l := range c.links {
+		switch name {
+		case key[1]:
+			l.SetSilent(d, silent)
+		case key[0]:
+			l.SetSilent(1-d, silent)
+		}
+	}
+}
+
+// SetCallsSilent holds back the requests of other processes to one. Its own requests and the
+// responses to them still arrive.
+func (c *Cluster) SetCallsSilent(name string, silent bool) {
+	for key, l := range c.links {
+		if key[1] == name {
+			l.SetSilent(ToTarget, silent)
+		}
+	}
+}
+
 func (c *Cluster) writeSettings(p *Process) {
 	type voter struct {
 		Name    string `json:"name"`
--- a/io/dhtestcluster/process.go
+++ b/io/dhtestcluster/process.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Process is one process of the program, which may be started several times. It embeds
@@ -111,6 +113,23 @@
 // Signal sends a signal. It returns an error if the process has ended.
 func (r *Run) Signal(s os.Signal) error { return r.command.Process.Signal(s) }
 
+// SetDiskFull makes each write of the process to a file fail, or lets them succeed again. It returns
+// an error if the process has ended.
+func (r *Run) SetDiskFull(full bool) error {
+	if err := r.Signal(syscall.Signal(0)); err != nil {
+		return err
+	}
+	var limit unix.Rlimit
+	if err := unix.Prlimit(r.command.Process.Pid, unix.RLIMIT_FSIZE, nil, &limit); err != nil {
+		return err
+	}
+	limit.Cur = limit.Max
+	if full {
+		limit.Cur = 0
+	}
+	return unix.Prlimit(r.command.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil)
+}
+
 // Kill ends the process at once and waits for its end.
 func (r *Run) Kill() {
 	_ = r.Signal(syscall.SIGCONT) // fails if the process has ended
