End a process in its time to stop while its disk stalls

Now they have what is left of CloseTimeout, 200 ms at least, after which the process exits as in a crash: what it acknowledged is synced. A platform's control process with 5 s to stop then needs at most 3.5 + 0.9 + 0.2 + 0.2 s by its settings, if its handover is bounded. Not mended: an exit itself waits for a thread that the kernel holds in an uninterruptible sync.

Seen on x86-64.

--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -49,6 +49,8 @@
 	// request takes on its way between distant regions. They are counted, because time also
 	// passes while the process is paused and reads nothing.
 	quietTicks = 25
+	// endTimeout is the least time for which a stop waits for the goroutines of the process.
+	endTimeout = 200 * time.Millisecond
 )
 
 var emptyCatalog = dhcatalog.New()
@@ -304,9 +306,11 @@
 // Stop stops the process without waiting for open requests, except that
 // responses being written have CloseTimeout to finish, and handlers whose connections are cut
 // handlerTimeout. Callers get answers while the other
-// servers close, which peers that wait for updates delay.
+// servers close, which peers that wait for updates delay. What waits for a stalled disk has the rest
+// of CloseTimeout to end, at least endTimeout: the process can end without it, as in a crash.
 func (p *Process) Stop() {
 	timeout := dhtime.Duration(p.options.CloseTimeout)
+	endBy := time.Now().Add(timeout)
 	if p.callerServer == nil {
 		shutDown(timeout, p.servers...)
 	} else {
@@ -317,6 +321,21 @@
 		p.log.WithField("running", running).Warn("stopping while handlers of cut connections run")
 	}
 	p.cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.end()
+	}()
+	select {
+	case <-ended:
+		p.log.Info("stopped")
+	case <-time.After(max(endTimeout, time.Until(endBy))):
+		p.log.Error("stopped while files are being written; check the disk of the data folder")
+	}
+}
+
+// end waits until the goroutines of the process have ended, and closes what they use.
+func (p *Process) end() {
 	p.goroutines.Wait()
 	p.sender.Wait()
 	if p.entry != nil {
@@ -327,7 +346,6 @@
 			p.log.WithError(err).Error("closing the data folder failed")
 		}
 	}
-	p.log.Info("stopped")
 }
 
 // shutDown closes servers at the same time. Connections that are in use after the timeout are
