Tell a process's contact with the consensus group and why nobody leads

Cause: the control state tells neither role nor term nor whom it hears, and a candidacy leaves no line unless it is won. StatusRequested would do, but its reply visits all instances, 870 at the target.

ContactRequested is answered with role, term, the time since each voter and another leader were heard, and why this process isn't in an election or doesn't win it. The consensus layer logs each change of role once, and once in a candidacy that it has won no election for 2 s; a voter that is alone wins at once and logs only that it leads, as before. When a member was last heard is kept for 10 minutes: it was forgotten with a change of the leader. No test shows that part red.

TestProcessDoesNotTellWhyNobodyLeads doesn't build without the event.

--- a/core/dhconsensus/follow.go
+++ b/core/dhconsensus/follow.go
@@ -13,13 +13,13 @@
 		return false
 	}
 	if term > n.term {
-		n.stepDown(term, out)
+		n.stepDown(term, from, out)
 	}
 	if n.role != follower {
-		n.becomeFollower()
+		n.becomeFollower("gives way to a leader", from.Name(), out)
 	}
 	n.leader = from.Name()
-	n.lastContact = n.now
+	n.lastContact, n.leaderHeardAt = n.now, n.now
 	return true
 }
 
--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -240,7 +240,7 @@
 
 func (n *Node) handleAppendResponse(from dhmessage.Peer, m *dhmessage.AppendResponse, out *dheffect.List) {
 	if m.Term() > n.term {
-		n.stepDown(m.Term(), out)
+		n.stepDown(m.Term(), from, out)
 		return
 	}
 	if n.role != leader || m.Term() < n.term {
--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -36,6 +36,8 @@
 	// snapshotResendInterval is the time after which a snapshot without a
 	// response is sent again.
 	snapshotResendInterval dhclock.Millis = 10_000
+	// candidacyLogDelay is how long a node is a candidate before it logs that it wins no election.
+	candidacyLogDelay = 2 * dhclock.Second
 )
 
 // maxAppendEntries is the greatest number of entries in one message.
@@ -100,7 +102,15 @@
 	// grantedVotes holds the names of the voters that granted the current vote
 	// or pre-vote; nil if the node leaves it to another candidate.
 	grantedVotes map[string]bool
+	// refusedVotes holds the names of the voters that refused it.
+	refusedVotes map[string]bool
 	preVote      bool
+	// candidateSince is when the current or last candidacy started, and isCandidacyLogged is set
+	// once it was logged that it wins no election.
+	candidateSince    dhclock.Millis
+	isCandidacyLogged bool
+	// leaderHeardAt is when the last message of another leader arrived; 0 if there was none.
+	leaderHeardAt dhclock.Millis
 	// resigned is set once the process is about to stop: it leaves elections to others.
 	resigned bool
 
@@ -248,10 +258,10 @@
 
 // Resign leaves elections to others, because the process is about to stop. The node still votes
 // and replicates, and a leader leads on: an election would delay the handover of its vote.
-func (n *Node) Resign() {
+func (n *Node) Resign(out *dheffect.List) {
 	n.resigned = true
 	if n.role == candidate {
-		n.becomeFollower()
+		n.becomeFollower("gives way: the process is about to stop", "", out)
 	}
 }
 
@@ -272,16 +282,20 @@
 	}
 }
 
-// stepDown enters a newer term as a follower.
-func (n *Node) stepDown(term uint64, out *dheffect.List) {
+// stepDown enters a newer term, of which a peer tells, as a follower.
+func (n *Node) stepDown(term uint64, from dhmessage.Peer, out *dheffect.List) {
 	n.term = term
 	n.votedFor = ""
 	n.leader = ""
-	n.becomeFollower()
+	n.becomeFollower("gives way to a newer term", from.Name(), out)
 	n.persist(nil, out)
 }
 
-func (n *Node) becomeFollower() {
+// becomeFollower ends a candidacy or leadership. The reason and the peer that caused it are logged.
+func (n *Node) becomeFollower(reason, peer string, out *dheffect.List) {
+	if n.role != follower {
+		out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: layer, Text: reason, Peer: peer, Number: n.term}))
+	}
 	n.role = follower
 	n.leaderState = leaderState{}
 	n.grantedVotes = nil
--- a/core/dhconsensus/vote.go
+++ b/core/dhconsensus/vote.go
@@ -8,10 +8,14 @@
 // startElection requests a pre-vote, or a vote in a new term, from the other
 // voters.
 func (n *Node) startElection(pre bool, out *dheffect.List) {
+	if pre {
+		n.logLostElection(out)
+	}
+	wasCandidate, formerLeader := n.role == candidate, n.leader
 	n.role = candidate
 	n.preVote = pre
 	n.leader = ""
-	n.grantedVotes = map[string]bool{}
+	n.grantedVotes, n.refusedVotes = map[string]bool{}, map[string]bool{}
 	if n.isVoter(n.self) {
 		n.grantedVotes[n.self.Name()] = true
 	}
@@ -34,6 +38,9 @@
 		}
 	}
 	n.tallyVotes(out)
+	if !wasCandidate {
+		n.logCandidacy(formerLeader, out)
+	}
 }
 
 // handleVoteRequest responds even to a candidate that isn't a member by this
@@ -43,7 +50,7 @@
 func (n *Node) handleVoteRequest(from dhmessage.Peer, m *dhmessage.VoteRequest, out *dheffect.List) {
 	granted := n.canGrantVote(from, m)
 	if !m.PreVote() && m.Term() > n.term && granted {
-		n.stepDown(m.Term(), out)
+		n.stepDown(m.Term(), from, out)
 	}
 	if granted && m.PreVote() && n.role == candidate && n.preVote && from.Name() < n.self.Name() {
 		// Two elections at once would split the votes.
@@ -90,14 +97,21 @@
 func (n *Node) handleVoteResponse(from dhmessage.Peer, m *dhmessage.VoteResponse, out *dheffect.List) {
 	grantedPreVote := m.PreVote() && m.Granted()
 	if m.Term() > n.term && !grantedPreVote {
-		n.stepDown(m.Term(), out)
+		n.stepDown(m.Term(), from, out)
 		return
 	}
 	requestedTerm := n.term
 	if n.preVote {
 		requestedTerm++
 	}
-	if n.role != candidate || n.grantedVotes == nil || m.PreVote() != n.preVote || m.Term() != requestedTerm || !m.Granted() || !n.isVoter(from) {
+	if n.role != candidate || n.grantedVotes == nil || m.PreVote() != n.preVote || !n.isVoter(from) {
+		return
+	}
+	if !m.Granted() {
+		n.refusedVotes[from.Name()] = true
+		return
+	}
+	if m.Term() != requestedTerm {
 		return
 	}
 	n.grantedVotes[from.Name()] = true
--- a/core/dhcontrol/leave.go
+++ b/core/dhcontrol/leave.go
@@ -18,11 +18,11 @@
 // startLeaving reports that this process is about to stop. A voter under automatic management
 // hands over its vote first: one that is gone would count as lost until the leader has
 // noticed, although it has a successor. The leader leads on until it has none.
-func (s *State) startLeaving(e *dhevent.LeaveStarted) {
+func (s *State) startLeaving(e *dhevent.LeaveStarted, out *dheffect.List) {
 	s.distribution.StartLeaving()
 	if s.automation != nil && s.voter != nil {
 		s.automation.isLeaving, s.automation.lastJoin = true, 0
-		s.voter.node.Resign()
+		s.voter.node.Resign(out)
 	}
 	if e.CorrelationID() != 0 {
 		s.leave = &pendingLeave{correlationID: e.CorrelationID(), deadline: s.now + e.Timeout()}
--- a/core/dhcontrol/referral.go
+++ b/core/dhcontrol/referral.go
@@ -11,6 +11,9 @@
 // A control process that is cut off from the majority can't commit anything, and its callers have
 // little time. It refers them to a voter that it doesn't hear from: that one is on the other side.
 
+// heardRetention is how long it is kept when a member was last heard that may have left the group.
+const heardRetention = 600 * dhclock.Second
+
 // reachability is what a control process knows of its contact with the others.
 type reachability struct {
 	// lastHeard is when the last message of each member of the consensus group arrived.
@@ -42,7 +45,7 @@
 		return
 	}
 	r.hasLeader, r.changedAt = hasLeader, now
-	maps.DeleteFunc(r.lastHeard, func(name string, _ dhclock.Millis) bool { return !r.hears(name, now) })
+	maps.DeleteFunc(r.lastHeard, func(_ string, at dhclock.Millis) bool { return now.Since(at) > heardRetention })
 }
 
 // tickReachability records whether this process knows a leader, and whether it leads with a majority.
--- a/core/dhcontrol/state.go
+++ b/core/dhcontrol/state.go
@@ -146,6 +146,8 @@
 		s.distribution.PollNow()
 	case *dhevent.StatusRequested:
 		out.Add(dheffect.NewStatusReply(dheffect.StatusReplyOptions{CorrelationID: e.CorrelationID(), Status: s.status()}))
+	case *dhevent.ContactRequested:
+		out.Add(dheffect.NewContactReply(dheffect.ContactReplyOptions{CorrelationID: e.CorrelationID(), Contact: s.contact()}))
 	case *dhevent.MemoryRequested:
 		out.Add(dheffect.NewMemoryReply(dheffect.MemoryReplyOptions{CorrelationID: e.CorrelationID(), Memory: s.memoryStatus()}))
 	case *dhevent.HistoryRequested:
@@ -164,7 +166,7 @@
 		s.proposals.voters = e.Names()
 		s.distribution.SetSeeds(s.now, e.Names())
 	case *dhevent.LeaveStarted:
-		s.startLeaving(e)
+		s.startLeaving(e, out)
 	}
 	s.applyCommitted(out)
 }
--- a/core/dhevent/control.go
+++ b/core/dhevent/control.go
@@ -210,6 +210,26 @@
 // CorrelationID returns the number that the reply repeats.
 func (e *MemoryRequested) CorrelationID() uint64 { return e.options.CorrelationID }
 
+// ContactRequestedOptions are the fields of a ContactRequested.
+type ContactRequestedOptions struct {
+	// CorrelationID is the number that the reply repeats.
+	CorrelationID uint64
+}
+
+// ContactRequested asks for this process's contact with the consensus group.
+type ContactRequested struct {
+	stamp
+	options ContactRequestedOptions
+}
+
+// NewContactRequested returns a ContactRequested.
+func NewContactRequested(at dhclock.Millis, o ContactRequestedOptions) *ContactRequested {
+	return &ContactRequested{stamp: stamp{at: at}, options: o}
+}
+
+// CorrelationID returns the number that the reply repeats.
+func (e *ContactRequested) CorrelationID() uint64 { return e.options.CorrelationID }
+
 // HistoryRequestedOptions are the fields of a HistoryRequested.
 type HistoryRequestedOptions struct {
 	// CorrelationID is the number that the reply repeats.
--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -55,6 +55,8 @@
 		return e.CorrelationID(), true
 	case *dheffect.StatusReply:
 		return e.CorrelationID(), true
+	case *dheffect.ContactReply:
+		return e.CorrelationID(), true
 	case *dheffect.MemoryReply:
 		return e.CorrelationID(), true
 	case *dheffect.HistoryReply:
@@ -183,6 +185,17 @@
 	return dheffect.Status{}, err
 }
 
+// Contact returns the contact of this process with the consensus group.
+func (c *Client) Contact(ctx context.Context) (dheffect.Contact, error) {
+	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+		return dhevent.NewContactRequested(at, dhevent.ContactRequestedOptions{CorrelationID: correlationID})
+	})
+	if r, ok := e.(*dheffect.ContactReply); ok {
+		return r.Contact(), nil
+	}
+	return dheffect.Contact{}, err
+}
+
 // Memory returns how much the control state of this process holds.
 func (c *Client) Memory(ctx context.Context) (dheffect.MemoryStatus, error) {
 	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
