--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -158,8 +158,7 @@
 // from a leader elect no other one. Its lease has ended by then, so it may vote at once. It stands
 // later than they do.
 func (n *Node) giveWay(out *dheffect.List) {
-	out.Add(dheffect.NewLog(dheffect.LogOptions{Layer: layer, Text: "gives way: a majority doesn't respond", Number: n.term}))
-	n.becomeFollower()
+	n.becomeFollower("gives way: a majority doesn't respond", "", out)
 	n.leader = ""
 	n.lastContact = n.now - ElectionTimeout
 	n.resetElectionTimeout()
@@ -265,7 +264,7 @@
 
 func (n *Node) handleAppendResponse(from dhmessage.Peer, m *dhmessage.AppendResponse, out *dheffect.List) {
 	if m.Term() > n.term {
-		n.stepDown(m.Term(), out)
+		n.stepDown(m.Term(), from, out)
 		return
 	}
 	if n.role != leader || m.Term() < n.term {
