End each request to a control loop that doesn't answer

Callers saw: status, history, claims, changes and reads of the operators' API at a process whose disk stalls, or whose loop has ended, stay open until the caller gives up, and a stopping control process waited for its handover without a bound. Cause: dhcontrolclient's calls end with their context alone; the timeouts that they carry are kept by the loop, the very party that is waited for. Now each call has a bound of its own: its timeout and 3 s more, 3 s without one, and the timeout itself for Leave, whose caller needs no result. Then it returns an UnansweredError (status 504, kind unsure), whose message names the remedy.

--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
 	"dogwoodhitch/core/dhcatalog"
@@ -14,6 +15,23 @@
 	"dogwoodhitch/io/dhtime"
 )
 
+// answerTimeout is how long a control loop may take to answer, beside the time for which a request
+// lets it wait for other processes.
+const answerTimeout = 3 * dhclock.Second
+
+// UnansweredError reports a request that the control loop hasn't answered, as while the disk of the
+// process stalls. Whether the request takes effect is unknown.
+type UnansweredError struct{ wait dhclock.Millis }
+
+// Wait returns for how long the request waited, in milliseconds.
+func (e UnansweredError) Wait() dhclock.Millis { return e.wait }
+
+// Error implements error.
+func (e UnansweredError) Error() string {
+	return fmt.Sprintf("the control loop of this process hasn't answered for %d ms; resend the request with the same id to another process, "+
+		"and check the disk of this one's data folder", e.wait)
+}
+
 // Options configure a Client.
 type Options struct {
 	Clock dhtime.Clock
@@ -66,8 +84,11 @@
 	}
 }
 
-// call posts an event with a new correlation ID and waits for the reply.
-func (c *Client) call(ctx context.Context, event func(at dhclock.Millis, correlationID uint64) dhevent.Event) (dheffect.Effect, error) {
+// call posts an event with a new correlation ID and waits for the reply, until the context ends or
+// for a time, after which it returns an UnansweredError.
+func (c *Client) call(ctx context.Context, wait dhclock.Millis, event func(at dhclock.Millis, correlationID uint64) dhevent.Event) (dheffect.Effect, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, dhtime.Duration(wait), UnansweredError{wait: wait})
+	defer cancel()
 	reply := make(chan dheffect.Effect, 1)
 	c.mutex.Lock()
 	c.lastID++
@@ -76,13 +97,16 @@
 	c.mutex.Unlock()
 	defer c.removePending(correlationID)
 	if err := c.options.Post(ctx, event(c.options.Clock.Now(), correlationID)); err != nil {
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
 		return nil, err
 	}
 	select {
 	case e := <-reply:
 		return e, nil
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, context.Cause(ctx)
 	}
 }
 
@@ -105,7 +129,7 @@
 // later ones may contradict isn't applied any more then. The outcome is unknown at once, with a
 // referral, if the caller can follow one and this process is cut off from the voters.
 func (c *Client) Propose(ctx context.Context, o ProposeOptions) (dhmessage.Result, error) {
-	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.call(ctx, o.Timeout+answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewProposalRequested(at, dhevent.ProposalRequestedOptions{
 			CorrelationID: correlationID, Command: o.Command, Timeout: o.Timeout, Expires: true, IsReferable: o.IsReferable,
 		})
@@ -117,7 +141,7 @@
 // was accepted before the call. The result has OutcomeUnknown set if that couldn't
 // be confirmed within the timeout.
 func (c *Client) ReadBarrier(ctx context.Context, timeout dhclock.Millis) (dhmessage.Result, error) {
-	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.call(ctx, timeout+answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewReadRequested(at, dhevent.ReadRequestedOptions{CorrelationID: correlationID, Timeout: timeout})
 	})
 	return resultOf(e), err
@@ -127,7 +151,7 @@
 // consensus group has its vote. The result has OutcomeUnknown set if it may still have its vote
 // after the timeout.
 func (c *Client) Leave(ctx context.Context, timeout dhclock.Millis) (dhmessage.Result, error) {
-	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.call(ctx, timeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewLeaveStarted(at, dhevent.LeaveStartedOptions{CorrelationID: correlationID, Timeout: timeout})
 	})
 	return resultOf(e), err
@@ -138,7 +162,7 @@
 // once a majority of voters has stored the change. The result has a referral if the upstream can
 // follow one and this process is cut off from the voters.
 func (c *Client) RecordUpstreamHeartbeat(ctx context.Context, u dhcatalog.Upstream, isReferable bool) (dhmessage.Result, error) {
-	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewUpstreamHeartbeatReceived(at, dhevent.UpstreamHeartbeatReceivedOptions{CorrelationID: correlationID, Upstream: u, IsReferable: isReferable})
 	})
 	return resultOf(e), err
@@ -157,7 +181,7 @@
 // DeregisterUpstream deregisters an upstream that stops. The result has a referral as that of
 // RecordUpstreamHeartbeat.
 func (c *Client) DeregisterUpstream(ctx context.Context, o DeregisterOptions) (dhmessage.Result, error) {
-	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewUpstreamDeregistered(at, dhevent.UpstreamDeregisteredOptions{
 			CorrelationID: correlationID, Name: o.Name, Incarnation: o.Incarnation, LatestIncarnation: o.LatestIncarnation, IsReferable: o.IsReferable,
 		})
@@ -174,7 +198,7 @@
 
 // Status returns the status of the system as this process sees it.
 func (c *Client) Status(ctx context.Context) (dheffect.Status, error) {
-	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewStatusRequested(at, dhevent.StatusRequestedOptions{CorrelationID: correlationID})
 	})
 	if r, ok := e.(*dheffect.StatusReply); ok {
@@ -185,7 +209,7 @@
 
 // Memory returns how much the control state of this process holds.
 func (c *Client) Memory(ctx context.Context) (dheffect.MemoryStatus, error) {
-	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewMemoryRequested(at, dhevent.MemoryRequestedOptions{CorrelationID: correlationID})
 	})
 	if r, ok := e.(*dheffect.MemoryReply); ok {
@@ -196,7 +220,7 @@
 
 // History returns what this process keeps of the accepted change sets.
 func (c *Client) History(ctx context.Context) (*dheffect.HistoryReply, error) {
-	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewHistoryRequested(at, dhevent.HistoryRequestedOptions{CorrelationID: correlationID})
 	})
 	if r, ok := e.(*dheffect.HistoryReply); ok {
@@ -207,7 +231,7 @@
 
 // Claim returns the record of a claim and whether this voter has one.
 func (c *Client) Claim(ctx context.Context, k dhmessage.ClaimKey) (dhmessage.ClaimRecord, bool, error) {
-	e, err := c.call(ctx, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewClaimRequested(at, dhevent.ClaimRequestedOptions{CorrelationID: correlationID, Key: k})
 	})
 	if r, ok := e.(*dheffect.ClaimReply); ok {
--- a/io/dherrors/errors.go
+++ b/io/dherrors/errors.go
@@ -11,6 +11,7 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhconsensus"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhcontrolclient"
 	"dogwoodhitch/io/dhdisk"
 	"dogwoodhitch/io/dhloop"
 	"dogwoodhitch/io/dhwire"
@@ -90,6 +91,7 @@
 	var format dhwire.FormatError
 	var corrupt dhdisk.CorruptionError
 	var busy dhloop.BusyError
+	var unanswered dhcontrolclient.UnansweredError
 	switch {
 	case errors.As(err, &conflict):
 		return KindConflict
@@ -107,6 +109,8 @@
 		return KindDataFolder
 	case errors.As(err, &busy):
 		return KindBusy
+	case errors.As(err, &unanswered):
+		return KindOutcomeUnknown
 	default:
 		return KindInternal
 	}
--- a/io/dhoperator/change.go
+++ b/io/dhoperator/change.go
@@ -83,8 +83,8 @@
 
 func (a *API) propose(ctx context.Context, c dhmessage.Command) (dhmessage.Result, error) {
 	result, err := a.options.Control.Propose(ctx, dhcontrolclient.ProposeOptions{Command: c, Timeout: operationTimeout})
-	switch {
-	case dherrors.KindOf(err) == dherrors.KindBusy:
+	switch kind := dherrors.KindOf(err); {
+	case kind == dherrors.KindBusy || kind == dherrors.KindOutcomeUnknown:
 		return result, err
 	case err != nil:
 		return result, dherrors.New(dherrors.KindOutcomeUnknown, "the request was cancelled before the result arrived", "resend it with the same id")
