Apply no grace period to the readiness of a control process

Callers saw: a control process whose loop had ended or stood still went on to say that it is ready, on the platform for an hour without strict revocation: the longest grace period of all organisations was added to its freshness lease of 3 s. The grace period is for instances, which serve their organisations without news; a control process serves nothing without its loop and a majority. Now it says 503 once its confirmation is older than the lease.

--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -426,19 +426,21 @@
 
 // ready returns the reason why the process can't serve, or nil. An instance
 // whose configuration may be out of date still serves organisations with a grace
-// period, so the longest grace period of all organisations applies.
+// period, so the longest grace period of all organisations applies. A control process serves
+// nothing without its control loop and a majority, so none applies to it.
 func (p *Process) ready() error {
 	if p.leaving.Load() {
 		return errLeaving
 	}
-	v := p.View()
+	v, grace := p.View(), dhclock.Millis(0)
 	if p.trafficState != nil {
 		// The traffic state may not have the newest view yet.
 		if v = p.trafficView.Load(); v == nil {
 			return errNotFresh
 		}
+		grace = v.Catalog().LongestStaleGrace()
 	}
-	if !v.Fresh(p.options.Clock.Now(), v.Catalog().LongestStaleGrace()) {
+	if !v.Fresh(p.options.Clock.Now(), grace) {
 		return errNotFresh
 	}
 	return nil
