--- a/io/dherrors/errors.go
+++ b/io/dherrors/errors.go
@@ -11,6 +11,7 @@
 	"dogwoodhitch/core/dhcatalog"
 	"dogwoodhitch/core/dhconsensus"
 	"dogwoodhitch/core/dhmessage"
+	"dogwoodhitch/io/dhcontrolclient"
 	"dogwoodhitch/io/dhdisk"
 	"dogwoodhitch/io/dhloop"
 	"dogwoodhitch/io/dhwire"
@@ -91,6 +92,7 @@
 	var corrupt dhdisk.CorruptionError
 	var busy dhloop.BusyError
 	var ended dhloop.EndedError
+	var unanswered dhcontrolclient.UnansweredError
 	switch {
 	case errors.As(err, &conflict):
 		return KindConflict
@@ -108,7 +110,7 @@
 		return KindDataFolder
 	case errors.As(err, &busy):
 		return KindBusy
-	case errors.As(err, &ended):
+	case errors.As(err, &ended), errors.As(err, &unanswered):
 		return KindOutcomeUnknown
 	default:
 		return KindInternal
