Leave instances that hear nothing out of look-ups

An instance whose polls arrive and that gets no response refuses each keyed request once its confirmation is 3 s old, and look-ups went on to name it for as long as that lasted: the leader took the polls' acknowledgements for contact in both ways. Cut in the other way, it was left out after 3 s.

An instance's own acknowledgement now has the age of its last contact with a member of the consensus group, directly or as confirmed by its parent, beyond the 1.2 s after which it asks other members. The leader's rule for old acknowledgements does the rest: look-ups leave it out within 6 s, and name it again after the cut. Updates of other instances count by their confirmations alone, since a zone of which no instance hears a member still has updates from its relay. A pause isn't counted, and an instance that stops says so at once.

--- a/core/dhdistribution/detachment.go
+++ b/core/dhdistribution/detachment.go
@@ -17,8 +17,10 @@
 	// newestHeard the newest confirmation that any process has told of.
 	heardAt     dhclock.Millis
 	newestHeard dhclock.Millis
-	isDetached  bool
-	lastUpdate  dhclock.Millis // when isDetached was last updated
+	// memberHeardAt is when the last update of a member of the consensus group arrived.
+	memberHeardAt dhclock.Millis
+	isDetached    bool
+	lastUpdate    dhclock.Millis // when isDetached was last updated
 	// lastProbe is when another candidate than the parent was last asked, and probes how often since
 	// the search for a newer confirmation began. The members are asked first, the last of them at
 	// searchedAt.
@@ -44,13 +46,17 @@
 // cut off itself.
 func (s *State) recordHeard(now dhclock.Millis, from string, m *dhmessage.Update) {
 	d := &s.detachment
+	isMember := slices.Contains(s.nearMembers, from) || slices.Contains(s.farMembers, from)
+	if isMember {
+		d.memberHeardAt = now
+	}
 	if m.EverConfirmed() {
 		d.newestHeard = max(d.newestHeard, now-m.Age())
 	}
 	switch {
 	case m.EverConfirmed() && m.Age() <= maxConfirmationAge:
 		d.heardAt, d.cutOff = now, nil
-	case d.probes > 0 && slices.Contains(s.MemberNames(), from) && !slices.Contains(d.cutOff, from):
+	case d.probes > 0 && isMember && !slices.Contains(d.cutOff, from):
 		d.cutOff = append(d.cutOff, from)
 	}
 }
@@ -64,7 +70,7 @@
 func (s *State) updateDetachment(now dhclock.Millis) {
 	d := &s.detachment
 	if gap := now.Since(d.lastUpdate); gap > maxUpdateGap {
-		d.heardAt += gap
+		d.heardAt, d.memberHeardAt = d.heardAt+gap, d.memberHeardAt+gap
 		d.probes, d.cutOff = 0, nil
 	}
 	d.lastUpdate = now
@@ -131,7 +137,7 @@
 		return
 	}
 	out.Add(dheffect.NewSend(dheffect.SendOptions{To: to, Message: dhmessage.NewPoll(dhmessage.PollOptions{
-		Version: s.catalog.Version(), SentAt: now, Acks: []dhmessage.Ack{s.ownAck()}, Probe: true,
+		Version: s.catalog.Version(), SentAt: now, Acks: []dhmessage.Ack{s.ownAck(now)}, Probe: true,
 	})}))
 }
 
--- a/core/dhdistribution/parent.go
+++ b/core/dhdistribution/parent.go
@@ -351,7 +351,7 @@
 func (s *State) collectAcks(now dhclock.Millis) []dhmessage.Ack {
 	var list []dhmessage.Ack
 	if !s.isVoter {
-		list = append(list, s.ownAck())
+		list = append(list, s.ownAck(now))
 	}
 	for _, r := range s.sortedAckRecords() {
 		if now.Since(r.lastContact) <= ackTTL && r.ack.Instance() != s.self {
@@ -363,8 +363,8 @@
 
 // ownAck returns the version that this instance has in force. It includes the
 // instance's record if the configuration lacks it or differs from it.
-func (s *State) ownAck() dhmessage.Ack {
-	a := dhmessage.NewAck(s.self, s.catalog.Version(), s.leaving)
+func (s *State) ownAck(now dhclock.Millis) dhmessage.Ack {
+	a := dhmessage.NewAck(s.self, s.catalog.Version(), s.leaving).WithAge(s.ownAckAge(now))
 	if s.advertised == nil {
 		return a
 	}
@@ -374,6 +374,16 @@
 	return a.WithAdvertisedInstance(*s.advertised)
 }
 
+// ownAckAge returns for how long this instance has had no contact with a member of the consensus group,
+// neither directly nor through its parent, beyond the time in which it finds another parent. It refuses
+// requests then, even if its polls reach the leader.
+func (s *State) ownAckAge(now dhclock.Millis) dhclock.Millis {
+	if s.leaving {
+		return 0
+	}
+	return max(0, now.Since(max(s.detachment.memberHeardAt, s.detachment.newestHeard))-maxConfirmationAge)
+}
+
 // recordMembers records the members that a parent names, unless those known here are newer. The
 // confirmation of the parent's configuration tells when it knew them.
 func (s *State) recordMembers(m *dhmessage.Update) {
--- a/core/dhdistribution/state.go
+++ b/core/dhdistribution/state.go
@@ -165,7 +165,7 @@
 // New returns the state of a process without a configuration.
 func New(o Options) *State {
 	s := &State{
-		detachment: detachment{timeout: cmp.Or(o.ContactTimeout, dhview.FreshnessLease), heardAt: o.Now, lastUpdate: o.Now},
+		detachment: detachment{timeout: cmp.Or(o.ContactTimeout, dhview.FreshnessLease), heardAt: o.Now, memberHeardAt: o.Now, lastUpdate: o.Now},
 		self:       o.Self, zone: o.Zone, configuredVoters: o.Voters, isVoter: o.IsVoter, advertised: o.Advertised,
 		catalog: dhcatalog.New(), appliedAt: o.Now, limitsChangedAt: o.Now, suspects: dhquarantine.NewSet(),
 		children: map[string]*child{}, ackRecords: map[string]*ackRecord{},
--- a/core/dhreducer/network_test.go
+++ b/core/dhreducer/network_test.go
@@ -97,7 +97,8 @@
 	machines          []*machine
 	voters            []string
 	packets           []packet
-	partitioned       map[string]bool // machines that reach only each other
+	partitioned       map[string]bool            // machines that reach only each other
+	isDropped         func(from, to string) bool // reports whether messages from one machine to another get lost
 	random            uint64
 	lastCorrelationID uint64
 	replies           map[uint64]dhmessage.Result
@@ -129,6 +130,7 @@
 func newNetwork(t fatalReporter, voters int, entries ...string) *network {
 	n := &network{
 		t: t, now: 1_000_000, partitioned: map[string]bool{}, random: 1, replies: map[uint64]dhmessage.Result{},
+		isDropped:          func(string, string) bool { return false },
 		crashBeforeEffects: func(*machine) bool { return false },
 	}
 	var founders []dhmessage.Member
@@ -282,7 +284,7 @@
 func (n *network) deliver(i int) {
 	p := n.packets[i]
 	n.packets = slices.Delete(n.packets, i, i+1)
-	if n.partitioned[p.from.Name()] != n.partitioned[p.to] && p.from.Name() != p.to {
+	if n.partitioned[p.from.Name()] != n.partitioned[p.to] && p.from.Name() != p.to || n.isDropped(p.from.Name(), p.to) {
 		return
 	}
 	m := n.find(p.to)
