Hold back what a leader hears, on real processes

Changes must go on being accepted while the leader of five voters is heard and doesn't hear. On this disk a voter syncs an entry within the 6 ms for which a call waits for its response, so the answers come back in the leader's own calls.

--- a/cmd/dogwoodhitch/fault_test.go
+++ b/cmd/dogwoodhitch/fault_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -151,6 +152,62 @@
 	})
 }
 
+// TestLeaderIsHeardAndDoesNotHear holds back the requests of the other processes to the leader, and in
+// one case also the responses to its own. Its requests reach them. Changes must go on being accepted.
+func TestLeaderIsHeardAndDoesNotHear(t *testing.T) {
+	for name, hold := range map[string]func(*dhtestcluster.Cluster, *dhtestcluster.Process){
+		"requests": func(c *dhtestcluster.Cluster, p *dhtestcluster.Process) { c.SetCallsSilent(p.Name(), true) },
+		"requests and responses": func(c *dhtestcluster.Cluster, p *dhtestcluster.Process) {
+			c.SetSilent(p.Name(), dhtestcluster.ToTarget, true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const silentTime, maxGap = 12 * time.Second, 4 * time.Second
+			c := newCluster(t, 5, "a1")
+			hold(c, c.Leader(c.Voters()...))
+			startedAt := time.Now()
+			lastAt, longest := startedAt, time.Duration(0)
+			for time.Since(startedAt) < silentTime {
+				isAccepted := submitAtAll(t, c)
+				longest = max(longest, time.Since(lastAt))
+				if isAccepted {
+					lastAt = time.Now()
+				}
+			}
+			t.Logf("%d changes were accepted, the longest time without one was %v", c.Version()-1, longest)
+			if longest > maxGap {
+				t.Errorf("no change was accepted for %v, want %v at most", longest, maxGap)
+			}
+		})
+	}
+}
+
+// submitAtAll submits a change set at all voters at once, and reports whether one accepted it in time.
+func submitAtAll(t *testing.T, c *dhtestcluster.Cluster) bool {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	raw := fmt.Sprintf(`{"id": "change-%d", "author": "test", "base": %d, "puts": [%s]}`,
+		c.Version()+1, c.Version(), organisationObject(fmt.Sprint("organisation-", c.Version())))
+	var submitting sync.WaitGroup
+	var isAccepted atomic.Bool
+	for _, v := range c.Voters() {
+		submitting.Go(func() {
+			if _, err := c.Client(v).SubmitJSON(ctx, []byte(raw), false, false); err == nil {
+				isAccepted.Store(true)
+				cancel()
+			}
+		})
+	}
+	submitting.Wait()
+	if !isAccepted.Load() {
+		time.Sleep(50 * time.Millisecond)
+		return false
+	}
+	c.SetVersion(c.Version() + 1)
+	return true
+}
+
 // TestFrozenLeader stops the leader's process by SIGSTOP until another leader has
 // accepted a change, and continues it. The old leader must then refuse a change
 // with a stale base as a conflict, and later changes must reach every process.
