Warn when the control loop stalls, and show its age and contact in the metrics

Cause: nothing outside the loop knows when it last passed. The loop now stores the time of each pass; the watch of the scheduling delay, which ticks once a second already, warns once when the last pass is 1 s old, and once when the loop goes on. It looks again after 100 ms before the first line, since a process that was paused has an old pass too. Process.Contact asks the loop for at most 50 ms, and not at all 500 ms after its last pass. /metrics has dogwoodhitch_loop_age_ms, and of control processes dogwoodhitch_role, dogwoodhitch_term and dogwoodhitch_voters_heard.

--- a/io/dhloop/loop.go
+++ b/io/dhloop/loop.go
@@ -73,15 +73,25 @@
 	mailbox chan dhevent.Event
 	// mailboxBytes is the approximate size of what the events in the mailbox hold.
 	mailboxBytes atomic.Int64
-	localEvents  []dhevent.Event // caused by effects of the batch, for the next one
-	effects      dheffect.List   // of the batch
+	// lastPass is when the last batch ended, or the loop was created, in milliseconds.
+	lastPass    atomic.Int64
+	localEvents []dhevent.Event // caused by effects of the batch, for the next one
+	effects     dheffect.List   // of the batch
 }
 
 // New returns a loop that is not running.
 func New(s *dhreducer.State, seams Seams) *Loop {
-	return &Loop{state: s, seams: seams, mailbox: make(chan dhevent.Event, mailboxSize)}
+	l := &Loop{state: s, seams: seams, mailbox: make(chan dhevent.Event, mailboxSize)}
+	l.recordPass()
+	return l
 }
 
+func (l *Loop) recordPass() { l.lastPass.Store(int64(l.now())) }
+
+// Age returns the time since the last pass of the loop ended. While the loop runs, it is at most
+// about a tick; it grows while a pass takes long, and once the loop has ended.
+func (l *Loop) Age() dhclock.Millis { return l.now().Since(dhclock.Millis(l.lastPass.Load())) }
+
 // BusyError reports an event that the mailbox has no room for.
 type BusyError struct{ bytes int }
 
@@ -160,6 +170,7 @@
 		if err := l.finishBatch(); err != nil {
 			return err
 		}
+		l.recordPass()
 	}
 }
 
--- a/io/dhprocess/memory.go
+++ b/io/dhprocess/memory.go
@@ -10,9 +10,11 @@
 // sizes of the time before.
 const memoryTimeout = 200 * time.Millisecond
 
-// serveMetrics serves the metrics with the current sizes of what the control state holds.
+// serveMetrics serves the metrics with the current sizes of what the control state holds, and the
+// contact with the consensus group.
 func (p *Process) serveMetrics(w http.ResponseWriter, r *http.Request) {
 	p.updateMemoryMetrics(r.Context())
+	p.updateContactMetrics()
 	p.metrics.ServeHTTP(w, r)
 }
 
--- a/io/dhprocess/operator_test.go
+++ b/io/dhprocess/operator_test.go
@@ -104,6 +104,10 @@
 		{"GET", "/readyz", "", "", 200, "{}"},
 		{"GET", "/metrics", "", "", 200, "dogwoodhitch_version 1"},
 		{"GET", "/metrics", "", "", 200, `dogwoodhitch_queued_events{to="control"}`},
+		{"GET", "/metrics", "", "", 200, "dogwoodhitch_loop_age_ms "},
+		{"GET", "/metrics", "", "", 200, `dogwoodhitch_role{role="leader"} 1`},
+		{"GET", "/metrics", "", "", 200, "dogwoodhitch_term 1"},
+		{"GET", "/metrics", "", "", 200, "dogwoodhitch_voters_heard 1"},
 		{"GET", "/metrics", "", "", 200, `dogwoodhitch_control_bytes{kind="history"}`},
 		{"GET", "/metrics", "", "", 200, `dogwoodhitch_queued_bytes{to="peers"} 0`},
 	}
--- a/io/dhprocess/scheduling.go
+++ b/io/dhprocess/scheduling.go
@@ -19,11 +19,12 @@
 )
 
 // watchSchedulingDelay reports how long work waits for processor time, as a gauge and,
-// while it is long, in the log.
+// while it is long, in the log. It also watches the control loop.
 func (p *Process) watchSchedulingDelay() {
 	ticker := time.NewTicker(schedulingInterval)
 	defer ticker.Stop()
 	delay := dhmetrics.NewSchedulingDelay()
+	w := loopWatch{age: p.loop.Age, log: p.log}
 	for {
 		select {
 		case <-p.ctx.Done():
@@ -35,5 +36,6 @@
 		if d >= longSchedulingDelay {
 			p.log.WithFields(logrus.Fields{"ms": d.Milliseconds()}).Warn("work waits for processor time")
 		}
+		w.check(p.ctx)
 	}
 }
