--- a/io/dhloop/loop.go
+++ b/io/dhloop/loop.go
@@ -73,14 +73,18 @@
 	mailbox chan dhevent.Event
 	// mailboxBytes is the approximate size of what the events in the mailbox hold.
 	mailboxBytes atomic.Int64
-	localEvents  []dhevent.Event // caused by effects of the batch, for the next one
-	effects      dheffect.List   // of the batch
-	ended        chan struct{}   // closed once Run has returned
+	// lastPass is when the last batch ended, or the loop was created, in milliseconds.
+	lastPass    atomic.Int64
+	localEvents []dhevent.Event // caused by effects of the batch, for the next one
+	effects     dheffect.List   // of the batch
+	ended       chan struct{}   // closed once Run has returned
 }
 
 // New returns a loop that is not running.
 func New(s *dhreducer.State, seams Seams) *Loop {
-	return &Loop{state: s, seams: seams, mailbox: make(chan dhevent.Event, mailboxSize), ended: make(chan struct{})}
+	l := &Loop{state: s, seams: seams, mailbox: make(chan dhevent.Event, mailboxSize), ended: make(chan struct{})}
+	l.recordPass()
+	return l
 }
 
 // EndedError reports an event that the loop can't reduce any more, because it has ended.
@@ -104,6 +108,12 @@
 	}
 }
 
+func (l *Loop) recordPass() { l.lastPass.Store(int64(l.now())) }
+
+// Age returns the time since the last pass of the loop ended. While the loop runs, it is at most
+// about a tick; it grows while a pass takes long, and once the loop has ended.
+func (l *Loop) Age() dhclock.Millis { return l.now().Since(dhclock.Millis(l.lastPass.Load())) }
+
 // BusyError reports an event that the mailbox has no room for.
 type BusyError struct{ bytes int }
 
@@ -190,6 +200,7 @@
 		if err := l.finishBatch(); err != nil {
 			return err
 		}
+		l.recordPass()
 	}
 }
 
