--- a/io/dhdisk/folder.go
+++ b/io/dhdisk/folder.go
@@ -49,7 +49,7 @@
 
 // Open locks a data folder and reads it. An empty folder gets a new identity
 // without founders, so its process starts without a vote. A torn record at the
-// end of the log is removed. Open returns a LockedError if another process uses
+// end of the log is removed, and so are files that a crash left incomplete. Open returns a LockedError if another process uses
 // the folder, an OwnerError if the folder belongs to another process name, and a
 // CorruptionError if a file is invalid in any other way.
 func Open(path, name string) (*Folder, error) {
@@ -71,6 +71,7 @@
 // open reads the locked folder, creates an identity if it is empty, and opens the
 // log for appending.
 func (f *Folder) open(name string) error {
+	f.removeIncomplete()
 	if _, err := os.Stat(filepath.Join(f.path, "identity")); errors.Is(err, fs.ErrNotExist) {
 		if err := f.requireEmpty(); err != nil {
 			return err
@@ -90,6 +91,14 @@
 	return f.openLog(segments)
 }
 
+// removeIncomplete removes the files that a crash left incomplete.
+func (f *Folder) removeIncomplete() {
+	incomplete, _ := filepath.Glob(filepath.Join(f.path, "*"+temporarySuffix))
+	for _, path := range incomplete {
+		os.Remove(path)
+	}
+}
+
 func (f *Folder) acquireLock() error {
 	lock, err := os.OpenFile(filepath.Join(f.path, "lock"), os.O_CREATE|os.O_RDWR, filePermission)
 	if err != nil {
--- a/io/dhdisk/record.go
+++ b/io/dhdisk/record.go
@@ -96,6 +96,9 @@
 	return validSize, nil
 }
 
+// temporarySuffix ends the names of files that are not complete yet.
+const temporarySuffix = ".tmp"
+
 // writeRecordFile atomically creates or replaces a file that contains a single
 // record, and syncs it.
 func writeRecordFile(path, magic string, payload []byte) error {
@@ -105,7 +108,7 @@
 // writeRecords atomically creates or replaces a file that contains the records that
 // write adds, and syncs it.
 func writeRecords(path, magic string, write func(add func(payload []byte) error) error) error {
-	temporary := path + ".tmp"
+	temporary := path + temporarySuffix
 	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermission)
 	if err != nil {
 		return err
@@ -124,10 +127,12 @@
 	if err == nil {
 		err = f.Sync()
 	}
-	if err = errors.Join(err, f.Close()); err != nil {
-		return err
+	err = errors.Join(err, f.Close())
+	if err == nil {
+		err = os.Rename(temporary, path)
 	}
-	if err := os.Rename(temporary, path); err != nil {
+	if err != nil {
+		os.Remove(temporary) // its space may be what the disk lacks
 		return err
 	}
 	return syncParent(path)
