--- a/io/dhdisk/folder.go
+++ b/io/dhdisk/folder.go
@@ -44,7 +44,9 @@
 	buffer        []byte        // encoded records before they are written
 	snapshotDone  chan struct{} // closed while no snapshot is being written
 	snapshotError error         // of the last snapshot; valid once snapshotDone is closed
-	state         State
+	// reportSnapshotError is called with the error of a snapshot that is written in the background.
+	reportSnapshotError func(error)
+	state               State
 }
 
 // Open locks a data folder and reads it. An empty folder gets a new identity
@@ -56,7 +58,7 @@
 	if err := os.MkdirAll(path, folderPermission); err != nil {
 		return nil, fmt.Errorf("create data folder: %w", err)
 	}
-	f := &Folder{path: path, snapshotDone: make(chan struct{})}
+	f := &Folder{path: path, snapshotDone: make(chan struct{}), reportSnapshotError: func(error) {}}
 	close(f.snapshotDone)
 	if err := f.acquireLock(); err != nil {
 		return nil, err
@@ -112,6 +114,10 @@
 	return nil
 }
 
+// ReportSnapshotErrors has a function called, by another goroutine, with the error of each snapshot that
+// is written in the background. It must be called before SaveSnapshot.
+func (f *Folder) ReportSnapshotErrors(report func(error)) { f.reportSnapshotError = report }
+
 // State returns the state that Open read from the folder.
 func (f *Folder) State() State { return f.state }
 
--- a/io/dhdisk/full_test.go
+++ b/io/dhdisk/full_test.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"testing"
 
+	"dogwoodhitch/core/dheffect"
 	"dogwoodhitch/core/dhmessage"
 )
 
@@ -58,3 +59,43 @@
 	openFolder(t, path)
 	requireNoTemporaryFile(t, path)
 }
+
+// TestFailedSnapshotEndsTheLoopLater stores a snapshot while the disk is full, and another one, of the
+// process's own or of the leader, once it isn't. The first failure must be reported and nothing lost.
+func TestFailedSnapshotEndsTheLoopLater(t *testing.T) {
+	for _, installed := range []bool{false, true} {
+		path := foundFolder(t)
+		f := openFolder(t, path)
+		var reported []error
+		f.ReportSnapshotErrors(func(err error) { reported = append(reported, err) })
+		persist(t, f, 1, newEntry(1, 1), newEntry(2, 1), newEntry(3, 1))
+		save := func(index uint64, installed bool) {
+			t.Helper()
+			if err := f.SaveSnapshot(dheffect.NewSaveSnapshot(dheffect.SaveSnapshotOptions{
+				Snapshot:  dhmessage.NewSnapshot(dhmessage.SnapshotOptions{Index: index, Term: 1}),
+				Installed: installed, Term: 1, VotedFor: "c1@x", RemainingEntries: []dhmessage.Entry{newEntry(index+1, 1)},
+			})); err != nil {
+				t.Fatalf("snapshot %d, of the leader: %v: %v", index, installed, err)
+			}
+		}
+		check := func(wantSnapshot uint64, wantEntries int) {
+			t.Helper()
+			s, err := Inspect(path)
+			if err != nil || s.Snapshot().Index() != wantSnapshot || len(s.Entries()) != wantEntries {
+				t.Fatalf("got snapshot %d, %d entries and error %v; want snapshot %d and %d entries", s.Snapshot().Index(), len(s.Entries()), err, wantSnapshot, wantEntries)
+			}
+		}
+		fillDisk(t, path, snapshotFile(2)+temporarySuffix)
+		save(2, false)
+		if err := f.WaitForSnapshot(); !errors.Is(err, syscall.ENOSPC) || len(reported) != 1 {
+			t.Fatalf("got error %v and reports %v, want one of %v", err, reported, syscall.ENOSPC)
+		}
+		persist(t, f, 1, newEntry(4, 1))
+		check(0, 4)
+		save(3, installed)
+		if err := f.WaitForSnapshot(); err != nil {
+			t.Fatal(err)
+		}
+		check(3, 1)
+	}
+}
--- a/io/dhdisk/snapshot.go
+++ b/io/dhdisk/snapshot.go
@@ -23,26 +23,22 @@
 // SaveSnapshot stores a snapshot and starts a new segment with the remaining log
 // entries. A snapshot installed by the leader replaces the log and is synced
 // before SaveSnapshot returns. Any other snapshot is written in the background;
-// it is skipped while an earlier one is being written, and the log then keeps
-// its entries until the next snapshot.
+// it is skipped while an earlier one is being written. If it is skipped or can't be written, the log
+// keeps its entries until the next snapshot.
 func (f *Folder) SaveSnapshot(e *dheffect.SaveSnapshot) error {
 	if e.Installed() {
-		if err := f.WaitForSnapshot(); err != nil {
-			return err
-		}
+		<-f.snapshotDone
 		if err := f.startSegment(e.Term(), e.VotedFor(), e.RemainingEntries()); err != nil {
 			return err
 		}
-		return f.storeSnapshot(e.Snapshot(), f.lastSegment)
+		f.snapshotError = f.storeSnapshot(e.Snapshot(), f.lastSegment)
+		return f.snapshotError
 	}
 	select {
 	case <-f.snapshotDone:
 	default:
 		return nil
 	}
-	if f.snapshotError != nil {
-		return f.snapshotError
-	}
 	if err := f.startSegment(e.Term(), e.VotedFor(), e.RemainingEntries()); err != nil {
 		return err
 	}
@@ -50,12 +46,15 @@
 	go func(done chan struct{}, firstSegment uint64) {
 		defer close(done)
 		f.snapshotError = f.storeSnapshot(e.Snapshot(), firstSegment)
+		if f.snapshotError != nil {
+			f.reportSnapshotError(f.snapshotError)
+		}
 	}(f.snapshotDone, f.lastSegment)
 	return nil
 }
 
 // WaitForSnapshot waits until no snapshot is being written and returns the error
-// of the last background write.
+// of the last one.
 func (f *Folder) WaitForSnapshot() error {
 	<-f.snapshotDone
 	return f.snapshotError
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -256,6 +256,9 @@
 		w := diskWatch{clock: p.options.Clock, log: p.log}
 		seams.Persist = func(list []*dheffect.Persist) error { return w.run(func() error { return f.Persist(list) }) }
 		seams.SaveSnapshot = func(e *dheffect.SaveSnapshot) error { return w.run(func() error { return f.SaveSnapshot(e) }) }
+		f.ReportSnapshotErrors(func(err error) {
+			p.log.WithError(err).Error("storing a snapshot failed; the log grows until one is stored; check the disk of the data folder")
+		})
 		o.Suspects = f.State().Suspects()
 	}
 	if j := p.options.Journal; j != nil {
