--- a/io/dhdisk/folder.go
+++ b/io/dhdisk/folder.go
@@ -44,19 +44,21 @@
 	buffer        []byte        // encoded records before they are written
 	snapshotDone  chan struct{} // closed while no snapshot is being written
 	snapshotError error         // of the last snapshot; valid once snapshotDone is closed
-	state         State
+	// reportSnapshotError is called with the error of a snapshot that is written in the background.
+	reportSnapshotError func(error)
+	state               State
 }
 
 // Open locks a data folder and reads it. An empty folder gets a new identity
 // without founders, so its process starts without a vote. A torn record at the
-// end of the log is removed. Open returns a LockedError if another process uses
+// end of the log is removed, and so are files that a crash left incomplete. Open returns a LockedError if another process uses
 // the folder, an OwnerError if the folder belongs to another process name, and a
 // CorruptionError if a file is invalid in any other way.
 func Open(path, name string) (*Folder, error) {
 	if err := os.MkdirAll(path, folderPermission); err != nil {
 		return nil, fmt.Errorf("create data folder: %w", err)
 	}
-	f := &Folder{path: path, snapshotDone: make(chan struct{})}
+	f := &Folder{path: path, snapshotDone: make(chan struct{}), reportSnapshotError: func(error) {}}
 	close(f.snapshotDone)
 	if err := f.acquireLock(); err != nil {
 		return nil, err
@@ -71,6 +73,7 @@
 // open reads the locked folder, creates an identity if it is empty, and opens the
 // log for appending.
 func (f *Folder) open(name string) error {
+	f.removeIncomplete()
 	if _, err := os.Stat(filepath.Join(f.path, "identity")); errors.Is(err, fs.ErrNotExist) {
 		if err := f.requireEmpty(); err != nil {
 			return err
@@ -90,6 +93,14 @@
 	return f.openLog(segments)
 }
 
+// removeIncomplete removes the files that a crash left incomplete.
+func (f *Folder) removeIncomplete() {
+	incomplete, _ := filepath.Glob(filepath.Join(f.path, "*"+temporarySuffix))
+	for _, path := range incomplete {
+		os.Remove(path)
+	}
+}
+
 func (f *Folder) acquireLock() error {
 	lock, err := os.OpenFile(filepath.Join(f.path, "lock"), os.O_CREATE|os.O_RDWR, filePermission)
 	if err != nil {
@@ -103,6 +114,10 @@
 	return nil
 }
 
+// ReportSnapshotErrors has a function called, by another goroutine, with the error of each snapshot that
+// is written in the background. It must be called before SaveSnapshot.
+func (f *Folder) ReportSnapshotErrors(report func(error)) { f.reportSnapshotError = report }
+
 // State returns the state that Open read from the folder.
 func (f *Folder) State() State { return f.state }
 
