Fill the disks of control processes one after the other

The test plays it on real processes of the platform's program and starts again those that end, as the platform does.

Red on (go test ./soak -run TestControlProcessesWithFullDisksNeverEnd): four of six processes log that their disk refused a write and run on, version 58 isn't acknowledged after the fourth, none of the six reads back a configuration.

--- a/io/dhtestcluster/machine.go
+++ b/io/dhtestcluster/machine.go
@@ -16,7 +16,7 @@
 	name, host, path string
 	runs             []*Run
 	startedAt        time.Time
-	isUp             bool
+	isUp, mayEnd     bool
 	problems         []string
 }
 
@@ -60,10 +60,17 @@
 	if err != nil {
 		return err
 	}
-	m.Run, m.runs, m.startedAt, m.isUp = r, append(m.runs, r), time.Now(), true
+	m.Run, m.runs, m.startedAt, m.isUp, m.mayEnd = r, append(m.runs, r), time.Now(), true, false
 	return nil
 }
 
+// FillDisk makes each write of the process to a file fail. The process may end by itself from then on.
+func (m *Machine) FillDisk() error {
+	m.checkRuns()
+	m.mayEnd = true
+	return m.SetDiskFull(true)
+}
+
 // Terminate sends a signal that ends the process, SIGTERM or SIGKILL.
 func (m *Machine) Terminate(s syscall.Signal) {
 	m.checkRuns()
@@ -71,9 +78,9 @@
 	_ = m.Signal(s) // fails if the process has ended
 }
 
-// checkRuns records that the process has ended by itself.
+// checkRuns records that the process has ended by itself, which it may only after its disk was full.
 func (m *Machine) checkRuns() {
-	if m.isUp && m.HasEnded() {
+	if m.isUp && !m.mayEnd && m.HasEnded() {
 		m.problems = append(m.problems, fmt.Sprintf("%s ended with exit code %d, by signal %v", m.name, m.ExitCode(), m.EndedBy()))
 	}
 }
--- a/soak/core_fault_test.go
+++ b/soak/core_fault_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -17,12 +18,21 @@
 	unplannedEvent = "unplanned replacement"
 	killEvent      = "kill and return"
 	diskEvent      = "lost disk"
+	fullDiskEvent  = "full disk"
 	zoneEvent      = "lost zone"
 	regionEvent    = "lost region"
 	allEvent       = "all killed"
 	pauseEvent     = "pause"
 )
 
+// The times of a full disk.
+const (
+	fullDiskTime = 2 * time.Second // for which it is full
+	diskEndTime  = 2 * time.Second // by which a process ends whose disk refused a write
+	// diskFailureTime is the time by which a process has logged that a write was refused.
+	diskFailureTime = 100 * time.Millisecond
+)
+
 // coreEvent is a drawn event.
 type coreEvent struct {
 	kind     string
@@ -138,6 +148,10 @@
 		sleep(c.t.Context(), e.down)
 		c.startSuccessors(e)
 		c.recover(e.zones)
+	case fullDiskEvent:
+		c.fillDisks(old)
+		sleep(c.t.Context(), e.down)
+		c.recover(e.zones, c.freeDisks(old)...)
 	case pauseEvent:
 		c.signal(old, syscall.SIGSTOP)
 		sleep(c.t.Context(), e.down)
@@ -183,6 +197,48 @@
 	}
 }
 
+// fillDisks makes the disks of machines refuse each write.
+func (c *core) fillDisks(list []*coreMachine) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, m := range list {
+		c.timeLine.add("%s: disk full (error %v)", m.Name(), m.FillDisk())
+	}
+	c.lossAt = time.Now()
+	c.faults.lastAt = c.lossAt
+}
+
+// freeDisks makes full disks take bytes again, and returns the machines whose processes have ended. A
+// process runs on only if its disk refused nothing.
+func (c *core) freeDisks(list []*coreMachine) (ended []*coreMachine) {
+	deadline := time.Now().Add(diskEndTime)
+	for _, m := range list {
+		c.timeLine.add("%s: disk not full (error %v)", m.Name(), m.SetDiskFull(false))
+	}
+	sleep(c.t.Context(), diskFailureTime)
+	for _, m := range list {
+		for !m.HasEnded() && hasFailed(m) && time.Now().Before(deadline) {
+			sleep(c.t.Context(), 10*time.Millisecond)
+		}
+		switch {
+		case m.HasEnded():
+			c.timeLine.add("%s: ended with exit code %d", m.Name(), m.ExitCode())
+			ended = append(ended, m)
+			c.mutex.Lock()
+			c.diskEnds++
+			c.mutex.Unlock()
+		case hasFailed(m):
+			c.fail("a process ends within %v of the write that its disk refused: %s runs on", diskEndTime, m.Name())
+		}
+	}
+	return ended
+}
+
+// hasFailed reports whether a process has logged that it stops because of an error.
+func hasFailed(m *coreMachine) bool {
+	return strings.Contains(m.Log(), `"msg":"stopping because of an error"`)
+}
+
 func (c *core) loseDisks(list []*coreMachine) {
 	for _, m := range list {
 		c.timeLine.add("%s: disk lost (error %v)", m.Name(), m.LoseDisk())
--- a/soak/core_test.go
+++ b/soak/core_test.go
@@ -68,6 +68,36 @@
 	forEachSeed(t, coreSeeds, func(t *testing.T, seed uint64) { newCore(t, seed, program).run(seed) })
 }
 
+// TestControlProcessesWithFullDisksNeverEnd fills the disks of all control processes, one after the
+// other. Each process must end, and is started again; changes must be acknowledged meanwhile.
+func TestControlProcessesWithFullDisksNeverEnd(t *testing.T) {
+	program, err := dhtestcluster.BuildProgram("dogwoodhitch-platform")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const seed = 1
+	c, r := newCore(t, seed, program), newRandom(seed, "operator")
+	c.events = nil
+	c.found(r)
+	for zone := range c.slots {
+		c.events = append(c.events, coreEvent{kind: fullDiskEvent, zones: []int{zone}, down: fullDiskTime})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var operating sync.WaitGroup
+	operating.Go(func() { c.putAll(ctx, r) })
+	for _, e := range c.events {
+		c.begin(e)
+		c.running.Wait()
+		c.waitUntil(func() bool { return c.countLost() == 0 })
+	}
+	cancel()
+	operating.Wait()
+	c.lossAt = time.Now()
+	c.checkReadBack()
+	c.reportProblems()
+}
+
 // coreMachine is the machine of a control process.
 type coreMachine struct {
 	*dhtestcluster.Machine
@@ -107,6 +137,7 @@
 	acks     []acknowledgement
 	reads    int // with status 200
 	members  int // successors that became members
+	diskEnds int // processes that ended because of a full disk
 	entries  []*entry
 	beating  sync.WaitGroup // the upstreams' heartbeats
 	faults   coreFaults
@@ -127,18 +158,18 @@
 		for _, e := range c.events {
 			kinds[e.kind]++
 		}
-		t.Logf("seed %d: %v, %d changes acknowledged of %d, %d reads, %d successors are members, probes %v, %d failures, %v",
-			seed, kinds, len(c.acks), c.sent, c.reads, c.members, c.probes, len(c.failures.lines), time.Since(startedAt).Round(time.Second))
+		t.Logf("seed %d: %v, %d changes acknowledged of %d, %d reads, %d successors are members, %d ended with a full disk, probes %v, %d failures, %v",
+			seed, kinds, len(c.acks), c.sent, c.reads, c.members, c.diskEnds, c.probes, len(c.failures.lines), time.Since(startedAt).Round(time.Second))
 		if t.Failed() {
-			c.keep(folder, fmt.Sprintf("go test ./soak -run 'TestCore$' -seed %d -seeds 1", seed))
+			name, _, _ := strings.Cut(t.Name(), "/")
+			c.keep(folder, fmt.Sprintf("go test ./soak -run '%s$' -seed %d -seeds 1", name, seed))
 		}
 	})
 	return c
 }
 
-// run starts the processes, lets the events happen while an operator works, ends everything at
-// once, and checks what comes back.
-func (c *core) run(seed uint64) {
+// found starts the processes and puts the first version.
+func (c *core) found(r *rand.Rand) {
 	var zones []int
 	for zone := range c.slots {
 		zones = append(zones, zone)
@@ -146,10 +177,16 @@
 	}
 	c.updateSeeds(false)
 	c.recover(zones, c.machines...)
-	o, reader := newRandom(seed, "operator"), newRandom(seed, "reader")
 	c.lossAt = time.Now().Add(recoveryTime)
-	c.putInTime(o)
+	c.putInTime(r)
 	c.lossAt = time.Now()
+}
+
+// run starts the processes, lets the events happen while an operator works, ends everything at
+// once, and checks what comes back.
+func (c *core) run(seed uint64) {
+	o, reader := newRandom(seed, "operator"), newRandom(seed, "reader")
+	c.found(o)
 	ctx, cancel := context.WithCancel(c.t.Context())
 	defer cancel()
 	c.startEntries(ctx)
@@ -157,12 +194,7 @@
 	for i, e := range c.entries {
 		operating.Go(func() { c.probeAll(ctx, e, newRandom(seed, fmt.Sprint("entry ", i))) })
 	}
-	operating.Go(func() {
-		for ctx.Err() == nil {
-			c.put(ctx, o)
-			sleep(ctx, between(o, 20, 400))
-		}
-	})
+	operating.Go(func() { c.putAll(ctx, o) })
 	operating.Go(func() {
 		for ctx.Err() == nil {
 			c.read(reader)
@@ -187,6 +219,11 @@
 			c.fail("no process ends by itself, panics or has a data race: %s", p)
 		}
 	}
+	c.reportProblems()
+}
+
+// reportProblems reports all failures, and what no control process may show.
+func (c *core) reportProblems() {
 	for _, m := range c.machines {
 		for _, p := range m.Problems() {
 			c.fail("no process ends by itself, panics or has a data race: %s", p)
@@ -307,6 +344,14 @@
 	c.put(ctx, r)
 }
 
+// putAll puts one version after the other until the context ends.
+func (c *core) putAll(ctx context.Context, r *rand.Rand) {
+	for ctx.Err() == nil {
+		c.put(ctx, r)
+		sleep(ctx, between(r, 20, 400))
+	}
+}
+
 // put sends the next version to one process after the other until one acknowledges it.
 func (c *core) put(ctx context.Context, r *rand.Rand) {
 	c.mutex.Lock()
