--- a/io/dhloop/loop.go
+++ b/io/dhloop/loop.go
@@ -99,7 +99,8 @@
 // those that wait in the mailbox are never reduced.
 func (l *Loop) Ended() <-chan struct{} { return l.ended }
 
-func (l *Loop) hasEnded() bool {
+// HasEnded reports whether the loop has ended.
+func (l *Loop) HasEnded() bool {
 	select {
 	case <-l.ended:
 		return true
@@ -142,7 +143,7 @@
 // the context ends. It returns a BusyError if the content of the mailbox is too large, and an
 // EndedError if the loop has ended.
 func (l *Loop) Post(ctx context.Context, e dhevent.Event) error {
-	if l.hasEnded() {
+	if l.HasEnded() {
 		return EndedError{}
 	}
 	if !l.reserve(e) {
@@ -163,7 +164,7 @@
 // TryPost adds an event to the mailbox without waiting, and reports whether the
 // mailbox had capacity and the loop runs. It is for events that may be lost, such as messages.
 func (l *Loop) TryPost(e dhevent.Event) bool {
-	if l.hasEnded() || !l.reserve(e) {
+	if l.HasEnded() || !l.reserve(e) {
 		return false
 	}
 	select {
--- a/io/dhprocess/loopwatch.go
+++ b/io/dhprocess/loopwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/io/dhloop"
 	"dogwoodhitch/io/dhtime"
 )
 
@@ -78,6 +80,9 @@
 // for too long to ask it.
 func (e NoAnswerError) Unwrap() error { return e.cause }
 
+// HasLoopEnded reports whether there is no answer because the loop has ended.
+func (e NoAnswerError) HasLoopEnded() bool { return errors.Is(e.cause, dhloop.EndedError{}) }
+
 // Error implements error.
 func (e NoAnswerError) Error() string {
 	return fmt.Sprintf("the control loop doesn't answer, %d ms after its last pass; check the disk of the data folder, or restart the process", e.age)
@@ -86,7 +91,10 @@
 // Contact returns the contact of this process with the consensus group, or a NoAnswerError if the
 // control loop doesn't tell it at once.
 func (p *Process) Contact() (dheffect.Contact, error) {
-	if age := p.loop.Age(); age >= longLoopAge {
+	switch age := p.loop.Age(); {
+	case p.loop.HasEnded():
+		return dheffect.Contact{}, NoAnswerError{age: age, cause: dhloop.EndedError{}}
+	case age >= longLoopAge:
 		return dheffect.Contact{}, NoAnswerError{age: age}
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, dhtime.Duration(contactTimeout))
