Keep a learner whose join requests arrive

A control process that reaches the leader and doesn't get its messages lost its vote after 5 s, as it should, and then changed between member and none for as long as that lasted: 301 changes of its membership in a minute. The leader removed the learner that had been silent for 30 s, the next join request made it a learner again, and one that has never responded counts as silent since the election of the leader. Each change is an entry of the log and a new list of members at each process and instance.

A learner isn't removed while its join requests arrive. It gets no vote, because that needs responses, and doesn't count as a spare member. In the other way, with join requests cut, it is removed once, as before.

--- a/core/dhcontrol/automation.go
+++ b/core/dhcontrol/automation.go
@@ -25,8 +25,8 @@
 	// punctualTimeout is the time without a response of a member, or of a majority, that answers
 	// each heartbeat.
 	punctualTimeout = dhconsensus.ElectionTimeout
-	// learnerTimeout is the time without a response after which a learner is
-	// removed.
+	// learnerTimeout is the time without a response after which a learner that sends no join
+	// requests is removed.
 	learnerTimeout = 30 * dhclock.Second
 	// instanceRemovalTimeout is the time without an acknowledgement after which an
 	// instance's record is removed. Until then its share of the limits' floors
@@ -203,18 +203,23 @@
 // isRunning reports whether a candidate sent a join request within joinTTL.
 func (s *State) isRunning(c candidate) bool { return s.now.Since(c.lastContact) <= joinTTL }
 
+// runningCandidate returns the candidate with a member's name and data folder; false if it isn't
+// running.
+func (s *State) runningCandidate(m dhmessage.Member) (candidate, bool) {
+	c, found := s.automation.candidates[m.Peer().Name()]
+	return c, found && s.isRunning(c) && c.folderID == m.Peer().FolderID()
+}
+
 // isLeaving reports whether a member has announced that it is about to stop, and hasn't started
 // again since.
 func (s *State) isLeaving(m dhmessage.Member) bool {
-	c, found := s.automation.candidates[m.Peer().Name()]
-	switch {
-	case m.Peer().Name() == s.self.Name():
+	if m.Peer().Name() == s.self.Name() {
 		return s.automation.isLeaving
-	case found && s.isRunning(c) && c.folderID == m.Peer().FolderID():
+	}
+	if c, isRunning := s.runningCandidate(m); isRunning {
 		return c.isLeaving
-	default:
-		return m.Leaving()
 	}
+	return m.Leaving()
 }
 
 // planVotes plans the next change of a single vote, or removes an unresponsive learner.
@@ -228,7 +233,9 @@
 		return withReplacement(members, i, member.WithLearner(!member.Learner())), string(change), member.Peer().Name()
 	}
 	for i, m := range members {
-		if m.Member().Learner() && s.unresponsive(m, learnerTimeout) {
+		// A running process would be added again as soon as it is removed.
+		_, isRunning := s.runningCandidate(m.Member())
+		if m.Member().Learner() && !isRunning && s.unresponsive(m, learnerTimeout) {
 			return slices.Delete(membersOf(members), i, i+1), "drops a learner that is gone", m.Member().Peer().Name()
 		}
 	}
