--- a/core/dhtraffic/reservation_test.go
+++ b/core/dhtraffic/reservation_test.go
@@ -109,3 +109,25 @@
 		t.Errorf("a stopping instance reserves %d slots, want none", got)
 	}
 }
+
+// TestPeerThatGetsNoResponseKeepsSlots lets a peer that gets no response ask for slots for 5 s and
+// forward no request. Another peer must get slots.
+func TestPeerThatGetsNoResponseKeepsSlots(t *testing.T) {
+	s := newReceivingState(t)
+	reserve := func(now dhclock.Millis, peer string) int {
+		var out dheffect.List
+		s.HandleReservationRequest(dhevent.NewReservationRequested(now, dhevent.ReservationRequestedOptions{
+			Instance: peer, Request: dhmessage.NewReservationRequest(dhmessage.ReservationRequestOptions{Service: "s", SentAt: now, Slots: 100}),
+		}), &out)
+		return out.Items()[0].(*dheffect.Send).Message().(*dhmessage.ReservationResponse).Slots()
+	}
+	for now := dhclock.Millis(8000); now < 15_000; now += 100 {
+		announceUpstreams(s, now)
+		if now >= 10_000 {
+			reserve(now, "silent")
+		}
+	}
+	if got := reserve(15_000, "other"); got == 0 {
+		t.Error("a peer gets no slot while another one has reserved all for 5 s and used none")
+	}
+}
