Refer callers to a leader that other processes name

A process that hears a majority, but not the leader, held each order until its timeout: its proposals arrived and the responses didn't, and it referred its callers only if it heard no majority. So an order there was never acknowledged while the links were cut by direction (c1 leads, c1>c5 and c1>c6 cut, c5 asked nine times in 8 s).

Voters that follow a leader name it in redirects. A process without a leader for 1 s now refers its callers to the one named within 2 s, before it tries a silent voter: that leader serves them, or refers them on if it has no majority.

Red without the change of core/dhcontrol: TestOrderWaitsForALeaderThatIsNotHeard ("c2, c2, c2: no declaration is accepted in 2000 ms").

--- a/core/dhcontrol/propose.go
+++ b/core/dhcontrol/propose.go
@@ -201,6 +201,7 @@
 		return
 	}
 	s.distribution.SetLeader(m.Leader())
+	s.reachability.recordNamedLeader(m.Leader(), s.now)
 	if m.Round() != nil {
 		s.proposals.recordRound(*m.Round(), s.now)
 	}
--- a/core/dhcontrol/referral.go
+++ b/core/dhcontrol/referral.go
@@ -21,6 +21,9 @@
 	changedAt dhclock.Millis
 	// majoritySince is since when this process has led with a majority.
 	majoritySince dhclock.Millis
+	// namedLeader is the leader that another process has named last, at namedAt.
+	namedLeader string
+	namedAt     dhclock.Millis
 	// referralCount rotates the voters to which callers are referred.
 	referralCount int
 }
@@ -45,6 +48,21 @@
 	maps.DeleteFunc(r.lastHeard, func(name string, _ dhclock.Millis) bool { return !r.hears(name, now) })
 }
 
+// namedLeaderTTL is how long a leader that another process names counts as such, in milliseconds.
+const namedLeaderTTL = 2 * dhclock.Second
+
+func (r *reachability) recordNamedLeader(name string, now dhclock.Millis) {
+	r.namedLeader, r.namedAt = name, now
+}
+
+// leaderNamed returns the leader that another process has named within namedLeaderTTL, or "".
+func (r *reachability) leaderNamed(now dhclock.Millis) string {
+	if now.Since(r.namedAt) > namedLeaderTTL {
+		return ""
+	}
+	return r.namedLeader
+}
+
 // tickReachability records whether this process knows a leader, and whether it leads with a majority.
 func (s *State) tickReachability() {
 	if s.voter == nil {
@@ -85,6 +103,10 @@
 		// An election is usually over by then, and candidates hear from each voter that they reach.
 		return ""
 	}
+	if name := s.reachability.leaderNamed(s.now); name != "" && name != s.self.Name() {
+		// It leads others, although nothing arrives here that it sends.
+		return name
+	}
 	return s.silentVoter()
 }
 
--- a/core/dhreducer/directed_cut_test.go
+++ b/core/dhreducer/directed_cut_test.go
@@ -6,6 +6,7 @@
 
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dheffect"
+	"dogwoodhitch/core/dhevent"
 	"dogwoodhitch/core/dhmessage"
 )
 
@@ -33,6 +34,54 @@
 	}
 }
 
+// TestOrderWaitsForALeaderThatIsNotHeard drops the leader's messages to each pair of the others, which
+// hear a majority all the same. A declaration there must be accepted with referrals.
+func TestOrderWaitsForALeaderThatIsNotHeard(t *testing.T) {
+	t.Parallel()
+	for i := range 5 {
+		n := newReplacementNetwork(t, 6)
+		lead, others := n.leader(), n.followers()
+		pair := []*machine{others[i], others[(i+1)%len(others)]}
+		for _, m := range pair {
+			n.cutLink(lead, m)
+		}
+		n.run(3 * dhclock.Second)
+		n.requireAcceptance(pair, 2*dhclock.Second, func() string { return "" })
+	}
+}
+
+// TestOrdersWaitAcrossALeaderThatGivesWay sends declarations to all control processes, and reads, just as
+// the leader ceases to hear the others. Those of the others must be served within their timeouts. The
+// leader must refer its caller, and answer its read as unconfirmed.
+func TestOrdersWaitAcrossALeaderThatGivesWay(t *testing.T) {
+	t.Parallel()
+	n := newReplacementNetwork(t, 6)
+	lead := n.leader()
+	for _, m := range n.followers() {
+		n.cutLink(m, lead)
+	}
+	n.run(100)
+	const timeout = 5 * dhclock.Second
+	orders, reads := map[*machine]uint64{}, map[*machine]uint64{}
+	for i, m := range n.controls() {
+		orders[m], reads[m] = n.lastCorrelationID+1, n.lastCorrelationID+2
+		n.lastCorrelationID += 2
+		n.handle(m, dhevent.NewProposalRequested(n.clock(m), dhevent.ProposalRequestedOptions{
+			CorrelationID: orders[m], Command: declareCommand(uint64(i + 2)), Timeout: timeout, IsReferable: true,
+		}))
+		n.handle(m, dhevent.NewReadRequested(n.clock(m), dhevent.ReadRequestedOptions{CorrelationID: reads[m], Timeout: timeout}))
+	}
+	n.run(timeout)
+	for m, id := range orders {
+		order, ordered := n.replies[id]
+		read, hasRead := n.replies[reads[m]]
+		if isLost := m == lead; !ordered || !hasRead || order.OutcomeUnknown() != isLost || read.OutcomeUnknown() != isLost || isLost && order.Referral() == "" {
+			t.Errorf("%s, led before: %v: order answered %v, unknown %v, refers to %q; read answered %v, unknown %v",
+				m.name, isLost, ordered, order.OutcomeUnknown(), order.Referral(), hasRead, read.OutcomeUnknown())
+		}
+	}
+}
+
 // TestSlowLinksEndLeadership lets each message take up to 300 ms. No leader may give way.
 func TestSlowLinksEndLeadership(t *testing.T) {
 	t.Parallel()
