Name the members to a process that has lost its data folder

A seed that lost its disk asks the other seeds for membership. One that hears no leader itself named no members, because a member of that name was in its list: the lost folder.

Members are named now unless the requester's folder is among them.

Red without the change: TestLostFolderIsNamedNoMember ("c2, c2, c2, c2, c2: no declaration is accepted in 4000 ms").

--- a/core/dhcontrol/join.go
+++ b/core/dhcontrol/join.go
@@ -40,7 +40,8 @@
 }
 
 // handleJoinRequest records, at the leader, a control process that requests
-// membership. Another voter redirects it to the leader.
+// membership. Another voter redirects it to the leader, and names the members to one whose data
+// folder isn't among them: it may have lost the folder that is.
 func (s *State) handleJoinRequest(from dhmessage.Peer, m *dhmessage.JoinRequest, out *dheffect.List) {
 	v := s.voter
 	if v == nil || s.automation == nil {
@@ -48,7 +49,7 @@
 	}
 	if !v.node.IsLeader() {
 		redirect := dhmessage.RedirectOptions{Leader: v.node.Leader()}
-		if members := v.node.Members(); !slices.Contains(dhmessage.MemberNames(members), from.Name()) {
+		if members := v.node.Members(); !slices.ContainsFunc(members, func(m dhmessage.Member) bool { return m.Peer() == from }) {
 			redirect.Members = members
 		}
 		out.Add(dheffect.NewSend(dheffect.SendOptions{To: from.Name(), Message: dhmessage.NewRedirect(redirect)}))
--- a/core/dhreducer/directed_cut_test.go
+++ b/core/dhreducer/directed_cut_test.go
@@ -1,6 +1,7 @@
 package dhreducer
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -50,6 +51,25 @@
 	}
 }
 
+// TestLostFolderIsNamedNoMember drops the leader's messages to two seeds and another process, and lets
+// one seed lose its disk. The other one doesn't know the leader, and has the lost folder in its list.
+// It must name the members all the same, so that the empty process finds one that knows the leader.
+func TestLostFolderIsNamedNoMember(t *testing.T) {
+	t.Parallel()
+	n := newReplacementNetwork(t, 6)
+	lead, others := n.leader(), n.followers()
+	if !slices.Contains(n.voters, lead.name) {
+		t.Fatalf("%s leads, want one of the seeds %v", lead.name, n.voters)
+	}
+	for _, m := range []*machine{others[0], others[1], others[4]} {
+		n.cutLink(lead, m)
+	}
+	n.run(dhclock.Second)
+	n.wipe(others[0])
+	n.run(3 * dhclock.Second)
+	n.requireAcceptance(others[:1], 4*dhclock.Second, func() string { return "" })
+}
+
 // TestOrdersWaitAcrossALeaderThatGivesWay sends declarations to all control processes, and reads, just as
 // the leader ceases to hear the others. Those of the others must be served within their timeouts. The
 // leader must refer its caller, and answer its read as unconfirmed.
