--- a/io/dhdisk/folder.go
+++ b/io/dhdisk/folder.go
@@ -115,7 +115,7 @@
 }
 
 // ReportSnapshotErrors has a function called, by another goroutine, with the error of each snapshot that
-// is written in the background. It must be called before SaveSnapshot.
+// is written in the background from now on.
 func (f *Folder) ReportSnapshotErrors(report func(error)) { f.reportSnapshotError = report }
 
 // State returns the state that Open read from the folder.
--- a/io/dhdisk/snapshot.go
+++ b/io/dhdisk/snapshot.go
@@ -43,13 +43,13 @@
 		return err
 	}
 	f.snapshotDone = make(chan struct{})
-	go func(done chan struct{}, firstSegment uint64) {
+	go func(done chan struct{}, firstSegment uint64, report func(error)) {
 		defer close(done)
 		f.snapshotError = f.storeSnapshot(e.Snapshot(), firstSegment)
 		if f.snapshotError != nil {
-			f.reportSnapshotError(f.snapshotError)
+			report(f.snapshotError)
 		}
-	}(f.snapshotDone, f.lastSegment)
+	}(f.snapshotDone, f.lastSegment, f.reportSnapshotError)
 	return nil
 }
 
