Refuse requests at once while the disk of a control process stalls

Cause: the listeners go on and post to a loop that can't answer; only the log told of the stall. A handover still waits, since the disk may recover in time. The time since the sync began decides, so nothing is left behind when the stall ends.

--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -32,9 +32,23 @@
 		"and check the disk of this one's data folder", e.wait)
 }
 
+// StalledError reports a request that wasn't posted, since the control loop waits for the disk.
+type StalledError struct{ stalledFor dhclock.Millis }
+
+// StalledFor returns for how long the loop has waited, in milliseconds.
+func (e StalledError) StalledFor() dhclock.Millis { return e.stalledFor }
+
+// Error implements error.
+func (e StalledError) Error() string {
+	return fmt.Sprintf("the disk of this process has stalled for %d ms; use another process, and check the disk of this one's data folder", e.stalledFor)
+}
+
 // Options configure a Client.
 type Options struct {
 	Clock dhtime.Clock
+	// StalledFor returns for how long the control loop has waited for a disk that stalls, in
+	// milliseconds, or 0.
+	StalledFor func() dhclock.Millis
 	// Post queues an event for the control loop.
 	Post func(ctx context.Context, e dhevent.Event) error
 }
@@ -84,6 +98,14 @@
 	}
 }
 
+// request is like call, but returns a StalledError at once while the loop can't answer.
+func (c *Client) request(ctx context.Context, wait dhclock.Millis, event func(at dhclock.Millis, correlationID uint64) dhevent.Event) (dheffect.Effect, error) {
+	if d := c.options.StalledFor(); d > 0 {
+		return nil, StalledError{stalledFor: d}
+	}
+	return c.call(ctx, wait, event)
+}
+
 // call posts an event with a new correlation ID and waits for the reply, until the context ends or
 // for a time, after which it returns an UnansweredError.
 func (c *Client) call(ctx context.Context, wait dhclock.Millis, event func(at dhclock.Millis, correlationID uint64) dhevent.Event) (dheffect.Effect, error) {
@@ -129,7 +151,7 @@
 // later ones may contradict isn't applied any more then. The outcome is unknown at once, with a
 // referral, if the caller can follow one and this process is cut off from the voters.
 func (c *Client) Propose(ctx context.Context, o ProposeOptions) (dhmessage.Result, error) {
-	e, err := c.call(ctx, o.Timeout+answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.request(ctx, o.Timeout+answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewProposalRequested(at, dhevent.ProposalRequestedOptions{
 			CorrelationID: correlationID, Command: o.Command, Timeout: o.Timeout, Expires: true, IsReferable: o.IsReferable,
 		})
@@ -141,14 +163,14 @@
 // was accepted before the call. The result has OutcomeUnknown set if that couldn't
 // be confirmed within the timeout.
 func (c *Client) ReadBarrier(ctx context.Context, timeout dhclock.Millis) (dhmessage.Result, error) {
-	e, err := c.call(ctx, timeout+answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.request(ctx, timeout+answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewReadRequested(at, dhevent.ReadRequestedOptions{CorrelationID: correlationID, Timeout: timeout})
 	})
 	return resultOf(e), err
 }
 
 // Leave announces that this process is about to stop, and returns once another member of the
-// consensus group has its vote. The result has OutcomeUnknown set if it may still have its vote
+// consensus group has its vote. It waits for a disk that stalls, which may recover in time. The result has OutcomeUnknown set if it may still have its vote
 // after the timeout.
 func (c *Client) Leave(ctx context.Context, timeout dhclock.Millis) (dhmessage.Result, error) {
 	e, err := c.call(ctx, timeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
@@ -162,7 +184,7 @@
 // once a majority of voters has stored the change. The result has a referral if the upstream can
 // follow one and this process is cut off from the voters.
 func (c *Client) RecordUpstreamHeartbeat(ctx context.Context, u dhcatalog.Upstream, isReferable bool) (dhmessage.Result, error) {
-	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.request(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewUpstreamHeartbeatReceived(at, dhevent.UpstreamHeartbeatReceivedOptions{CorrelationID: correlationID, Upstream: u, IsReferable: isReferable})
 	})
 	return resultOf(e), err
@@ -181,7 +203,7 @@
 // DeregisterUpstream deregisters an upstream that stops. The result has a referral as that of
 // RecordUpstreamHeartbeat.
 func (c *Client) DeregisterUpstream(ctx context.Context, o DeregisterOptions) (dhmessage.Result, error) {
-	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.request(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewUpstreamDeregistered(at, dhevent.UpstreamDeregisteredOptions{
 			CorrelationID: correlationID, Name: o.Name, Incarnation: o.Incarnation, LatestIncarnation: o.LatestIncarnation, IsReferable: o.IsReferable,
 		})
@@ -198,7 +220,7 @@
 
 // Status returns the status of the system as this process sees it.
 func (c *Client) Status(ctx context.Context) (dheffect.Status, error) {
-	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.request(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewStatusRequested(at, dhevent.StatusRequestedOptions{CorrelationID: correlationID})
 	})
 	if r, ok := e.(*dheffect.StatusReply); ok {
@@ -209,7 +231,7 @@
 
 // Memory returns how much the control state of this process holds.
 func (c *Client) Memory(ctx context.Context) (dheffect.MemoryStatus, error) {
-	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.request(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewMemoryRequested(at, dhevent.MemoryRequestedOptions{CorrelationID: correlationID})
 	})
 	if r, ok := e.(*dheffect.MemoryReply); ok {
@@ -220,7 +242,7 @@
 
 // History returns what this process keeps of the accepted change sets.
 func (c *Client) History(ctx context.Context) (*dheffect.HistoryReply, error) {
-	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.request(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewHistoryRequested(at, dhevent.HistoryRequestedOptions{CorrelationID: correlationID})
 	})
 	if r, ok := e.(*dheffect.HistoryReply); ok {
@@ -231,7 +253,7 @@
 
 // Claim returns the record of a claim and whether this voter has one.
 func (c *Client) Claim(ctx context.Context, k dhmessage.ClaimKey) (dhmessage.ClaimRecord, bool, error) {
-	e, err := c.call(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
+	e, err := c.request(ctx, answerTimeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewClaimRequested(at, dhevent.ClaimRequestedOptions{CorrelationID: correlationID, Key: k})
 	})
 	if r, ok := e.(*dheffect.ClaimReply); ok {
--- a/io/dhcontrolclient/client_test.go
+++ b/io/dhcontrolclient/client_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"dogwoodhitch/core/dhclock"
 	"dogwoodhitch/core/dhevent"
@@ -13,7 +14,7 @@
 )
 
 // TestCallWaitsForAStalledLoop sends requests to a control loop that stands still, with room in its
-// mailbox and without. Each must end by itself.
+// mailbox and without. Each must end by itself, and at once while the stall of the disk is known.
 func TestCallWaitsForAStalledLoop(t *testing.T) {
 	posts := map[string]func(ctx context.Context, e dhevent.Event) error{
 		"queued": func(context.Context, dhevent.Event) error { return nil },
@@ -44,10 +45,18 @@
 				synctest.Test(t, func(t *testing.T) {
 					ctx, cancel := context.WithTimeout(t.Context(), dhtime.Duration(2*timeout))
 					defer cancel()
-					err := call(ctx, New(Options{Clock: dhtime.System(), Post: post}))
-					if !errors.As(err, new(UnansweredError)) {
+					stalledFor := dhclock.Millis(0)
+					c := New(Options{Clock: dhtime.System(), Post: post, StalledFor: func() dhclock.Millis { return stalledFor }})
+					if err := call(ctx, c); !errors.As(err, new(UnansweredError)) {
 						t.Errorf("got error %v, want an UnansweredError", err)
 					}
+					stalledFor = 1000
+					calledAt := time.Now()
+					if err := call(ctx, c); !errors.As(err, new(StalledError)) && name != "leave" {
+						t.Errorf("got error %v during a known stall, want a StalledError", err)
+					} else if took := time.Since(calledAt); took > 0 && name != "leave" {
+						t.Errorf("the call was held for %v during a known stall", took)
+					}
 				})
 			})
 		}
--- a/io/dherrors/errors.go
+++ b/io/dherrors/errors.go
@@ -31,7 +31,7 @@
 	KindMalformed      Kind = "malformed"
 	KindNotFound       Kind = "notFound"
 	KindDenied         Kind = "denied"
-	// KindBusy means that a change isn't applied because too many others wait.
+	// KindBusy means that a request isn't served because too many others wait, or the disk stalls.
 	KindBusy Kind = "busy"
 	// KindOutcomeUnknown means that a change may or may not take effect, or that
 	// a process can't confirm that its configuration is current.
@@ -92,6 +92,7 @@
 	var corrupt dhdisk.CorruptionError
 	var busy dhloop.BusyError
 	var unanswered dhcontrolclient.UnansweredError
+	var stalled dhcontrolclient.StalledError
 	switch {
 	case errors.As(err, &conflict):
 		return KindConflict
@@ -107,7 +108,7 @@
 		return KindMalformed
 	case errors.As(err, &corrupt):
 		return KindDataFolder
-	case errors.As(err, &busy):
+	case errors.As(err, &busy) || errors.As(err, &stalled):
 		return KindBusy
 	case errors.As(err, &unanswered):
 		return KindOutcomeUnknown
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -45,6 +45,7 @@
 	sender        *dhpeer.Sender
 	loop          *dhloop.Loop
 	controlClient *dhcontrolclient.Client
+	diskWatch     *diskWatch
 	// trafficState and entry are nil on a control process.
 	trafficState *dhtrafficstate.Owner
 	entry        *dhentry.Server
@@ -92,7 +93,8 @@
 	p.serverLog = o.Logs.StandardLogger(o.Clock)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.addressBook = dhpeer.NewAddressBook(addressesOf(o.Voters))
-	p.controlClient = dhcontrolclient.New(dhcontrolclient.Options{Clock: o.Clock, Post: p.post})
+	p.diskWatch = &diskWatch{clock: o.Clock, log: p.log}
+	p.controlClient = dhcontrolclient.New(dhcontrolclient.Options{Clock: o.Clock, Post: p.post, StalledFor: p.diskWatch.stalledFor})
 	return p
 }
 
@@ -253,7 +255,7 @@
 		Execute:      p.executeEffect,
 	}
 	if f := p.options.DataFolder; f != nil {
-		w := diskWatch{clock: p.options.Clock, log: p.log}
+		w := p.diskWatch
 		seams.Persist = func(list []*dheffect.Persist) error { return w.run(func() error { return f.Persist(list) }) }
 		seams.SaveSnapshot = func(e *dheffect.SaveSnapshot) error { return w.run(func() error { return f.SaveSnapshot(e) }) }
 		f.ReportSnapshotErrors(func(err error) {
--- a/io/dhprocess/stalleddisk_test.go
+++ b/io/dhprocess/stalleddisk_test.go
@@ -18,19 +18,25 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := diskWatch{clock: dhtime.System(), log: logs.Logger("process")}
+	w := &diskWatch{clock: dhtime.System(), log: logs.Logger("process")}
 	if err := w.run(func() error { return nil }); err != nil || output.String() != "" {
 		t.Errorf("a fast sync: got error %v and lines %q, want neither", err, output.String())
 	}
 	failure := errors.New("a failure of the disk")
 	err = w.run(func() error {
 		waitForLine(t, output, `"msg":"the disk stalls: `)
+		if w.stalledFor() == 0 {
+			t.Error("the stall isn't known while it lasts")
+		}
 		return failure
 	})
 	if !errors.Is(err, failure) {
 		t.Errorf("got error %v, want that of the disk", err)
 	}
 	waitForLine(t, output, `"msg":"the disk stalled: `)
+	if d := w.stalledFor(); d != 0 {
+		t.Errorf("the disk counts as stalled for %v after the stall", d)
+	}
 	if !strings.Contains(output.String(), `"ms":`) {
 		t.Errorf("no line has the time: %s", output)
 	}
