Store nothing in a log after a write that failed

A write that a full disk cuts off leaves half a record. A later write would append behind it, and a restart would report a corrupt log and need a new folder; after a failed sync a later one may succeed without the data. Until now only the control loop's end kept this from happening, by an agreement that nothing in the folder enforces. The folder now returns the first error from then on.

Test: TestTornRecordInTheMiddleOfTheLog, red without the changes to folder.go and log.go ("got error <nil>, want no space left on device", then a corrupt log or no entries at the restart); green with them, as are io/dhdisk and io/dhloop.

--- a/io/dhdisk/folder.go
+++ b/io/dhdisk/folder.go
@@ -42,6 +42,7 @@
 	log           *os.File      // the open segment
 	lastSegment   uint64        // sequence number of the open segment, the last one
 	buffer        []byte        // encoded records before they are written
+	logError      error         // of the first write to the log that failed
 	snapshotDone  chan struct{} // closed while no snapshot is being written
 	snapshotError error         // of the last snapshot; valid once snapshotDone is closed
 	// reportSnapshotError is called with the error of a snapshot that is written in the background.
@@ -142,7 +143,8 @@
 	return parent.Sync()
 }
 
-// Persist appends the effects to the log in order and then syncs it once.
+// Persist appends the effects to the log in order and then syncs it once. After an error the folder
+// stores nothing more in the log.
 func (f *Folder) Persist(list []*dheffect.Persist) error {
 	f.buffer = f.buffer[:0]
 	for _, p := range list {
--- a/io/dhdisk/full_test.go
+++ b/io/dhdisk/full_test.go
@@ -99,3 +99,34 @@
 		check(3, 1)
 	}
 }
+
+// TestTornRecordInTheMiddleOfTheLog has the disk take half of a record. What follows must not be stored
+// behind it, where a restart would find a corrupt log.
+func TestTornRecordInTheMiddleOfTheLog(t *testing.T) {
+	path := foundFolder(t)
+	f := openFolder(t, path)
+	persist(t, f, 1, newEntry(1, 1))
+	log := f.log
+	if _, err := log.Write([]byte{100, 0, 0, 0, 1}); err != nil {
+		t.Fatal(err)
+	}
+	full, err := os.OpenFile("/dev/full", os.O_RDWR, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer full.Close()
+	list := []*dheffect.Persist{dheffect.NewPersist(dheffect.PersistOptions{Term: 1, VotedFor: "c1@x", Entries: []dhmessage.Entry{newEntry(2, 1)}})}
+	for _, disk := range []*os.File{full, log} {
+		f.log = disk
+		if err := f.Persist(list); !errors.Is(err, syscall.ENOSPC) {
+			t.Errorf("got error %v, want %v", err, syscall.ENOSPC)
+		}
+	}
+	if err := f.SaveSnapshot(dheffect.NewSaveSnapshot(dheffect.SaveSnapshotOptions{Term: 1})); !errors.Is(err, syscall.ENOSPC) {
+		t.Errorf("a new segment: got error %v, want %v", err, syscall.ENOSPC)
+	}
+	f.Close()
+	if got := len(openFolder(t, path).State().Entries()); got != 1 {
+		t.Errorf("a restart finds %d entries, want 1", got)
+	}
+}
--- a/io/dhdisk/log.go
+++ b/io/dhdisk/log.go
@@ -42,6 +42,9 @@
 // startSegment creates and syncs the next segment, which begins with the given
 // term, vote and entries, and makes it the open one.
 func (f *Folder) startSegment(term uint64, votedFor string, entries []dhmessage.Entry) error {
+	if f.logError != nil {
+		return f.logError
+	}
 	f.lastSegment++
 	path := filepath.Join(f.path, fmt.Sprintf("log-%020d", f.lastSegment))
 	f.buffer = append(f.buffer[:0], logMagic...)
@@ -66,16 +69,20 @@
 // maxKeptBuffer is the size up to which the buffer is kept for the next records, in bytes.
 const maxKeptBuffer = 1 << 20
 
-// flush writes the buffer to a segment and syncs it.
+// flush writes the buffer to a segment and syncs it. Once that has failed, it returns the same error
+// without writing: the log may end in a torn record, and a later sync may succeed without what was lost.
 func (f *Folder) flush(log *os.File) error {
-	_, err := log.Write(f.buffer)
+	if f.logError != nil {
+		return f.logError
+	}
+	_, f.logError = log.Write(f.buffer)
 	if cap(f.buffer) > maxKeptBuffer {
 		f.buffer = nil
 	}
-	if err != nil {
-		return err
+	if f.logError == nil {
+		f.logError = log.Sync()
 	}
-	return log.Sync()
+	return f.logError
 }
 
 // encodeRecords appends one record for the term and vote and one for each entry
