--- a/core/dhconsensus/node_test.go
+++ b/core/dhconsensus/node_test.go
@@ -310,3 +310,30 @@
 		t.Errorf("a learner has entry %d of %d after two heartbeats", has["m20"], n.LastIndex())
 	}
 }
+
+// TestLeaderGivesWayWithItsLease ticks a leader of three voters that nobody but a stranger responds to.
+// It must lead for as long as its lease may last, then give way without a message, and vote at once.
+func TestLeaderGivesWayWithItsLease(t *testing.T) {
+	n := newLeader(t)
+	b := dhmessage.NewPeer("b", "b1")
+	for now := dhclock.Millis(20_020); now < 22_000; now += 10 {
+		var out dheffect.List
+		held := n.HoldsLease(now)
+		n.Step(now, dhmessage.NewPeer("c", "other"), dhmessage.NewAppendResponse(dhmessage.AppendResponseOptions{Term: 1, Accepted: true}), &out)
+		out = dheffect.List{}
+		n.Tick(now, 1, &out)
+		if n.IsLeader() {
+			continue
+		}
+		sends := slices.ContainsFunc(out.Items(), func(e dheffect.Effect) bool { _, ok := e.(*dheffect.Send); return ok })
+		if held || n.HoldsLease(now) || sends || now < 20_010+quorumTimeout {
+			t.Errorf("%d: gives way; holds its lease: %t, sends: %t", now, held, sends)
+		}
+		n.Step(now, b, dhmessage.NewVoteRequest(dhmessage.VoteRequestOptions{Term: 2, LastIndex: 1, LastTerm: 1}), &out)
+		if n.Term() != 2 {
+			t.Errorf("%d: it gives no vote, term %d", now, n.Term())
+		}
+		return
+	}
+	t.Error("a leader without responses leads on")
+}
