Draw full disks and silent processes in the soaks

TestCore fills up to two disks for up to 8 s, beside the other events, and starts again what ends, at first on the full disk. TestSoak holds back what a process gets or what it sends on all its links, up to 8 s, and has a fifth mix of faults: control processes that stop or are killed while links fail. The checks stay.

--- a/soak/core_fault_test.go
+++ b/soak/core_fault_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,8 +28,9 @@
 
 // The times of a full disk.
 const (
-	fullDiskTime = 2 * time.Second // for which it is full
-	diskEndTime  = 2 * time.Second // by which a process ends whose disk refused a write
+	fullDiskTime = 2 * time.Second        // for which it is full
+	restartTime  = 300 * time.Millisecond // after its end until a process is started again
+	diskEndTime  = 2 * time.Second        // by which a process ends whose disk refused a write
 	// diskFailureTime is the time by which a process has logged that a write was refused.
 	diskFailureTime = 100 * time.Millisecond
 )
@@ -55,7 +57,7 @@
 func drawEvents(r *rand.Rand) []coreEvent {
 	kinds := []string{
 		plannedEvent, plannedEvent, unplannedEvent, unplannedEvent, unplannedEvent, killEvent, diskEvent,
-		zoneEvent, regionEvent, allEvent, allEvent, pauseEvent,
+		zoneEvent, regionEvent, allEvent, allEvent, pauseEvent, fullDiskEvent, fullDiskEvent,
 	}
 	var list []coreEvent
 	for range 4 + r.IntN(4) {
@@ -149,9 +151,9 @@
 		c.startSuccessors(e)
 		c.recover(e.zones)
 	case fullDiskEvent:
-		c.fillDisks(old)
-		sleep(c.t.Context(), e.down)
-		c.recover(e.zones, c.freeDisks(old)...)
+		c.fillDisks(old, e.down)
+		c.freeDisks(old)
+		c.recover(e.zones)
 	case pauseEvent:
 		c.signal(old, syscall.SIGSTOP)
 		sleep(c.t.Context(), e.down)
@@ -197,46 +199,65 @@
 	}
 }
 
-// fillDisks makes the disks of machines refuse each write.
-func (c *core) fillDisks(list []*coreMachine) {
+// fillDisks makes the disks of machines refuse each write for a time. Processes that end are started
+// again meanwhile.
+func (c *core) fillDisks(list []*coreMachine, lasts time.Duration) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	for _, m := range list {
-		c.timeLine.add("%s: disk full (error %v)", m.Name(), m.FillDisk())
+		c.fillDisk(m)
+	}
+	c.mutex.Unlock()
+	for until := time.Now().Add(lasts); time.Now().Before(until); sleep(c.t.Context(), restartTime) {
+		c.restartEnded(list, c.fillDisk)
 	}
+}
+
+// fillDisk makes the disk of a machine refuse each write. c.mutex is held.
+func (c *core) fillDisk(m *coreMachine) {
+	c.timeLine.add("%s: disk full (error %v)", m.Name(), m.FillDisk())
 	c.lossAt = time.Now()
 	c.faults.lastAt = c.lossAt
 }
 
-// freeDisks makes full disks take bytes again, and returns the machines whose processes have ended. A
-// process runs on only if its disk refused nothing.
-func (c *core) freeDisks(list []*coreMachine) (ended []*coreMachine) {
-	deadline := time.Now().Add(diskEndTime)
-	for _, m := range list {
-		c.timeLine.add("%s: disk not full (error %v)", m.Name(), m.SetDiskFull(false))
-	}
-	sleep(c.t.Context(), diskFailureTime)
+// restartEnded starts the processes that have ended by themselves, and passes their machines to a function.
+func (c *core) restartEnded(list []*coreMachine, started func(*coreMachine)) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	for _, m := range list {
-		for !m.HasEnded() && hasFailed(m) && time.Now().Before(deadline) {
-			sleep(c.t.Context(), 10*time.Millisecond)
-		}
-		switch {
-		case m.HasEnded():
+		if m.IsUp() && m.HasEnded() {
 			c.timeLine.add("%s: ended with exit code %d", m.Name(), m.ExitCode())
-			ended = append(ended, m)
-			c.mutex.Lock()
 			c.diskEnds++
-			c.mutex.Unlock()
-		case hasFailed(m):
-			c.fail("a process ends within %v of the write that its disk refused: %s runs on", diskEndTime, m.Name())
+			c.start(m)
+			started(m)
 		}
 	}
-	return ended
 }
 
-// hasFailed reports whether a process has logged that it stops because of an error.
+// freeDisks makes full disks take bytes again and starts the processes that have ended. One runs on only
+// if its disk refused nothing.
+func (c *core) freeDisks(list []*coreMachine) {
+	c.mutex.Lock()
+	for _, m := range list {
+		c.timeLine.add("%s: disk not full (error %v)", m.Name(), m.SetDiskFull(false))
+	}
+	c.mutex.Unlock()
+	sleep(c.t.Context(), diskFailureTime)
+	deadline := time.Now().Add(diskEndTime)
+	var failed []*coreMachine
+	c.waitUntil(func() bool {
+		failed = slices.DeleteFunc(slices.Clone(list), func(m *coreMachine) bool { return !hasFailed(m) })
+		return len(failed) == 0 || time.Now().After(deadline)
+	})
+	for _, m := range failed {
+		c.fail("a process ends within %v of the write that its disk refused: %s runs on", diskEndTime, m.Name())
+	}
+	c.restartEnded(list, func(*coreMachine) {})
+}
+
+// hasFailed reports whether a process runs that has logged that it stops because of an error.
+// c.mutex is held.
 func hasFailed(m *coreMachine) bool {
-	return strings.Contains(m.Log(), `"msg":"stopping because of an error"`)
+	return !m.HasEnded() && strings.Contains(m.Log(), `"msg":"stopping because of an error"`)
 }
 
 func (c *core) loseDisks(list []*coreMachine) {
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -268,6 +268,9 @@
 	}
 }
 
+// maxSilenceMs is longer than processes take to miss each other and to elect a leader, in milliseconds.
+const maxSilenceMs = 8000
+
 // linkDirector injects faults into links, one after the other.
 type linkDirector struct {
 	soak   *soak
@@ -280,11 +283,28 @@
 	names := slices.SortedFunc(maps.Keys(links), func(a, b [2]string) int { return slices.Compare(a[:], b[:]) })
 	for len(names) > 0 && ctx.Err() == nil {
 		sleep(ctx, between(d.random, 100, 2000))
+		if d.random.IntN(4) == 0 {
+			d.silence(ctx)
+			continue
+		}
 		name := names[d.random.IntN(len(names))]
 		d.disturb(links[name], fmt.Sprintf("link from %s to %s", name[0], name[1]))
 	}
 }
 
+// silence holds back what a process gets from all others, or what it sends to them.
+func (d *linkDirector) silence(ctx context.Context) {
+	defer d.soak.disturb("", time.Now())()
+	list := d.soak.cluster.Processes()
+	name, way := list[d.random.IntN(len(list))].Name(), dhtestcluster.Direction(d.random.IntN(2))
+	lasts := between(d.random, 500, maxSilenceMs)
+	d.soak.timeLine.add("all links of %s: silent in direction %d of it", name, way)
+	d.soak.cluster.SetSilent(name, way, true)
+	defer d.soak.timeLine.add("all links of %s: work", name)
+	defer d.soak.cluster.SetSilent(name, way, false)
+	sleep(ctx, lasts)
+}
+
 func (d *linkDirector) disturb(l *dhtestcluster.Link, name string) {
 	defer d.soak.disturb("", time.Now())()
 	defer d.soak.timeLine.add("%s: works", name)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,8 +45,9 @@
 		{faults: faults{"entry": {stopAction, killAction, pauseAction}}},
 		{faults: faults{"entry": {killAction, pauseAction}, "control": {stopAction, killAction, pauseAction}}},
 		{faults: faults{"entry": {stopAction, pauseAction}}, hasLinkFaults: true},
+		{faults: faults{"entry": {stopAction}, "control": {stopAction, killAction}}, hasLinkFaults: true},
 	}
-	runSeeds(t, func(r *rand.Rand, seed uint64) scenario { return mixes[seed%uint64(len(mixes))].draw(r) })
+	runSeeds(t, len(mixes), func(r *rand.Rand, seed uint64) scenario { return mixes[seed%uint64(len(mixes))].draw(r) })
 }
 
 // TestSoakVoters stops control processes too, so that requests wait for tokens and claims when their
@@ -57,7 +58,7 @@
 
 // TestSoakLongRequests stops entry instances while requests run that last longer than a stop.
 func TestSoakLongRequests(t *testing.T) {
-	runSeeds(t, func(r *rand.Rand, _ uint64) scenario {
+	runSeeds(t, defaultSeeds, func(r *rand.Rand, _ uint64) scenario {
 		s := scenario{faults: faults{"entry": {stopAction}}}.draw(r)
 		s.longestWork = 2 * s.finish
 		return s
@@ -78,15 +79,15 @@
 
 // runScenario runs one scenario with each seed.
 func runScenario(t *testing.T, s scenario) {
-	runSeeds(t, func(r *rand.Rand, _ uint64) scenario { return s.draw(r) })
+	runSeeds(t, defaultSeeds, func(r *rand.Rand, _ uint64) scenario { return s.draw(r) })
 }
 
-// defaultSeeds is the number of seeds of a scenario that CI runs.
+// defaultSeeds is the number of seeds of one scenario that CI runs.
 const defaultSeeds = 4
 
 // runSeeds runs a number of seeds.
-func runSeeds(t *testing.T, draw func(*rand.Rand, uint64) scenario) {
-	forEachSeed(t, defaultSeeds, func(t *testing.T, seed uint64) {
+func runSeeds(t *testing.T, seeds int, draw func(*rand.Rand, uint64) scenario) {
+	forEachSeed(t, seeds, func(t *testing.T, seed uint64) {
 		newSoak(t, seed, draw(newRandom(seed, "scenario"), seed)).run()
 	})
 }
