Merge the faults that the soaks draw

A stop that can't wait for files being written logs that before 'stopped', the last line of each stop, on which the soak's check and the operators' page rely.

--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -328,10 +328,10 @@
 	}()
 	select {
 	case <-ended:
-		p.log.Info("stopped")
 	case <-time.After(max(endTimeout, time.Until(endBy))):
-		p.log.Error("stopped while files are being written; check the disk of the data folder")
+		p.log.Error("stopping while files are being written; check the disk of the data folder")
 	}
+	p.log.Info("stopped")
 }
 
 // end waits until the goroutines of the process have ended, and closes what they use.
