Show that a leader that gives way holds orders again

A leader that is cut off refers its callers once it has lacked a majority for 1 s. It now gives way at the same moment, which restarts the wait for an election: an order is held for 880 ms, and none is referred until 2 s after the cut. Red in this test on, green with quorumTimeout raised so that no leader gives way.

--- a/core/dhreducer/referral_test.go
+++ b/core/dhreducer/referral_test.go
@@ -155,3 +155,18 @@
 		t.Errorf("the evacuation ends unknown: %v, refers to %q", r.OutcomeUnknown(), r.Referral())
 	}
 }
+
+// TestLeaderThatGivesWayHoldsOrdersAgain cuts off a leader. It refers callers once it has lacked a
+// majority for contactTimeout, 1 s, and must not stop doing so when its leadership ends.
+func TestLeaderThatGivesWayHoldsOrdersAgain(t *testing.T) {
+	n := newReplacementNetwork(t, 6)
+	leader := n.leader()
+	n.partitioned[leader.name] = true
+	n.run(1100)
+	for number := range uint64(10) {
+		if r, took, _ := n.referableOrder(leader, number+10); r.Referral() == "" || took > referralLimit {
+			t.Fatalf("%s answers an order after %d ms, with a referral to %q", leader.name, took, r.Referral())
+		}
+		n.run(100)
+	}
+}
