Report a failure that occurs during a stop

Operators saw: a control process whose log refuses an entry while it hands over its vote ends with exit code 0 and no line on the cause. Cause: serveUntil read failures only before the stop, and chose at random between a signal and a failure at the same time. It reads them after the stop's steps too.

--- a/io/dhprocess/serve.go
+++ b/io/dhprocess/serve.go
@@ -219,6 +219,12 @@
 		p.log.WithError(err).Error("stopping because of an error")
 		p.leave(err)
 	}
+	select {
+	case later := <-p.failures:
+		p.log.WithError(later).Error("an error occurred during the stop")
+		err = errors.Join(err, later)
+	default:
+	}
 	p.Stop()
 	return err
 }
