Refer callers on while a leader gives way

Callers saw: a cut-off leader that had begun to refer them held orders for up to 900 ms again, from 1 s to 2 s after the cut. Cause: its leadership ends when it begins to refer, and the end restarted the wait of candidates for an election. A node that gave way tells when a majority last responded, and the wait counts from there.

The election that such a node tells of no longer names its own vote, and a candidate records only those that it may leave an election to.

--- a/core/dhconsensus/contact.go
+++ b/core/dhconsensus/contact.go
@@ -26,6 +26,10 @@
 // LeaderHeardAt returns when the last message of another leader arrived; false if there was none.
 func (n *Node) LeaderHeardAt() (dhclock.Millis, bool) { return n.leaderHeardAt, n.leaderHeardAt != 0 }
 
+// LostMajorityAt returns when a majority last responded to this node, if it gave way as leader for want
+// of one and has known no leader since.
+func (n *Node) LostMajorityAt() (dhclock.Millis, bool) { return n.lostMajorityAt, n.lostMajorityAt != 0 }
+
 // Election returns why this node isn't in an election or doesn't win it.
 func (n *Node) Election() string {
 	waits := n.now.Since(n.lastContact) < n.electionTimeout
@@ -44,7 +48,7 @@
 		return "resigned: leaves elections to others"
 	case !n.IsVoter():
 		return "may have lost its vote: leaves elections to others"
-	case n.votedFor != "" && waits:
+	case n.votedFor != "" && n.votedFor != n.self.String() && waits:
 		return "voted for " + n.votedFor
 	default:
 		return "waits for its election timeout"
--- a/core/dhconsensus/follow.go
+++ b/core/dhconsensus/follow.go
@@ -20,7 +20,7 @@
 	}
 	n.leader = from.Name()
 	n.lastContact, n.leaderHeardAt = n.now, n.now
-	clear(n.deferredSince)
+	n.forgetElections()
 	return true
 }
 
--- a/core/dhconsensus/lead.go
+++ b/core/dhconsensus/lead.go
@@ -84,7 +84,7 @@
 	n.role = leader
 	n.leader = n.self.Name()
 	n.grantedVotes = nil
-	clear(n.deferredSince)
+	n.forgetElections()
 	n.leaderState = leaderState{
 		electedAt:         n.now,
 		progress:          map[string]*progress{},
@@ -158,6 +158,7 @@
 // from a leader elect no other one. Its lease has ended by then, so it may vote at once. It stands
 // later than they do.
 func (n *Node) giveWay(out *dheffect.List) {
+	n.lostMajorityAt = n.lastQuorumContact()
 	n.becomeFollower("gives way: a majority doesn't respond", "", out)
 	n.leader = ""
 	n.lastContact = n.now - ElectionTimeout
--- a/core/dhconsensus/node.go
+++ b/core/dhconsensus/node.go
@@ -115,6 +115,9 @@
 	// once it was logged that it wins no election.
 	candidateSince    dhclock.Millis
 	isCandidacyLogged bool
+	// lostMajorityAt is when a majority last responded to this node, if it gave way as leader and has
+	// known none since; else 0.
+	lostMajorityAt dhclock.Millis
 	// leaderHeardAt is when the last message of another leader arrived; 0 if there was none.
 	leaderHeardAt dhclock.Millis
 	// resigned is set once the process is about to stop: it leaves elections to others.
--- a/core/dhconsensus/vote.go
+++ b/core/dhconsensus/vote.go
@@ -70,18 +70,27 @@
 	}), out)
 }
 
+// forgetElections drops what matters only while no leader is known.
+func (n *Node) forgetElections() {
+	n.lostMajorityAt = 0
+	clear(n.deferredSince)
+}
+
 // deferTimeout is how long a candidate leaves an election to another one.
 const deferTimeout = ElectionTimeout + ElectionJitter
 
 // defersTo reports whether this candidate leaves the election to another one: two elections at once
 // would split the votes. A candidate that hasn't won for long may reach others without being reached.
 func (n *Node) defersTo(other dhmessage.Peer) bool {
+	if other.Name() >= n.self.Name() {
+		return false
+	}
 	since, found := n.deferredSince[other.Name()]
 	if !found {
 		since = n.now
 		n.deferredSince[other.Name()] = since
 	}
-	return other.Name() < n.self.Name() && n.now.Since(since) < deferTimeout
+	return n.now.Since(since) < deferTimeout
 }
 
 // canGrantVote applies the rules for granting a vote. A voter that had contact
--- a/core/dhcontrol/referral.go
+++ b/core/dhcontrol/referral.go
@@ -102,7 +102,7 @@
 			return ""
 		}
 		return n.Leader()
-	case s.now.Since(s.reachability.changedAt) < contactTimeout:
+	case s.now.Since(s.leaderLostAt()) < contactTimeout:
 		// An election is usually over by then, and candidates hear from each voter that they reach.
 		return ""
 	}
@@ -113,6 +113,14 @@
 	return s.silentVoter()
 }
 
+// leaderLostAt returns since when this process, which knows no leader, may have known that.
+func (s *State) leaderLostAt() dhclock.Millis {
+	if at, gaveWay := s.voter.node.LostMajorityAt(); gaveWay {
+		return at
+	}
+	return s.reachability.changedAt
+}
+
 // silentVoter returns a voter from which this process hears nothing, another one each time; "" if
 // it hears from a majority.
 func (s *State) silentVoter() string {
