--- a/io/dhcontrolclient/client.go
+++ b/io/dhcontrolclient/client.go
@@ -178,8 +178,8 @@
 }
 
 // Leave announces that this process is about to stop, and returns once another member of the
-// consensus group has its vote. It waits for a disk that stalls, which may recover in time. The result has OutcomeUnknown set if it may still have its vote
-// after the timeout.
+// consensus group has its vote. It waits for a disk that stalls, which may recover in time. The
+// result has OutcomeUnknown set if it may still have its vote after the timeout.
 func (c *Client) Leave(ctx context.Context, timeout dhclock.Millis) (dhmessage.Result, error) {
 	e, err := c.call(ctx, timeout, func(at dhclock.Millis, correlationID uint64) dhevent.Event {
 		return dhevent.NewLeaveStarted(at, dhevent.LeaveStartedOptions{CorrelationID: correlationID, Timeout: timeout})
--- a/io/dhdisk/folder.go
+++ b/io/dhdisk/folder.go
@@ -52,9 +52,10 @@
 
 // Open locks a data folder and reads it. An empty folder gets a new identity
 // without founders, so its process starts without a vote. A torn record at the
-// end of the log is removed, and so are files that a crash left incomplete. Open returns a LockedError if another process uses
-// the folder, an OwnerError if the folder belongs to another process name, and a
-// CorruptionError if a file is invalid in any other way.
+// end of the log is removed, and so are files that a crash left incomplete. Open
+// returns a LockedError if another process uses the folder, an OwnerError if the
+// folder belongs to another process name, and a CorruptionError if a file is
+// invalid in any other way.
 func Open(path, name string) (*Folder, error) {
 	if err := os.MkdirAll(path, folderPermission); err != nil {
 		return nil, fmt.Errorf("create data folder: %w", err)
--- a/io/dhloop/loop.go
+++ b/io/dhloop/loop.go
@@ -111,9 +111,9 @@
 
 func (l *Loop) recordPass() { l.lastPass.Store(int64(l.now())) }
 
-// Age returns the time since the last pass of the loop ended. While the loop runs, it is at most
+// SinceLastPass returns the time since the last pass of the loop ended. While the loop runs, it is at most
 // about a tick; it grows while a pass takes long, and once the loop has ended.
-func (l *Loop) Age() dhclock.Millis { return l.now().Since(dhclock.Millis(l.lastPass.Load())) }
+func (l *Loop) SinceLastPass() dhclock.Millis { return l.now().Since(dhclock.Millis(l.lastPass.Load())) }
 
 // BusyError reports an event that the mailbox has no room for.
 type BusyError struct{ bytes int }
--- a/io/dhprocess/loopwatch.go
+++ b/io/dhprocess/loopwatch.go
@@ -91,7 +91,7 @@
 // Contact returns the contact of this process with the consensus group, or a NoAnswerError if the
 // control loop doesn't tell it at once.
 func (p *Process) Contact() (dheffect.Contact, error) {
-	switch age := p.loop.Age(); {
+	switch age := p.loop.SinceLastPass(); {
 	case p.loop.HasEnded():
 		return dheffect.Contact{}, NoAnswerError{age: age, cause: dhloop.EndedError{}}
 	case age >= longLoopAge:
@@ -101,7 +101,7 @@
 	defer cancel()
 	c, err := p.controlClient.Contact(ctx)
 	if err != nil {
-		return dheffect.Contact{}, NoAnswerError{age: p.loop.Age(), cause: err}
+		return dheffect.Contact{}, NoAnswerError{age: p.loop.SinceLastPass(), cause: err}
 	}
 	return c, nil
 }
--- a/io/dhprocess/process.go
+++ b/io/dhprocess/process.go
@@ -274,7 +274,7 @@
 		p.options.DataFolder.ReleaseState()
 	}
 	p.metrics.SetGaugeFunc(func() int64 { return int64(p.loop.QueueLength()) }, "dogwoodhitch_queued_events", "to", "control")
-	p.metrics.SetGaugeFunc(func() int64 { return p.loop.Age().Milliseconds() }, "dogwoodhitch_loop_age_ms")
+	p.metrics.SetGaugeFunc(func() int64 { return p.loop.SinceLastPass().Milliseconds() }, "dogwoodhitch_loop_age_ms")
 	p.metrics.SetGaugeFunc(p.loop.QueuedBytes, "dogwoodhitch_queued_bytes", "to", "control")
 }
 
--- a/io/dhprocess/scheduling.go
+++ b/io/dhprocess/scheduling.go
@@ -24,7 +24,7 @@
 	ticker := time.NewTicker(schedulingInterval)
 	defer ticker.Stop()
 	delay := dhmetrics.NewSchedulingDelay()
-	w := loopWatch{age: p.loop.Age, log: p.log}
+	w := loopWatch{age: p.loop.SinceLastPass, log: p.log}
 	for {
 		select {
 		case <-p.ctx.Done():
