--- a/core/dhconsensus/contact.go
+++ b/core/dhconsensus/contact.go
@@ -28,7 +28,9 @@
 
 // LostMajorityAt returns when a majority last responded to this node, if it gave way as leader for want
 // of one and has known no leader since.
-func (n *Node) LostMajorityAt() (dhclock.Millis, bool) { return n.lostMajorityAt, n.lostMajorityAt != 0 }
+func (n *Node) LostMajorityAt() (dhclock.Millis, bool) {
+	return n.lostMajorityAt, n.lostMajorityAt != 0
+}
 
 // Election returns why this node isn't in an election or doesn't win it.
 func (n *Node) Election() string {
