--- a/io/dhprocess/handover_test.go
+++ b/io/dhprocess/handover_test.go
@@ -59,16 +59,22 @@
 	return list
 }
 
+// waitForMembers waits until a process knows a number of members.
+func (c *cluster) waitForMembers(p *Process, number int) {
+	c.t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); len(c.votes(p)) < number; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("%d members haven't joined within 10 s: %v", number, c.votes(p))
+		}
+	}
+}
+
 // TestStoppedControlProcessKeepsItsVote stops a founder of a group with a spare member, as
 // SIGTERM does. Once the founder has ended, the spare member must have the vote.
 func TestStoppedControlProcessKeepsItsVote(t *testing.T) {
 	c := newManagedCluster(t, 4, 3)
 	spare := c.voters[3]
-	for deadline := time.Now().Add(10 * time.Second); len(c.votes(spare)) < 4; time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("the spare member hasn't joined within 10 s: ", c.votes(spare))
-		}
-	}
+	c.waitForMembers(spare, 4)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	if err := c.voters[0].serveUntil(ctx); err != nil {
